--- /dev/null
+++ b/internal/tabletest/table.go
@@ -0,0 +1,156 @@
+// Package tabletest provides an in-memory table service with faults for tests.
+package tabletest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// Fault is what happens to a call.
+type Fault int
+
+// Faults of a call.
+const (
+	None Fault = iota
+	// Down refuses the call without any effect.
+	Down
+	// LostAnswer applies a commit and loses its answer.
+	LostAnswer
+	// Delayed loses the answer and keeps the commit until Land.
+	Delayed
+)
+
+// Table is a table service in memory. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision int64
+	delayed  []platform.Txn
+	fault    Fault
+	commits  int
+	applied  func(platform.Txn, int64)
+}
+
+// New makes an empty table.
+func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+
+// SetFault sets the fault of every call from now on.
+func (t *Table) SetFault(f Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault = f
+}
+
+// OnApplied sets a function that is called with each transaction that took
+// effect, and its version.
+func (t *Table) OnApplied(f func(txn platform.Txn, version int64)) { t.applied = f }
+
+// Commits returns the number of commits that were called.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
+}
+
+// Land applies the delayed commits whose checks still hold, in random order
+// when order shuffles them.
+func (t *Table) Land(order func(n int) []int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delayed := t.delayed
+	t.delayed = nil
+	for _, i := range order(len(delayed)) {
+		t.apply(delayed[i])
+	}
+}
+
+// Get implements platform.TableService.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fault == Down {
+		return platform.Row{}, unavailable("table get", false)
+	}
+	row := t.rows[key]
+	row.Key = key
+	return row, ctx.Err()
+}
+
+// Changes implements platform.TableService.
+func (t *Table) Changes(ctx context.Context, prefix string, after int64) (platform.Changes, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fault == Down {
+		return platform.Changes{}, unavailable("table changes", false)
+	}
+	out := platform.Changes{Revision: t.revision}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && row.Version > after {
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	slices.SortFunc(out.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out, ctx.Err()
+}
+
+// Commit implements platform.TableService.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	switch t.fault {
+	case Down:
+		return platform.TxnResult{}, unavailable("table commit", false)
+	case LostAnswer:
+		t.apply(txn)
+		return platform.TxnResult{}, unavailable("table commit", true)
+	case Delayed:
+		t.delayed = append(t.delayed, txn)
+		return platform.TxnResult{}, unavailable("table commit", true)
+	default:
+		return t.apply(txn), ctx.Err()
+	}
+}
+
+// apply writes a transaction unless a check fails.
+func (t *Table) apply(txn platform.Txn) platform.TxnResult {
+	var conflicts []platform.Row
+	for _, c := range txn.Checks {
+		row := t.rows[c.Key]
+		if row.Version != c.Version {
+			row.Key = c.Key
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return platform.TxnResult{Conflicts: conflicts}
+	}
+	t.revision++
+	for _, p := range txn.Puts {
+		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.revision, TxnID: txn.ID}
+	}
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	if t.applied != nil {
+		t.applied(txn, t.revision)
+	}
+	return platform.TxnResult{Committed: true, Version: t.revision}
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func unavailable(op string, unknown bool) error {
+	return &platform.Error{
+		Kind:           platform.KindUnavailable,
+		Op:             op,
+		OutcomeUnknown: unknown,
+		Remedy:         "set the fault of the test table to None",
+		Err:            errNoAnswer,
+	}
+}
