--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -101,10 +101,12 @@
 	if m.calm || rapid.IntRange(0, 9).Draw(m.t, label) != 0 {
 		return
 	}
-	m.advance()
-	for _, n := range m.nodes {
-		m.poll(n)
-		m.step(n)
+	for range rapid.IntRange(1, 3).Draw(m.t, "rounds") {
+		m.advance()
+		for _, n := range m.nodes {
+			m.poll(n)
+			m.step(n)
+		}
 	}
 }
 
@@ -186,6 +188,13 @@
 	_, _ = m.table.Commit(context.Background(), txn)
 }
 
+// stop releases a node's leases; the answer may be lost.
+func (m *machine) stop() {
+	m.table.SetFault(rapid.SampledFrom([]tabletest.Fault{tabletest.None, tabletest.LostAnswer}).Draw(m.t, "stop fault"))
+	m.drawNode().manager.releaseAll(context.Background())
+	m.table.SetFault(tabletest.None)
+}
+
 // check is the invariant that no two processes rely on one lease.
 func (m *machine) check() {
 	for _, name := range leaseNames {
@@ -245,12 +254,13 @@
 			"advance": act(m.advance),
 			"poll":    act(func() { m.poll(m.drawNode()) }),
 			"step":    act(func() { m.step(m.drawNode()) }),
+			"run":     act(func() { n := m.drawNode(); m.poll(n); m.step(n) }),
 			"prepare": act(m.prepare),
 			"send":    act(m.send),
 			"land":    act(func() { m.table.Land(m.shuffle) }),
 			"fault":   act(func() { m.table.SetFault(rapid.SampledFrom(faults).Draw(m.t, "fault")) }),
 			"reboot":  act(func() { m.boot(m.drawNode()) }),
-			"stop":    act(func() { m.drawNode().manager.releaseAll(context.Background()) }),
+			"stop":    act(m.stop),
 			"settle": act(func() {
 				if rapid.IntRange(0, 9).Draw(m.t, "settle") == 0 {
 					m.settle()
