shared: view counts the host lists that were stored

A host counts as gone only after the list was read again without it. A list that is kept while its service is down must not look like one that was read again.

--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -50,6 +50,9 @@
 	Hosts platform.HostListing
 	// ByHost indexes Hosts by id.
 	ByHost map[string]platform.Host
+	// HostReads counts the host lists that were stored, so that readers can
+	// tell a list that was read again from one that was only kept.
+	HostReads uint64
 }
 
 func emptySnapshot() *Snapshot {
@@ -133,6 +136,7 @@
 			return
 		}
 		next.Hosts = listing
+		next.HostReads++
 		next.ByHost = make(map[string]platform.Host, len(listing.Hosts))
 		for _, h := range listing.Hosts {
 			next.ByHost[h.ID] = h
