--- a/internal/decider/decider.go
+++ b/internal/decider/decider.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
@@ -17,6 +20,8 @@
 
 // Sidecars sends orders to sidecars.
 type Sidecars interface {
+	// Release asks a host's sidecar to unload a slot. Only a reply with
+	// released set frees the slot.
 	Release(ctx context.Context, host string, order *apiv1.ReleaseSlot) (*apiv1.ReleaseReply, error)
 }
 
@@ -50,7 +55,7 @@
 	Now func() time.Time
 	// Log may be nil.
 	Log *log.Logger
-	// Seed varies the jitter; 0 takes a random one.
+	// Seed varies the jitter and the transaction ids; 0 takes a random one.
 	Seed uint64
 }
 
@@ -66,31 +71,137 @@
 	Committed uint64 `json:"committed"`
 	// Conflicts counts orders that another write has overtaken.
 	Conflicts uint64 `json:"conflicts"`
-	// Unknown counts orders whose outcome could not be learned.
+	// Unknown counts orders that brought no answer.
 	Unknown uint64 `json:"unknown"`
 	// Releases counts releases that sidecars confirmed.
 	Releases uint64 `json:"releases"`
 	// ReleaseFailures counts releases that a sidecar refused or left unanswered.
 	ReleaseFailures uint64 `json:"release_failures"`
-	// Stranded is the number of releasing slots that wait for their host.
+	// Stranded is the number of releasing slots whose host does not answer.
 	Stranded uint64 `json:"stranded"`
 	// ShardsHeld is the number of shards decided in the last round.
 	ShardsHeld uint64 `json:"shards_held"`
 }
 
+type counters struct {
+	rounds, committed, conflicts, unknown, releases, releaseFailures atomic.Uint64
+	stranded, shardsHeld                                             atomic.Uint64
+}
+
 // Decider runs the decision loop.
 type Decider struct {
 	opts Options
+	// shardLeases are the lease names by shard.
+	shardLeases []string
+
+	// The fields below belong to the goroutine of Run.
+	memory  *placement.Memory
+	limiter *rate.Limiter
+	random  *rand.Rand
+	// readEpochs holds, for each shard, the epoch under which the table was
+	// read after the takeover.
+	readEpochs map[uint32]uint64
+	txns       uint64
+	failures   int
+
+	releases *releaser
+	stats    counters
+	// hosts is replaced whole each round and read by Hosts.
+	hosts atomic.Pointer[[]string]
 }
 
 // New makes a decider. Call Run to start it.
-func New(opts Options) *Decider { return &Decider{opts: opts} }
+func New(opts Options) *Decider {
+	opts = withDefaults(opts)
+	d := &Decider{
+		opts:       opts,
+		memory:     placement.NewMemory(),
+		limiter:    rate.NewLimiter(0, 0),
+		random:     rand.New(rand.NewPCG(opts.Seed, 1)),
+		readEpochs: make(map[uint32]uint64),
+	}
+	for shard := range opts.Shards {
+		d.shardLeases = append(d.shardLeases, platform.ShardLease(shard))
+	}
+	d.releases = newReleaser(opts.Sidecars, &d.stats, opts.Now)
+	return d
+}
+
+func withDefaults(opts Options) Options {
+	if opts.Shards == 0 {
+		opts.Shards = 1
+	}
+	if opts.Round <= 0 {
+		opts.Round = DefaultRound
+	}
+	if opts.OrdersPerSecond <= 0 {
+		opts.OrdersPerSecond = DefaultOrdersPerSecond
+	}
+	if opts.Timing == (placement.Timing{}) {
+		opts.Timing = placement.DefaultTiming()
+	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Seed == 0 {
+		opts.Seed = rand.Uint64()
+	}
+	if opts.Commit == nil {
+		opts.Commit = func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+			return table.Commit(ctx, txn)
+		}
+	}
+	return opts
+}
 
-// Run decides in rounds until ctx ends.
+// Run decides in rounds until ctx ends, and returns once its calls of sidecars
+// have ended.
 func (d *Decider) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	defer d.releases.wait()
+	timer := time.NewTimer(d.nextWait())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			d.round(ctx)
+			timer.Reset(d.nextWait())
+		}
+	}
+}
+
+// maxBackoffDoublings bounds the wait after rounds in which the table failed.
+const maxBackoffDoublings = 4
+
+// nextWait is the jittered time to the next round; it grows while the table
+// doesn't answer.
+func (d *Decider) nextWait() time.Duration {
+	wait := d.opts.Round << min(d.failures, maxBackoffDoublings)
+	jitter := time.Duration(d.random.Int64N(int64(wait)/4 + 1))
+	return wait - wait/8 + jitter
+}
+
+// Hosts returns the hosts that hold slots of the shards decided in the last
+// round. Their load reports are wanted. It is safe for concurrent use.
+func (d *Decider) Hosts() []string {
+	hosts := d.hosts.Load()
+	if hosts == nil {
+		return nil
+	}
+	return *hosts
 }
 
 // Stats returns the counters. It is safe for concurrent use.
-func (d *Decider) Stats() Stats { return Stats{} }
+func (d *Decider) Stats() Stats {
+	return Stats{
+		Rounds:          d.stats.rounds.Load(),
+		Committed:       d.stats.committed.Load(),
+		Conflicts:       d.stats.conflicts.Load(),
+		Unknown:         d.stats.unknown.Load(),
+		Releases:        d.stats.releases.Load(),
+		ReleaseFailures: d.stats.releaseFailures.Load(),
+		Stranded:        d.stats.stranded.Load(),
+		ShardsHeld:      d.stats.shardsHeld.Load(),
+	}
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -26,6 +26,8 @@
 	Slots map[string][]view.Slot
 	// Hosts is the last host list by id.
 	Hosts map[string]platform.Host
+	// HostReads counts how often the host list was read; 0 gives no orders.
+	HostReads uint64
 	// Drains holds the hosts that an operator drains.
 	Drains map[string]bool
 	// Report returns the latest load report of a host, or nil.
@@ -38,7 +40,8 @@
 	Mine func(model string) bool
 	// Now is the time of the decision.
 	Now time.Time
-	// Memory is what earlier rounds have seen; see Memory.Observe.
+	// Memory is what earlier rounds have seen; it must not be nil and must have
+	// observed this state.
 	Memory *Memory
 	// Budget is the largest number of orders.
 	Budget int
