View poller and sessions to sidecars

The poller's Refresh returns only after a table read that began after the call, which is what lets a link hand a restarted sidecar slots read after its start. A link skips the push when the sidecar's report shows an assignment as new from another router.

--- /dev/null
+++ b/internal/upstream/link.go
@@ -0,0 +1,269 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
+)
+
+const (
+	redialDelay  = 200 * time.Millisecond
+	redialJitter = 300 * time.Millisecond
+)
+
+// link is the session to one sidecar: a watch stream for reports and permits,
+// and a loop that hands over the host's slots whenever they change.
+type link struct {
+	opts   Options
+	host   platform.Host
+	cancel context.CancelFunc
+
+	wake  chan struct{} // the snapshot may have changed
+	force chan struct{} // the sidecar asked for a newer assignment
+
+	mu    sync.Mutex
+	watch *transport.Stream // nil while the session is down; guarded by mu
+
+	// bootID is that of the last Hello; pushed is the last assignment that the
+	// sidecar accepted from this link. Both belong to the run goroutine.
+	bootID string
+	pushed revisions
+}
+
+// revisions tell how new an assignment is.
+type revisions struct {
+	bootID string
+	config uint64
+	table  int64
+}
+
+// covers reports whether an assignment of these revisions holds all that the
+// snapshot says about slots.
+func (r revisions) covers(snap *view.Snapshot) bool {
+	return r.config >= snap.Config.Revision && r.table >= snap.SlotsRevision
+}
+
+func newLink(opts Options, h platform.Host, cancel context.CancelFunc) *link {
+	return &link{
+		opts:   opts,
+		host:   h,
+		cancel: cancel,
+		wake:   make(chan struct{}, 1),
+		force:  make(chan struct{}, 1),
+	}
+}
+
+func (l *link) notify() { signal(l.wake) }
+
+func (l *link) forcePush() { signal(l.force) }
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the session up until ctx is done.
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.session(ctx); err != nil && ctx.Err() == nil {
+			l.opts.Log.Debug("session to sidecar ended", "host", l.host.ID, "err", err)
+		}
+		l.opts.View.DropReport(l.host.ID)
+		l.opts.Permits.Lost(l.host.ID)
+		sleep(ctx, redialDelay+rand.N(redialJitter))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// session runs one watch stream from its start to its end.
+func (l *link) session(ctx context.Context) error {
+	stream, err := l.opts.Pool.Open(ctx, l.host.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	err = stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Watch{Watch: &apiv1.Watch{
+		Router:        l.opts.Router,
+		InFlightDelta: l.opts.InFlightDelta,
+		RefreshMs:     uint32(l.opts.ReportPeriod.Milliseconds()),
+	}}})
+	if err != nil {
+		return err
+	}
+	l.setWatch(stream)
+	defer l.setWatch(nil)
+	frames, failed := receive(stream)
+	return l.serve(ctx, frames, failed)
+}
+
+// receive reads frames in its own goroutine until the stream ends.
+func receive(stream *transport.Stream) (<-chan *apiv1.SidecarFrame, <-chan error) {
+	frames := make(chan *apiv1.SidecarFrame, 16)
+	failed := make(chan error, 1)
+	go func() {
+		defer close(frames)
+		for {
+			frame := &apiv1.SidecarFrame{}
+			if err := stream.Recv(frame); err != nil {
+				failed <- err
+				return
+			}
+			frames <- frame
+		}
+	}()
+	return frames, failed
+}
+
+func (l *link) serve(ctx context.Context, frames <-chan *apiv1.SidecarFrame, failed <-chan error) error {
+	defer drain(frames)
+	l.bootID = ""
+	l.pushed = revisions{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case frame, ok := <-frames:
+			if !ok {
+				return <-failed
+			}
+			l.handle(ctx, frame)
+		case <-l.force:
+			l.push(ctx, true)
+		case <-l.wake:
+			l.push(ctx, false)
+		}
+	}
+}
+
+// drain lets the receiving goroutine end after the session did.
+func drain(frames <-chan *apiv1.SidecarFrame) {
+	go func() {
+		for range frames { //nolint:revive // only the end matters
+		}
+	}()
+}
+
+func (l *link) handle(ctx context.Context, frame *apiv1.SidecarFrame) {
+	switch body := frame.GetBody().(type) {
+	case *apiv1.SidecarFrame_Report:
+		l.opts.View.SetReport(body.Report)
+		if body.Report.GetBootId() != l.bootID {
+			l.push(ctx, false)
+		}
+	case *apiv1.SidecarFrame_Permit:
+		if !l.opts.Permits.Request(l.host.ID, body.Permit) {
+			l.grant(&apiv1.LoadPermit{Id: body.Permit.GetId(), NoKeeper: true})
+		}
+	}
+}
+
+func (l *link) grant(permit *apiv1.LoadPermit) {
+	l.mu.Lock()
+	stream := l.watch
+	l.mu.Unlock()
+	if stream != nil {
+		_ = stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Permit{Permit: permit}})
+	}
+}
+
+func (l *link) setWatch(stream *transport.Stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch = stream
+}
+
+// push hands the sidecar its slots, unless it holds them already.
+func (l *link) push(ctx context.Context, force bool) {
+	snap := l.opts.View.Load()
+	if snap.Config == nil {
+		return
+	}
+	if !force && l.holds(snap) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.ensureBoot(ctx, force); err != nil {
+		l.opts.Log.Debug("assignment not handed over", "host", l.host.ID, "err", err)
+		return
+	}
+	if err := l.assign(ctx, l.opts.View.Load()); err != nil {
+		l.opts.Log.Warn("assignment not handed over", "host", l.host.ID, "err", err)
+	}
+}
+
+// holds reports whether the sidecar has an assignment as new as the snapshot,
+// from this router or, by its last report, from another one.
+func (l *link) holds(snap *view.Snapshot) bool {
+	report := l.opts.View.Report(l.host.ID)
+	if report == nil {
+		return false
+	}
+	if l.pushed.bootID == report.GetBootId() && l.pushed.covers(snap) {
+		return true
+	}
+	held := revisions{config: report.GetConfigRevision(), table: int64(report.GetTableRevision())}
+	return held.covers(snap)
+}
+
+// ensureBoot learns the sidecar's boot id and then reads the table, so that the
+// slots of the next assignment were read after the sidecar's start.
+func (l *link) ensureBoot(ctx context.Context, force bool) error {
+	report := l.opts.View.Report(l.host.ID)
+	known := l.bootID != "" && (report == nil || report.GetBootId() == l.bootID)
+	if known && !force {
+		return nil
+	}
+	hello := &apiv1.RouterFrame{Body: &apiv1.RouterFrame_Hello{Hello: &apiv1.Hello{Router: l.opts.Router}}}
+	reply, err := call(ctx, l.opts.Pool, l.host.Address, hello)
+	if err != nil {
+		return err
+	}
+	if reply.GetHello() == nil {
+		return ErrUnexpectedFrame
+	}
+	if err := l.opts.Refresh(ctx); err != nil {
+		return fmt.Errorf("read table after the sidecar's start: %w", err)
+	}
+	l.bootID = reply.GetHello().GetBootId()
+	return nil
+}
+
+func (l *link) assign(ctx context.Context, snap *view.Snapshot) error {
+	next := assignment(snap, l.host.ID, l.bootID)
+	frame := &apiv1.RouterFrame{Body: &apiv1.RouterFrame_Assign{Assign: next}}
+	reply, err := call(ctx, l.opts.Pool, l.host.Address, frame)
+	if err != nil {
+		return err
+	}
+	if reply.GetAssign() == nil {
+		return ErrUnexpectedFrame
+	}
+	if !reply.GetAssign().GetAccepted() {
+		l.bootID = "" // learn the boot id and read the table again
+		return fmt.Errorf("sidecar refused the assignment: %s", reply.GetAssign().GetReason())
+	}
+	l.pushed = revisions{bootID: l.bootID, config: next.GetConfigRevision(), table: snap.TableRevision}
+	l.opts.Log.Debug("assignment handed over", "host", l.host.ID, "slots", len(next.GetSlots()),
+		"config_revision", next.GetConfigRevision(), "table_revision", next.GetTableRevision())
+	return nil
+}
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -42,6 +42,8 @@
 	Config *config.Index
 	// Slots holds the slots of each model, ordered by slot number.
 	Slots map[string][]Slot
+	// SlotsRevision is the highest table version of a slot row.
+	SlotsRevision int64
 	// Leases holds the leases by the part of their key after LeasePrefix.
 	Leases map[string]Lease
 	// Drains holds the hosts that an operator drains.
@@ -50,6 +52,27 @@
 	Hosts platform.HostListing
 	// ByHost indexes Hosts by id.
 	ByHost map[string]platform.Host
+
+	slotIndex *slotIndex // replaced whenever Slots is
+}
+
+// slotIndex finds the assigned slots of a host. It is built by the first
+// reader; sync.Once makes it safe for the others.
+type slotIndex struct {
+	once   sync.Once
+	byHost map[string][]Slot
+}
+
+func (x *slotIndex) build(slots map[string][]Slot) {
+	x.byHost = make(map[string][]Slot)
+	for _, ofModel := range slots {
+		for _, slot := range ofModel {
+			if slot.Row.GetState() != apiv1.SlotState_SLOT_STATE_ASSIGNED {
+				continue
+			}
+			x.byHost[slot.Row.GetHost()] = append(x.byHost[slot.Row.GetHost()], slot)
+		}
+	}
 }
 
 func emptySnapshot() *Snapshot {
@@ -58,21 +81,15 @@
 		Leases: make(map[string]Lease),
 		Drains: make(map[string]bool),
 		ByHost: make(map[string]platform.Host),
+
+		slotIndex: &slotIndex{},
 	}
 }
 
-// SlotsOn returns the assigned slots of a host.
+// SlotsOn returns the assigned slots of a host, in no particular order.
 func (s *Snapshot) SlotsOn(host string) []Slot {
-	var on []Slot
-	for _, slots := range s.Slots {
-		for _, slot := range slots {
-			assigned := slot.Row.GetState() == apiv1.SlotState_SLOT_STATE_ASSIGNED
-			if assigned && slot.Row.GetHost() == host {
-				on = append(on, slot)
-			}
-		}
-	}
-	return on
+	s.slotIndex.once.Do(func() { s.slotIndex.build(s.Slots) })
+	return s.slotIndex.byHost[host]
 }
 
 // Store holds the current Snapshot and the latest load report of each host.
@@ -213,8 +230,10 @@
 	}
 	if !f.slots {
 		f.next.Slots = maps.Clone(f.next.Slots)
+		f.next.slotIndex = &slotIndex{}
 		f.slots = true
 	}
+	f.next.SlotsRevision = max(f.next.SlotsRevision, row.Version)
 	f.next.Slots[slot.GetModel()] = withSlot(f.next.Slots[slot.GetModel()], Slot{Row: slot, Version: row.Version})
 	return true
 }
