--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -41,6 +41,16 @@
 	return kindNames[k]
 }
 
+// ParseKind returns the kind that String names so.
+func ParseKind(name string) (Kind, bool) {
+	for kind, known := range kindNames {
+		if known != "" && known == name {
+			return Kind(kind), true
+		}
+	}
+	return 0, false
+}
+
 // Error is a failed call of the platform.
 type Error struct {
 	Kind Kind
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,50 +12,50 @@
 
 // Row is one row of the table service.
 type Row struct {
-	Key   string
-	Value []byte
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
 	// Version is the table revision of the row's last write; 0 means absent.
-	Version int64
+	Version int64 `json:"version"`
 	// TxnID is the id of the transaction that wrote the row last.
-	TxnID string
+	TxnID string `json:"txn_id,omitempty"`
 }
 
 // Check demands that a row still has a version. Version 0 demands absence.
 type Check struct {
-	Key     string
-	Version int64
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
 }
 
 // Put writes one row.
 type Put struct {
-	Key   string
-	Value []byte
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
 }
 
 // Txn is an atomic conditional write. All checks hold or nothing is written.
 type Txn struct {
 	// ID is unique for each transaction and is stored with every row it writes.
-	ID      string
-	Checks  []Check
-	Puts    []Put
-	Deletes []string
+	ID      string   `json:"id"`
+	Checks  []Check  `json:"checks,omitempty"`
+	Puts    []Put    `json:"puts,omitempty"`
+	Deletes []string `json:"deletes,omitempty"`
 }
 
 // TxnResult tells whether a transaction took effect.
 type TxnResult struct {
-	Committed bool
+	Committed bool `json:"committed"`
 	// Version is the table revision of the commit.
-	Version int64
+	Version int64 `json:"version"`
 	// Conflicts holds the present state of each row whose check failed; an
 	// absent row has Version 0.
-	Conflicts []Row
+	Conflicts []Row `json:"conflicts,omitempty"`
 }
 
 // Changes are the rows under a prefix that were written after a revision.
 type Changes struct {
-	Rows []Row
+	Rows []Row `json:"rows"`
 	// Revision is the table revision at which the rows were read.
-	Revision int64
+	Revision int64 `json:"revision"`
 }
 
 // TableService is the platform's transactional table. Errors are of type
