--- /dev/null
+++ b/internal/standin/answer.go
@@ -0,0 +1,37 @@
+package standin
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token returns token i of an engine's answer to a prompt. It depends on
+// nothing else, so that a test can tell a foreign or missing token.
+func Token(model, adapter, prompt string, i int) string {
+	d := xxhash.New()
+	for _, part := range []string{model, adapter, prompt, strconv.Itoa(i)} {
+		_, _ = fmt.Fprintf(d, "%d:%s", len(part), part)
+	}
+	return fmt.Sprintf("%08x ", uint32(d.Sum64()))
+}
+
+// Answer returns the first n tokens of an engine's answer.
+func Answer(model, adapter, prompt string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Token(model, adapter, prompt, i))
+	}
+	return b.String()
+}
+
+// prefixLength is the number of bytes of a prompt that PrefixHash covers.
+const prefixLength = 256
+
+// PrefixHash is the hash under which an engine's cache events name the start of
+// a prompt.
+func PrefixHash(model, prompt string) uint64 {
+	return xxhash.Sum64String(model + "\x00" + prompt[:min(len(prompt), prefixLength)])
+}
--- /dev/null
+++ b/internal/standin/cluster.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+const (
+	anyPort           = "127.0.0.1:0"
+	readHeaderTimeout = 10 * time.Second
+)
+
+// ClusterOptions say which stand-ins run. An empty address chooses a port of
+// the loopback interface.
+type ClusterOptions struct {
+	TableAddress    string
+	ObjectAddress   string
+	WeightAddress   string
+	HostListAddress string
+
+	Weights     WeightKnobs
+	Checkpoints []platform.CheckpointInfo
+	HostList    HostKnobs
+
+	Engines  []EngineOptions
+	Services []ServiceOptions
+}
+
+// Cluster is a set of running stand-ins.
+type Cluster struct {
+	Table    *Table
+	Objects  *Objects
+	Weights  *Weights
+	Hosts    *Hosts
+	Engines  []*Engine
+	Services []*Service
+	// Census counts models over all engines.
+	Census *Census
+
+	TableURL    string
+	ObjectURL   string
+	WeightURL   string
+	HostListURL string
+	// EngineURLs and ServiceURLs follow Engines and Services.
+	EngineURLs  []string
+	ServiceURLs []string
+
+	servers   []*http.Server
+	serving   sync.WaitGroup
+	closeOnce sync.Once
+}
+
+// Start runs the stand-ins until ctx ends or Close is called.
+func Start(ctx context.Context, o ClusterOptions) (*Cluster, error) {
+	c := &Cluster{
+		Table:   NewTable(),
+		Objects: NewObjects(),
+		Weights: NewWeights(o.Weights, o.Checkpoints),
+		Hosts:   NewHosts(o.HostList),
+		Census:  NewCensus(),
+	}
+	if err := c.serveAll(o); err != nil {
+		c.Close()
+		return nil, err
+	}
+	context.AfterFunc(ctx, c.Close)
+	return c, nil
+}
+
+func (c *Cluster) serveAll(o ClusterOptions) error {
+	var err error
+	c.TableURL, err = c.serve(o.TableAddress, c.Table, err)
+	c.ObjectURL, err = c.serve(o.ObjectAddress, c.Objects, err)
+	c.WeightURL, err = c.serve(o.WeightAddress, c.Weights, err)
+	c.HostListURL, err = c.serve(o.HostListAddress, c.Hosts, err)
+	for _, options := range o.Engines {
+		options.WeightURL = c.WeightURL
+		options.Census = c.Census
+		engine := NewEngine(options)
+		c.Engines = append(c.Engines, engine)
+		var url string
+		url, err = c.serve(options.Address, engine, err)
+		c.EngineURLs = append(c.EngineURLs, url)
+	}
+	for _, options := range o.Services {
+		service := NewService(options)
+		c.Services = append(c.Services, service)
+		var url string
+		url, err = c.serve(options.Address, service, err)
+		c.ServiceURLs = append(c.ServiceURLs, url)
+	}
+	return err
+}
+
+// serve starts one listener, unless an earlier one failed, and returns its URL.
+func (c *Cluster) serve(address string, handler http.Handler, earlier error) (string, error) {
+	if earlier != nil {
+		return "", earlier
+	}
+	if address == "" {
+		address = anyPort
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("stand-in: %w (stop the process that holds the port, or choose another)", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	c.servers = append(c.servers, server)
+	c.serving.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	})
+	return "http://" + listener.Addr().String(), nil
+}
+
+// Close stops all stand-ins and cuts their connections.
+func (c *Cluster) Close() {
+	c.closeOnce.Do(func() {
+		for _, engine := range c.Engines {
+			engine.Close()
+		}
+		for _, server := range c.servers {
+			_ = server.Close()
+		}
+		c.serving.Wait()
+	})
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,122 @@
+// Package standin holds small HTTP stand-ins of the platform, of model engines
+// and of plain services, for tests and for "ragwortdoord dev". Each can be told
+// to fail, and counts what it saw.
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// Faults are the failures that a stand-in shows. The zero value shows none.
+type Faults struct {
+	// Down closes connections without an answer and without an effect.
+	Down bool `json:"down"`
+	// Refuse answers 503 without an effect.
+	Refuse bool `json:"refuse"`
+	// DelayMS is added to each answer, in milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers is the number of next writes that take effect but whose
+	// connection is closed in place of an answer.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseEvery loses the answer of each LoseEvery-th write; 0 loses none.
+	LoseEvery int `json:"lose_every"`
+}
+
+// FaultBox holds the faults of one stand-in. It is safe for concurrent use.
+type FaultBox struct {
+	// losable selects the calls whose answer can be lost; nil selects every
+	// method but GET.
+	losable func(*http.Request) bool
+
+	mu     sync.Mutex
+	faults Faults
+	writes int
+}
+
+// Set replaces the faults.
+func (b *FaultBox) Set(f Faults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+	b.writes = 0
+}
+
+// Get returns the faults; LoseAnswers counts down.
+func (b *FaultBox) Get() Faults {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults
+}
+
+// loses decides whether the answer of a call is lost.
+func (b *FaultBox) loses(r *http.Request) bool {
+	if !b.isLosable(r) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.writes++
+	if b.faults.LoseAnswers > 0 {
+		b.faults.LoseAnswers--
+		return true
+	}
+	return b.faults.LoseEvery > 0 && b.writes%b.faults.LoseEvery == 0
+}
+
+func (b *FaultBox) isLosable(r *http.Request) bool {
+	if b.losable == nil {
+		return r.Method != http.MethodGet
+	}
+	return b.losable(r)
+}
+
+// wrap shows the faults in front of a handler.
+func (b *FaultBox) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults := b.Get()
+		if faults.Down {
+			hangUp()
+		}
+		if !wait(r, time.Duration(faults.DelayMS)*time.Millisecond) {
+			hangUp()
+		}
+		if faults.Refuse {
+			writeError(w, platform.KindOverloaded, "told to refuse")
+			return
+		}
+		if b.loses(r) {
+			next.ServeHTTP(&discard{header: make(http.Header)}, r)
+			hangUp()
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// hangUp closes the connection without an answer.
+func hangUp() { panic(http.ErrAbortHandler) }
+
+// wait reports false when the caller went away first.
+func wait(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// discard takes an answer that is lost.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discard) WriteHeader(int)             {}
--- /dev/null
+++ b/internal/standin/hosts.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// HostKnobs are the settings of a Hosts.
+type HostKnobs struct {
+	// LagMS is the age of the list that is served, in milliseconds.
+	LagMS int `json:"lag_ms"`
+}
+
+// HostCounts are the counters of a Hosts.
+type HostCounts struct {
+	Reads int64 `json:"reads"`
+}
+
+// Hosts stands in for the platform's host list.
+type Hosts struct {
+	Faults FaultBox
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	knobs    HostKnobs
+	counts   HostCounts
+	listings history[platform.HostListing]
+}
+
+// NewHosts makes an empty list.
+func NewHosts(knobs HostKnobs) *Hosts {
+	h := &Hosts{knobs: knobs}
+	h.listings.first.Hosts = []platform.Host{}
+	protocol := http.NewServeMux()
+	protocol.HandleFunc("GET /v1/hosts", h.handleHosts)
+	h.mux = adminMux(&h.Faults, func() any { return h.Counts() }, protocol)
+	handleKnobs(h.mux, h.Knobs, h.SetKnobs)
+	h.mux.HandleFunc("POST /admin/hosts", h.handleAdd)
+	h.mux.HandleFunc("POST /admin/hosts/{id}/leave", func(_ http.ResponseWriter, r *http.Request) {
+		h.Leave(r.PathValue("id"))
+	})
+	h.mux.HandleFunc("DELETE /admin/hosts/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		h.Drop(r.PathValue("id"))
+	})
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Hosts) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// Knobs returns the settings.
+func (h *Hosts) Knobs() HostKnobs {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.knobs
+}
+
+// SetKnobs replaces the settings.
+func (h *Hosts) SetKnobs(k HostKnobs) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.knobs = k
+}
+
+// Counts returns the counters.
+func (h *Hosts) Counts() HostCounts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts
+}
+
+// Add adds a host or replaces the one with its id. A host without a state is
+// live.
+func (h *Hosts) Add(host platform.Host) {
+	if host.State == "" {
+		host.State = platform.HostLive
+	}
+	h.change(func(hosts []platform.Host) []platform.Host {
+		return append(without(hosts, host.ID), host)
+	})
+}
+
+// Leave marks a host as leaving.
+func (h *Hosts) Leave(id string) {
+	h.change(func(hosts []platform.Host) []platform.Host {
+		for i := range hosts {
+			if hosts[i].ID == id {
+				hosts[i].State = platform.HostLeaving
+			}
+		}
+		return hosts
+	})
+}
+
+// Drop removes a host.
+func (h *Hosts) Drop(id string) {
+	h.change(func(hosts []platform.Host) []platform.Host { return without(hosts, id) })
+}
+
+func without(hosts []platform.Host, id string) []platform.Host {
+	return slices.DeleteFunc(hosts, func(host platform.Host) bool { return host.ID == id })
+}
+
+func (h *Hosts) change(edit func([]platform.Host) []platform.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last := h.listings.last()
+	next := platform.HostListing{
+		Hosts:    edit(slices.Clone(last.Hosts)),
+		Revision: last.Revision + 1,
+	}
+	h.listings.add(time.Now(), next)
+}
+
+// Listing returns the list that is served now.
+func (h *Hosts) Listing() platform.HostListing {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.listings.at(time.Now().Add(-milliseconds(h.knobs.LagMS)))
+}
+
+func (h *Hosts) handleHosts(w http.ResponseWriter, _ *http.Request) {
+	h.mu.Lock()
+	h.counts.Reads++
+	h.mu.Unlock()
+	writeJSON(w, h.Listing())
+}
+
+func (h *Hosts) handleAdd(w http.ResponseWriter, r *http.Request) {
+	var host platform.Host
+	if readJSON(w, r, &host) {
+		h.Add(host)
+	}
+}
--- /dev/null
+++ b/internal/standin/http.go
@@ -0,0 +1,75 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, kind platform.Kind, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(platform.StatusOf(kind))
+	_ = json.NewEncoder(w).Encode(platform.ErrorBody{Kind: kind.String(), Message: message})
+}
+
+// readJSON decodes a call's body. It answers a bad one itself.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		writeError(w, platform.KindInvalid, "body: "+err.Error())
+		return false
+	}
+	return true
+}
+
+// adminMux serves the knobs and counters of a stand-in next to its protocol.
+// Faults don't apply to /admin.
+func adminMux(faults *FaultBox, counts func() any, protocol http.Handler) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("/", faults.wrap(protocol))
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, faults.Get())
+	})
+	mux.HandleFunc("POST /admin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if readJSON(w, r, &f) {
+			faults.Set(f)
+			writeJSON(w, f)
+		}
+	})
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, counts())
+	})
+	return mux
+}
+
+// handleKnobs serves a stand-in's own settings under /admin/knobs. A POST
+// changes only the fields that it names.
+func handleKnobs[T any](mux *http.ServeMux, get func() T, set func(T)) {
+	mux.HandleFunc("GET /admin/knobs", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, get())
+	})
+	mux.HandleFunc("POST /admin/knobs", func(w http.ResponseWriter, r *http.Request) {
+		knobs := get()
+		if readJSON(w, r, &knobs) {
+			set(knobs)
+			writeJSON(w, knobs)
+		}
+	})
+}
+
+// writeHalf sends half of an answer and closes the connection.
+func writeHalf(w http.ResponseWriter, v any) {
+	body, _ := json.Marshal(v)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	hangUp()
+}
--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,175 @@
+package standin
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// HeaderIdempotencyKey carries a caller's key of a call that may not be
+// repeated.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// ServiceKnobs are the settings of a Service.
+type ServiceKnobs struct {
+	// RunMS is the time that a call takes, in milliseconds.
+	RunMS int `json:"run_ms"`
+	// FailBeforeRun is the number of next calls whose connection is closed
+	// before they run.
+	FailBeforeRun int `json:"fail_before_run"`
+	// CutBodies is the number of next calls that run but whose answer is cut
+	// half way.
+	CutBodies int `json:"cut_bodies"`
+}
+
+// ServiceCounts are the counters of a Service.
+type ServiceCounts struct {
+	Runs int `json:"runs"`
+	// ByRequestID and ByKey count the runs of each Ragwortdoor-Request-Id and
+	// of each Idempotency-Key.
+	ByRequestID map[string]int `json:"by_request_id"`
+	ByKey       map[string]int `json:"by_key"`
+	// Running is the number of calls that run now.
+	Running     int `json:"running"`
+	PeakRunning int `json:"peak_running"`
+}
+
+// ServiceAnswer is the JSON body of a Service's answer.
+type ServiceAnswer struct {
+	Service   string `json:"service"`
+	Host      string `json:"host"`
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"`
+	// Run is the number of this run over all runs of the service's host.
+	Run int `json:"run"`
+}
+
+// ServiceOptions configure a Service.
+type ServiceOptions struct {
+	// Host is the id of the host that the service runs on.
+	Host string
+	Name string
+	// Address is where Start listens, "IP:PORT"; empty chooses a port.
+	Address string
+	Knobs   ServiceKnobs
+}
+
+// Service stands in for a plain service.
+type Service struct {
+	Faults FaultBox
+	host   string
+	name   string
+	mux    *http.ServeMux
+
+	mu     sync.Mutex
+	knobs  ServiceKnobs
+	counts ServiceCounts
+}
+
+// NewService makes a service that answers every path.
+func NewService(o ServiceOptions) *Service {
+	s := &Service{host: o.Host, name: o.Name, knobs: o.Knobs}
+	s.counts.ByRequestID = make(map[string]int)
+	s.counts.ByKey = make(map[string]int)
+	s.Faults.losable = func(*http.Request) bool { return true }
+	s.mux = adminMux(&s.Faults, func() any { return s.Counts() }, http.HandlerFunc(s.handleCall))
+	handleKnobs(s.mux, s.Knobs, s.SetKnobs)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Host returns the id of the host that the service runs on.
+func (s *Service) Host() string { return s.host }
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.name }
+
+// Knobs returns the settings; the numbers of next calls count down.
+func (s *Service) Knobs() ServiceKnobs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.knobs
+}
+
+// SetKnobs replaces the settings.
+func (s *Service) SetKnobs(knobs ServiceKnobs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.knobs = knobs
+}
+
+// Counts returns the counters.
+func (s *Service) Counts() ServiceCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts
+	counts.ByRequestID = maps.Clone(s.counts.ByRequestID)
+	counts.ByKey = maps.Clone(s.counts.ByKey)
+	return counts
+}
+
+func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || s.failsBeforeRun() {
+		hangUp()
+	}
+	answer := ServiceAnswer{
+		Service:   s.name,
+		Host:      s.host,
+		RequestID: r.Header.Get(platform.HeaderRequestID),
+		Method:    r.Method,
+		Path:      r.URL.RequestURI(),
+		Body:      string(body),
+	}
+	var cut bool
+	answer.Run, cut = s.beginRun(answer.RequestID, r.Header.Get(HeaderIdempotencyKey))
+	defer s.endRun()
+	// The run goes on when the caller goes away.
+	time.Sleep(milliseconds(s.Knobs().RunMS))
+	if cut {
+		writeHalf(w, answer)
+	}
+	writeJSON(w, answer)
+}
+
+func (s *Service) failsBeforeRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.knobs.FailBeforeRun <= 0 {
+		return false
+	}
+	s.knobs.FailBeforeRun--
+	return true
+}
+
+// beginRun counts a run. cut tells that its answer is cut half way.
+func (s *Service) beginRun(requestID, key string) (run int, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Runs++
+	s.counts.ByRequestID[requestID]++
+	if key != "" {
+		s.counts.ByKey[key]++
+	}
+	s.counts.Running++
+	s.counts.PeakRunning = max(s.counts.PeakRunning, s.counts.Running)
+	if s.knobs.CutBodies > 0 {
+		s.knobs.CutBodies--
+		cut = true
+	}
+	return s.counts.Runs, cut
+}
+
+func (s *Service) endRun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Running--
+}
--- /dev/null
+++ b/internal/standin/shared.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// progressTick is the period at which work notices that its speed changed.
+const progressTick = 5 * time.Millisecond
+
+// sharedSpeed is a resource at which up to full jobs run at full speed; beyond,
+// all of them are proportionally slower.
+type sharedSpeed struct {
+	full     atomic.Int64
+	inFlight atomic.Int64
+	peak     atomic.Int64
+}
+
+// work takes length at full speed, times slower(). It reports false when ctx
+// ended first.
+func (s *sharedSpeed) work(ctx context.Context, length time.Duration, slower func() float64) bool {
+	raise(&s.peak, s.inFlight.Add(1))
+	defer s.inFlight.Add(-1)
+	for left := length; left > 0; {
+		slowdown := s.slowdown() * max(slower(), 1e-3)
+		step := min(progressTick, time.Duration(float64(left)*slowdown)+1)
+		start := time.Now()
+		if !sleep(ctx, step) {
+			return false
+		}
+		left -= time.Duration(float64(time.Since(start)) / slowdown)
+	}
+	return ctx.Err() == nil
+}
+
+func (s *sharedSpeed) slowdown() float64 {
+	return max(1, float64(s.inFlight.Load())/float64(max(1, s.full.Load())))
+}
+
+// raise sets peak to value if that is higher.
+func raise(peak *atomic.Int64, value int64) {
+	for {
+		have := peak.Load()
+		if value <= have || peak.CompareAndSwap(have, value) {
+			return
+		}
+	}
+}
+
+// sleep reports false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
