Operators' side, thin: config publisher, settings, wait records, operator API

Cause: the daemon is wired against this API, so it has to compile early. Change: exported API of config, settings, waitlog and operator, with the publisher, the settings checks, the buffer of wait records and the HTTP handlers in place. config.Check, Diff, the timeline and the command line are still stubs, and there are no tests yet.

--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/strictjson"
+)
+
+// ParseSet reads a set from JSON with the field names of objects.proto. It
+// returns all unknown fields and wrong types at once; the set is then nil.
+func ParseSet(data []byte) (*apiv1.ObjectSet, Faults) {
+	set := &apiv1.ObjectSet{}
+	result := strictjson.Decode(data, set)
+	if len(result.Faults) == 0 {
+		return set, nil
+	}
+	names := namesOf(set)
+	faults := make(Faults, 0, len(result.Faults))
+	for _, f := range result.Faults {
+		object, field := names.split(f.Path)
+		faults = append(faults, Fault{Object: object, Field: field, Problem: f.Problem, Remedy: f.Remedy})
+	}
+	return nil, faults
+}
+
+// FormatSet writes a set as JSON that ParseSet reads.
+func FormatSet(set *apiv1.ObjectSet) ([]byte, error) {
+	options := protojson.MarshalOptions{UseProtoNames: true, Multiline: true, Indent: "  "}
+	data, err := options.Marshal(set)
+	if err != nil {
+		return nil, fmt.Errorf("format object set: %w", err)
+	}
+	return data, nil
+}
+
+// objectNames holds the names of a set's objects by kind and index.
+type objectNames map[string][]string
+
+func namesOf(set *apiv1.ObjectSet) objectNames {
+	names := make(objectNames)
+	for _, object := range Objects(set) {
+		names[object.Kind] = append(names[object.Kind], object.Name)
+	}
+	return names
+}
+
+// split turns "models[3].max_queue" into "models/NAME" and "max_queue".
+func (n objectNames) split(path string) (object, field string) {
+	kind, rest, found := strings.Cut(path, "[")
+	if !found {
+		return "", path
+	}
+	indexText, field, _ := strings.Cut(rest, "]")
+	index, err := strconv.Atoi(indexText)
+	if err != nil || index >= len(n[kind]) {
+		return "", path
+	}
+	return objectLabel(kind, n[kind][index], index), strings.TrimPrefix(field, ".")
+}
+
+// objectLabel is "KIND/NAME", or "KIND[INDEX]" for an object without a name.
+func objectLabel(kind, name string, index int) string {
+	if name == "" {
+		return fmt.Sprintf("%s[%d]", kind, index)
+	}
+	return kind + "/" + name
+}
--- /dev/null
+++ b/internal/config/publisher.go
@@ -0,0 +1,211 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// KeepRevisions is the number of history rows that are kept. Older ones are
+// deleted, one with each publication.
+const KeepRevisions = 100_000
+
+// CommitFunc commits a transaction and settles a lost answer by repeating it.
+type CommitFunc func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error)
+
+// PublisherOptions configure a Publisher.
+type PublisherOptions struct {
+	// Fleet returns what sets are checked against; nil skips those checks.
+	Fleet func() Fleet
+	// Commit is CommitSettled by default.
+	Commit CommitFunc
+	// Now is time.Now by default.
+	Now func() time.Time
+	// Log is discarded by default.
+	Log *log.Logger
+}
+
+// Publisher puts object sets in force. It is safe for concurrent use.
+type Publisher struct {
+	table   platform.TableService
+	objects platform.ObjectStore
+	options PublisherOptions
+}
+
+// NewPublisher makes a publisher on the platform's services.
+func NewPublisher(table platform.TableService, objects platform.ObjectStore, options PublisherOptions) *Publisher {
+	if options.Fleet == nil {
+		options.Fleet = func() Fleet { return Fleet{} }
+	}
+	if options.Commit == nil {
+		options.Commit = CommitSettled
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Log == nil {
+		options.Log = discardLog()
+	}
+	return &Publisher{table: table, objects: objects, options: options}
+}
+
+// PublishOptions describe one publication.
+type PublishOptions struct {
+	Author  string
+	Message string
+	// ExpectRevision is the revision that the new one must follow; nil takes
+	// the one in force when Publish reads it.
+	ExpectRevision *uint64
+	// TxnID identifies the publication. Repeating Publish with the same TxnID
+	// and ExpectRevision has no further effect. Empty makes a new one.
+	TxnID string
+}
+
+// Publish checks a set and puts it in force as the next revision. A nil error
+// means that the revision is committed. It returns an *InvalidError for a set
+// with faults, a *ConflictError when another publication took the revision,
+// and an error of the platform otherwise; platform.OutcomeUnknown then tells
+// whether the set may have been published.
+func (p *Publisher) Publish(ctx context.Context, set *apiv1.ObjectSet, options PublishOptions) (*apiv1.HeadRow, error) {
+	if err := Check(set, p.options.Fleet()).Err(); err != nil {
+		return nil, err
+	}
+	if options.TxnID == "" {
+		options.TxnID = newTxnID()
+	}
+	current, err := p.readHead(ctx)
+	if err != nil {
+		return nil, notPublished("read the head row", err)
+	}
+	if row, done, err := p.alreadyDecided(ctx, current, options); done {
+		return row, err
+	}
+	bodyKey, err := p.storeBody(ctx, set)
+	if err != nil {
+		return nil, notPublished("store the body", err)
+	}
+	next := &apiv1.HeadRow{
+		Revision: current.row.GetRevision() + 1,
+		BodyKey:  bodyKey,
+		Author:   options.Author,
+		Message:  options.Message,
+		UnixMs:   p.options.Now().UnixMilli(),
+	}
+	return p.commit(ctx, current, next, options.TxnID)
+}
+
+// headState is the head row as it was read. Revision 0 means that nothing was
+// published yet.
+type headState struct {
+	row     *apiv1.HeadRow
+	version int64
+	txnID   string
+}
+
+func (p *Publisher) readHead(ctx context.Context) (headState, error) {
+	return p.readRow(ctx, platform.HeadKey)
+}
+
+// readRow reads the head row or a history row.
+func (p *Publisher) readRow(ctx context.Context, key string) (headState, error) {
+	row, err := p.table.Get(ctx, key)
+	if err != nil {
+		return headState{}, err
+	}
+	head := &apiv1.HeadRow{}
+	if err := proto.Unmarshal(row.Value, head); err != nil {
+		return headState{}, fmt.Errorf("row %s is damaged: restore it from the platform's backup: %w", key, err)
+	}
+	return headState{row: head, version: row.Version, txnID: row.TxnID}, nil
+}
+
+// alreadyDecided reports whether the publication needs no commit: it took
+// effect in an earlier try, or the revision that it expects has passed.
+func (p *Publisher) alreadyDecided(ctx context.Context, current headState, options PublishOptions) (*apiv1.HeadRow, bool, error) {
+	if current.txnID == options.TxnID {
+		return current.row, true, nil
+	}
+	if options.ExpectRevision == nil || *options.ExpectRevision == current.row.GetRevision() {
+		return nil, false, nil
+	}
+	row, err := p.resolve(ctx, *options.ExpectRevision, options.TxnID)
+	return row, true, err
+}
+
+func (p *Publisher) storeBody(ctx context.Context, set *apiv1.ObjectSet) (string, error) {
+	body, err := EncodeSet(set)
+	if err != nil {
+		return "", err
+	}
+	key := BodyKey(body)
+	return key, p.objects.Put(ctx, key, body)
+}
+
+// commit writes the head row and the history row of next in one transaction.
+func (p *Publisher) commit(ctx context.Context, current headState, next *apiv1.HeadRow, txnID string) (*apiv1.HeadRow, error) {
+	txn, err := publication(current, next, txnID)
+	if err != nil {
+		return nil, err
+	}
+	result, err := p.options.Commit(ctx, p.table, txn)
+	if err != nil {
+		return nil, fmt.Errorf("commit revision %d: %w", next.GetRevision(), err)
+	}
+	if !result.Committed {
+		return p.resolve(ctx, current.row.GetRevision(), txnID)
+	}
+	p.options.Log.Info("configuration published", "revision", next.GetRevision(),
+		"author", next.GetAuthor(), "message", next.GetMessage(), "body", next.GetBodyKey())
+	return next, nil
+}
+
+func publication(current headState, next *apiv1.HeadRow, txnID string) (platform.Txn, error) {
+	value, err := proto.Marshal(next)
+	if err != nil {
+		return platform.Txn{}, fmt.Errorf("encode head row: %w", err)
+	}
+	historyKey := platform.HistoryKey(next.GetRevision())
+	txn := platform.Txn{
+		ID: txnID,
+		Checks: []platform.Check{
+			{Key: historyKey, Version: 0},
+			{Key: platform.HeadKey, Version: current.version},
+		},
+		// The history row comes first: it is never written again, so its
+		// transaction id settles a lost answer for good.
+		Puts: []platform.Put{
+			{Key: historyKey, Value: value},
+			{Key: platform.HeadKey, Value: value},
+		},
+	}
+	if next.GetRevision() > KeepRevisions {
+		txn.Deletes = []string{platform.HistoryKey(next.GetRevision() - KeepRevisions)}
+	}
+	return txn, nil
+}
+
+// resolve finds out which publication followed base: this one, in an earlier
+// try, or another, which is then named in a *ConflictError.
+func (p *Publisher) resolve(ctx context.Context, base uint64, txnID string) (*apiv1.HeadRow, error) {
+	winner, err := p.readRow(ctx, platform.HistoryKey(base+1))
+	if err != nil {
+		return nil, fmt.Errorf("find out who published revision %d: %w", base+1, err)
+	}
+	if winner.version != 0 && winner.txnID == txnID {
+		return winner.row, nil
+	}
+	head, err := p.readHead(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("find out which revision is in force: %w", err)
+	}
+	if winner.version == 0 {
+		winner = head
+	}
+	return nil, &ConflictError{Expected: base, Winner: winner.row, Head: head.row}
+}
--- /dev/null
+++ b/internal/config/publisher_errors.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// ConflictError means that another publication came first. Nothing of this one
+// was published.
+type ConflictError struct {
+	// Expected is the revision that this publication should have followed.
+	Expected uint64
+	// Winner is the publication that took its place.
+	Winner *apiv1.HeadRow
+	// Head is the revision in force.
+	Head *apiv1.HeadRow
+}
+
+// Error names the winner.
+func (e *ConflictError) Error() string {
+	if e.Winner.GetRevision() <= e.Expected {
+		return fmt.Sprintf("conflict: revision %d was expected, but %d is in force; read it with \"get\" and apply again",
+			e.Expected, e.Head.GetRevision())
+	}
+	at := time.UnixMilli(e.Winner.GetUnixMs()).UTC().Format(time.RFC3339)
+	return fmt.Sprintf("conflict: %q published revision %d at %s (%q) and revision %d is in force; see \"diff %d\", merge and apply again",
+		e.Winner.GetAuthor(), e.Winner.GetRevision(), at, e.Winner.GetMessage(), e.Head.GetRevision(), e.Expected)
+}
+
+// RevisionError means that a revision does not exist or is no longer kept.
+type RevisionError struct {
+	Revision uint64
+}
+
+// Error implements error.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("revision %d is not known: choose one that \"history\" lists", e.Revision)
+}
+
+// notPublished marks a failure before the commit.
+func notPublished(op string, err error) error {
+	return &platform.Error{
+		Kind:   platform.KindOf(err),
+		Op:     op,
+		Remedy: "nothing was published; apply again once the platform answers",
+		Err:    err,
+	}
+}
--- /dev/null
+++ b/internal/config/revisions.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// historyReads bounds the history rows that are read at the same time.
+const historyReads = 8
+
+// Head returns the row of the revision in force. Its revision is 0 before the
+// first publication.
+func (p *Publisher) Head(ctx context.Context) (*apiv1.HeadRow, error) {
+	head, err := p.readHead(ctx)
+	return head.row, err
+}
+
+// History returns up to limit revisions, the newest first.
+func (p *Publisher) History(ctx context.Context, limit int) ([]*apiv1.HeadRow, error) {
+	head, err := p.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	newest := head.row.GetRevision()
+	rows := make([]*apiv1.HeadRow, min(uint64(max(limit, 0)), newest))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(historyReads)
+	for i := range rows {
+		group.Go(func() error {
+			state, err := p.readRow(ctx, platform.HistoryKey(newest-uint64(i)))
+			if state.version != 0 {
+				rows[i] = state.row
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return known(rows), nil
+}
+
+// known drops revisions whose row is no longer kept.
+func known(rows []*apiv1.HeadRow) []*apiv1.HeadRow {
+	kept := rows[:0]
+	for _, row := range rows {
+		if row != nil {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+// Body returns the set of a revision; 0 means the one in force. It returns a
+// *RevisionError for a revision that is not kept.
+func (p *Publisher) Body(ctx context.Context, revision uint64) (*apiv1.ObjectSet, error) {
+	row, err := p.Revision(ctx, revision)
+	if err != nil {
+		return nil, err
+	}
+	return loadSet(ctx, p.objects, row.GetBodyKey())
+}
+
+// Revision returns the row of a revision; 0 means the one in force.
+func (p *Publisher) Revision(ctx context.Context, revision uint64) (*apiv1.HeadRow, error) {
+	key := platform.HeadKey
+	if revision != 0 {
+		key = platform.HistoryKey(revision)
+	}
+	state, err := p.readRow(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if state.version == 0 {
+		return nil, &RevisionError{Revision: revision}
+	}
+	return state.row, nil
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,146 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
+	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
+)
+
+// maxRequestBytes bounds the body of a request.
+const maxRequestBytes = 64 << 20
+
+// StatusSource knows the nodes of the deployment.
+type StatusSource interface {
+	Nodes(ctx context.Context) []NodeStatus
+}
+
+// ServerOptions configure the operators' API of one router.
+type ServerOptions struct {
+	Publisher *config.Publisher
+	Reader    *waitlog.Reader
+	// Writer holds the records that are not stored yet; nil when there is none.
+	Writer *waitlog.Writer
+	View   *view.Store
+	// Status is nil when no nodes are known.
+	Status StatusSource
+	// Table holds the drain rows.
+	Table platform.TableService
+	// Commit is config.CommitSettled by default.
+	Commit config.CommitFunc
+	// Token is the bearer token that callers must send; nil demands none.
+	Token []byte
+	// Now is time.Now by default.
+	Now func() time.Time
+	// Log is discarded by default.
+	Log *log.Logger
+}
+
+type server struct {
+	ServerOptions
+}
+
+// NewServer returns the handler of the operators' API.
+func NewServer(options ServerOptions) http.Handler {
+	s := &server{options}
+	if s.Commit == nil {
+		s.Commit = config.CommitSettled
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Log == nil {
+		s.Log = log.New(io.Discard)
+	}
+	return s.routes()
+}
+
+func (s *server) routes() http.Handler {
+	guarded := http.NewServeMux()
+	guarded.HandleFunc("POST /v1/validate", s.reply(s.validate))
+	guarded.HandleFunc("POST /v1/apply", s.reply(s.apply))
+	guarded.HandleFunc("GET /v1/objects", s.reply(s.objects))
+	guarded.HandleFunc("GET /v1/history", s.reply(s.history))
+	guarded.HandleFunc("GET /v1/diff", s.reply(s.diffRevisions))
+	guarded.HandleFunc("POST /v1/diff", s.reply(s.diffSet))
+	guarded.HandleFunc("GET /v1/status", s.reply(s.status))
+	guarded.HandleFunc("GET /v1/explain/{id}", s.reply(s.explain))
+	guarded.HandleFunc("GET /v1/late", s.reply(s.late))
+	guarded.HandleFunc("POST /v1/drain/{host}", s.reply(s.drain))
+	guarded.HandleFunc("DELETE /v1/drain/{host}", s.reply(s.undrain))
+	guarded.Handle("GET /debug/vars", expvar.Handler())
+
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.Handle("/", s.authorize(guarded))
+	return mux
+}
+
+// authorize demands the bearer token, if one is set.
+func (s *server) authorize(next http.Handler) http.Handler {
+	if len(s.Token) == 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !isBearer || subtle.ConstantTimeCompare([]byte(token), s.Token) != 1 {
+			writeError(w, &Error{
+				Kind:    KindUnauthorized,
+				Message: "the bearer token is missing or wrong",
+				Remedy:  "pass --token-file with the token of security.token_file",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// reply runs a handler and writes its value or error as JSON.
+func (s *server) reply(handle func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		value, err := handle(r)
+		if err != nil {
+			failure := toError(err)
+			s.Log.Warn("operator call failed", "method", r.Method, "path", r.URL.Path, "kind", failure.Kind, "err", err)
+			writeError(w, failure)
+			return
+		}
+		writeJSON(w, http.StatusOK, value)
+	}
+}
+
+func writeError(w http.ResponseWriter, err *Error) {
+	writeJSON(w, statusOf[err.Kind], errorReply{Error: err})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller has gone when this fails.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func toRevision(row *apiv1.HeadRow) Revision {
+	return Revision{
+		Revision: row.GetRevision(),
+		Author:   row.GetAuthor(),
+		Message:  row.GetMessage(),
+		UnixMs:   row.GetUnixMs(),
+		BodyKey:  row.GetBodyKey(),
+	}
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,199 @@
+// Package strictjson decodes JSON into proto messages and reports every fault
+// of the text at once, instead of the first one.
+package strictjson
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// Fault is one place at which the text does not fit the message.
+type Fault struct {
+	// Path names the field, for example "platform.table_url" or
+	// "models[3].max_queue". It is empty for the text as a whole.
+	Path    string
+	Problem string
+	Remedy  string
+}
+
+// Result tells what was found in the text.
+type Result struct {
+	Faults []Fault
+	// Present holds the path of each field that the text sets.
+	Present map[string]bool
+}
+
+// Decode reads one JSON object into msg. Field names are those of the proto
+// file. Fields with a fault keep their zero value; all others are set.
+func Decode(data []byte, msg proto.Message) Result {
+	d := &decoder{
+		json:   json.NewDecoder(bytes.NewReader(data)),
+		result: Result{Present: make(map[string]bool)},
+	}
+	d.json.UseNumber()
+	if err := d.document(msg.ProtoReflect()); err != nil {
+		d.fault("", syntaxProblem(data, d.json.InputOffset(), err), "mend the JSON at that place")
+	}
+	return d.result
+}
+
+type decoder struct {
+	json   *json.Decoder
+	result Result
+}
+
+func (d *decoder) fault(path, problem, remedy string) {
+	d.result.Faults = append(d.result.Faults, Fault{Path: path, Problem: problem, Remedy: remedy})
+}
+
+func (d *decoder) document(msg protoreflect.Message) error {
+	if err := d.message("", msg); err != nil {
+		return err
+	}
+	if _, err := d.json.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("text after the end of the object")
+	}
+	return nil
+}
+
+// message reads an object whose opening brace is the next token.
+func (d *decoder) message(path string, msg protoreflect.Message) error {
+	tok, err := d.json.Token()
+	if err != nil {
+		return err
+	}
+	if tok != json.Delim('{') {
+		d.fault(path, "must be an object, not "+describe(tok), "write it as {...}")
+		return d.skip(tok)
+	}
+	for d.json.More() {
+		if err := d.member(path, msg); err != nil {
+			return err
+		}
+	}
+	_, err = d.json.Token()
+	return err
+}
+
+// member reads one name and its value.
+func (d *decoder) member(path string, msg protoreflect.Message) error {
+	tok, err := d.json.Token()
+	if err != nil {
+		return err
+	}
+	name := tok.(string) // inside an object the decoder yields only strings here
+	memberPath := join(path, name)
+	fields := msg.Descriptor().Fields()
+	field := fields.ByName(protoreflect.Name(name))
+	if field == nil {
+		d.fault(memberPath, "unknown field", unknownRemedy(name, fields))
+		return d.skipNext()
+	}
+	if d.result.Present[memberPath] {
+		d.fault(memberPath, "given twice", "keep one of the two")
+		return d.skipNext()
+	}
+	d.result.Present[memberPath] = true
+	if field.IsList() {
+		return d.list(memberPath, msg, field)
+	}
+	if field.Message() != nil {
+		return d.message(memberPath, msg.Mutable(field).Message())
+	}
+	value, ok, err := d.scalar(memberPath, field)
+	if ok {
+		msg.Set(field, value)
+	}
+	return err
+}
+
+// list reads an array of messages or scalars.
+func (d *decoder) list(path string, msg protoreflect.Message, field protoreflect.FieldDescriptor) error {
+	tok, err := d.json.Token()
+	if err != nil {
+		return err
+	}
+	if tok != json.Delim('[') {
+		d.fault(path, "must be a list, not "+describe(tok), "write it as [...]")
+		return d.skip(tok)
+	}
+	list := msg.Mutable(field).List()
+	for i := 0; d.json.More(); i++ {
+		if err := d.element(fmt.Sprintf("%s[%d]", path, i), list, field); err != nil {
+			return err
+		}
+	}
+	_, err = d.json.Token()
+	return err
+}
+
+func (d *decoder) element(path string, list protoreflect.List, field protoreflect.FieldDescriptor) error {
+	if field.Message() != nil {
+		// A faulty element is kept, so that indexes in paths stay right.
+		return d.message(path, list.AppendMutable().Message())
+	}
+	value, ok, err := d.scalar(path, field)
+	if ok {
+		list.Append(value)
+	}
+	return err
+}
+
+// skipNext passes over the next value.
+func (d *decoder) skipNext() error {
+	tok, err := d.json.Token()
+	if err != nil {
+		return err
+	}
+	return d.skip(tok)
+}
+
+// skip passes over the rest of the value that starts with tok.
+func (d *decoder) skip(tok json.Token) error {
+	depth := 0
+	for {
+		switch tok {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+		next, err := d.json.Token()
+		if err != nil {
+			return err
+		}
+		tok = next
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// syntaxProblem names the line and column at which reading stopped.
+func syntaxProblem(data []byte, offset int64, err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = errors.New("the text ends too early")
+		offset = int64(len(data))
+	}
+	before := data[:min(offset, int64(len(data)))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("no valid JSON at line %d, column %d: %v", line, column, err)
+}
