--- /dev/null
+++ b/internal/daemon/command.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/charmbracelet/log"
+	"github.com/urfave/cli/v3"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/sample"
+	"github.com/ragwortdoor/ragwortdoor/internal/settings"
+)
+
+// Exit codes of ragwortdoord.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2 // wrong flags or settings
+)
+
+const (
+	flagSettings     = "settings"
+	flagDeployment   = "deployment"
+	flagPlatformOnly = "platform-only"
+	flagLogLevel     = "log-level"
+)
+
+// Main runs the command line and returns the exit code. A cancelled ctx stops
+// the process gracefully.
+func Main(ctx context.Context, args []string) int {
+	err := command().Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, "ragwortdoord:", err)
+	var wrong *settings.Error
+	if errors.As(err, &wrong) {
+		return ExitSettings
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return ExitSettings
+	}
+	return ExitFailure
+}
+
+// usageError is a wrong command line.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func (e *usageError) Unwrap() error { return e.err }
+
+func command() *cli.Command {
+	settingsFlag := &cli.StringFlag{Name: flagSettings, Usage: "settings `FILE`, JSON", Required: true}
+	return &cli.Command{
+		Name:  "ragwortdoord",
+		Usage: "serve rarely used language models",
+		Description: "Exit codes: 0 after a planned stop, 1 on a failure, 2 on wrong flags or settings.\n" +
+			"SIGTERM and SIGINT stop a process after its running requests have ended.",
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &usageError{err}
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			{
+				Name:   "router",
+				Usage:  "run the router of an entry host",
+				Flags:  []cli.Flag{settingsFlag},
+				Action: runRouter,
+			},
+			{
+				Name:   "sidecar",
+				Usage:  "run the sidecar of an upstream host",
+				Flags:  []cli.Flag{settingsFlag},
+				Action: runSidecar,
+			},
+			{
+				Name:  "dev",
+				Usage: "run a router, sidecars and stand-ins for the platform on loopback",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment: " + deploymentNames(), Value: sample.OffcutGiveaway().Name},
+					&cli.BoolFlag{Name: flagPlatformOnly, Usage: "run the stand-ins alone"},
+					&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "info"},
+				},
+				Action: runDev,
+			},
+		},
+	}
+}
+
+func deploymentNames() string {
+	var names []string
+	for _, s := range sample.Shapes() {
+		names = append(names, s.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func runRouter(ctx context.Context, cmd *cli.Command) error {
+	cfg, err := settings.LoadRouter(cmd.String(flagSettings))
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(cfg.GetLog())
+	if err != nil {
+		return err
+	}
+	r, err := NewRouter(cfg, logger)
+	if err != nil {
+		return err
+	}
+	return r.Run(ctx)
+}
+
+func runSidecar(ctx context.Context, cmd *cli.Command) error {
+	cfg, err := settings.LoadSidecar(cmd.String(flagSettings))
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(cfg.GetLog())
+	if err != nil {
+		return err
+	}
+	s, err := NewSidecar(cfg, logger)
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
+func runDev(ctx context.Context, cmd *cli.Command) error {
+	shape, err := sample.ByName(cmd.String(flagDeployment))
+	if err != nil {
+		return &usageError{err}
+	}
+	logger, err := newLogger(&apiv1.LogSettings{Level: cmd.String(flagLogLevel)})
+	if err != nil {
+		return err
+	}
+	return RunDev(ctx, DevOptions{Shape: shape, PlatformOnly: cmd.Bool(flagPlatformOnly), Log: logger})
+}
+
+// newLogger logs to standard error as the settings say.
+func newLogger(cfg *apiv1.LogSettings) (*log.Logger, error) {
+	level := log.InfoLevel
+	if cfg.GetLevel() != "" {
+		parsed, err := log.ParseLevel(cfg.GetLevel())
+		if err != nil {
+			return nil, &usageError{fmt.Errorf("log level %q: choose debug, info, warn or error: %w", cfg.GetLevel(), err)}
+		}
+		level = parsed
+	}
+	formatter := log.LogfmtFormatter
+	switch cfg.GetFormat() {
+	case "json":
+		formatter = log.JSONFormatter
+	case "text":
+		formatter = log.TextFormatter
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{Level: level, Formatter: formatter, ReportTimestamp: true}), nil
+}
--- /dev/null
+++ b/internal/daemon/permits.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/lease"
+	"github.com/ragwortdoor/ragwortdoor/internal/permit"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
+)
+
+const (
+	permitTick       = 20 * time.Millisecond
+	permitAgeStep    = 2 * time.Second
+	permitExpiry     = 2 * time.Minute
+	permitLostExpiry = 30 * time.Second
+	permitHandover   = 5 * time.Second
+
+	defaultParallelLoads  = 4
+	defaultLoadsPerSecond = 2.0
+)
+
+// permitDesk runs the weight store's permit keeper while this router holds its
+// lease. It implements upstream.Permits.
+type permitDesk struct {
+	leases *lease.Manager
+	view   *view.Store
+	grant  func(host string, permit *apiv1.LoadPermit)
+	log    *log.Logger
+
+	mu     sync.Mutex
+	keeper *permit.Keeper // nil while another router keeps; guarded by mu
+}
+
+// Request implements upstream.Permits.
+func (d *permitDesk) Request(host string, req *apiv1.PermitRequest) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.keeper == nil {
+		return false
+	}
+	now := time.Now()
+	if req.GetDone() {
+		d.keeper.Done(now, host, req.GetId())
+		return true
+	}
+	d.keeper.Request(now, permit.Request{Host: host, ID: req.GetId(), Model: req.GetModel(), Priority: req.GetPriority()})
+	return true
+}
+
+// Lost implements upstream.Permits.
+func (d *permitDesk) Lost(host string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.keeper != nil {
+		d.keeper.Lost(time.Now(), host)
+	}
+}
+
+// run grants permits until ctx is done.
+func (d *permitDesk) run(ctx context.Context) error {
+	ticker := time.NewTicker(permitTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, g := range d.tick(now) {
+				d.log.Info("weight-store permit granted", "host", g.Host, "id", g.ID, "behind", g.Behind)
+				d.grant(g.Host, &apiv1.LoadPermit{Id: g.ID, Behind: g.Behind})
+			}
+		}
+	}
+}
+
+// tick starts or stops keeping with the lease and returns the grants that are due.
+func (d *permitDesk) tick(now time.Time) []permit.Grant {
+	_, held := d.leases.Guard(platform.PermitLease)
+	limits := permitLimits(d.view.Load())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !held {
+		d.keeper = nil
+		return nil
+	}
+	if d.keeper == nil {
+		d.keeper = permit.NewKeeper(now, permit.Options{
+			Limits:     limits,
+			AgeStep:    permitAgeStep,
+			Expiry:     permitExpiry,
+			LostExpiry: permitLostExpiry,
+			Handover:   permitHandover,
+		})
+	}
+	d.keeper.SetLimits(now, limits)
+	return d.keeper.Tick(now)
+}
+
+func permitLimits(snap *view.Snapshot) permit.Limits {
+	limits := permit.Limits{Parallel: defaultParallelLoads, PerSecond: defaultLoadsPerSecond}
+	if snap.Config == nil {
+		return limits
+	}
+	deployment := snap.Config.Set.GetDeployment()
+	if n := deployment.GetWeightStoreParallelLoads(); n > 0 {
+		limits.Parallel = int(n)
+	}
+	if rate := deployment.GetWeightStoreLoadsPerSecond(); rate > 0 {
+		limits.PerSecond = rate
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/settings"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+// Sidecar is the process beside one engine or plain service.
+type Sidecar struct {
+	cfg      *apiv1.SidecarSettings
+	log      *log.Logger
+	agent    *agent.Agent
+	server   *transport.Server
+	operator *httpServer
+	hosts    platform.HostList // nil when the settings name none
+}
+
+// NewSidecar binds the sidecar's addresses. The routers' address stays bound
+// for the life of the process, so that two sidecars never run on one host.
+func NewSidecar(cfg *apiv1.SidecarSettings, logger *log.Logger) (*Sidecar, error) {
+	creds, err := settings.Credentials(cfg.GetSecurity())
+	if err != nil {
+		return nil, err
+	}
+	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger)}
+	if cfg.GetHostListUrl() != "" {
+		s.hosts = platform.NewHostListClient(platform.ClientOptions{BaseURL: cfg.GetHostListUrl(), CallTimeout: hostListTimeout})
+	}
+	s.server, err = transport.Listen(cfg.GetListen(), creds, s.agent.Handle)
+	if err != nil {
+		return nil, err
+	}
+	s.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, s.operatorHandler())
+	if err != nil {
+		_ = s.server.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func newAgent(cfg *apiv1.SidecarSettings, logger *log.Logger) *agent.Agent {
+	opts := agent.Options{
+		Host:          cfg.GetHost(),
+		EngineFences:  cfg.GetEngineFences(),
+		PermitTimeout: milliseconds(cfg.GetPermitTimeoutMs()),
+		Log:           logger,
+	}
+	if cfg.GetEngineUrl() != "" {
+		opts.Engine = platform.NewEngineClient(platform.ClientOptions{BaseURL: cfg.GetEngineUrl()})
+	}
+	if cfg.GetServiceUrl() != "" {
+		opts.ServiceName = cfg.GetServiceName()
+		opts.Service = platform.NewServiceClient(platform.ClientOptions{BaseURL: cfg.GetServiceUrl()})
+	}
+	return agent.New(opts)
+}
+
+func (s *Sidecar) operatorHandler() http.Handler {
+	v := &vars{}
+	v.publish("sidecar", func() any { return s.agent.Stats() })
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", v)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	return mux
+}
+
+// Address is where routers reach the sidecar.
+func (s *Sidecar) Address() string { return s.server.Addr() }
+
+// Run serves until ctx is done, then takes no new work, lets running requests
+// end and returns.
+func (s *Sidecar) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return s.agent.Run(work) })
+	g.Go(func() error { return s.server.Serve(work) })
+	g.Go(func() error { return s.operator.run(work) })
+	if s.hosts != nil {
+		g.Go(func() error { return s.watchLeaving(work) })
+	}
+	g.Go(func() error {
+		defer stop()
+		return drainOnStop(ctx, work, milliseconds(s.cfg.GetStopTimeoutMs()), s.agent)
+	})
+	s.log.Info("sidecar runs", "host", s.cfg.GetHost(), "listen", s.Address())
+	return g.Wait()
+}
+
+const (
+	hostListTimeout  = time.Second
+	leavingPeriod    = time.Second
+	hostListMissTail = 3 // reads without the host before it counts as dropped
+)
+
+// watchLeaving tells the agent when the platform's list says that this host is
+// leaving, or no longer names it after it once did.
+func (s *Sidecar) watchLeaving(ctx context.Context) error {
+	ticker := time.NewTicker(leavingPeriod)
+	defer ticker.Stop()
+	seen := false
+	missed := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		listing, err := s.hosts.Hosts(ctx)
+		if err != nil {
+			continue // an outage of the list says nothing about this host
+		}
+		h, listed := findHost(listing, s.cfg.GetHost())
+		if listed {
+			seen = true
+			missed = 0
+			s.agent.SetLeaving(h.State == platform.HostLeaving)
+			continue
+		}
+		missed++
+		if seen && missed >= hostListMissTail {
+			s.agent.SetLeaving(true)
+		}
+	}
+}
+
+func findHost(listing platform.HostListing, id string) (platform.Host, bool) {
+	for _, h := range listing.Hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return platform.Host{}, false
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -42,6 +42,8 @@
 	Commit config.CommitFunc
 	// Token is the bearer token that callers must send; nil demands none.
 	Token []byte
+	// Vars serves the metrics; expvar.Handler by default.
+	Vars http.Handler
 	// Now is time.Now by default.
 	Now func() time.Time
 	// Log is discarded by default.
@@ -58,6 +60,9 @@
 	if s.Commit == nil {
 		s.Commit = config.CommitSettled
 	}
+	if s.Vars == nil {
+		s.Vars = expvar.Handler()
+	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
@@ -80,7 +85,7 @@
 	guarded.HandleFunc("GET /v1/late", s.reply(s.late))
 	guarded.HandleFunc("POST /v1/drain/{host}", s.reply(s.drain))
 	guarded.HandleFunc("DELETE /v1/drain/{host}", s.reply(s.undrain))
-	guarded.Handle("GET /debug/vars", expvar.Handler())
+	guarded.Handle("GET /debug/vars", s.Vars)
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
