agent: planner, ledger, slots gate and streams of the sidecar

Cause: the sidecar answered hello only. Change: pure packages for the memory ledger, the slots gate, the keep-alive, the adapter window and the planner that joins them; the agent runs the planner's actions against the engine and forwards generations and calls. Ruled out: decisions inside goroutines with one lock for each model, since a state machine with the clock passed in can be fuzzed without a schedule.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,22 +1,25 @@
 // Package agent is the sidecar of one upstream host: the only way to the
-// host's model engine or plain service. It keeps the accelerator memory
-// ledger, loads and unloads replicas of the slots that routers hand to it, and
-// forwards requests.
+// host's model engine or plain service. It runs the decisions of package
+// planner against the engine, and forwards requests.
 package agent
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
-	"sync/atomic"
+	mathrand "math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
+	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
-	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
+const defaultPermitTimeout = 500 * time.Millisecond
+
 // Options configure an Agent.
 type Options struct {
 	// Host is the id of this host in the platform's list.
@@ -33,6 +36,8 @@
 	// PermitTimeout is the wait for a weight-store permit before the fallback.
 	// 0 selects 500 ms.
 	PermitTimeout time.Duration
+	// KeepAlive decides how long idle models stay loaded; nil learns it.
+	KeepAlive keepalive.Policy
 	// Clock tells the time; nil selects the system's clock.
 	Clock platform.Clock
 	// Log receives one line for each placement decision; nil discards them.
@@ -43,54 +48,135 @@
 
 // Agent is the sidecar of one host. Its methods may be called from several
 // goroutines.
+//
+// One mutex guards the planner and all that belongs to its decisions. A request
+// takes it three times, for a few microseconds each; nothing blocks under it.
 type Agent struct {
-	opts    Options
-	drained atomic.Bool
-}
+	opts     Options
+	counters counters
+
+	mu       sync.Mutex
+	planner  *planner.Planner
+	runCtx   context.Context // nil before and after Run
+	orders   sync.WaitGroup
+	requests map[uint64]chan decision
+	releases map[uint64]chan planner.Released
+	permits  map[uint64]*permitAsk
+	watchers map[*watcher]struct{}
+	wake     *time.Timer // next Wake of the planner, or nil
+	wakeAt   time.Time
+	draining bool
+	leaving  bool
+	// active counts requests and calls; idle is closed when it falls to 0.
+	active int
+	calls  int
+	idle   chan struct{}
 
-// Stats are the counters of an Agent.
-type Stats struct {
-	// Loads counts the models that finished loading.
-	Loads uint64 `json:"loads"`
+	// readInventory asks the inventory loop for a read at once.
+	readInventory chan struct{}
 }
 
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
 // New makes an agent. It admits nothing before Run has read the engine's
 // inventory and a router has assigned slots.
 func New(opts Options) *Agent {
 	if opts.Log == nil {
 		opts.Log = log.New(io.Discard)
 	}
-	return &Agent{opts: opts}
-}
-
-// Run takes over what the engine holds and then works until ctx is done.
-func (a *Agent) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
-// Handle serves one stream of a router. It is a transport.Handler.
-func (a *Agent) Handle(_ context.Context, stream *transport.Stream) {
-	defer func() { _ = stream.Close() }()
-	in := &apiv1.RouterFrame{}
-	if err := stream.Recv(in); err != nil {
-		return
+	if opts.Clock == nil {
+		opts.Clock = systemClock{}
 	}
-	if in.GetHello() != nil {
-		reply := &apiv1.HelloReply{Host: a.opts.Host}
-		_ = stream.Send(&apiv1.SidecarFrame{Body: &apiv1.SidecarFrame_Hello{Hello: reply}})
+	if opts.PermitTimeout == 0 {
+		opts.PermitTimeout = defaultPermitTimeout
+	}
+	if opts.Seed == 0 {
+		opts.Seed = mathrand.Uint64()
+	}
+	return &Agent{
+		opts: opts,
+		planner: planner.New(planner.Options{
+			Host:         opts.Host,
+			EngineFences: opts.EngineFences,
+			NewBootID:    rand.Text,
+			Rand:         mathrand.New(mathrand.NewPCG(opts.Seed, 0)),
+			Policy:       opts.KeepAlive,
+		}),
+		requests:      make(map[uint64]chan decision),
+		releases:      make(map[uint64]chan planner.Released),
+		permits:       make(map[uint64]*permitAsk),
+		watchers:      make(map[*watcher]struct{}),
+		idle:          make(chan struct{}),
+		readInventory: make(chan struct{}, 1),
 	}
 }
 
+// do runs one event of the planner and carries out what it decides.
+func (a *Agent) do(event func(now time.Time) []planner.Action) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(event(a.opts.Clock.Now()))
+}
+
 // SetLeaving tells whether the platform's list says that this host is leaving.
 // A leaving host takes no new work.
-func (a *Agent) SetLeaving(leaving bool) { a.drained.Store(leaving) }
+func (a *Agent) SetLeaving(leaving bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving != leaving {
+		a.opts.Log.Info("host list", "host", a.opts.Host, "leaving", leaving)
+	}
+	a.leaving = leaving
+	a.notify()
+}
 
 // Drain stops new work for good; running requests go on.
-func (a *Agent) Drain() { a.drained.Store(true) }
+func (a *Agent) Drain() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining = true
+	a.opts.Log.Info("draining", "host", a.opts.Host, "active", a.active)
+	a.notify()
+}
 
-// Wait returns when the running requests have ended, or ctx is done.
-func (a *Agent) Wait(_ context.Context) error { return nil }
+// Wait returns nil when no request runs any more, or the error of ctx.
+func (a *Agent) Wait(ctx context.Context) error {
+	for {
+		a.mu.Lock()
+		active, idle := a.active, a.idle
+		a.mu.Unlock()
+		if active == 0 {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
-// Stats returns the counters.
-func (a *Agent) Stats() Stats { return Stats{} }
+// begin counts a new request, unless the host takes none. The check and the
+// count share the lock, so that Wait after Drain misses no request.
+func (a *Agent) begin() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining || a.leaving {
+		a.counters.drained.Add(1)
+		return false
+	}
+	a.active++
+	return true
+}
+
+func (a *Agent) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active--
+	if a.active == 0 {
+		close(a.idle)
+		a.idle = make(chan struct{})
+	}
+}
--- /dev/null
+++ b/internal/agent/permit.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
+)
+
+// permitPatience is how many permit timeouts a load waits for a router that has
+// not answered after others said that they hold no permits.
+const permitPatience = 10
+
+// permitAsk is one load that waits for a permit.
+type permitAsk struct {
+	request *apiv1.PermitRequest
+	// silent holds the watchers that have not answered.
+	silent map[*watcher]struct{}
+	// answered is true once a router said that it keeps no permits.
+	answered bool
+	// queued is true once the keeper has said that the load is in its queue.
+	queued bool
+	timer  *time.Timer
+}
+
+// askPermit sends a permit request on every watch. The lock must be held, as
+// for the other functions of this file that say nothing else.
+func (a *Agent) askPermit(action planner.AskPermit) []planner.Action {
+	ask := &permitAsk{
+		request: &apiv1.PermitRequest{Id: action.Load, Model: action.Model, Priority: action.Priority},
+		silent:  make(map[*watcher]struct{}),
+	}
+	for w := range a.watchers {
+		ask.silent[w] = struct{}{}
+		w.ask(ask.request)
+	}
+	if len(ask.silent) == 0 {
+		return a.planner.NoPermit(a.opts.Clock.Now(), action.Load)
+	}
+	a.permits[action.Load] = ask
+	a.armPermit(ask, a.opts.PermitTimeout, false)
+	return nil
+}
+
+func (a *Agent) armPermit(ask *permitAsk, wait time.Duration, last bool) {
+	ask.timer = time.AfterFunc(wait, func() {
+		a.do(func(now time.Time) []planner.Action { return a.permitTimeout(now, ask, last) })
+	})
+}
+
+func (a *Agent) permitTimeout(now time.Time, ask *permitAsk, last bool) []planner.Action {
+	if a.permits[ask.request.GetId()] != ask || a.runCtx == nil || ask.queued {
+		return nil
+	}
+	if ask.answered && !last {
+		a.armPermit(ask, (permitPatience-1)*a.opts.PermitTimeout, true)
+		return nil
+	}
+	return a.noPermit(now, ask)
+}
+
+func (a *Agent) noPermit(now time.Time, ask *permitAsk) []planner.Action {
+	ask.timer.Stop()
+	delete(a.permits, ask.request.GetId())
+	a.opts.Log.Info("load without permit", "host", a.opts.Host, "model", ask.request.GetModel(),
+		"reason", "no permit keeper answered")
+	return a.planner.NoPermit(now, ask.request.GetId())
+}
+
+// permitAnswer takes a router's answer. It takes the lock.
+func (a *Agent) permitAnswer(w *watcher, answer *apiv1.LoadPermit) {
+	a.do(func(now time.Time) []planner.Action {
+		ask := a.permits[answer.GetId()]
+		switch {
+		case ask == nil:
+			return nil
+		case answer.GetNoKeeper():
+			ask.answered = true
+			return a.permitSilent(now, ask, w)
+		case answer.GetQueued():
+			ask.queued = true
+			return nil
+		default:
+			ask.timer.Stop()
+			delete(a.permits, answer.GetId())
+			return a.planner.Permit(now, answer.GetId(), answer.GetBehind())
+		}
+	})
+}
+
+// permitSilent notes that a watcher will not grant a load, and falls back when
+// it was the last one.
+func (a *Agent) permitSilent(now time.Time, ask *permitAsk, w *watcher) []planner.Action {
+	delete(ask.silent, w)
+	if len(ask.silent) > 0 {
+		return nil
+	}
+	return a.noPermit(now, ask)
+}
+
+func (a *Agent) dropPermit(action planner.DropPermit) {
+	if ask := a.permits[action.Load]; ask != nil {
+		ask.timer.Stop()
+		delete(a.permits, action.Load)
+	}
+	for w := range a.watchers {
+		w.ask(&apiv1.PermitRequest{Id: action.Load, Model: action.Model, Done: true})
+	}
+}
