--- /dev/null
+++ b/internal/platform/linearizable_test.go
@@ -0,0 +1,121 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+// swap is a conditional write of one row, or a read when put is empty.
+type swap struct{ from, put string }
+
+// swapped is the outcome of a swap. A read sets value.
+type swapped struct {
+	value   string
+	done    bool
+	unknown bool
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		value, in, out := state.(string), input.(swap), output.(swapped)
+		fits := value == in.from
+		switch {
+		case in.put == "":
+			return out.value == value, value
+		case out.unknown && fits:
+			// An unknown swap that never took effect is as good as one that
+			// does so after all others.
+			return true, in.put
+		case out.unknown:
+			return true, value
+		case out.done:
+			return fits, in.put
+		default:
+			return !fits, value
+		}
+	},
+}
+
+// history records operations with their times.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.start)) }
+
+func (h *history) add(client int, called int64, in swap, out swapped) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	op := porcupine.Operation{ClientId: client, Call: called, Input: in, Output: out, Return: h.now()}
+	if out.unknown {
+		op.Return = int64(time.Hour) // may take effect at any later time
+	}
+	h.ops = append(h.ops, op)
+}
+
+// swapOnce reads the row and replaces it conditionally.
+func swapOnce(table platform.TableService, h *history, client, round int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	called := h.now()
+	row, err := table.Get(ctx, "register")
+	if err != nil {
+		return err
+	}
+	h.add(client, called, swap{}, swapped{value: string(row.Value)})
+	id := fmt.Sprintf("%d-%d", client, round)
+	called = h.now()
+	result, err := platform.CommitSettled(ctx, table, platform.Txn{
+		ID:     id,
+		Checks: []platform.Check{{Key: "register", Version: row.Version}},
+		Puts:   []platform.Put{{Key: "register", Value: []byte(id)}},
+	})
+	out := swapped{done: result.Committed, unknown: err != nil}
+	h.add(client, called, swap{from: string(row.Value), put: id}, out)
+	return nil
+}
+
+func TestConditionalCommitsAreLinearizable(t *testing.T) {
+	const clients, rounds = 8, 25
+	for _, tc := range []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"no fault", standin.Faults{}},
+		{"each third answer lost", standin.Faults{LoseEvery: 3}},
+		{"slow and each second answer lost", standin.Faults{DelayMS: 1, LoseEvery: 2}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := startCluster(t, standin.ClusterOptions{})
+			table := newTable(t, c)
+			c.Table.Faults.Set(tc.faults)
+			h := &history{start: time.Now()}
+			var wg sync.WaitGroup
+			for client := range clients {
+				wg.Go(func() {
+					for round := range rounds {
+						if err := swapOnce(table, h, client, round); err != nil {
+							t.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			is.Equal(len(h.ops), 2*clients*rounds)
+			is.True(porcupine.CheckOperations(registerModel, h.ops))
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/main_test.go
@@ -0,0 +1,42 @@
+package platform_test
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// startCluster runs stand-ins until the test ends.
+func startCluster(t *testing.T, o standin.ClusterOptions) *standin.Cluster {
+	t.Helper()
+	c, err := standin.Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// closeIdle closes a client's connections when the test ends.
+func closeIdle[C any](t *testing.T, client C) C {
+	t.Helper()
+	t.Cleanup(any(client).(interface{ CloseIdleConnections() }).CloseIdleConnections)
+	return client
+}
+
+func newTable(t *testing.T, c *standin.Cluster) platform.TableService {
+	t.Helper()
+	return closeIdle(t, platform.NewTableClient(platform.ClientOptions{BaseURL: c.TableURL}))
+}
--- /dev/null
+++ b/internal/platform/settle_test.go
@@ -0,0 +1,191 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+// verdict is what CommitSettled said about a transaction.
+type verdict int
+
+const (
+	applied verdict = iota + 1
+	notApplied
+	unknown
+)
+
+var errLost = errors.New("answer lost")
+
+// settleMachine drives CommitSettled over a table whose calls fail as drawn.
+// Its oracle is a map of rows and the number of times each id was applied.
+type settleMachine struct {
+	t        *rapid.T
+	table    *standin.Table
+	rows     map[string]platform.Row
+	revision int64
+	times    map[string]int
+	verdicts map[string]verdict
+	// onTheWay are sends that the caller gave up and that still arrive.
+	onTheWay []platform.Txn
+	serial   int
+}
+
+// apply applies a transaction to the table and to the oracle.
+func (m *settleMachine) apply(txn platform.Txn) platform.TxnResult {
+	result := m.table.Commit(txn)
+	fits := true
+	for _, check := range txn.Checks {
+		fits = fits && m.rows[check.Key].Version == check.Version
+	}
+	if fits != result.Committed {
+		m.t.Fatalf("%s: committed %v, oracle says %v", txn.ID, result.Committed, fits)
+	}
+	if !fits {
+		return result
+	}
+	m.times[txn.ID]++
+	m.revision++
+	for _, put := range txn.Puts {
+		m.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: m.revision, TxnID: txn.ID}
+	}
+	return result
+}
+
+// interfere lets another writer or a late send come first.
+func (m *settleMachine) interfere() {
+	if rapid.IntRange(0, 3).Draw(m.t, "other writer") == 0 {
+		m.PutByOther(m.t)
+	}
+	if rapid.Bool().Draw(m.t, "late send arrives") {
+		m.Arrive(m.t)
+	}
+}
+
+// Commit implements platform.TableService.
+func (m *settleMachine) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	m.interfere()
+	lost := &platform.Error{Kind: platform.KindUnavailable, OutcomeUnknown: true, Err: errLost}
+	switch rapid.SampledFrom([]string{"ok", "late", "lost", "dropped", "refused"}).Draw(m.t, "commit") {
+	case "ok":
+		return m.apply(txn), nil
+	case "late":
+		m.onTheWay = append(m.onTheWay, txn)
+	case "lost":
+		m.apply(txn)
+	case "refused":
+		return platform.TxnResult{}, &platform.Error{Kind: platform.KindOverloaded, Err: errLost}
+	}
+	return platform.TxnResult{}, lost
+}
+
+// Get implements platform.TableService.
+func (m *settleMachine) Get(_ context.Context, key string) (platform.Row, error) {
+	m.interfere()
+	if rapid.IntRange(0, 4).Draw(m.t, "get fails") == 0 {
+		return platform.Row{}, &platform.Error{Kind: platform.KindUnavailable, Err: errLost}
+	}
+	return m.table.Row(key), nil
+}
+
+// Changes implements platform.TableService.
+func (m *settleMachine) Changes(_ context.Context, prefix string, after int64) (platform.Changes, error) {
+	return m.table.Changes(prefix, after), nil
+}
+
+var keys = []string{"a", "b", "c"}
+
+func (m *settleMachine) txn(puts, checks []string) platform.Txn {
+	m.serial++
+	txn := platform.Txn{ID: fmt.Sprintf("txn-%d", m.serial)}
+	for _, key := range puts {
+		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: []byte(txn.ID)})
+	}
+	for _, key := range checks {
+		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: m.rows[key].Version})
+	}
+	return txn
+}
+
+// PutByOther overwrites a row.
+func (m *settleMachine) PutByOther(t *rapid.T) {
+	m.apply(m.txn([]string{rapid.SampledFrom(keys).Draw(t, "key")}, nil))
+}
+
+// Arrive lets a late send take effect.
+func (m *settleMachine) Arrive(t *rapid.T) {
+	if len(m.onTheWay) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.onTheWay)-1).Draw(t, "late")
+	txn := m.onTheWay[i]
+	m.onTheWay = slices.Delete(m.onTheWay, i, i+1)
+	m.apply(txn)
+}
+
+// CommitSettled commits one transaction and notes the verdict.
+func (m *settleMachine) CommitSettled(t *rapid.T) {
+	puts := rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 1, 3, rapid.ID).Draw(t, "puts")
+	checks := rapid.SliceOfNDistinct(rapid.SampledFrom(keys), 0, 2, rapid.ID).Draw(t, "checks")
+	if !slices.Contains(checks, puts[0]) {
+		checks = append(checks, puts[0])
+	}
+	txn := m.txn(puts, checks)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	result, err := platform.CommitSettled(ctx, m, txn)
+	switch {
+	case err != nil && platform.OutcomeUnknown(err):
+		m.verdicts[txn.ID] = unknown
+	case err == nil && result.Committed:
+		m.verdicts[txn.ID] = applied
+	default:
+		m.verdicts[txn.ID] = notApplied
+	}
+}
+
+// Check compares verdicts and rows with the oracle.
+func (m *settleMachine) Check(t *rapid.T) {
+	for id, times := range m.times {
+		if times > 1 {
+			t.Fatalf("%s was applied %d times", id, times)
+		}
+	}
+	for id, v := range m.verdicts {
+		if (v == applied && m.times[id] == 0) || (v == notApplied && m.times[id] > 0) {
+			t.Fatalf("%s: verdict %d, applied %d times", id, v, m.times[id])
+		}
+	}
+	for _, key := range keys {
+		if have, want := m.table.Row(key), m.rows[key]; have.Version != want.Version || have.TxnID != want.TxnID {
+			t.Fatalf("row %s is %+v, oracle %+v", key, have, want)
+		}
+	}
+}
+
+// withoutDeadline hides testing.T.Deadline, which fails in a bubble.
+type withoutDeadline struct{ rapid.TB }
+
+func TestCommitSettledIsExactlyOnceUnderLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(withoutDeadline{t}, func(t *rapid.T) {
+			m := &settleMachine{
+				t:        t,
+				table:    standin.NewTable(),
+				rows:     make(map[string]platform.Row),
+				times:    make(map[string]int),
+				verdicts: make(map[string]verdict),
+			}
+			t.Repeat(rapid.StateMachineActions(m))
+		})
+	})
+}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -52,6 +52,8 @@
 	EngineURLs  []string
 	ServiceURLs []string
 
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
 	servers   []*http.Server
 	serving   sync.WaitGroup
 	closeOnce sync.Once
@@ -66,6 +68,7 @@
 		Hosts:   NewHosts(o.HostList),
 		Census:  NewCensus(),
 	}
+	c.ctx, c.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := c.serveAll(o); err != nil {
 		c.Close()
 		return nil, err
@@ -111,7 +114,11 @@
 	if err != nil {
 		return "", fmt.Errorf("stand-in: %w (stop the process that holds the port, or choose another)", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return c.ctx },
+	}
 	c.servers = append(c.servers, server)
 	c.serving.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -124,6 +131,7 @@
 // Close stops all stand-ins and cuts their connections.
 func (c *Cluster) Close() {
 	c.closeOnce.Do(func() {
+		c.cancel()
 		for _, engine := range c.Engines {
 			engine.Close()
 		}
