router: request path for models and plain services

Requests wait in a bounded queue per model, are refused when the estimate can't meet the deadline, and are sent to a replica picked by prefix affinity and load. A stream that ends without its end mark is resumed. A call that may not be repeated is sent once; under an idempotency key its claim is written first.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -190,6 +190,8 @@
 	Status  uint32
 	Headers []*apiv1.Header
 	Body    []byte
+	// BodyCut is true when Body is not the whole body.
+	BodyCut bool
 }
 
 // Finish stores the outcome of a claimed call; its state is DONE, UNKNOWN or
@@ -232,7 +234,7 @@
 	row.Headers = outcome.Headers
 	row.Body = outcome.Body
 	row.UnixMs = now.UnixMilli()
-	if len(row.Body) > MaxBodyBytes {
+	if outcome.BodyCut || len(row.Body) > MaxBodyBytes {
 		row.Body = nil
 		row.BodyOmitted = true
 	}
--- /dev/null
+++ b/internal/router/generate.go
@@ -0,0 +1,234 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+)
+
+const (
+	retryMin = 20 * time.Millisecond // between two tries of one request
+	retryMax = 500 * time.Millisecond
+
+	// assignPause keeps work from a replica whose sidecar does not know it yet.
+	assignPause = 60 * time.Millisecond
+)
+
+// generation is one request for tokens over all of its tries.
+type generation struct {
+	x        *exchange
+	target   config.Target
+	request  *apiv1.GenerateRequest
+	ticket   *ticket
+	answer   assembly
+	sink     sink
+	unsure   bool // an earlier try may have run
+	onHost   int  // tries in a row on lastHost
+	lastHost string
+	backOff  *backoff.ExponentialBackOff // nil before the first retry
+}
+
+func newGeneration(x *exchange, target config.Target, chat *chatRequest, maxTokens uint32) *generation {
+	text := prompt(chat.Messages)
+	g := &generation{
+		x:      x,
+		target: target,
+		request: &apiv1.GenerateRequest{
+			RequestId:         x.id,
+			Model:             target.Model.GetName(),
+			Adapter:           target.Adapter.GetName(),
+			AdapterCheckpoint: target.Adapter.GetCheckpoint(),
+			AdapterMemoryMib:  target.Adapter.GetMemoryMib(),
+			Priority:          x.class.Priority,
+			PriorityClass:     x.class.Name,
+			MaxTokens:         maxTokens,
+			Prompt:            text,
+		},
+		ticket: &ticket{x: x, adapter: target.Adapter.GetName(), admitted: make(chan admission, 1)},
+	}
+	g.ticket.wish.Key = affinity(target, text)
+	created := x.arrived.Unix()
+	if chat.Stream {
+		g.sink = &eventSink{x: x, head: appendHead(nil, "chat.completion.chunk", x.id, chat.Model, created)}
+	} else {
+		g.sink = &wholeSink{x: x, head: appendHead(nil, "chat.completion", x.id, chat.Model, created)}
+	}
+	return g
+}
+
+// generate runs a generation to its end.
+func (r *Router) generate(ctx context.Context, g *generation) *Error {
+	r.budget.request()
+	m := r.model(g.target.Model.GetName())
+	for {
+		g.ticket.attempt++
+		leave, err := r.place(ctx, m, g)
+		if err != nil {
+			return g.fail(err.mayHaveRun(g.unsure))
+		}
+		e, err := r.try(ctx, g, leave)
+		if e.kind == endServed {
+			return nil
+		}
+		if err == nil {
+			err = g.pause(ctx, e, leave.host)
+		}
+		if err != nil {
+			return g.fail(err)
+		}
+	}
+}
+
+// fail tells the caller of a half-delivered answer that it is not whole.
+func (g *generation) fail(err *Error) *Error {
+	if g.sink.delivered() && err.Kind != KindCallerGone {
+		g.sink.fail(err)
+	}
+	return err
+}
+
+// place finds a replica for the next try.
+func (r *Router) place(ctx context.Context, m *model, g *generation) (*grant, *Error) {
+	wish := g.ticket.wish
+	if wish.Prefer != "" {
+		if leave := r.pickNow(m, g.ticket); leave != nil {
+			return leave, nil
+		}
+		if wish.Only {
+			return nil, unknown(KindCut, statusBadGateway, remedyAgain, "host %s, which has the stream, has left", wish.Prefer)
+		}
+		g.restart()
+		g.ticket.wish.Prefer = ""
+	}
+	return r.acquire(ctx, m, g.ticket)
+}
+
+// pickNow takes a replica without a place in the queue, for a try on the same
+// host, whose place the request had before.
+func (r *Router) pickNow(m *model, t *ticket) *grant {
+	m.mu.Lock()
+	leave := r.pick(m, r.opts.View.Load(), t, r.opts.Now())
+	m.mu.Unlock()
+	if leave != nil {
+		r.logRoute(t, leave)
+	}
+	return leave
+}
+
+func (g *generation) restart() {
+	if g.answer.next > 0 {
+		g.answer.next = 0
+		g.sink.restart()
+	}
+}
+
+// try sends a generation to a replica and prepares the next try if it fails.
+// The Error is set when there is none. The replica's place is given back after
+// a failed replica was paused, so that no other request takes it too soon.
+func (r *Router) try(ctx context.Context, g *generation, leave *grant) (ending, *Error) {
+	defer r.release(leave)
+	if leave.host != g.lastHost {
+		g.lastHost = leave.host
+		g.onHost = 0
+	}
+	g.onHost++
+	g.x.record.Host = leave.host
+	g.x.record.Attempts = g.ticket.attempt
+	g.x.record.ColdStart = g.x.record.GetColdStart() || leave.cold
+	e, err := r.attempt(ctx, g, leave)
+	g.unsure = g.unsure || e.unsure()
+	switch {
+	case e.kind == endServed:
+		return e, nil
+	case err != nil:
+		return e, err.mayHaveRun(g.unsure)
+	case ctx.Err() != nil:
+		return e, g.x.expired(g.unsure)
+	default:
+		return e, r.prepareRetry(g, leave, e)
+	}
+}
+
+// prepareRetry acts on the end of a try. It returns an Error when there is no
+// other one.
+func (r *Router) prepareRetry(g *generation, leave *grant, e ending) *Error {
+	p := planRetry(e, progress{delivered: g.sink.delivered(), tokens: g.answer.next, triesOnHost: g.onHost})
+	r.punish(leave, p)
+	if e.kind == endCut {
+		r.counters.cuts.Add(1)
+	}
+	if p.place == placeNone {
+		return p.final(e, g.unsure)
+	}
+	if p.budgeted && !r.budget.retry() {
+		r.counters.retriesDenied.Add(1)
+		return p.final(e, g.unsure)
+	}
+	r.counters.retries.Add(1)
+	if p.restart {
+		g.restart()
+	}
+	if g.answer.next > 0 {
+		r.counters.resumed.Add(1)
+	}
+	g.ticket.setPlace(p.place, leave.host)
+	return nil
+}
+
+// punish keeps work from the host or the replica of a failed try.
+func (r *Router) punish(leave *grant, p plan) {
+	now := r.opts.Now()
+	if p.unreachable {
+		r.hosts.unreachable(leave.host, now)
+	}
+	if p.draining {
+		r.hosts.draining(leave.host, now)
+	}
+	if p.refresh {
+		r.opts.Refresh(leave.host)
+	}
+	if p.pause {
+		leave.model.mu.Lock()
+		leave.replica.pause(now.Add(assignPause))
+		leave.model.mu.Unlock()
+	}
+}
+
+// setPlace narrows the choice of the next try.
+func (t *ticket) setPlace(place resumePlace, host string) {
+	t.wish.Prefer = ""
+	t.wish.Only = false
+	t.wish.Avoid = ""
+	switch place {
+	case placeSame:
+		t.wish.Prefer = host
+	case placeOnlySame:
+		t.wish.Prefer = host
+		t.wish.Only = true
+	case placeOther:
+		t.wish.Avoid = host
+	}
+}
+
+// pause waits before a retry, longer each time.
+func (g *generation) pause(ctx context.Context, e ending, host string) *Error {
+	if g.backOff == nil {
+		g.backOff = backoff.NewExponentialBackOff()
+		g.backOff.InitialInterval = retryMin
+		g.backOff.MaxInterval = retryMax
+	}
+	start := g.x.r.opts.Now()
+	timer := time.NewTimer(g.backOff.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return g.x.expired(g.unsure)
+	}
+	g.x.phase(apiv1.PhaseKind_PHASE_KIND_RETRY, start, e.String(), host)
+	return nil
+}
--- /dev/null
+++ b/internal/router/outlook.go
@@ -0,0 +1,108 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/route"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
+)
+
+// adapterLoadTime is the expected time to load an adapter.
+const adapterLoadTime = 15 * time.Millisecond
+
+// outlook is what the replicas of a model let a waiting request expect.
+type outlook struct {
+	// known is false when no replica is assigned to a live host.
+	known bool
+	// wakes is true when the next request starts a load. It is sent on although
+	// its deadline can't be met, since else nobody would start it.
+	wakes bool
+	cold  bool
+	load  route.Load
+}
+
+// outlook looks at the replicas of a model; the caller holds m.mu.
+func (r *Router) outlook(m *model, snap *view.Snapshot, adapter string, now time.Time) outlook {
+	m.buf = r.candidates(m, snap, adapter, now, m.buf[:0])
+	o := outlook{load: route.Load{Hold: m.hold.Value(now), FirstToken: m.first.Value(now)}}
+	window := window(snap, m.name)
+	hasAdapter := adapter == ""
+	ready := 0
+	for i := range m.buf {
+		c := &m.buf[i]
+		if c.State != route.StateReady {
+			continue
+		}
+		ready++
+		hasAdapter = hasAdapter || c.HasAdapter
+		o.load.Window += window
+		o.load.Dispatched += min(c.InFlight, window)
+	}
+	if !hasAdapter {
+		o.load.Adapter = adapterLoadTime
+	}
+	o.known = len(m.buf) > 0
+	if ready > 0 || !o.known {
+		return o
+	}
+	c := waking(m.buf)
+	o.cold = true
+	o.wakes = c.State == route.StateCold
+	o.load.Window = window
+	o.load.Dispatched = min(c.InFlight, window)
+	o.load.ReadyIn = c.ReadyIn
+	return o
+}
+
+// waking is the candidate that route.Pick takes when none is ready.
+func waking(candidates []route.Candidate) *route.Candidate {
+	for i := range candidates {
+		if candidates[i].State == route.StateLoading {
+			return &candidates[i]
+		}
+	}
+	return &candidates[0]
+}
+
+func (o outlook) estimate(ahead int, extra time.Duration) route.Estimate {
+	load := o.load
+	load.Ahead = ahead
+	load.ReadyIn += extra
+	return route.EstimateWait(load)
+}
+
+// refusal returns the Error of a request whose deadline can't be met.
+func (o outlook) refusal(w *route.Waiter[*ticket], ahead int, now time.Time) *Error {
+	if !o.known || o.wakes {
+		return nil
+	}
+	e := o.estimate(ahead, 0)
+	left := w.Value.x.deadline.Sub(now)
+	if e.Total() <= left {
+		return nil
+	}
+	err := notRun(KindDeadline, http.StatusServiceUnavailable, remedyDeadline,
+		"the first token is expected in %s (queue %s, load %s, adapter %s, engine %s) and the deadline is in %s",
+		round(e.Total()), round(e.Queue), round(e.Load), round(e.Adapter), round(e.Engine), round(left))
+	if e.Backlog() == 0 {
+		err.Remedy = "raise " + HeaderDeadline
+		return err
+	}
+	return err.after(e.Backlog())
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// cause says what a request in a queue of a length waits for.
+func (o outlook) cause(length int) string {
+	switch {
+	case !o.known:
+		return "no replica is assigned to a live host"
+	case o.cold:
+		return fmt.Sprintf("the model is not loaded, %d requests wait", length)
+	default:
+		return fmt.Sprintf("replicas have no room, %d requests wait", length)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,16 +1,25 @@
 // Package router takes the requests of callers and ends each one in exactly one
 // outcome: served, not run or unknown.
+//
+// A request for a model waits in the model's queue until a replica has room,
+// is sent to the replica's sidecar, and its tokens are passed on in order. A
+// call of a plain service goes to one of the service's hosts; unless it is
+// idempotent it is sent at most once.
 package router
 
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/claim"
+	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -43,27 +52,106 @@
 	Log *log.Logger
 }
 
+const (
+	defaultMaxBodyBytes = 1 << 20
+	defaultRetryBudget  = 0.2
+
+	// dispatchPeriod is how often queues are looked at without an event: load
+	// reports and the end of pauses give none.
+	dispatchPeriod = 20 * time.Millisecond
+	drainPoll      = 10 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.Refresh == nil {
+		o.Refresh = func(string) {}
+	}
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.RetryBudget <= 0 {
+		o.RetryBudget = defaultRetryBudget
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = log.Default()
+	}
+	return o
+}
+
 // Router serves callers.
 type Router struct {
-	opts Options
+	opts     Options
+	ids      *requestid.Generator
+	counters *counters
+	budget   *retryBudget
+	hosts    *hostHealth
+	services *serviceIndex
+	draining atomic.Bool
+
+	models sync.Map // name -> *model
+	// waiting holds the models with queued requests, for the dispatch ticks.
+	waitingMu sync.Mutex
+	waiting   map[*model]struct{}
+
+	// cleanup tracks goroutines that outlive their request: those that send a
+	// Cancel frame.
+	cleanup sync.WaitGroup
 }
 
-// New makes a router.
+// New makes a router. Run must run for queues to move.
 func New(opts Options) *Router {
-	return &Router{opts: opts}
+	opts = opts.withDefaults()
+	return &Router{
+		opts:     opts,
+		ids:      requestid.NewGenerator(opts.Host),
+		counters: newCounters(),
+		budget:   newRetryBudget(opts.RetryBudget),
+		hosts:    newHostHealth(),
+		services: &serviceIndex{},
+		waiting:  make(map[*model]struct{}),
+	}
 }
 
 // Handler serves callers over HTTP.
-func (r *Router) Handler() http.Handler { return http.NewServeMux() }
+func (r *Router) Handler() http.Handler { return http.HandlerFunc(r.serveHTTP) }
 
-// Run does the router's background work until ctx is done.
+// Run moves the queues until ctx is done.
 func (r *Router) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.runDispatch(ctx) })
+	return group.Wait()
+}
+
+func (r *Router) runDispatch(ctx context.Context) error {
+	ticker := time.NewTicker(dispatchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.tick()
+		}
+	}
 }
 
 // Drain refuses new work; running requests go on.
-func (r *Router) Drain() {}
+func (r *Router) Drain() { r.draining.Store(true) }
 
 // Wait returns when no request runs, or with an error when ctx is done.
-func (r *Router) Wait(ctx context.Context) error { return nil }
+func (r *Router) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for r.counters.inFlight() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	r.cleanup.Wait() // bounded by cancelTimeout
+	return nil
+}
