--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -230,7 +230,6 @@
 		FailureDomain:  h.FailureDomain,
 		Listen:         h.Address,
 		OperatorListen: h.OperatorAddress,
-		HostListUrl:    cluster.HostListURL,
 	}
 	if i < len(cluster.Engines) {
 		wanted.EngineUrl = cluster.EngineURLs[i]
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -209,7 +209,6 @@
 	host.Address, host.OperatorAddress = freeAddress(d.t), freeAddress(d.t)
 	d.cluster.Hosts.Add(host)
 	cfg.Host, cfg.FailureDomain, cfg.Listen, cfg.OperatorListen = name, "a", host.Address, host.OperatorAddress
-	cfg.HostListUrl = d.cluster.HostListURL
 	cfg.Log = &apiv1.LogSettings{Level: "debug"}
 	d.sidecarSettings = append(d.sidecarSettings, cfg)
 	d.sidecars = append(d.sidecars, startProcess(d.t, d.dir, "sidecar", name, cfg))
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
@@ -23,7 +22,6 @@
 	agent    *agent.Agent
 	server   *transport.Server
 	operator *httpServer
-	hosts    platform.HostList // nil when the settings name none
 }
 
 // NewSidecar binds the sidecar's addresses. The routers' address stays bound
@@ -34,9 +32,6 @@
 		return nil, err
 	}
 	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger)}
-	if cfg.GetHostListUrl() != "" {
-		s.hosts = platform.NewHostListClient(platform.ClientOptions{BaseURL: cfg.GetHostListUrl(), CallTimeout: hostListTimeout})
-	}
 	s.server, err = transport.Listen(cfg.GetListen(), creds, s.agent.Handle)
 	if err != nil {
 		return nil, err
@@ -89,9 +84,6 @@
 	g.Go(func() error { return s.agent.Run(work) })
 	g.Go(func() error { return s.server.Serve(work) })
 	g.Go(func() error { return s.operator.run(work) })
-	if s.hosts != nil {
-		g.Go(func() error { return s.watchLeaving(work) })
-	}
 	g.Go(func() error {
 		defer stop()
 		return drainOnStop(ctx, work, milliseconds(s.cfg.GetStopTimeoutMs()), s.agent)
@@ -99,49 +91,3 @@
 	s.log.Info("sidecar runs", "host", s.cfg.GetHost(), "listen", s.Address())
 	return g.Wait()
 }
-
-const (
-	hostListTimeout  = time.Second
-	leavingPeriod    = time.Second
-	hostListMissTail = 3 // reads without the host before it counts as dropped
-)
-
-// watchLeaving tells the agent when the platform's list says that this host is
-// leaving, or no longer names it after it once did.
-func (s *Sidecar) watchLeaving(ctx context.Context) error {
-	ticker := time.NewTicker(leavingPeriod)
-	defer ticker.Stop()
-	seen := false
-	missed := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		listing, err := s.hosts.Hosts(ctx)
-		if err != nil {
-			continue // an outage of the list says nothing about this host
-		}
-		h, listed := findHost(listing, s.cfg.GetHost())
-		if listed {
-			seen = true
-			missed = 0
-			s.agent.SetLeaving(h.State == platform.HostLeaving)
-			continue
-		}
-		missed++
-		if seen && missed >= hostListMissTail {
-			s.agent.SetLeaving(true)
-		}
-	}
-}
-
-func findHost(listing platform.HostListing, id string) (platform.Host, bool) {
-	for _, h := range listing.Hosts {
-		if h.ID == id {
-			return h, true
-		}
-	}
-	return platform.Host{}, false
-}
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -55,7 +55,6 @@
 		listener{"listen", s.GetListen()},
 		listener{"operator_listen", s.GetOperatorListen()},
 	)
-	c.baseURL("host_list_url", s.GetHostListUrl())
 	checkUpstream(c, s)
 	checkSecurity(c, s.GetSecurity(), listeners)
 	checkLog(c, s.GetLog())
