agent: whole-agent fuzzing beside a fake engine

Cause: the sidecar's promises had no test. Change: a fake engine in memory that notes breaches, tables for streams, and a rapid state machine over the whole agent in a synctest bubble.

--- /dev/null
+++ b/internal/agent/engine_test.go
@@ -0,0 +1,327 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// fault is what goes wrong with one order.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultLostAnswer applies the order and loses the answer at once.
+	faultLostAnswer
+	// faultLostOrder loses the order.
+	faultLostOrder
+	// faultLateOrder reports a lost order and applies it a second later.
+	faultLateOrder
+	// faultRefused fails the order for certain.
+	faultRefused
+)
+
+type fakeModel struct {
+	platform.EngineModel
+	generation uint64
+	running    int
+}
+
+// fakeEngine is an engine in memory. It notes each breach of the promises that
+// the sidecar makes.
+type fakeEngine struct {
+	mu       sync.Mutex
+	boot     int
+	totalMiB uint32
+	models   map[string]*fakeModel
+	cached   []platform.CachedCheckpoint
+	faults   []fault // of the next orders
+	breaches []string
+	loads    map[string]int
+	cancels  int
+	// loadTime and tokenTime are the duration of a load and of a token.
+	loadTime, tokenTime time.Duration
+	// script replaces the events of the next streams, first one first.
+	script [][]platform.TokenEvent
+	// onOrder is told each load order that is given, onApply each that takes
+	// effect; both return a breach or "".
+	onOrder, onApply func(platform.Order) string
+	// fences is the highest fencing number of each model; nil ignores them.
+	fences map[string]uint64
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		totalMiB:  100,
+		models:    make(map[string]*fakeModel),
+		loads:     make(map[string]int),
+		loadTime:  time.Second,
+		tokenTime: 10 * time.Millisecond,
+	}
+}
+
+func (e *fakeEngine) breach(format string, args ...any) {
+	e.breaches = append(e.breaches, fmt.Sprintf(format, args...))
+}
+
+func (e *fakeEngine) usedMiB() uint32 {
+	var used uint32
+	for _, m := range e.models {
+		used += m.MemoryMiB
+		for _, a := range m.Adapters {
+			used += a.MemoryMiB
+		}
+	}
+	return used
+}
+
+func engineError(kind platform.Kind, unknown bool) error {
+	return &platform.Error{Kind: kind, Op: "engine order", OutcomeUnknown: unknown}
+}
+
+func (e *fakeEngine) nextFault() fault {
+	if len(e.faults) == 0 {
+		return faultNone
+	}
+	f := e.faults[0]
+	e.faults = e.faults[1:]
+	return f
+}
+
+func (e *fakeEngine) Do(ctx context.Context, order platform.Order) error {
+	e.mu.Lock()
+	f := e.nextFault()
+	if order.Kind == platform.OrderLoad {
+		e.consult(e.onOrder, order)
+	}
+	e.mu.Unlock()
+	done := make(chan error, 1)
+	switch f {
+	case faultRefused:
+		return engineError(platform.KindInvalid, false)
+	case faultLostOrder:
+		return engineError(platform.KindUnavailable, true)
+	case faultLateOrder:
+		go func() {
+			time.Sleep(time.Second)
+			done <- e.apply(order)
+		}()
+		return engineError(platform.KindUnavailable, true)
+	}
+	go func() { done <- e.apply(order) }()
+	if f == faultLostAnswer {
+		return engineError(platform.KindUnavailable, true)
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *fakeEngine) apply(order platform.Order) error {
+	e.mu.Lock()
+	if e.fences != nil && order.Epoch < e.fences[order.Model] {
+		e.mu.Unlock()
+		return engineError(platform.KindFenced, false)
+	}
+	if e.fences != nil {
+		e.fences[order.Model] = order.Epoch
+	}
+	boot := e.boot
+	err := e.start(order)
+	took := e.loadTime
+	e.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if order.Kind != platform.OrderLoad {
+		took = 10 * time.Millisecond
+	}
+	time.Sleep(took)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.boot != boot {
+		return engineError(platform.KindUnavailable, true)
+	}
+	e.complete(order)
+	return nil
+}
+
+// start applies the first half of an order.
+func (e *fakeEngine) start(order platform.Order) error {
+	m := e.models[order.Model]
+	switch order.Kind {
+	case platform.OrderLoad:
+		return e.startLoad(order)
+	case platform.OrderUnload:
+		if m == nil {
+			return engineError(platform.KindNotFound, false)
+		}
+		if m.running > 0 {
+			e.breach("unload of %s with %d requests running", order.Model, m.running)
+		}
+		m.State = platform.ModelUnloading
+	case platform.OrderLoadAdapter:
+		if m == nil {
+			return engineError(platform.KindNotFound, false)
+		}
+		m.Adapters = append(m.Adapters, platform.EngineAdapter{Adapter: order.Adapter, MemoryMiB: order.MemoryMiB, State: platform.ModelLoading})
+		e.checkMemory(order)
+	}
+	return nil
+}
+
+func (e *fakeEngine) startLoad(order platform.Order) error {
+	if e.models[order.Model] != nil {
+		e.breach("second load of %s", order.Model)
+		return engineError(platform.KindInvalid, false)
+	}
+	e.consult(e.onApply, order)
+	e.loads[order.Model]++
+	e.models[order.Model] = &fakeModel{EngineModel: platform.EngineModel{
+		Model: order.Model, Version: order.Version, MemoryMiB: order.MemoryMiB, State: platform.ModelLoading,
+	}, generation: generationOf(order)}
+	e.checkMemory(order)
+	return nil
+}
+
+func (e *fakeEngine) consult(check func(platform.Order) string, order platform.Order) {
+	if check == nil {
+		return
+	}
+	if why := check(order); why != "" {
+		e.breach("%s", why)
+	}
+}
+
+func (e *fakeEngine) checkMemory(order platform.Order) {
+	if used := e.usedMiB(); used > e.totalMiB {
+		e.breach("%s of %s: %d MiB used of %d", order.Kind, order.Model, used, e.totalMiB)
+	}
+}
+
+func (e *fakeEngine) complete(order platform.Order) {
+	m := e.models[order.Model]
+	if m == nil {
+		return
+	}
+	switch order.Kind {
+	case platform.OrderLoad:
+		m.State = platform.ModelReady
+	case platform.OrderUnload:
+		delete(e.models, order.Model)
+	default:
+		e.completeAdapter(m, order)
+	}
+}
+
+func (e *fakeEngine) completeAdapter(m *fakeModel, order platform.Order) {
+	var rest []platform.EngineAdapter
+	for _, a := range m.Adapters {
+		if a.Adapter != order.Adapter {
+			rest = append(rest, a)
+		} else if order.Kind == platform.OrderLoadAdapter {
+			a.State = platform.ModelReady
+			rest = append(rest, a)
+		}
+	}
+	m.Adapters = rest
+}
+
+// restart loses all models.
+func (e *fakeEngine) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.boot++
+	e.models = make(map[string]*fakeModel)
+}
+
+func (e *fakeEngine) Inventory(context.Context) (platform.Inventory, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	inv := platform.Inventory{BootID: fmt.Sprint(e.boot), MemoryTotalMiB: e.totalMiB, Cached: e.cached}
+	for _, m := range e.models {
+		copied := m.EngineModel
+		copied.Adapters = append([]platform.EngineAdapter(nil), m.Adapters...)
+		inv.Models = append(inv.Models, copied)
+	}
+	return inv, nil
+}
+
+func (e *fakeEngine) Load(context.Context) (platform.EngineLoad, error) {
+	return platform.EngineLoad{}, nil
+}
+
+func (e *fakeEngine) CacheEvents(context.Context, int64) ([]platform.CacheEvent, error) {
+	return nil, nil
+}
+
+func (e *fakeEngine) Cancel(context.Context, string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancels++
+	return nil
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, gen platform.Generation) (platform.TokenStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.models[gen.Model]
+	if m == nil || m.State != platform.ModelReady {
+		return nil, engineError(platform.KindNotFound, false)
+	}
+	events := wholeAnswer(gen.RequestID, gen.Offset, gen.MaxTokens)
+	if len(e.script) > 0 {
+		events = e.script[0]
+		e.script = e.script[1:]
+	}
+	m.running++
+	return &fakeTokens{ctx: ctx, engine: e, model: m, events: events}, nil
+}
+
+func wholeAnswer(id string, from, tokens int) []platform.TokenEvent {
+	var events []platform.TokenEvent
+	for i := from; i < tokens; i++ {
+		events = append(events, platform.TokenEvent{RequestID: id, Offset: i, Text: fmt.Sprint("t", i)})
+	}
+	return append(events, platform.TokenEvent{RequestID: id, Offset: tokens, Done: true, FinishReason: "stop"})
+}
+
+type fakeTokens struct {
+	ctx    context.Context
+	engine *fakeEngine
+	model  *fakeModel
+	events []platform.TokenEvent
+	once   sync.Once
+}
+
+func (t *fakeTokens) Next() (platform.TokenEvent, error) {
+	timer := time.NewTimer(t.engine.tokenTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ctx.Done():
+		return platform.TokenEvent{}, t.ctx.Err()
+	}
+	if len(t.events) == 0 {
+		return platform.TokenEvent{}, io.ErrUnexpectedEOF
+	}
+	event := t.events[0]
+	t.events = t.events[1:]
+	return event, nil
+}
+
+func (t *fakeTokens) Close() error {
+	t.once.Do(func() {
+		t.engine.mu.Lock()
+		defer t.engine.mu.Unlock()
+		t.model.running--
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/agent/fuzz_test.go
@@ -0,0 +1,316 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+var fuzzModels = []string{"a", "b", "c", "d"}
+
+// oracle knows what the agent was told, and checks what the engine and the
+// router see of it.
+type oracle struct {
+	b *bench
+	// open is false until slots were accepted, and again after a pause.
+	open bool
+	// assigned, released and confirmed hold generations by model.
+	assigned, released, confirmed map[string]uint64
+	newest                        map[string]uint64
+	streams                       []*fakeStream
+	generations                   map[*fakeStream]*apiv1.GenerateRequest
+	releases                      map[*fakeStream]*apiv1.ReleaseSlot
+	cut                           map[*fakeStream]bool
+}
+
+func newOracle(b *bench) *oracle {
+	o := &oracle{
+		b:           b,
+		assigned:    make(map[string]uint64),
+		released:    make(map[string]uint64),
+		confirmed:   make(map[string]uint64),
+		newest:      make(map[string]uint64),
+		generations: make(map[*fakeStream]*apiv1.GenerateRequest),
+		releases:    make(map[*fakeStream]*apiv1.ReleaseSlot),
+		cut:         make(map[*fakeStream]bool),
+	}
+	b.engine.onOrder = o.checkOrder
+	b.engine.onApply = o.checkApply
+	return o
+}
+
+func fuzzSlot(model string, generation uint64) *apiv1.SlotSpec {
+	spec := slot(model, generation)
+	spec.Checkpoint = fmt.Sprint(generation)
+	spec.KeepAliveMs = 3000
+	return spec
+}
+
+func generationOf(order platform.Order) uint64 {
+	var generation uint64
+	_, _ = fmt.Sscan(order.Checkpoint, &generation)
+	return generation
+}
+
+// checkOrder runs when the sidecar gives a load order.
+func (o *oracle) checkOrder(order platform.Order) string {
+	generation := generationOf(order)
+	switch {
+	case !o.open:
+		return "load without slots"
+	case o.assigned[order.Model] != generation:
+		return fmt.Sprintf("load of %s generation %d, assigned %d", order.Model, generation, o.assigned[order.Model])
+	case generation <= o.released[order.Model]:
+		return fmt.Sprintf("load of released %s generation %d", order.Model, generation)
+	}
+	return ""
+}
+
+// checkApply runs when a load order takes effect.
+func (o *oracle) checkApply(order platform.Order) string {
+	if generation := generationOf(order); generation <= o.confirmed[order.Model] {
+		return fmt.Sprintf("load of %s generation %d after its release was confirmed", order.Model, generation)
+	}
+	return ""
+}
+
+func (o *oracle) assignFresh(t *rapid.T) {
+	var specs []*apiv1.SlotSpec
+	next := make(map[string]uint64)
+	for _, model := range fuzzModels {
+		switch rapid.IntRange(0, 3).Draw(t, "slot of "+model) {
+		case 0: // not on this host
+		case 1: // moved here anew
+			o.newest[model]++
+			specs = append(specs, fuzzSlot(model, o.newest[model]))
+			next[model] = o.newest[model]
+		default: // as known, perhaps released
+			specs = append(specs, fuzzSlot(model, max(1, o.newest[model])))
+			next[model] = max(1, o.newest[model])
+		}
+		o.newest[model] = max(1, o.newest[model])
+	}
+	reply := o.b.assign(specs...)
+	if !reply.GetAccepted() {
+		t.Fatalf("fresh slots refused: %s", reply.GetReason())
+	}
+	o.open = true
+	o.assigned = make(map[string]uint64)
+	for model, generation := range next {
+		if generation > o.released[model] {
+			o.assigned[model] = generation
+		}
+	}
+}
+
+func (o *oracle) assignStale(t *rapid.T) {
+	stale := &apiv1.AssignSlots{BootId: o.b.bootID(), ConfigRevision: 1, TableRevision: o.b.table}
+	for _, model := range fuzzModels {
+		stale.Slots = append(stale.Slots, fuzzSlot(model, 1))
+	}
+	switch rapid.IntRange(0, 2).Draw(t, "stale") {
+	case 0:
+		stale.BootId = "earlier"
+	case 1:
+		if o.b.table == 0 {
+			return
+		}
+		stale.TableRevision--
+	case 2:
+		if o.b.table == 0 {
+			return
+		}
+		stale.ConfigRevision = 0
+	}
+	frame := &apiv1.RouterFrame{Body: &apiv1.RouterFrame_Assign{Assign: stale}}
+	if o.b.ask(frame).GetAssign().GetAccepted() {
+		t.Fatalf("stale slots accepted: %v", stale)
+	}
+}
+
+func (o *oracle) generate(t *rapid.T) {
+	model := rapid.SampledFrom(fuzzModels).Draw(t, "model")
+	generation := max(1, o.newest[model]+uint64(rapid.IntRange(0, 2).Draw(t, "ahead"))-1)
+	in := request(fmt.Sprint("r", len(o.streams)), model, generation)
+	in.DeadlineMs = rapid.SampledFrom([]uint32{0, 300, 2500, 20_000}).Draw(t, "deadline")
+	in.Priority = uint32(rapid.IntRange(0, 2).Draw(t, "priority"))
+	in.Adapter = rapid.SampledFrom([]string{"", "", "x", "y"}).Draw(t, "adapter")
+	if in.Adapter != "" {
+		in.AdapterMemoryMib = 10
+		in.AdapterCheckpoint = in.Adapter
+	}
+	s := o.b.generate(in)
+	o.streams = append(o.streams, s)
+	o.generations[s] = in
+	synctest.Wait()
+	if o.open && o.assigned[model] == generation {
+		return
+	}
+	if got := read(s); got.refusal == nil || got.refusal.GetOutcomeUnknown() {
+		t.Fatalf("request for unassigned %s generation %d admitted: %v", model, generation, got)
+	}
+}
+
+func (o *oracle) release(t *rapid.T) {
+	model := rapid.SampledFrom(fuzzModels).Draw(t, "model")
+	generation := max(1, o.newest[model]+uint64(rapid.IntRange(0, 1).Draw(t, "ahead"))-1)
+	o.released[model] = max(o.released[model], generation)
+	if o.assigned[model] <= generation {
+		delete(o.assigned, model)
+	}
+	s := o.b.release(model, generation)
+	o.streams = append(o.streams, s)
+	o.releases[s] = &apiv1.ReleaseSlot{Model: model, Generation: generation}
+}
+
+func (o *oracle) pause(*rapid.T) {
+	o.b.clock.pause(10 * time.Second)
+	o.open = false
+	o.assigned = make(map[string]uint64)
+}
+
+func (o *oracle) fault(t *rapid.T) {
+	f := rapid.SampledFrom([]fault{faultLostAnswer, faultLostOrder, faultLateOrder, faultRefused}).Draw(t, "fault")
+	o.b.engine.mu.Lock()
+	defer o.b.engine.mu.Unlock()
+	o.b.engine.faults = append(o.b.engine.faults, f)
+}
+
+func (o *oracle) cutStream(t *rapid.T) {
+	if len(o.streams) == 0 {
+		return
+	}
+	s := rapid.SampledFrom(o.streams).Draw(t, "stream")
+	o.cut[s] = true
+	_ = s.Close()
+}
+
+func (o *oracle) badStream(t *rapid.T) {
+	id := fmt.Sprint("r", len(o.streams))
+	events := wholeAnswer(id, 0, 5)
+	switch rapid.IntRange(0, 3).Draw(t, "damage") {
+	case 0:
+		events = events[:2]
+	case 1:
+		events = append(wholeAnswer("x", 0, 3), events...)
+	case 2:
+		events = append(events[:3:3], events[1:]...)
+	case 3:
+		events = append(events[:1:1], events[2:]...)
+	}
+	o.b.engine.mu.Lock()
+	defer o.b.engine.mu.Unlock()
+	o.b.engine.script = [][]platform.TokenEvent{events}
+}
+
+// check compares what the engine and the router saw with what is allowed.
+func (o *oracle) check(t *rapid.T) {
+	synctest.Wait()
+	o.b.engine.mu.Lock()
+	breaches := o.b.engine.breaches
+	o.b.engine.mu.Unlock()
+	if len(breaches) > 0 {
+		t.Fatalf("engine: %v", breaches)
+	}
+	for s := range o.generations {
+		o.checkGeneration(t, s)
+	}
+	for s, in := range o.releases {
+		o.checkRelease(t, s, in)
+	}
+}
+
+func ended(s *fakeStream) bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *oracle) checkGeneration(t *rapid.T, s *fakeStream) {
+	got := read(s)
+	if got.gap || got.ends > 1 || (ended(s) && !o.cut[s] && got.ends != 1) {
+		t.Fatalf("stream of %s: %d ends, gap %v", o.generations[s].GetRequestId(), got.ends, got.gap)
+	}
+	for i, text := range got.text {
+		if text != fmt.Sprint("t", i) {
+			t.Fatalf("stream of %s: token %d is %s", o.generations[s].GetRequestId(), i, text)
+		}
+	}
+	if got.end != nil && (len(got.text) != 5 || got.end.GetTotalTokens() != 5) {
+		t.Fatalf("short answer looks whole: %v", got)
+	}
+	if ended(s) {
+		delete(o.generations, s)
+	}
+}
+
+func (o *oracle) checkRelease(t *rapid.T, s *fakeStream, in *apiv1.ReleaseSlot) {
+	if !ended(s) {
+		return
+	}
+	delete(o.releases, s)
+	frames := s.frames()
+	if len(frames) == 0 || !frames[0].GetRelease().GetReleased() {
+		return
+	}
+	model := in.GetModel()
+	o.confirmed[model] = max(o.confirmed[model], in.GetGeneration())
+	o.b.engine.mu.Lock()
+	defer o.b.engine.mu.Unlock()
+	if m := o.b.engine.models[model]; m != nil && m.generation <= in.GetGeneration() {
+		t.Fatalf("release of %s generation %d confirmed while the engine holds %d", model, in.GetGeneration(), m.generation)
+	}
+}
+
+func (o *oracle) finish(t *rapid.T) {
+	time.Sleep(90 * time.Second)
+	o.check(t)
+	if len(o.generations)+len(o.releases) > 0 {
+		t.Fatalf("%d generations and %d releases never ended", len(o.generations), len(o.releases))
+	}
+}
+
+// TestAgentKeepsItsPromises drives a whole agent beside an engine that loses
+// answers and orders, restarts and damages streams.
+func TestAgentKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failure = recover() }()
+			engine := newFakeEngine()
+			if rapid.Bool().Draw(rt, "engine fences") {
+				engine.fences = make(map[string]uint64)
+			}
+			o := newOracle(newBench(engine, nil))
+			defer o.b.close()
+			rt.Repeat(map[string]func(*rapid.T){
+				"assign":       o.assignFresh,
+				"stale assign": o.assignStale,
+				"generate":     o.generate,
+				"generate too": o.generate,
+				"release":      o.release,
+				"pause":        o.pause,
+				"fault":        o.fault,
+				"cut":          o.cutStream,
+				"bad stream":   o.badStream,
+				"restart":      func(*rapid.T) { engine.restart() },
+				"short time":   func(*rapid.T) { time.Sleep(50 * time.Millisecond) },
+				"long time":    func(*rapid.T) { time.Sleep(2500 * time.Millisecond) },
+				"":             o.check,
+			})
+			o.finish(rt)
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
