--- /dev/null
+++ b/internal/platform/contract_test.go
@@ -0,0 +1,132 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+func TestTableContract(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	table := newTable(t, startCluster(t, standin.ClusterOptions{}))
+
+	row, err := table.Get(ctx, "live/a b?&")
+	is.NoErr(err)
+	is.Equal(row, platform.Row{Key: "live/a b?&"}) // absent
+
+	binary := []byte{0, 0xff, '\n'}
+	first, err := table.Commit(ctx, platform.Txn{
+		ID:     "t1",
+		Checks: []platform.Check{{Key: "live/a b?&"}},
+		Puts:   []platform.Put{{Key: "live/a b?&", Value: binary}, {Key: "other/x"}},
+	})
+	is.NoErr(err)
+	is.True(first.Committed)
+	row, err = table.Get(ctx, "live/a b?&")
+	is.NoErr(err)
+	is.Equal(row, platform.Row{Key: "live/a b?&", Value: binary, Version: first.Version, TxnID: "t1"})
+
+	conflict, err := table.Commit(ctx, platform.Txn{
+		ID:     "t2",
+		Checks: []platform.Check{{Key: "live/a b?&"}, {Key: "other/x", Version: first.Version}, {Key: "gone", Version: 7}},
+		Puts:   []platform.Put{{Key: "other/x", Value: binary}},
+	})
+	is.NoErr(err)
+	is.Equal(conflict, platform.TxnResult{Conflicts: []platform.Row{row, {Key: "gone"}}}) // each failed check, nothing written
+
+	second, err := table.Commit(ctx, platform.Txn{ID: "t3", Puts: []platform.Put{{Key: "live/b"}}, Deletes: []string{"other/x"}})
+	is.NoErr(err)
+	is.True(second.Version > first.Version)
+	row, err = table.Get(ctx, "other/x")
+	is.NoErr(err)
+	is.Equal(row.Version, int64(0))
+
+	all, err := table.Changes(ctx, "live/", 0)
+	is.NoErr(err)
+	is.Equal(len(all.Rows), 2)
+	is.Equal(all.Revision, second.Version)
+	later, err := table.Changes(ctx, "live/", first.Version)
+	is.NoErr(err)
+	is.Equal(len(later.Rows), 1)
+	is.Equal(later.Rows[0].Key, "live/b")
+
+	_, err = table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "live/c"}}})
+	is.Equal(platform.KindOf(err), platform.KindInvalid) // no id
+	is.Equal(platform.OutcomeUnknown(err), false)
+}
+
+func TestObjectContract(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := startCluster(t, standin.ClusterOptions{})
+	objects := closeIdle(t, platform.NewObjectClient(platform.ClientOptions{BaseURL: c.ObjectURL}))
+
+	_, err := objects.Get(ctx, "sets/none")
+	is.Equal(platform.KindOf(err), platform.KindNotFound)
+
+	body := []byte{0, 1, 2}
+	is.NoErr(objects.Put(ctx, "sets/a b", body))
+	is.NoErr(objects.Put(ctx, "sets/a b", body)) // idempotent
+	is.NoErr(objects.Put(ctx, "sets/empty", nil))
+	is.NoErr(objects.Put(ctx, "waits/1", body))
+	err = objects.Put(ctx, "sets/a b", []byte("other"))
+	is.Equal(platform.KindOf(err), platform.KindInvalid) // immutable
+
+	got, err := objects.Get(ctx, "sets/a b")
+	is.NoErr(err)
+	is.Equal(got, body)
+	got, err = objects.Get(ctx, "sets/empty")
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+	keys, err := objects.List(ctx, "sets/")
+	is.NoErr(err)
+	is.Equal(keys, []string{"sets/a b", "sets/empty"})
+
+	c.Objects.Faults.Set(standin.Faults{LoseAnswers: 1})
+	is.NoErr(objects.Put(ctx, "waits/2", body)) // repeated after a lost answer
+}
+
+func TestHostListContract(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c := startCluster(t, standin.ClusterOptions{})
+	hosts := closeIdle(t, platform.NewHostListClient(platform.ClientOptions{BaseURL: c.HostListURL}))
+
+	c.Hosts.Add(platform.Host{ID: "h1", Role: platform.RoleUpstream, Address: "127.0.0.1:1"})
+	c.Hosts.Add(platform.Host{ID: "h2", Role: platform.RoleRouter})
+	c.Hosts.Leave("h1")
+	before, err := hosts.Hosts(ctx)
+	is.NoErr(err)
+	is.Equal(len(before.Hosts), 2)
+	is.Equal(before.Hosts[0].State, platform.HostLeaving)
+
+	c.Hosts.SetKnobs(standin.HostKnobs{LagMS: 60_000})
+	c.Hosts.Drop("h1")
+	lagging, err := hosts.Hosts(ctx)
+	is.NoErr(err)
+	is.Equal(len(lagging.Hosts), 0) // as it was a minute ago
+
+	c.Hosts.SetKnobs(standin.HostKnobs{})
+	after, err := hosts.Hosts(ctx)
+	is.NoErr(err)
+	is.Equal(len(after.Hosts), 1)
+	is.True(after.Revision > before.Revision)
+}
+
+func TestWeightContract(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	info := platform.CheckpointInfo{Checkpoint: "a/b v1", SizeMiB: 7}
+	c := startCluster(t, standin.ClusterOptions{Checkpoints: []platform.CheckpointInfo{info}})
+	weights := closeIdle(t, platform.NewWeightClient(platform.ClientOptions{BaseURL: c.WeightURL}))
+	got, err := weights.Stat(ctx, "a/b v1")
+	is.NoErr(err)
+	is.Equal(got, info)
+	_, err = weights.Stat(ctx, "none")
+	is.Equal(platform.KindOf(err), platform.KindNotFound)
+}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"io"
 	"maps"
 	"net/http"
@@ -18,7 +19,7 @@
 	Lists int64 `json:"lists"`
 }
 
-// Objects stands in for the object store.
+// Objects stands in for the object store. It refuses to change a body.
 type Objects struct {
 	Faults FaultBox
 	mux    *http.ServeMux
@@ -57,7 +58,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.counts.Puts++
-	o.bodies[r.PathValue("key")] = body
+	key := r.PathValue("key")
+	if held, ok := o.bodies[key]; ok && !bytes.Equal(held, body) {
+		writeError(w, platform.KindInvalid, "object "+key+" exists with another body")
+		return
+	}
+	o.bodies[key] = body
 }
 
 func (o *Objects) handleGet(w http.ResponseWriter, r *http.Request) {
