shared: transport: Open returns when its context ends

Callers of Pool.Open waited on a mutex during another caller's dial, one dial timeout after the other, and on yamux while a frozen peer did not read; the token handshake ignored its context too. A request must be answered before its deadline. The entry's lock now gives way to the context, a failed dial is shared by those that waited for it, and the stream is opened beside the wait. TestOpenEndsWithItsContext hung for the handshake timeout before and returned its error without DeadlineExceeded.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -21,11 +21,29 @@
 // poolEntry holds the session to one peer. Its lock serializes dialing, so
 // that callers who come at once share one session.
 type poolEntry struct {
-	mu       sync.Mutex
+	lock     chan struct{} // holds one value while the entry is locked
 	session  *Session
-	lastUsed time.Time // guarded by mu
+	lastUsed time.Time
+	// failed is the error of the last dial, which ended at failedAt.
+	failed   error
+	failedAt time.Time
 }
 
+func newPoolEntry() *poolEntry { return &poolEntry{lock: make(chan struct{}, 1)} }
+
+// acquire locks the entry, unless ctx ends first.
+func (e *poolEntry) acquire(ctx context.Context) error {
+	select {
+	case e.lock <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *poolEntry) mustAcquire() { e.lock <- struct{}{} }
+func (e *poolEntry) release()     { <-e.lock }
+
 // dialTimeout bounds how long callers wait on each other's dial.
 const dialTimeout = 2 * time.Second
 
@@ -38,30 +56,85 @@
 }
 
 // Open starts a stream to the peer at addr, dialing first if need be. Nothing
-// has reached the peer's handler until the stream's first Send.
+// has reached the peer's handler until the stream's first Send. It returns when
+// ctx ends, also while the peer does not read.
 func (p *Pool) Open(ctx context.Context, addr string) (*Stream, error) {
 	entry, err := p.entry(addr)
 	if err != nil {
 		return nil, err
 	}
-	entry.mu.Lock()
-	defer entry.mu.Unlock()
-	entry.lastUsed = time.Now()
-	if entry.session != nil {
-		if stream, err := entry.session.Open(); err == nil {
-			return stream, nil
-		}
-		_ = entry.session.Close()
-		entry.session = nil
+	session, err := entry.connect(ctx, addr, p.creds, nil)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := openWithin(ctx, session)
+	if err == nil || ctx.Err() != nil {
+		return stream, err
+	}
+	session, err = entry.connect(ctx, addr, p.creds, session)
+	if err != nil {
+		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	return openWithin(ctx, session)
+}
+
+// connect returns the session to the peer, and a new one in place of broken.
+// Callers that waited for a dial that failed share its error instead of dialing
+// one after the other.
+func (e *poolEntry) connect(ctx context.Context, addr string, creds Credentials, broken *Session) (*Session, error) {
+	asked := time.Now()
+	if err := e.acquire(ctx); err != nil {
+		return nil, err
+	}
+	defer e.release()
+	e.lastUsed = time.Now()
+	if e.session != nil && e.session == broken {
+		_ = e.session.Close()
+		e.session = nil
+	}
+	if e.session != nil {
+		return e.session, nil
+	}
+	if e.failedAt.After(asked) {
+		return nil, e.failed
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	session, err := Dial(ctx, addr, p.creds)
+	session, err := Dial(dialCtx, addr, creds)
+	if err != nil && ctx.Err() == nil {
+		e.failed = err
+		e.failedAt = time.Now()
+	}
 	if err != nil {
 		return nil, err
 	}
-	entry.session = session
-	return session.Open()
+	e.session = session
+	return session, nil
+}
+
+// openWithin opens a stream, unless ctx ends first: a peer that does not read
+// makes yamux wait.
+func openWithin(ctx context.Context, session *Session) (*Stream, error) {
+	type result struct {
+		stream *Stream
+		err    error
+	}
+	opened := make(chan result, 1)
+	go func() {
+		stream, err := session.Open()
+		opened <- result{stream, err}
+	}()
+	select {
+	case res := <-opened:
+		return res.stream, res.err
+	case <-ctx.Done():
+	}
+	go func() {
+		if res := <-opened; res.err == nil {
+			_ = res.stream.Close()
+		}
+	}()
+	return nil, ctx.Err()
 }
 
 func (p *Pool) entry(addr string) (*poolEntry, error) {
@@ -72,7 +145,7 @@
 	}
 	entry := p.peers[addr]
 	if entry == nil {
-		entry = &poolEntry{}
+		entry = newPoolEntry()
 		p.peers[addr] = entry
 	}
 	return entry, nil
@@ -82,11 +155,11 @@
 func (p *Pool) Size() int {
 	n := 0
 	for _, entry := range p.entries() {
-		entry.mu.Lock()
+		entry.mustAcquire()
 		if entry.session != nil {
 			n++
 		}
-		entry.mu.Unlock()
+		entry.release()
 	}
 	return n
 }
@@ -100,8 +173,8 @@
 }
 
 func (e *poolEntry) closeIfIdle(now time.Time, idle time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.mustAcquire()
+	defer e.release()
 	if e.session == nil || e.session.Streams() > 0 || now.Sub(e.lastUsed) < idle {
 		return
 	}
@@ -125,11 +198,11 @@
 	p.closed = true
 	p.mu.Unlock()
 	for _, entry := range p.entries() {
-		entry.mu.Lock()
+		entry.mustAcquire()
 		if entry.session != nil {
 			_ = entry.session.Close()
 			entry.session = nil
 		}
-		entry.mu.Unlock()
+		entry.release()
 	}
 }
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -46,7 +46,12 @@
 	if creds.Client != nil {
 		conn = tls.Client(conn, creds.Client)
 	}
-	if err := proveToken(conn, creds.Token, sideClient, sideServer); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = proveToken(conn, creds.Token, sideClient, sideServer)
+	if !stop() {
+		err = errors.Join(ctx.Err(), err)
+	}
+	if err != nil {
 		return nil, errors.Join(fmt.Errorf("dial %s: %w", addr, err), conn.Close())
 	}
 	mux, err := yamux.Client(conn, yamuxConfig())
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -95,6 +96,36 @@
 	}
 }
 
+// silentPeer accepts connections and never writes.
+func silentPeer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+func TestOpenEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	addr := silentPeer(t)
+	pool := transport.NewPool(transport.Credentials{Token: []byte("secret")}, time.Minute)
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	errs := make(chan error, 3)
+	for range cap(errs) {
+		go func() {
+			_, err := pool.Open(ctx, addr)
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		is.True(errors.Is(<-errs, context.DeadlineExceeded))
+	}
+}
+
 func TestCutStreamIsNoCleanEnd(t *testing.T) {
 	is := is.New(t)
 	server := serve(t, transport.Credentials{}, func(_ context.Context, s *transport.Stream) {
