--- a/internal/config/commit.go
+++ b/internal/config/commit.go
@@ -20,6 +20,10 @@
 // rows. An error leaves the outcome unknown when platform.OutcomeUnknown says
 // so.
 func CommitSettled(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+	return commitRetrying(ctx, table, txn, backoff.NewExponentialBackOff())
+}
+
+func commitRetrying(ctx context.Context, table platform.TableService, txn platform.Txn, waits backoff.BackOff) (platform.TxnResult, error) {
 	unknown := false
 	try := func() (platform.TxnResult, error) {
 		result, err := table.Commit(ctx, txn)
@@ -32,7 +36,7 @@
 		}
 		return result, err
 	}
-	result, err := backoff.Retry(ctx, try, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxTries(commitTries))
+	result, err := backoff.Retry(ctx, try, backoff.WithBackOff(waits), backoff.WithMaxTries(commitTries))
 	if err != nil {
 		return result, &platform.Error{
 			Kind:           platform.KindOf(err),
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,11 +1,14 @@
 package config
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
 
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/strictjson"
@@ -28,14 +31,31 @@
 	return nil, faults
 }
 
-// FormatSet writes a set as JSON that ParseSet reads.
+// FormatSet writes a set as indented JSON that ParseSet reads.
 func FormatSet(set *apiv1.ObjectSet) ([]byte, error) {
-	options := protojson.MarshalOptions{UseProtoNames: true, Multiline: true, Indent: "  "}
-	data, err := options.Marshal(set)
+	compact, err := formatMessage(set)
 	if err != nil {
-		return nil, fmt.Errorf("format object set: %w", err)
+		return nil, err
 	}
-	return data, nil
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, compact, "", "  "); err != nil {
+		return nil, fmt.Errorf("indent object set: %w", err)
+	}
+	return indented.Bytes(), nil
+}
+
+// formatMessage writes a message as JSON. protojson varies its white space, so
+// it is taken out.
+func formatMessage(msg proto.Message) ([]byte, error) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("format as JSON: %w", err)
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return nil, fmt.Errorf("format as JSON: %w", err)
+	}
+	return compact.Bytes(), nil
 }
 
 // objectNames holds the names of a set's objects by kind and index.
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -62,8 +62,8 @@
 	// ExpectRevision is the revision that the new one must follow; nil takes
 	// the one in force when Publish reads it.
 	ExpectRevision *uint64
-	// TxnID identifies the publication. Repeating Publish with the same TxnID
-	// and ExpectRevision has no further effect. Empty makes a new one.
+	// TxnID identifies the publication; empty makes a new one. Publish is
+	// idempotent when both TxnID and ExpectRevision are given.
 	TxnID string
 }
 
@@ -125,12 +125,9 @@
 	return headState{row: head, version: row.Version, txnID: row.TxnID}, nil
 }
 
-// alreadyDecided reports whether the publication needs no commit: it took
-// effect in an earlier try, or the revision that it expects has passed.
+// alreadyDecided reports whether the expected revision has passed, so that no
+// commit is needed: this publication took effect in an earlier try, or lost.
 func (p *Publisher) alreadyDecided(ctx context.Context, current headState, options PublishOptions) (*apiv1.HeadRow, bool, error) {
-	if current.txnID == options.TxnID {
-		return current.row, true, nil
-	}
 	if options.ExpectRevision == nil || *options.ExpectRevision == current.row.GetRevision() {
 		return nil, false, nil
 	}
@@ -195,14 +192,14 @@
 func (p *Publisher) resolve(ctx context.Context, base uint64, txnID string) (*apiv1.HeadRow, error) {
 	winner, err := p.readRow(ctx, platform.HistoryKey(base+1))
 	if err != nil {
-		return nil, fmt.Errorf("find out who published revision %d: %w", base+1, err)
+		return nil, unsettled(base+1, err)
 	}
 	if winner.version != 0 && winner.txnID == txnID {
 		return winner.row, nil
 	}
 	head, err := p.readHead(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("find out which revision is in force: %w", err)
+		return nil, unsettled(base+1, err)
 	}
 	if winner.version == 0 {
 		winner = head
--- a/internal/config/publisher_errors.go
+++ b/internal/config/publisher_errors.go
@@ -49,3 +49,15 @@
 		Err:    err,
 	}
 }
+
+// unsettled marks a failure to find out who published a revision. It may have
+// been this publication, in a try whose answer was lost.
+func unsettled(revision uint64, err error) error {
+	return &platform.Error{
+		Kind:           platform.KindOf(err),
+		Op:             fmt.Sprintf("find out who published revision %d", revision),
+		OutcomeUnknown: true,
+		Remedy:         "see \"history\" once the platform answers",
+		Err:            err,
+	}
+}
