--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -98,6 +98,9 @@
 		reply.TableRevision = report.GetTableRevision()
 		return actions
 	})
+	if reply.GetAccepted() {
+		a.SetLeaving(in.GetLeaving())
+	}
 	a.opts.Log.Info("slots", "host", a.opts.Host, "accepted", reply.GetAccepted(), "reason", reply.GetReason(),
 		"slots", len(in.GetSlots()), "config", in.GetConfigRevision(), "table", in.GetTableRevision())
 	_ = s.Send(&apiv1.SidecarFrame{Body: &apiv1.SidecarFrame_Assign{Assign: reply}})
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -125,14 +125,15 @@
 			d.eventually("the load has begun", func() bool { return d.cluster.Census.Model("model-0").Loads == 1 })
 			d.sidecars[0].kill()
 			d.restartSidecar(0)
+			answers := make([]answer, 3)
 			var wg sync.WaitGroup
-			for i := range 3 {
-				wg.Go(func() {
-					model := fmt.Sprintf("model-%d", i)
-					wantWhole(t, d.chat(0, model, "after the kill", 5), model, "after the kill", 5)
-				})
+			for i := range answers {
+				wg.Go(func() { answers[i] = d.chat(0, fmt.Sprintf("model-%d", i), "after the kill", 5) })
 			}
 			wg.Wait()
+			for i, a := range answers {
+				wantWhole(t, a, fmt.Sprintf("model-%d", i), "after the kill", 5)
+			}
 			a := <-first
 			is.True(a.err == nil && (a.whole || a.outcome != "")) // whole, or refused with its outcome
 			d.wantMemoryKept()
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -46,7 +46,7 @@
 	}
 	now := time.Now()
 	if req.GetDone() {
-		d.keeper.Done(now, host, req.GetId())
+		d.keeper.Done(host, req.GetId())
 		return true
 	}
 	d.keeper.Request(now, permit.Request{Host: host, ID: req.GetId(), Model: req.GetModel(), Priority: req.GetPriority()})
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -171,10 +171,16 @@
 			l.push(ctx, false)
 		}
 	case *apiv1.SidecarFrame_Permit:
-		if !l.opts.Permits.Request(l.host.ID, body.Permit) {
-			l.grant(&apiv1.LoadPermit{Id: body.Permit.GetId(), NoKeeper: true})
-		}
+		l.requestPermit(body.Permit)
+	}
+}
+
+func (l *link) requestPermit(req *apiv1.PermitRequest) {
+	kept := l.opts.Permits.Request(l.host.ID, req)
+	if req.GetDone() {
+		return
 	}
+	l.grant(&apiv1.LoadPermit{Id: req.GetId(), NoKeeper: !kept, Queued: kept})
 }
 
 func (l *link) grant(permit *apiv1.LoadPermit) {
