A router that starts during an outage takes its state from peers

Weighed: storing the last state on the host (hosts keep nothing), waiting for the platform (no service during a long outage after a restart).

--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -285,3 +285,19 @@
 	}
 	d.wantMemoryKept()
 }
+
+// A router that starts while the whole platform is down takes the highest
+// revision that its peers hold, and routes by their slots.
+func TestRouterStartsFromPeersWhilePlatformIsDown(t *testing.T) {
+	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs()}, set: testSet(1)})
+	wantWhole(t, d.chat(0, "model-0", "warm", 5), "model-0", "warm", 5)
+	wantWhole(t, d.chat(1, "model-0", "warm", 5), "model-0", "warm", 5)
+	d.routers[0].kill()
+	down := standin.Faults{Down: true}
+	d.cluster.Table.Faults.Set(down)
+	d.cluster.Objects.Faults.Set(down)
+	d.restartRouter(0)
+	d.waitReady(0)
+	d.eventually("the restarted router answers", func() bool { return d.chat(0, "model-0", "again", 5).whole })
+	d.wantMemoryKept()
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -275,7 +275,7 @@
 	parts := []func(context.Context) error{
 		r.poller.Run, r.sidecars.Run, r.leases.Run, r.decider.Run, r.permits.run,
 		r.claims.Run, r.writeRecords, r.front.Run, r.gossip.Run,
-		r.callers.run, r.operator.run, r.sweep,
+		r.callers.run, r.operator.run, r.sweep, r.bootstrap,
 	}
 	for _, run := range parts {
 		g.Go(func() error { return run(work) })
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -81,6 +81,7 @@
 	guarded.HandleFunc("GET /v1/diff", s.reply(s.diffRevisions))
 	guarded.HandleFunc("POST /v1/diff", s.reply(s.diffSet))
 	guarded.HandleFunc("GET /v1/status", s.reply(s.status))
+	guarded.HandleFunc("GET /v1/state", s.reply(s.state))
 	guarded.HandleFunc("GET /v1/explain/{id}", s.reply(s.explain))
 	guarded.HandleFunc("GET /v1/late", s.reply(s.late))
 	guarded.HandleFunc("POST /v1/drain/{host}", s.reply(s.drain))
