--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -28,6 +28,8 @@
 	InFlight int
 	// Room is false when this router may not send it more now.
 	Room bool
+	// Paused is true when that is due to a recent refusal, not to its load.
+	Paused bool
 	// ReadyIn is the expected time until it can answer.
 	ReadyIn time.Duration
 	// HasAdapter is true when the wanted adapter is loaded.
@@ -92,10 +94,14 @@
 }
 
 func pick(candidates []Candidate, wish Wish, avoid string) (int, Reason) {
-	ready, i, reason := pickReady(candidates, wish.Key, avoid)
+	i, reason := pickReady(candidates, wish.Key, avoid)
 	if i >= 0 {
 		return i, reason
 	}
+	ready, paused := readiness(candidates, avoid)
+	if paused {
+		return -1, ""
+	}
 	i = pickWaking(candidates, avoid)
 	if i < 0 || !candidates[i].Room {
 		return -1, ""
@@ -114,18 +120,27 @@
 	}
 }
 
+// readiness reports whether a replica is ready, and whether one that is will
+// soon take work again.
+func readiness(candidates []Candidate, avoid string) (ready, paused bool) {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.State == StateReady && c.Host != avoid {
+			ready = true
+			paused = paused || c.Paused
+		}
+	}
+	return ready, paused
+}
+
 // pickReady takes the two best ready replicas with room by rendezvous hashing
 // and of these the one with less load.
-func pickReady(candidates []Candidate, key uint64, avoid string) (ready bool, chosen int, reason Reason) {
+func pickReady(candidates []Candidate, key uint64, avoid string) (chosen int, reason Reason) {
 	first, second := -1, -1
 	var firstScore, secondScore uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.State != StateReady || c.Host == avoid {
-			continue
-		}
-		ready = true
-		if !c.Room {
+		if c.State != StateReady || !c.Room || c.Host == avoid {
 			continue
 		}
 		score := mix(key ^ c.HostHash)
@@ -139,13 +154,13 @@
 	}
 	switch {
 	case first < 0:
-		return ready, -1, ""
+		return -1, ""
 	case second < 0:
-		return ready, first, ReasonRoom
+		return first, ReasonRoom
 	case candidates[first].InFlight > candidates[second].InFlight+affinitySlack:
-		return ready, second, ReasonLoad
+		return second, ReasonLoad
 	default:
-		return ready, first, ReasonAffinity
+		return first, ReasonAffinity
 	}
 }
 
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -27,6 +27,7 @@
 	answer   assembly
 	sink     sink
 	unsure   bool // an earlier try may have run
+	failures int  // tries that an upstream began and did not finish
 	onHost   int  // tries in a row on lastHost
 	lastHost string
 	backOff  *backoff.ExponentialBackOff // nil before the first retry
@@ -156,7 +157,10 @@
 // prepareRetry acts on the end of a try. It returns an Error when there is no
 // other one.
 func (r *Router) prepareRetry(g *generation, leave *grant, e ending) *Error {
-	p := planRetry(e, progress{delivered: g.sink.delivered(), tokens: g.answer.next, triesOnHost: g.onHost})
+	if e.failed() {
+		g.failures++
+	}
+	p := planRetry(e, progress{delivered: g.sink.delivered(), triesOnHost: g.onHost, failures: g.failures})
 	r.punish(leave, p)
 	if e.kind == endCut {
 		r.counters.cuts.Add(1)
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -73,11 +73,8 @@
 }
 
 func (rep *replica) room(window int, now time.Time) bool {
-	if now.Before(rep.pausedUntil) {
-		return false
-	}
 	if rep.probing {
-		return rep.inFlight == 0
+		return rep.inFlight == 0 && !now.Before(rep.pausedUntil)
 	}
 	return rep.inFlight < window
 }
@@ -139,6 +136,7 @@
 		Generation: row.GetGeneration(),
 		InFlight:   rep.inFlight,
 		Room:       rep.room(window, now),
+		Paused:     rep.probing,
 	}
 	if reported := replicaReport(rep.report, row); reported != nil {
 		rep.describe(&c, reported, adapter, now)
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// failed reports whether the upstream began and did not finish.
+func (e ending) failed() bool {
+	switch e.refusal.GetKind() {
+	case apiv1.RefusalKind_REFUSAL_KIND_UPSTREAM, apiv1.RefusalKind_REFUSAL_KIND_NO_STREAM:
+		return true
+	default:
+		return e.kind == endCut
+	}
+}
+
 func (e ending) String() string {
 	switch e.kind {
 	case endServed:
@@ -66,10 +76,10 @@
 type progress struct {
 	// delivered is true when a token may have reached the caller.
 	delivered bool
-	// tokens is the number of tokens received.
-	tokens uint32
 	// triesOnHost counts the tries in a row on the host of the last one.
 	triesOnHost int
+	// failures counts the tries that an upstream began and did not finish.
+	failures int
 }
 
 // resumePlace tells where the next try may go.
@@ -148,10 +158,15 @@
 	return place
 }
 
+// maxFailures bounds the tries that upstreams began.
+const maxFailures = 4
+
 // planAgain tries the same host once more and then another one. The caller of a
 // half-delivered answer can only be served by the host that has its stream.
 func planAgain(p progress, kind Kind) plan {
 	switch {
+	case p.failures >= maxFailures:
+		return plan{refused: kind}
 	case p.triesOnHost < 2:
 		return plan{place: moved(p, placeSame), budgeted: true, refused: kind}
 	case p.delivered:
