shared: transport: name the peer when TLS is verified

Cause: tls.Client refuses a config with neither ServerName nor InsecureSkipVerify, so no session with TLS settings could be dialed: "either ServerName or InsecureSkipVerify must be specified". Ruled out: skipping verification; a peer is verified by the IP number that was dialed, so each host's certificate has to carry its IP number. Shown by: TestCredentialsProtectSessions of internal/settings fails without this and passes with it.

--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -44,7 +44,7 @@
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
 	if creds.Client != nil {
-		conn = tls.Client(conn, creds.Client)
+		conn = tls.Client(conn, clientConfig(creds.Client, addr))
 	}
 	if err := proveToken(conn, creds.Token, sideClient, sideServer); err != nil {
 		return nil, errors.Join(fmt.Errorf("dial %s: %w", addr, err), conn.Close())
@@ -56,6 +56,21 @@
 	return &Session{mux: mux}, nil
 }
 
+// clientConfig names the peer whose certificate is verified, unless the
+// settings do.
+func clientConfig(settings *tls.Config, addr string) *tls.Config {
+	if settings.ServerName != "" || settings.InsecureSkipVerify {
+		return settings
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return settings
+	}
+	named := settings.Clone()
+	named.ServerName = host
+	return named
+}
+
 // Open starts a stream. Nothing has reached the peer until its first Send.
 func (s *Session) Open() (*Stream, error) {
 	conn, err := s.mux.OpenStream()
