--- a/internal/settings/security.go
+++ b/internal/settings/security.go
@@ -96,6 +96,18 @@
 	return server, client
 }
 
+// ListenerTLS returns the TLS settings of a process's HTTP listeners, whose
+// clients show a bearer token in place of a certificate. It is nil without TLS.
+func ListenerTLS(creds transport.Credentials) *tls.Config {
+	if creds.Server == nil {
+		return nil
+	}
+	listener := creds.Server.Clone()
+	listener.ClientAuth = tls.NoClientCert
+	listener.ClientCAs = nil
+	return listener
+}
+
 func readAuthority(path string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -182,7 +182,7 @@
 	return path + "." + name
 }
 
-// syntaxProblem names the line and column at which reading stopped.
+// syntaxProblem names the line at which reading stopped.
 func syntaxProblem(data []byte, offset int64, err error) string {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
@@ -194,6 +194,5 @@
 	}
 	before := data[:min(offset, int64(len(data)))]
 	line := bytes.Count(before, []byte("\n")) + 1
-	column := len(before) - bytes.LastIndexByte(before, '\n')
-	return fmt.Sprintf("no valid JSON at line %d, column %d: %v", line, column, err)
+	return fmt.Sprintf("no valid JSON at line %d: %v", line, err)
 }
