Process tests: publish only checkpoints that the weight store has; run four at a time

Cause of the three failures: the harness gave the weight stand-in the checkpoints of the first set only, so models published later failed to load (404 in the sidecar's log). Ruled out: eviction and leases.

--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -95,9 +95,11 @@
 }
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	const streams, tokens = 20, 100
 	for _, role := range []string{"router", "sidecar"} {
 		t.Run(role, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			d := deploy(t, deploymentOptions{routers: 1, engines: []standin.EngineKnobs{slowKnobs()}, set: testSet(1)})
 			wait := d.startStreams(streams, 0, "model-0", tokens)
@@ -114,8 +116,10 @@
 }
 
 func TestSidecarKilledInMidLoad(t *testing.T) {
+	t.Parallel()
 	for _, fences := range []bool{true, false} {
 		t.Run(fmt.Sprintf("fences %v", fences), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			knobs := slowKnobs()
 			knobs.Fences = fences
@@ -145,6 +149,7 @@
 // A sidecar that is frozen while its host is dropped and its slot moves must
 // not load the slot when it wakes, though a request is waiting in its socket.
 func TestFrozenSidecarLoadsNothingThatMoved(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 1, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(1)})
 	d.eventually("the slot is assigned", func() bool { return d.holder("model-0") >= 0 })
 	old := d.holder("model-0")
@@ -162,6 +167,7 @@
 }
 
 func TestColdStartWhileTableIsDown(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(2)})
 	for router := range d.routers { // both routers and all sidecars know the slots
 		wantWhole(t, d.chat(router, "model-0", "warm up", 5), "model-0", "warm up", 5)
@@ -176,6 +182,7 @@
 }
 
 func TestLostTableAnswersMisplaceNothing(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(2)})
 	d.cluster.Table.Faults.Set(standin.Faults{LoseEvery: 2})
 	d.publish(testSet(4))
@@ -207,6 +214,7 @@
 }
 
 func TestSameKeyThroughSeveralRoutersRunsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, deploymentOptions{routers: 3, services: []standin.ServiceKnobs{{RunMS: 200}, {RunMS: 200}}, set: testSet(0)})
 	d.eventually("the service answers", func() bool { return d.call(0, "", "probe").status == http.StatusOK })
@@ -229,6 +237,7 @@
 }
 
 func TestCallIsRefusedWhileClaimsCantBeWritten(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, deploymentOptions{routers: 1, services: []standin.ServiceKnobs{{}}, set: testSet(0)})
 	d.eventually("the service answers", func() bool { return d.call(0, "", "probe").status == http.StatusOK })
@@ -240,6 +249,7 @@
 }
 
 func TestLeavingHostGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(1)})
 	wantWhole(t, d.chat(0, "model-0", "warm", 5), "model-0", "warm", 5)
@@ -256,6 +266,7 @@
 }
 
 func TestAnotherRouterDecidesAfterAKill(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(1)})
 	d.eventually("the slot is assigned", func() bool { return d.holder("model-0") >= 0 })
 	d.routers[0].kill()
@@ -270,6 +281,7 @@
 
 // A router that was frozen past its leases wakes while another decides.
 func TestFrozenDeciderChangesNothingWhenItWakes(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(1)})
 	d.eventually("the slot is assigned", func() bool { return d.holder("model-0") >= 0 })
 	d.routers[0].freeze()
@@ -289,6 +301,7 @@
 // A router that starts while the whole platform is down takes the highest
 // revision that its peers hold, and routes by their slots.
 func TestRouterStartsFromPeersWhilePlatformIsDown(t *testing.T) {
+	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs()}, set: testSet(1)})
 	wantWhole(t, d.chat(0, "model-0", "warm", 5), "model-0", "warm", 5)
 	wantWhole(t, d.chat(1, "model-0", "warm", 5), "model-0", "warm", 5)
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -31,7 +32,15 @@
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
+// parallelTests bounds the deployments that run at a time.
+const parallelTests = "4"
+
 func buildAndRun(m *testing.M) int {
+	flag.Parse()
+	if err := flag.Set("test.parallel", parallelTests); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	dir, err := os.MkdirTemp("", "ragwortdoord")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -130,6 +139,7 @@
 	testPool       = "pool"
 	testService    = "bookings"
 	testMemoryMiB  = 1000
+	maxTestModels  = 16 // whose checkpoints the weight store holds
 	readyTimeout   = 30 * time.Second
 	pollPeriod     = 20 * time.Millisecond
 	answerDeadline = 60 * time.Second
@@ -171,7 +181,7 @@
 func (d *deployment) startStandins(o deploymentOptions) {
 	d.t.Helper()
 	options := standin.ClusterOptions{Weights: standin.WeightKnobs{LoadsPerSecond: 50}}
-	for _, v := range o.set.GetVersions() {
+	for _, v := range testSet(maxTestModels).GetVersions() {
 		options.Checkpoints = append(options.Checkpoints, platform.CheckpointInfo{Checkpoint: v.GetCheckpoint(), SizeMiB: v.GetMemoryMib()})
 	}
 	for i, knobs := range o.engines {
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestColdModelStreamsWholeAnswer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, deploymentOptions{routers: 1, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(3)})
 	for i := range 3 {
@@ -58,6 +59,7 @@
 
 // 200 first requests for one cold model with one slot, over two routers.
 func TestBurstOverTwoRoutersLoadsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(1)})
 	const burst = 200
