--- a/internal/platform/engine_contract_test.go
+++ b/internal/platform/engine_contract_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -226,3 +230,27 @@
 	is.NoErr(err)
 	is.Equal(len(events), 0)
 }
+
+func TestEngineStreamsReuseTheirConnection(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int64
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"request_id":"r1","done":true}`)
+	}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(answer))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := closeIdle(t, platform.NewEngineClient(platform.ClientOptions{BaseURL: server.URL}))
+	for range 5 {
+		stream, err := client.Generate(context.Background(), platform.Generation{RequestID: "r1"})
+		is.NoErr(err)
+		_, _, err = read(stream, "r1")
+		is.NoErr(err)
+	}
+	is.Equal(conns.Load(), int64(1))
+}
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -30,7 +30,8 @@
 //   - a result, when it is certain that txn took effect once, or that it
 //     conflicts and never will take effect;
 //   - an *Error with OutcomeUnknown false, when txn never will take effect;
-//   - an *Error with OutcomeUnknown true otherwise.
+//   - an *Error with OutcomeUnknown true otherwise. Don't call CommitSettled for
+//     txn again then: it would not know of the earlier sends.
 //
 // Txn must have at least one put with a check on the same key, a witness. Once
 // txn has taken effect the witness has another version, and versions never go
@@ -114,7 +115,7 @@
 		s.maybeApplied = s.maybeApplied || OutcomeUnknown(err)
 		return err
 	}
-	if result.Committed || !s.maybeApplied {
+	if result.Committed {
 		s.result = result
 		return nil
 	}
@@ -142,6 +143,10 @@
 		}
 		present[row.Key] = row
 	}
+	if !s.maybeApplied {
+		s.result = TxnResult{Conflicts: conflicts}
+		return nil
+	}
 	for _, witness := range s.witnesses {
 		row, changed := present[witness.Key]
 		if !changed || leavesNoRoom(witness, row) {
--- a/internal/platform/token_stream.go
+++ b/internal/platform/token_stream.go
@@ -6,9 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
+	"time"
 )
 
-const opStream = "engine stream"
+const (
+	opStream = "engine stream"
+	// drainTimeout limits the wait for the end of the body of a complete answer.
+	drainTimeout = 50 * time.Millisecond
+)
 
 // tokenStream reads an engine's answer, one JSON event a line.
 type tokenStream struct {
@@ -18,6 +24,8 @@
 	dec    *json.Decoder
 	// end is what every further Next returns.
 	end error
+	// complete is set after the event with Done; Close may run beside Next.
+	complete atomic.Bool
 }
 
 func newTokenStream(c *client, body io.ReadCloser, cancel context.CancelFunc) *tokenStream {
@@ -37,6 +45,7 @@
 	}
 	if event.Done {
 		s.end = io.EOF
+		s.complete.Store(true)
 	}
 	return event, nil
 }
@@ -55,8 +64,19 @@
 	}
 }
 
-// Close implements TokenStream.
+// Close implements TokenStream. It ends a stream that is not complete.
 func (s *tokenStream) Close() error {
+	if s.complete.Load() {
+		s.drain()
+	}
 	s.cancel()
 	return s.body.Close()
 }
+
+// drain reads the end of a complete answer's body, so that its connection can
+// be used again.
+func (s *tokenStream) drain() {
+	timer := time.AfterFunc(drainTimeout, s.cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, s.body)
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -14,13 +14,13 @@
 	// a retry can be added with an integer atomic.
 	tokenUnit = 1_000_000
 	// maxTokens is the number of retries that a budget saves up at most.
-	maxTokens = 100 * tokenUnit
+	maxTokens = 10 * tokenUnit
 
 	// DefaultShare is the share of retries in calls.
 	DefaultShare = 0.1
 	// DefaultFloor is the number of retries a second that a budget allows
 	// however few calls there are.
-	DefaultFloor = 2
+	DefaultFloor = 0.2
 )
 
 // Budget limits retries to a share of the calls, plus a small floor. It is safe
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -135,6 +135,9 @@
 		for _, engine := range c.Engines {
 			engine.Close()
 		}
+		for _, service := range c.Services {
+			service.Close()
+		}
 		for _, server := range c.servers {
 			_ = server.Close()
 		}
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -132,7 +132,7 @@
 
 func (h *Hosts) handleAdd(w http.ResponseWriter, r *http.Request) {
 	var host platform.Host
-	if readJSON(w, r, &host) {
+	if readSettings(w, r, &host) {
 		h.Add(host)
 	}
 }
