agent: let late orders arrive while the fuzzed sidecar is paused

Cause: 2,009 cases in, the fuzzing reported a release confirmed while the engine held the model. The test's pause moved the sidecar's clock by 10 s but not the engine's, so an order that was late by 1 s arrived after the settle delay of 2 s. Ruled out: a fault of the ledger; in a real pause the order arrives meanwhile. Change: a pause lets late orders arrive first. The check is unchanged.

--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -49,6 +49,8 @@
 	// onOrder is told each load order that is given, onApply each that takes
 	// effect; both return a breach or "".
 	onOrder, onApply func(platform.Order) string
+	// paused is closed when the sidecar is paused.
+	paused chan struct{}
 	// fences is the highest fencing number of each model; nil ignores them.
 	fences map[string]uint64
 }
@@ -58,6 +60,7 @@
 		totalMiB:  100,
 		models:    make(map[string]*fakeModel),
 		loads:     make(map[string]int),
+		paused:    make(chan struct{}),
 		loadTime:  time.Second,
 		tokenTime: 10 * time.Millisecond,
 	}
@@ -106,7 +109,7 @@
 		return engineError(platform.KindUnavailable, true)
 	case faultLateOrder:
 		go func() {
-			time.Sleep(time.Second)
+			e.delay()
 			done <- e.apply(order)
 		}()
 		return engineError(platform.KindUnavailable, true)
@@ -123,6 +126,27 @@
 	}
 }
 
+// delay holds back a late order for a second, or until the sidecar is paused.
+func (e *fakeEngine) delay() {
+	e.mu.Lock()
+	paused := e.paused
+	e.mu.Unlock()
+	timer := time.NewTimer(time.Second)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-paused:
+	}
+}
+
+// pause lets the late orders arrive while the sidecar is stopped.
+func (e *fakeEngine) pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.paused)
+	e.paused = make(chan struct{})
+}
+
 func (e *fakeEngine) apply(order platform.Order) error {
 	e.mu.Lock()
 	if e.fences != nil && order.Epoch < e.fences[order.Model] {
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -183,6 +183,8 @@
 }
 
 func (o *oracle) pause(*rapid.T) {
+	o.b.engine.pause()
+	synctest.Wait()
 	o.b.clock.pause(10 * time.Second)
 	o.open = false
 	o.assigned = make(map[string]uint64)
