agent: tests of the planner's decisions

Cause: orders, releases, evictions, permits and back-off were covered by the whole-agent fuzzing only. Change: one rig that plays agent and engine with a clock passed in, and a test for each rule.

--- /dev/null
+++ b/internal/agent/planner/planner_test.go
@@ -0,0 +1,302 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
+	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+const keep = keepalive.Fixed(time.Hour)
+
+func TestOrderIsCheckedRightBeforeItIsSent(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(*rig)
+		kind   apiv1.RefusalKind
+	}{
+		{"released", func(r *rig) {
+			r.take(r.p.Release(r.now, r.p.NewID(), slots.Key{Model: "m"}, 1, 8))
+		}, apiv1.RefusalKind_REFUSAL_KIND_NOT_ASSIGNED},
+		{"slot moved", func(r *rig) { r.assign() }, apiv1.RefusalKind_REFUSAL_KIND_NOT_ASSIGNED},
+		{"process paused", func(r *rig) {
+			r.take(r.p.Tick(r.now))
+			r.now = r.now.Add(PauseLimit + 1)
+		}, apiv1.RefusalKind_REFUSAL_KIND_STALE},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, keep, onDisk("m"))
+			r.assign(spec("m", 1))
+			id := r.admit("m", nil)
+			is.Equal(len(r.sent), 1)
+			tc.change(r)
+			_, ok, actions := r.p.Begin(r.now, r.sent[0].Order)
+			r.take(actions)
+			is.True(!ok)
+			is.Equal(r.refused[id].GetKind(), tc.kind)
+			is.Equal(r.p.ledger.ReservedMiB(), uint32(0))
+		})
+	}
+}
+
+func TestPauseDropsTheSlotsAndKeepsTheReplica(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	r.load("m")
+	before := r.p.BootID()
+	r.now = r.now.Add(PauseLimit + 1)
+	id := r.admit("m", nil)
+	is.Equal(r.refused[id].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_STALE)
+	is.True(r.p.BootID() != before)
+	r.assign(spec("m", 1))
+	id = r.admit("m", nil)
+	is.True(!r.granted[id].Cold) // served without a load
+	is.Equal(len(r.sent), 0)
+}
+
+func TestSlotsAreRefusedBeforeTheInventory(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{NewBootID: func() string { return "b" }})
+	_, err := p.Assign(time.Unix(0, 0), &apiv1.AssignSlots{BootId: "b"})
+	is.True(err != nil)
+	actions := p.Release(time.Unix(0, 0), 1, slots.Key{Model: "m"}, 1, 1)
+	is.True(!actions[0].(Released).Done)
+}
+
+func TestModelsOutsideTheSlotsAreUnloadedOnceIdle(t *testing.T) {
+	is := is.New(t)
+	inv := platform.Inventory{Models: []platform.EngineModel{{Model: "old", Version: "v1", MemoryMiB: 60, State: platform.ModelReady}}}
+	r := newRig(t, keep, inv)
+	r.pass(time.Minute)
+	is.Equal(len(r.sent), 0) // nothing before the first slots
+	r.assign(spec("m", 1))
+	// The number under which it was loaded is 2; the engine refuses lower ones.
+	for want := range uint64(3) {
+		var err error
+		if want < 2 {
+			err = errFenced
+		}
+		is.Equal(r.engine(time.Millisecond, err).Epoch, want)
+	}
+	is.Equal(r.p.ledger.ReservedMiB(), uint32(0))
+}
+
+func TestReleaseWaitsForRequestsAndTheEngine(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	r.load("m")
+	running := r.admit("m", nil)
+	release := r.p.NewID()
+	r.take(r.p.Release(r.now, release, slots.Key{Model: "m"}, 1, 8))
+	r.pass(time.Second)
+	is.Equal(len(r.sent), 0) // the request still runs
+	refused := r.admit("m", nil)
+	is.Equal(r.refused[refused].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_NOT_ASSIGNED)
+	r.take(r.p.Finish(r.now, running))
+	is.Equal(r.engine(time.Second, errUnknown).Epoch, uint64(8))
+	_, answered := r.answers[release]
+	is.True(!answered) // the engine has not confirmed
+	r.pass(3 * time.Second)
+	r.take(r.p.Inventory(r.now, r.p.MarkInventory(r.now), platform.Inventory{MemoryTotalMiB: 100}))
+	is.True(r.answers[release].Done)
+	r.assign(spec("m", 1)) // a late push
+	refused = r.admit("m", nil)
+	is.Equal(r.refused[refused].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_NOT_ASSIGNED)
+}
+
+func TestEngineThatRefusesAnUnloadConfirmsNoRelease(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	r.load("m")
+	release := r.p.NewID()
+	r.take(r.p.Release(r.now, release, slots.Key{Model: "m"}, 1, 8))
+	r.engine(time.Second, errRefused)
+	is.True(!r.answers[release].Done && r.answers[release].Reason != "")
+	again := r.p.NewID()
+	r.take(r.p.Release(r.now, again, slots.Key{Model: "m"}, 1, 8))
+	r.pass(2 * time.Second)
+	r.engine(time.Second, nil)
+	is.True(r.answers[again].Done)
+}
+
+func TestVersionChangeWaitsForRunningRequests(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	r.load("m")
+	running := r.admit("m", nil)
+	next := spec("m", 1)
+	next.Version = "v2"
+	r.assign(next)
+	waiting := r.admit("m", nil)
+	is.Equal(len(r.sent), 0)
+	r.take(r.p.Finish(r.now, running))
+	is.Equal(r.engine(time.Second, nil).Kind, platform.OrderUnload)
+	is.Equal(r.engine(time.Second, nil).Version, "v2")
+	is.True(r.granted[waiting].Cold)
+}
+
+func TestFailedLoadIsTriedAgainAfterABackoff(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	first := r.admit("m", nil)
+	r.engine(time.Second, errRefused)
+	is.Equal(r.refused[first].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_UPSTREAM)
+	is.True(!r.refused[first].GetOutcomeUnknown())
+	is.True(r.refused[first].GetRetryAfterMs() >= 500)
+	second := r.admit("m", nil)
+	is.Equal(len(r.sent), 0) // within the back-off
+	r.pass(time.Second)
+	r.engine(time.Second, nil)
+	_, ok := r.granted[second]
+	is.True(ok)
+}
+
+func TestDeadlineIsRefusedAtOnceAndTheAdviceHolds(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keepalive.AtOnce, onDisk("m"))
+	r.assign(spec("m", 1))
+	first := r.admit("m", nil)
+	r.engine(4*time.Second, nil) // teaches the load time
+	r.take(r.p.Finish(r.now, first))
+	r.pass(time.Second)
+	r.engine(time.Millisecond, nil) // unload of the idle model
+	soon := func(in *Request) { in.Deadline = r.now.Add(time.Second) }
+	late := r.admit("m", soon)
+	is.Equal(r.refused[late].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_DEADLINE)
+	is.Equal(r.refused[late].GetRetryAfterMs(), uint32(4000))
+	r.engine(4*time.Second, nil) // loaded for the caller that retries
+	again := r.admit("m", soon)
+	_, ok := r.granted[again]
+	is.True(ok)
+}
+
+func TestEvictionChoosesTheCheapestIdleModels(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(*rig)
+		evict string // "" when nothing can go
+	}{
+		{"longest idle", func(r *rig) { r.load("a"); r.pass(time.Minute); r.load("b") }, "a"},
+		{"running never goes", func(r *rig) { r.load("a"); r.load("b"); r.admit("a", nil) }, "b"},
+		{"shorter reload", func(r *rig) {
+			r.load("b")
+			r.admit("a", nil)
+			r.engine(30*time.Second, nil)
+			for id := range r.granted {
+				r.take(r.p.Finish(r.now, id))
+			}
+		}, "b"},
+		{"all run", func(r *rig) { r.load("a"); r.load("b"); r.admit("a", nil); r.admit("b", nil) }, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, keep, onDisk("a", "b", "c"))
+			r.assign(spec("a", 1), spec("b", 1), spec("c", 1))
+			tc.setup(r)
+			id := r.admit("c", func(in *Request) { in.Deadline = r.now.Add(10 * time.Second) })
+			if tc.evict == "" {
+				is.Equal(len(r.sent), 0)
+				r.pass(11 * time.Second)
+				is.Equal(r.refused[id].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_NO_MEMORY)
+				is.True(r.refused[id].GetRetryAfterMs() > 0)
+				return
+			}
+			order := r.engine(time.Millisecond, nil)
+			is.Equal(order.Kind, platform.OrderUnload)
+			is.Equal(order.Model, tc.evict)
+			is.Equal(r.engine(time.Second, nil).Model, "c")
+			is.Equal(len(r.sent), 0)
+		})
+	}
+}
+
+func TestPermits(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("d"))
+	r.assign(spec("m", 1), spec("n", 1))
+	r.admit("m", nil)
+	r.admit("n", func(in *Request) { in.Priority = 5 })
+	is.Equal(len(r.sent), 0) // both checkpoints are remote
+	is.Equal(len(r.asked), 2)
+	is.Equal(r.asked[1].Priority, uint32(5))
+	r.take(r.p.NoPermit(r.now, r.asked[0].Load))
+	r.take(r.p.NoPermit(r.now, r.asked[1].Load))
+	r.pass(time.Second)
+	is.Equal(len(r.sent), 1) // one load without permit at a time
+	is.Equal(r.engine(time.Second, nil).Model, "n")
+	is.Equal(len(r.sent), 1)
+	is.Equal(r.engine(time.Second, nil).Model, "m")
+	is.Equal(r.p.Stats().UnpermittedLoads, uint64(2))
+}
+
+func TestPermitNamesTheLoadsAhead(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, platform.Inventory{})
+	r.assign(spec("m", 1))
+	id := r.admit("m", nil)
+	r.pass(2 * time.Second)
+	r.take(r.p.Permit(r.now, r.asked[0].Load, 2))
+	r.engine(time.Second, nil)
+	phases := r.granted[id].Phases
+	is.Equal(phases[0].GetKind(), apiv1.PhaseKind_PHASE_KIND_PERMIT)
+	is.Equal(phases[0].GetLengthMs(), uint32(2000))
+	is.Equal(phases[1].GetCause(), "from remote storage behind 2 loads")
+	is.Equal(phases[1].GetStartMs(), uint32(2000))
+}
+
+func TestIdleReplicaIsUnloadedAfterItsKeepAlive(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ms   uint32
+		want time.Duration
+	}{{"policy", 0, 10 * time.Second}, {"slot", 3000, 3 * time.Second}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, keepalive.Fixed(10*time.Second), onDisk("m"))
+			s := spec("m", 1)
+			s.KeepAliveMs = tc.ms
+			r.assign(s)
+			r.load("m")
+			r.pass(tc.want - time.Second)
+			is.Equal(len(r.sent), 0)
+			r.pass(2 * time.Second)
+			is.Equal(r.engine(time.Millisecond, nil).Kind, platform.OrderUnload)
+		})
+	}
+}
+
+func TestAdapters(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("m"))
+	r.assign(spec("m", 1))
+	r.load("m")
+	want := func(name string) uint64 {
+		return r.admit("m", func(in *Request) { in.Adapter = AdapterSpec{Name: name, Checkpoint: name, MiB: 30} })
+	}
+	x, x2, y := want("x"), want("x"), want("y")
+	is.Equal(len(r.sent), 1) // one load for both requests, and y behind the window
+	is.Equal(r.engine(10*time.Millisecond, nil).Adapter, "x")
+	is.Equal(len(r.granted), 3) // with that of load
+	r.engine(10*time.Millisecond, nil)
+	is.Equal(r.p.ledger.FreeMiB(), uint32(0))
+	for _, id := range []uint64{x, x2} {
+		r.take(r.p.Finish(r.now, id))
+	}
+	want("z") // needs room; y runs, x is idle
+	order := r.engine(time.Millisecond, nil)
+	is.Equal(order.Kind, platform.OrderUnloadAdapter)
+	is.Equal(order.Adapter, "x")
+	is.Equal(r.engine(time.Millisecond, nil).Adapter, "z")
+	r.take(r.p.Finish(r.now, y))
+}
