claim: keep an outcome in memory until it is stored

TestRepeatHereWaitsWhileTheTableIsDown hung for 60 s when the repeat began to wait after Finish had given up: the process had forgotten the outcome and the table did not hold it yet. An outcome is now known to repeats at this router until its row is written. The tests use tabletest.Table.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -72,8 +72,10 @@
 	writer *writer
 	reads  *rate.Limiter // of Await
 
-	mu      sync.Mutex
-	running map[string]*Claimed // by table key: claims of this process
+	mu sync.Mutex
+	// running holds the claims of this process until their outcome is stored,
+	// by table key.
+	running map[string]*Claimed
 }
 
 // New makes a store. Run must run for claims to be written.
@@ -121,8 +123,8 @@
 // the background. Errors are of type *Error.
 func (s *Store) Claim(ctx context.Context, service, key, requestID string, fingerprint uint64) (Result, error) {
 	tableKey := platform.ClaimKey(service, key)
-	if running := s.runningClaim(tableKey); running != nil {
-		return Result{Existing: proto.CloneOf(running.row)}, nil
+	if row := s.known(tableKey); row != nil {
+		return Result{Existing: row}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimWait)
 	defer cancel()
@@ -184,6 +186,23 @@
 	return s.running[tableKey]
 }
 
+// known returns what this process knows of a key better than the table, or nil.
+// A key that is free again is left to the table: the outcome that frees it is
+// written before the next claim.
+func (s *Store) known(tableKey string) *apiv1.ClaimRow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.running[tableKey]
+	switch {
+	case c == nil || c.outcome.GetState() == apiv1.ClaimState_CLAIM_STATE_NOT_RUN:
+		return nil
+	case c.outcome != nil:
+		return c.outcome
+	default:
+		return c.row
+	}
+}
+
 // Outcome is how a claimed call ended.
 type Outcome struct {
 	State   apiv1.ClaimState
@@ -201,9 +220,11 @@
 func (s *Store) Finish(ctx context.Context, c *Claimed, outcome Outcome) error {
 	row := finalRow(c.row, outcome, s.opts.Now())
 	o := newOp(c.key, c.version, row)
+	o.ended = func() { s.forget(c) }
 	accepted := s.writer.submitFinal(o)
 	s.finish(c, row)
 	if !accepted {
+		s.forget(c)
 		return overloaded()
 	}
 	ctx, cancel := context.WithTimeout(ctx, finishWait)
@@ -223,10 +244,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.outcome = row
-	delete(s.running, c.key)
 	close(c.done)
 }
 
+// forget drops a claim whose outcome is stored. The key may have been claimed
+// anew since.
+func (s *Store) forget(c *Claimed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[c.key] == c {
+		delete(s.running, c.key)
+	}
+}
+
 func finalRow(claimed *apiv1.ClaimRow, outcome Outcome, now time.Time) *apiv1.ClaimRow {
 	row := proto.CloneOf(claimed)
 	row.State = outcome.State
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -10,10 +10,11 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
 // running starts a store and stops it at the end of the test.
-func running(t *testing.T, table *fakeTable, router string) *Store {
+func running(t *testing.T, table *tabletest.Table, router string) *Store {
 	t.Helper()
 	s := New(Options{Table: table, Router: router, Log: quietLog(), FlushEvery: time.Millisecond})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -33,7 +34,7 @@
 func TestRepeatGetsTheStoredOutcome(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	table := newFakeTable()
+	table := tabletest.New()
 	a, b := running(t, table, "a"), running(t, table, "b")
 	first, err := a.Claim(ctx, testService, "k", "q1", testFingerprint)
 	is.NoErr(err)
@@ -51,11 +52,11 @@
 func TestRepeatHereWaitsWhileTheTableIsDown(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	table := newFakeTable()
+	table := tabletest.New()
 	s := running(t, table, "a")
 	first, err := s.Claim(ctx, testService, "k", "q1", testFingerprint)
 	is.NoErr(err)
-	table.fail(faultDown)
+	table.SetFault(tabletest.Down)
 	repeat, err := s.Claim(ctx, testService, "k", "q2", testFingerprint)
 	is.NoErr(err)
 	rows := make(chan *apiv1.ClaimRow, 1)
@@ -65,8 +66,11 @@
 	defer cancel()
 	is.True(s.Finish(short, first.Claimed, done("booked")) != nil) // not stored yet
 	is.Equal(string((<-rows).GetBody()), "booked")
+	late, err := s.Claim(ctx, testService, "k", "q4", testFingerprint)
+	is.NoErr(err)
+	is.Equal(string(late.Existing.GetBody()), "booked")
 
-	table.fail(faultNone)
+	table.SetFault(tabletest.None)
 	other := running(t, table, "b")
 	seen, err := other.Claim(ctx, testService, "k", "q3", testFingerprint)
 	is.NoErr(err)
@@ -77,7 +81,7 @@
 func TestNotRunMayBeClaimedAgain(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	s := running(t, newFakeTable(), "a")
+	s := running(t, tabletest.New(), "a")
 	first, err := s.Claim(ctx, testService, "k", "q1", testFingerprint)
 	is.NoErr(err)
 	is.NoErr(s.Finish(ctx, first.Claimed, Outcome{State: apiv1.ClaimState_CLAIM_STATE_NOT_RUN}))
@@ -93,9 +97,9 @@
 func TestClaimIsRefusedWhileTheTableIsDown(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	table := newFakeTable()
+	table := tabletest.New()
 	s := running(t, table, "a")
-	table.fail(faultDown)
+	table.SetFault(tabletest.Down)
 	_, err := s.Claim(ctx, testService, "k", "q1", testFingerprint)
 	var claimErr *Error
 	is.True(errors.As(err, &claimErr))
@@ -106,14 +110,14 @@
 func TestLostAnswerIsSettled(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	table := newFakeTable()
+	table := tabletest.New()
 	s := New(Options{Table: table, Router: "a", Log: quietLog()})
 	o := newOp(platform.ClaimKey(testService, "k"), 0, &apiv1.ClaimRow{RequestId: "q1", Router: "a", State: apiv1.ClaimState_CLAIM_STATE_CLAIMED})
 	is.True(s.writer.submitClaim(o) == nil)
-	table.fail(faultLost)
+	table.SetFault(tabletest.LostAnswer)
 	s.writer.flush(ctx)
 	is.Equal(len(o.done), 0)
-	table.fail(faultNone)
+	table.SetFault(tabletest.None)
 	s.writer.flush(ctx)
 	res := <-o.done
 	is.NoErr(res.err)
@@ -125,25 +129,27 @@
 func TestClaimNotSentIsFreed(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	table := newFakeTable()
+	table := tabletest.New()
 	s := New(Options{Table: table, Router: "a", Log: quietLog()})
 	key := platform.ClaimKey(testService, "k")
 	o := newOp(key, 0, &apiv1.ClaimRow{RequestId: "q1", Router: "a", State: apiv1.ClaimState_CLAIM_STATE_CLAIMED})
 	is.True(s.writer.submitClaim(o) == nil)
-	table.fail(faultLost)
+	table.SetFault(tabletest.LostAnswer)
 	s.writer.flush(ctx)
 	is.True(s.writer.abandon(o))
 	s.writer.flush(ctx)
-	table.fail(faultNone)
+	table.SetFault(tabletest.None)
 	s.writer.flush(ctx)
 	s.writer.flush(ctx)
-	is.Equal(decode(table.rows[key]).GetState(), apiv1.ClaimState_CLAIM_STATE_NOT_RUN)
+	row, err := table.Get(ctx, key)
+	is.NoErr(err)
+	is.Equal(decode(row).GetState(), apiv1.ClaimState_CLAIM_STATE_NOT_RUN)
 	is.Equal(s.Pending(), 0)
 }
 
 func TestOldClaimIsAnsweredAsOpen(t *testing.T) {
 	is := is.New(t)
-	s := New(Options{Table: newFakeTable(), Router: "a", Log: quietLog()})
+	s := New(Options{Table: tabletest.New(), Router: "a", Log: quietLog()})
 	old := &apiv1.ClaimRow{
 		State:  apiv1.ClaimState_CLAIM_STATE_CLAIMED,
 		UnixMs: time.Now().Add(-Timeout).UnixMilli(),
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -11,6 +11,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
 const (
@@ -36,7 +37,7 @@
 // machine drives several routers' writers over one table, synchronously, and
 // counts in an oracle what each call did.
 type machine struct {
-	table    *fakeTable
+	table    *tabletest.Table
 	now      time.Time
 	routers  []*Store
 	attempts []*attempt
@@ -49,7 +50,7 @@
 
 func newMachine() *machine {
 	m := &machine{
-		table: newFakeTable(),
+		table: tabletest.New(),
 		now:   time.Unix(1000, 0),
 		runs:  make(map[string]int),
 		final: make(map[string]*apiv1.ClaimRow),
@@ -90,13 +91,22 @@
 // reclaimVersion is the version of a NOT_RUN row, as Claim learns it from the
 // conflict of its first write.
 func (m *machine) reclaimVersion(key string) int64 {
-	row := m.table.rows[key]
+	row := m.row(key)
 	if reclaimable(decode(row), testFingerprint) {
 		return row.Version
 	}
 	return 0
 }
 
+func (m *machine) row(key string) platform.Row {
+	m.table.SetFault(tabletest.None)
+	row, err := m.table.Get(context.Background(), key)
+	if err != nil {
+		panic(err)
+	}
+	return row
+}
+
 func decode(row platform.Row) *apiv1.ClaimRow {
 	out := &apiv1.ClaimRow{}
 	if err := proto.Unmarshal(row.Value, out); err != nil {
@@ -108,7 +118,9 @@
 // flush writes one batch of a router, with a drawn fault.
 func (m *machine) flush(t *rapid.T) {
 	router := m.routers[rapid.IntRange(0, testRouters-1).Draw(t, "router")]
-	m.table.fail(rapid.SampledFrom([]fault{faultNone, faultNone, faultDown, faultLost, faultDelayed}).Draw(t, "fault"))
+	m.table.SetFault(rapid.SampledFrom([]tabletest.Fault{
+		tabletest.None, tabletest.None, tabletest.Down, tabletest.LostAnswer, tabletest.Delayed,
+	}).Draw(t, "fault"))
 	m.now = m.now.Add(2 * pauseMax)
 	router.writer.flush(context.Background())
 	m.collect(t)
@@ -199,18 +211,23 @@
 	}
 }
 
-// arrive lets a commit without an answer take effect late.
+// arrive lets the commits without an answer take effect late, in any order.
 func (m *machine) arrive(t *rapid.T) {
-	if n := len(m.table.delayed); n > 0 {
-		m.table.applyDelayed(rapid.IntRange(0, n-1).Draw(t, "commit"))
-	}
+	m.table.Land(func(n int) []int {
+		order := make([]int, n)
+		for i := range order {
+			order[i] = i
+		}
+		return rapid.Permutation(order).Draw(t, "order")
+	})
 }
 
 // check holds after each step: a call runs at most once, "not run" is true, and
 // an outcome never changes.
 func (m *machine) check(t *rapid.T) {
-	for key, row := range m.table.rows {
-		claimed := decode(row)
+	for i := range testKeys {
+		key := platform.ClaimKey(testService, fmt.Sprintf("k%d", i))
+		claimed := decode(m.row(key))
 		if m.runs[key] > 1 {
 			t.Fatalf("%s ran %d times", key, m.runs[key])
 		}
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -23,6 +23,8 @@
 	finished  bool
 	abandoned bool
 	done      chan opResult // receives one value
+	// ended is called once with the writer's lock held; nil does nothing.
+	ended func()
 }
 
 // opResult is how an op ended.
@@ -59,6 +61,9 @@
 func (o *op) deliver(res opResult) {
 	o.finished = true
 	o.done <- res
+	if o.ended != nil {
+		o.ended()
+	}
 }
 
 // settlement is what follows from a failed check.
