--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -255,7 +255,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := 0; i < len(headers); i += 2 {
+	for i := 0; i < len(headers) && headers[i] != ""; i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
 	resp, err := f.client.Do(req)
--- a/internal/router/model.go
+++ b/internal/router/model.go
@@ -230,8 +230,13 @@
 }
 
 // refuseLate ends the wait of requests that will not make it; the caller holds
-// m.mu.
+// m.mu. The time to load an adapter is left out, so that one look at the
+// replicas serves all waiters.
 func (r *Router) refuseLate(m *model, snap *view.Snapshot, now time.Time) {
+	if m.queue.Len() == 0 {
+		return
+	}
+	o := r.outlook(m, snap, "", now)
 	ahead := 0
 	for _, w := range m.queue.Ordered(now) {
 		t := w.Value
@@ -239,7 +244,6 @@
 			ahead++
 			continue // admitted before; its deadline ends it
 		}
-		o := r.outlook(m, snap, t.adapter, now)
 		err := o.refusal(w, ahead, now)
 		if err == nil {
 			ahead++
