--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -148,8 +148,9 @@
 	is.True(strings.Contains(shed.body, `"kind":"shed"`))
 	is.True(shed.header.Get("Retry-After") != "")
 
-	close(a.letGo)
+	a.letGo <- struct{}{}           // one place is free
 	is.Equal(<-a.started, "urgent") // first out of the queue
+	close(a.letGo)
 	callers.Wait()
 	close(replies)
 	for got := range replies {
