claim: the state machine demands that rows get their outcome

Mutations showed what the machine did not see: with lost answers taken for failures it still passed, since a row that stays CLAIMED breaks no safety rule. It now heals the table at the end and demands that each row has the outcome of its request, and that a claim which was given up is free again. Each of seven mutations of the claim writer that change behaviour now fails it.

--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -32,6 +32,10 @@
 	// claimed is true once the router was told that it may send.
 	claimed bool
 	ended   bool
+	// died is true when the router was replaced.
+	died bool
+	// stored is the state that the row must get, once finished.
+	stored apiv1.ClaimState
 }
 
 // machine drives several routers' writers over one table, synchronously, and
@@ -195,6 +199,7 @@
 			state = rapid.SampledFrom([]apiv1.ClaimState{apiv1.ClaimState_CLAIM_STATE_DONE, apiv1.ClaimState_CLAIM_STATE_UNKNOWN}).Draw(t, "state")
 		}
 		a.ended = true
+		a.stored = state
 		row := finalRow(a.op.row, Outcome{State: state, Status: 200, Body: []byte(a.id)}, m.now)
 		m.routers[a.router].writer.submitFinal(newOp(a.key, a.op.check, row))
 	}
@@ -207,6 +212,7 @@
 	for _, a := range m.attempts {
 		if a.router == i {
 			a.ended = true
+			a.died = true
 		}
 	}
 }
@@ -256,6 +262,34 @@
 	}
 }
 
+// settle heals the table and demands that every row gets its outcome, unless
+// its router died or may still send: a claim that was given up is free again.
+func (m *machine) settle(t *rapid.T) {
+	m.arrive(t)
+	m.table.SetFault(tabletest.None)
+	m.now = m.now.Add(2 * pauseMax)
+	for _, router := range m.routers {
+		for router.Pending() > 0 {
+			router.writer.flush(context.Background())
+		}
+	}
+	m.collect(t)
+	m.check(t)
+	for _, a := range m.attempts {
+		row := decode(m.row(a.key))
+		if a.died || !a.ended || row.GetRequestId() != a.id {
+			continue
+		}
+		want := a.stored
+		if want == 0 {
+			want = apiv1.ClaimState_CLAIM_STATE_NOT_RUN
+		}
+		if row.GetState() != want {
+			t.Fatalf("%s left %v, want %v", a.id, row.GetState(), want)
+		}
+	}
+}
+
 func TestClaimsRunAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
@@ -269,5 +303,6 @@
 			"arrive":  m.arrive,
 			"":        m.check,
 		})
+		m.settle(t)
 	})
 }
