--- a/internal/waitlog/buffer.go
+++ b/internal/waitlog/buffer.go
@@ -36,6 +36,9 @@
 
 // add stores an entry and returns the number of records that were lost for it.
 func (b *buffer) add(e *entry) (lost int) {
+	if b.byID[e.record.GetRequestId()] != nil {
+		return 0 // a request has one record: the first
+	}
 	if len(b.byID) >= b.capacity {
 		lost = 1
 		if !b.evict(e.late) {
--- a/internal/waitlog/cause.go
+++ b/internal/waitlog/cause.go
@@ -50,16 +50,15 @@
 // stream counts only for a request that was not served, since it comes after
 // the first token.
 func MainCause(r *apiv1.WaitRecord) Cause {
-	served := r.GetOutcome() == apiv1.Outcome_OUTCOME_SERVED
-	totals := make(map[Cause]uint32)
+	totals := causeTotals(r.GetPhases())
+	if r.GetOutcome() == apiv1.Outcome_OUTCOME_SERVED {
+		delete(totals, CauseStream)
+	}
 	main := CauseNone
-	for _, phase := range r.GetPhases() {
-		if served && phase.GetKind() == apiv1.PhaseKind_PHASE_KIND_STREAM {
-			continue
-		}
-		cause := CauseOf(phase.GetKind())
-		totals[cause] += phase.GetLengthMs()
-		if totals[cause] > totals[main] {
+	for cause, total := range totals {
+		longer := total > totals[main]
+		tie := total == totals[main] && cause < main // independent of the map's order
+		if total > 0 && (longer || tie) {
 			main = cause
 		}
 	}
