--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -52,6 +52,10 @@
 	Hosts platform.HostListing
 	// ByHost indexes Hosts by id.
 	ByHost map[string]platform.Host
+	// HostReads counts the reads of the host list that were not older than the
+	// present one, so that a list that was read again can be told from one that
+	// was only kept.
+	HostReads uint64
 
 	slotIndex *slotIndex // replaced whenever Slots is
 }
@@ -143,10 +147,14 @@
 	}
 }
 
-// SetHosts stores a host list, unless it is older than the present one.
+// SetHosts stores a host list, unless the present one is as new.
 func (s *Store) SetHosts(listing platform.HostListing) {
 	s.update(func(next *Snapshot) {
-		if listing.Revision < next.Hosts.Revision {
+		if next.Hosts.Hosts != nil && listing.Revision < next.Hosts.Revision {
+			return
+		}
+		next.HostReads++
+		if next.Hosts.Hosts != nil && listing.Revision == next.Hosts.Revision {
 			return
 		}
 		next.Hosts = listing
