Command line of the operators; publisher settles by platform.CommitSettled

Cause: the client was a stub, and config had a commit loop of its own beside the platform's. The state machine runs in a synctest bubble, so that the waits of the platform's CommitSettled take no time, and gives half of the publications a deadline of 1 ms, so that lost answers still leave unknown outcomes. TLS files are demanded all together. Proof: the state machine fails with: transaction ids ignored by resolve, no look at the expected revision, no checks with plain commits. No checks with CommitSettled passed at first, since it refuses such a transaction and nothing was published; a run now ends with a publication that has to be accepted.

--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,7 +25,7 @@
 type PublisherOptions struct {
 	// Fleet returns what sets are checked against; nil skips those checks.
 	Fleet func() Fleet
-	// Commit is CommitSettled by default.
+	// Commit is platform.CommitSettled by default.
 	Commit CommitFunc
 	// Now is time.Now by default.
 	Now func() time.Time
@@ -44,13 +46,13 @@
 		options.Fleet = func() Fleet { return Fleet{} }
 	}
 	if options.Commit == nil {
-		options.Commit = CommitSettled
+		options.Commit = platform.CommitSettled
 	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
 	if options.Log == nil {
-		options.Log = discardLog()
+		options.Log = log.New(io.Discard)
 	}
 	return &Publisher{table: table, objects: objects, options: options}
 }
@@ -77,7 +79,7 @@
 		return nil, err
 	}
 	if options.TxnID == "" {
-		options.TxnID = newTxnID()
+		options.TxnID = "publish-" + rand.Text()
 	}
 	current, err := p.readHead(ctx)
 	if err != nil {
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -57,12 +57,8 @@
 	m.table.applied = func(txn platform.Txn) { m.apply(t, txn) }
 	m.table.next = func(call string) fault { return m.fault(t, call) }
 	m.objects.next = m.table.next
-	noWait := func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
-		return commitRetrying(ctx, table, txn, &backoff.ZeroBackOff{})
-	}
 	for range 3 {
-		options := PublisherOptions{Commit: noWait, Now: func() time.Time { return time.UnixMilli(1) }}
-		m.publishers = append(m.publishers, NewPublisher(m.table, m.objects, options))
+		m.publishers = append(m.publishers, NewPublisher(m.table, m.objects, PublisherOptions{}))
 	}
 	return m
 }
@@ -121,7 +117,10 @@
 func (m *publisherMachine) run(t *rapid.T, try publicationTried) {
 	m.depth++
 	publisher := rapid.SampledFrom(m.publishers).Draw(t, "publisher")
-	row, err := publisher.Publish(context.Background(), try.set, try.options)
+	patience := rapid.SampledFrom([]time.Duration{time.Millisecond, time.Minute}).Draw(t, "patience")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	row, err := publisher.Publish(ctx, try.set, try.options)
+	cancel()
 	m.depth--
 	var conflict *ConflictError
 	switch {
@@ -231,16 +230,36 @@
 }
 
 func TestPublisherStateMachine(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := newPublisherMachine(t)
-		t.Repeat(map[string]func(*rapid.T){
-			"publish": m.publishNew,
-			"repeat":  m.repeat,
-			"deliver": m.deliver,
-			"invalid": m.rejectInvalid,
-			"":        m.check,
-		})
+	// The waits between retries pass at once in the bubble. It forbids the call
+	// of Deadline that rapid makes on a *testing.T, which the struct hides.
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, checkPublisher)
+	})
+}
+
+func checkPublisher(t *rapid.T) {
+	m := newPublisherMachine(t)
+	t.Repeat(map[string]func(*rapid.T){
+		"publish": m.publishNew,
+		"repeat":  m.repeat,
+		"deliver": m.deliver,
+		"invalid": m.rejectInvalid,
+		"":        m.check,
 	})
+	m.mustPublish(t)
+}
+
+// mustPublish checks that a set is accepted once nothing fails.
+func (m *publisherMachine) mustPublish(t *rapid.T) {
+	m.table.next = func(string) fault { return faultNone }
+	m.objects.next = m.table.next
+	try := publicationTried{set: smallSet(), options: PublishOptions{Author: "last", TxnID: "last", ExpectRevision: &m.head}}
+	m.tried["last"] = try
+	row, err := m.publishers[0].Publish(context.Background(), try.set, try.options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.mustHold(t, row, try)
 }
 
 func TestHistoryBodyAndRollback(t *testing.T) {
--- /dev/null
+++ b/internal/operator/cli/node_commands.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/operator"
+)
+
+const flagUndo = "undo"
+
+func nodeCommands() []*cli.Command {
+	return []*cli.Command{
+		{Name: "status", Usage: "show the revision in force and the state of each node", Action: status},
+		{
+			Name: "drain", Usage: "tell a host to take no new work", ArgsUsage: "HOST",
+			Flags: []cli.Flag{
+				&cli.BoolFlag{Name: flagUndo, Usage: "take the drain back"},
+				&cli.StringFlag{Name: flagAuthor, Value: os.Getenv("USER"), Usage: "who drains it"},
+			},
+			Action: drain,
+		},
+	}
+}
+
+func status(ctx context.Context, cmd *cli.Command) error {
+	if _, err := arguments(cmd, 0, 0); err != nil {
+		return err
+	}
+	client, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return show(cmd, reply, func(w io.Writer) { writeStatus(w, reply) })
+}
+
+func writeStatus(w io.Writer, reply *operator.StatusReply) {
+	writeRevision(w, reply.Revision)
+	records := reply.WaitRecords
+	fmt.Fprintf(w, "wait records: %d stored, %d buffered, %d lost\n", records.Stored, records.Buffered, records.Lost)
+	row(w, "HOST", "ROLE", "FAILURE DOMAIN", "ADDRESS", "REVISION", "BEHIND", "SEEN", "STATE", "PROBLEM")
+	for _, node := range reply.Nodes {
+		row(w, node.Host, node.Role, orDash(node.FailureDomain), orDash(node.Address), node.ConfigRevision,
+			behind(reply.Revision.Revision, node.ConfigRevision), seen(node.SeenAgoMs), nodeState(node), orDash(node.Problem))
+	}
+}
+
+func behind(head, confirmed uint64) uint64 {
+	if confirmed >= head {
+		return 0
+	}
+	return head - confirmed
+}
+
+func seen(agoMs int64) string {
+	if agoMs < 0 {
+		return "never"
+	}
+	return formatMs(agoMs) + " ago"
+}
+
+func nodeState(node operator.NodeStatus) string {
+	if node.Draining {
+		return "draining"
+	}
+	return "live"
+}
+
+func drain(ctx context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, 1, 1)
+	if err != nil {
+		return err
+	}
+	client, err := newClient(cmd)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Drain(ctx, args[0], cmd.String(flagAuthor), !cmd.Bool(flagUndo))
+	if err != nil {
+		return err
+	}
+	return show(cmd, reply, func(w io.Writer) {
+		if !reply.Draining {
+			fmt.Fprintf(w, "%s takes new work again\n", reply.Host)
+			return
+		}
+		fmt.Fprintf(w, "%s takes no new work; it still holds %d slots\n", reply.Host, reply.SlotsHeld)
+	})
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -96,14 +96,11 @@
 	return call[DiffReply](ctx, c, request{method: http.MethodGet, path: "/v1/diff", query: query})
 }
 
-// DiffSet compares the revision in force with a set, given as JSON.
-func (c *Client) DiffSet(ctx context.Context, set []byte) (*DiffReply, error) {
-	return call[DiffReply](ctx, c, request{method: http.MethodPost, path: "/v1/diff", body: set})
-}
-
-// Status returns the state of the nodes.
-func (c *Client) Status(ctx context.Context) (*StatusReply, error) {
-	return call[StatusReply](ctx, c, request{method: http.MethodGet, path: "/v1/status"})
+// DiffSet compares a published revision with a set, given as JSON; 0 means the
+// revision in force.
+func (c *Client) DiffSet(ctx context.Context, from uint64, set []byte) (*DiffReply, error) {
+	query := url.Values{"from": {formatNumber(from)}}
+	return call[DiffReply](ctx, c, request{method: http.MethodPost, path: "/v1/diff", query: query, body: set})
 }
 
 // Explain tells why a request waited.
@@ -172,11 +169,15 @@
 		last = failure
 	}
 	if last == nil {
-		last = badRequest("no server is named", "pass --server http://IP:PORT")
+		last = errNoServer()
 	}
 	return nil, last
 }
 
+func errNoServer() *Error {
+	return badRequest("no server is named", "pass --server http://IP:PORT")
+}
+
 // try calls one server.
 func (c *Client) try(ctx context.Context, server string, req request, reply any) error {
 	target := strings.TrimRight(server, "/") + req.path
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -38,7 +38,7 @@
 	Status StatusSource
 	// Table holds the drain rows.
 	Table platform.TableService
-	// Commit is config.CommitSettled by default.
+	// Commit is platform.CommitSettled by default.
 	Commit config.CommitFunc
 	// Token is the bearer token that callers must send; nil demands none.
 	Token []byte
@@ -58,7 +58,7 @@
 func NewServer(options ServerOptions) http.Handler {
 	s := &server{options}
 	if s.Commit == nil {
-		s.Commit = config.CommitSettled
+		s.Commit = platform.CommitSettled
 	}
 	if s.Vars == nil {
 		s.Vars = expvar.Handler()
--- a/internal/operator/server_config.go
+++ b/internal/operator/server_config.go
@@ -20,12 +20,16 @@
 	if err != nil {
 		return nil, badRequest(err.Error(), "send a smaller set")
 	}
+	return Validate(data, s.fleet()), nil
+}
+
+// Validate checks a set, given as JSON, against a fleet.
+func Validate(data []byte, fleet config.Fleet) *ValidateReply {
 	set, faults := config.ParseSet(data)
 	if len(faults) > 0 {
-		return ValidateReply{Faults: faults}, nil
+		return &ValidateReply{Faults: faults}
 	}
-	fleet := s.fleet()
-	return ValidateReply{Faults: config.Check(set, fleet), Warnings: config.Warnings(set, fleet)}, nil
+	return &ValidateReply{Faults: config.Check(set, fleet), Warnings: config.Warnings(set, fleet)}
 }
 
 // fleet is what the router's host list tells about the pools.
--- a/internal/settings/security.go
+++ b/internal/settings/security.go
@@ -17,9 +17,7 @@
 
 // checkSecurity demands a token and TLS when a listener is beyond loopback.
 func checkSecurity(c *checker, s *apiv1.SecuritySettings, beyond []exposed) {
-	if (s.GetTlsCertFile() == "") != (s.GetTlsKeyFile() == "") {
-		c.add("security.tls_cert_file", "certificate and key must be given together", "set both security.tls_cert_file and security.tls_key_file")
-	}
+	checkTLSFiles(c, s)
 	if len(beyond) == 0 {
 		return
 	}
@@ -41,6 +39,29 @@
 	}
 }
 
+// checkTLSFiles demands all three TLS files or none.
+func checkTLSFiles(c *checker, s *apiv1.SecuritySettings) {
+	files := []struct{ field, value string }{
+		{"security.tls_cert_file", s.GetTlsCertFile()},
+		{"security.tls_key_file", s.GetTlsKeyFile()},
+		{"security.tls_ca_file", s.GetTlsCaFile()},
+	}
+	given := 0
+	for _, f := range files {
+		if f.value != "" {
+			given++
+		}
+	}
+	if given == 0 || given == len(files) {
+		return
+	}
+	for _, f := range files {
+		if f.value == "" && !c.faulty[f.field] {
+			c.add(f.field, "missing beside the other TLS files", "set tls_cert_file, tls_key_file and tls_ca_file, or none of them")
+		}
+	}
+}
+
 // Credentials reads the token and the TLS files. Settings without any give
 // credentials that protect nothing. A file that can't be used gives an *Error.
 func Credentials(s *apiv1.SecuritySettings) (transport.Credentials, error) {
@@ -73,10 +94,15 @@
 }
 
 // readTLS makes mutual TLS: each end shows a certificate of the same authority.
+// A client may do without one.
 func readTLS(c *checker, s *apiv1.SecuritySettings) (server, client *tls.Config) {
-	cert, err := tls.LoadX509KeyPair(s.GetTlsCertFile(), s.GetTlsKeyFile())
-	if err != nil {
-		c.add("security.tls_cert_file", err.Error(), "name a PEM certificate and its key")
+	var certs []tls.Certificate
+	if s.GetTlsCertFile() != "" || s.GetTlsKeyFile() != "" {
+		cert, err := tls.LoadX509KeyPair(s.GetTlsCertFile(), s.GetTlsKeyFile())
+		if err != nil {
+			c.add("security.tls_cert_file", err.Error(), "name a PEM certificate and its key")
+		}
+		certs = append(certs, cert)
 	}
 	authority, err := readAuthority(s.GetTlsCaFile())
 	if err != nil {
@@ -84,13 +110,13 @@
 	}
 	server = &tls.Config{
 		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{cert},
+		Certificates: certs,
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    authority,
 	}
 	client = &tls.Config{
 		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{cert},
+		Certificates: certs,
 		RootCAs:      authority,
 	}
 	return server, client
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,7 +85,7 @@
 			"security.token_file: missing, though others can reach listen 0.0.0.0:8080, gossip_listen 10.1.2.3:8082",
 			"security.tls_cert_file: missing", "security.tls_key_file: missing", "security.tls_ca_file: missing",
 		}},
-		{"certificate without key", add(validRouter, `"security": {"tls_cert_file": "c.pem"}`), []string{"security.tls_cert_file: certificate and key"}},
+		{"certificate without key", add(validRouter, `"security": {"tls_cert_file": "c.pem"}`), []string{"security.tls_key_file: missing beside", "security.tls_ca_file: missing beside"}},
 		{"out of range", add(validRouter, `"max_body_bytes": 1, "stop_timeout_ms": 0, "lease_ttl_ms": 1, "decision_shards": 0, "table_poll_ms": 1,
 			"host_poll_ms": 99999, "late_ms": 0, "record_sample": 1.1, "record_buffer": 1, "retry_budget": -1, "peers": ["r2:1"],
 			"log": {"level": "loud", "format": "xml"}`), []string{
