--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -253,7 +253,8 @@
 func (m *publisherMachine) mustPublish(t *rapid.T) {
 	m.table.next = func(string) fault { return faultNone }
 	m.objects.next = m.table.next
-	try := publicationTried{set: smallSet(), options: PublishOptions{Author: "last", TxnID: "last", ExpectRevision: &m.head}}
+	head := m.head
+	try := publicationTried{set: smallSet(), options: PublishOptions{Author: "last", TxnID: "last", ExpectRevision: &head}}
 	m.tried["last"] = try
 	row, err := m.publishers[0].Publish(context.Background(), try.set, try.options)
 	if err != nil {
