waitlog: late counts the records that the asked router has not stored yet

Cause: right after a burst on dev, late said "0 of 0" for up to 20 s while explain already answered. Change: the operators' API hands the buffered records to the report, which counts each request once. The command-line test asks before and after the records are stored.

--- a/internal/operator/cli/cli_test.go
+++ b/internal/operator/cli/cli_test.go
@@ -250,6 +250,7 @@
 			Phases: []*apiv1.Phase{{Kind: apiv1.PhaseKind_PHASE_KIND_PERMIT, LengthMs: wait, Cause: "behind 4 loads"}},
 		})
 	}
+	f.steps([]step{{"late", ExitOK, "12 of 12 recorded requests", ""}}) // before they are stored
 	if err := f.writer.Flush(context.Background()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/operator/server_waits.go
+++ b/internal/operator/server_waits.go
@@ -60,5 +60,9 @@
 		Until:  now,
 		LateMs: uint32(lateMs),
 	}
-	return s.Reader.Late(r.Context(), now.Add(-age), filter)
+	var buffered []*apiv1.WaitRecord
+	if s.Writer != nil {
+		buffered = s.Writer.Buffered()
+	}
+	return s.Reader.Late(r.Context(), now.Add(-age), filter, buffered...)
 }
--- a/internal/waitlog/late.go
+++ b/internal/waitlog/late.go
@@ -36,21 +36,23 @@
 }
 
 // Late groups the late requests that arrived since a time by main cause, the
-// largest group first.
-func (r *Reader) Late(ctx context.Context, since time.Time, filter Filter) (*LateReport, error) {
+// largest group first. The records of buffered, which a Writer has not stored
+// yet, are counted too.
+func (r *Reader) Late(ctx context.Context, since time.Time, filter Filter, buffered ...*apiv1.WaitRecord) (*LateReport, error) {
 	filter = filter.withDefaults()
 	keys, err := r.batchKeys(ctx, since, filter.Until)
 	if err != nil {
 		return nil, err
 	}
 	chosen := evenShare(keys, filter.MaxBatches)
-	records, err := r.readAll(ctx, chosen, func(record *apiv1.WaitRecord) bool {
+	found := &collection{seen: make(map[string]bool), keep: func(record *apiv1.WaitRecord) bool {
 		return filter.keeps(record, since)
-	})
-	if err != nil {
+	}}
+	found.add(buffered)
+	if err := r.readAll(ctx, chosen, found); err != nil {
 		return nil, err
 	}
-	report := Summarize(records, filter.LateMs)
+	report := Summarize(found.records, filter.LateMs)
 	report.SinceUnixMs, report.UntilUnixMs = since.UnixMilli(), filter.Until.UnixMilli()
 	report.Batches, report.BatchesRead = len(keys), len(chosen)
 	return report, nil
@@ -115,32 +117,39 @@
 	return chosen
 }
 
-// readAll returns the records of the batches that keep accepts, each once.
-func (r *Reader) readAll(ctx context.Context, keys []string, keep func(*apiv1.WaitRecord) bool) ([]*apiv1.WaitRecord, error) {
-	var (
-		mu   sync.Mutex
-		seen = make(map[string]bool)
-		all  []*apiv1.WaitRecord
-	)
-	add := func(records []*apiv1.WaitRecord) {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, record := range records {
-			// A batch whose answer was lost is stored again under another key.
-			if keep(record) && !seen[record.GetRequestId()] {
-				seen[record.GetRequestId()] = true
-				all = append(all, record)
-			}
+// collection gathers the records that keep accepts, each once. It is safe for
+// concurrent use.
+type collection struct {
+	keep func(*apiv1.WaitRecord) bool
+
+	mu      sync.Mutex
+	seen    map[string]bool
+	records []*apiv1.WaitRecord
+}
+
+// add takes records. A batch whose answer was lost is stored again under
+// another key, so a record may come twice.
+func (c *collection) add(records []*apiv1.WaitRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, record := range records {
+		if c.keep(record) && !c.seen[record.GetRequestId()] {
+			c.seen[record.GetRequestId()] = true
+			c.records = append(c.records, record)
 		}
 	}
+}
+
+// readAll adds the records of the batches to a collection.
+func (r *Reader) readAll(ctx context.Context, keys []string, into *collection) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(lateReads)
 	for _, key := range keys {
 		group.Go(func() error {
 			records, err := r.batch(ctx, key)
-			add(records)
+			into.add(records)
 			return err
 		})
 	}
-	return all, group.Wait()
+	return group.Wait()
 }
--- a/internal/waitlog/writer.go
+++ b/internal/waitlog/writer.go
@@ -139,6 +139,17 @@
 	return e.record
 }
 
+// Buffered returns the records that are not stored yet, in no order.
+func (w *Writer) Buffered() []*apiv1.WaitRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	records := make([]*apiv1.WaitRecord, 0, w.buffer.len())
+	for _, e := range w.buffer.byID {
+		records = append(records, e.record)
+	}
+	return records
+}
+
 // Stats returns the counters.
 func (w *Writer) Stats() Stats {
 	w.mu.Lock()
