decider: state machine of deciders and sidecars against an oracle

Two routers decide under guards as old as they were given, over a table that loses and delays answers; hosts die, return, freeze and drain; the host list lags or can't be read; configurations change. The oracle sees every write in order and what is loaded: loaded implies decided, max_replicas and one host for each slot hold, generations and epochs grow, and every model ends with its slots on live hosts.

It found: an order was committed after a configuration that removed its model had arrived. The round now ends when the configuration changes.

--- a/internal/decider/commit.go
+++ b/internal/decider/commit.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
@@ -29,10 +30,14 @@
 )
 
 // execute commits the orders one after another. It gives up when the table
-// fails, and skips the rest of a model once one of its orders did not commit.
-func (d *Decider) execute(ctx context.Context, held guards, orders []placement.Order) {
+// fails or a new configuration has come, and skips the rest of a model once one
+// of its orders did not commit.
+func (d *Decider) execute(ctx context.Context, held guards, decided *config.Index, orders []placement.Order) {
 	skip := make(map[string]bool)
 	for _, order := range orders {
+		if d.opts.View.Load().Config != decided {
+			return
+		}
 		if skip[order.Model] {
 			continue
 		}
--- /dev/null
+++ b/internal/decider/machine_test.go
@@ -0,0 +1,334 @@
+package decider
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/lease"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
+)
+
+const testShards = 2
+
+var (
+	modelNames = []string{"model-a", "model-b", "model-c"}
+	hostNames  = []string{"a1", "a2", "b1", "b2", "c1"}
+)
+
+// hello is what a router knows of a sidecar's boot.
+type hello struct {
+	boot int
+	// read is true once the table was read after the boot was learned.
+	read bool
+}
+
+// router decides under the guards that it was given, however old they are.
+type router struct {
+	id      string
+	view    *view.Store
+	decider *Decider
+	guards  map[string]lease.Guard
+	hellos  map[string]hello
+	busy    bool
+}
+
+// Guard implements Leases.
+func (r *router) Guard(name string) (lease.Guard, bool) {
+	guard, ok := r.guards[name]
+	return guard, ok
+}
+
+// sentTxn is what a router went by when it sent a transaction.
+type sentTxn struct {
+	config *config.Index
+	guards map[string]lease.Guard
+}
+
+// machine is the state machine of deciders and sidecars over one table. The
+// oracle is told of each transaction that took effect, in order.
+type machine struct {
+	t        *rapid.T
+	now      time.Time
+	table    *tabletest.Table
+	routers  []*router
+	sidecars map[string]*sidecar
+	lists    []listed
+	configs  []*config.Index
+	pushes   []push
+	calm     bool
+	// fault is Down during an outage of the table.
+	fault tabletest.Fault
+	// listDown is true while the host list can't be read.
+	listDown bool
+
+	// rows and epochs are the oracle's copy of the table.
+	rows   map[slotKey]*apiv1.SlotRow
+	epochs map[string]uint64
+	sent   map[string]sentTxn
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{
+		t: t, now: time.Unix(1_800_000_000, 0), table: tabletest.New(),
+		sidecars: make(map[string]*sidecar),
+		rows:     make(map[slotKey]*apiv1.SlotRow), epochs: make(map[string]uint64),
+		sent: make(map[string]sentTxn),
+	}
+	m.table.OnApplied(m.applied)
+	for _, host := range hostNames {
+		s := &sidecar{host: host, alive: true, loaded: make(map[slotKey]uint64)}
+		s.reset()
+		m.sidecars[host] = s
+	}
+	m.relist()
+	m.publish()
+	for i := range 2 {
+		m.routers = append(m.routers, m.newRouter(i))
+	}
+	m.giveAll()
+	return m
+}
+
+func (m *machine) newRouter(i int) *router {
+	r := &router{
+		id: fmt.Sprintf("router-%d", i), view: view.NewStore(),
+		guards: make(map[string]lease.Guard), hellos: make(map[string]hello),
+	}
+	r.decider = New(Options{
+		Table: m.table, View: r.view, Leases: r, Shards: testShards, Sidecars: m, Seed: uint64(i + 1),
+		Now: func() time.Time { return m.now },
+		Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+			m.sent[txn.ID] = sentTxn{r.view.Load().Config, map[string]lease.Guard{}}
+			for name, guard := range r.guards {
+				m.sent[txn.ID].guards[name] = guard
+			}
+			m.pause()
+			defer m.pause()
+			m.faultOnce()
+			defer m.table.SetFault(m.fault)
+			return table.Commit(ctx, txn)
+		},
+	})
+	r.decider.releases.spawn = func(f func()) { f() }
+	return r
+}
+
+// pause freezes the running router for a while in which the others go on.
+func (m *machine) pause() {
+	if m.calm || rapid.IntRange(0, 14).Draw(m.t, "pause") != 0 {
+		return
+	}
+	m.advance()
+	m.takeover()
+	for _, r := range m.routers {
+		m.poll(r)
+		m.round(r)
+	}
+}
+
+func (m *machine) advance() {
+	most := rapid.SampledFrom([]int{300, 1200, 4000}).Draw(m.t, "most")
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, most).Draw(m.t, "ms")) * time.Millisecond)
+}
+
+// faultOnce lets the next commit lose its answer, unless the table is down.
+func (m *machine) faultOnce() {
+	if m.calm || m.fault != tabletest.None {
+		return
+	}
+	faults := []tabletest.Fault{tabletest.None, tabletest.None, tabletest.None, tabletest.LostAnswer, tabletest.Delayed}
+	m.table.SetFault(rapid.SampledFrom(faults).Draw(m.t, "commit fault"))
+}
+
+// outage starts or ends an outage of the table.
+func (m *machine) outage() {
+	if m.fault == tabletest.None && rapid.IntRange(0, 3).Draw(m.t, "outage") != 0 {
+		return
+	}
+	m.fault = tabletest.Down - m.fault
+	m.table.SetFault(m.fault)
+}
+
+// publish puts a random configuration in force; routers see it when they poll.
+func (m *machine) publish() {
+	set := &apiv1.ObjectSet{}
+	for _, name := range modelNames {
+		if len(m.configs) > 0 && rapid.IntRange(0, 4).Draw(m.t, "drop "+name) == 0 {
+			continue
+		}
+		least := rapid.IntRange(1, 2).Draw(m.t, "min")
+		most := rapid.IntRange(least, 3).Draw(m.t, "max")
+		set.Models = append(set.Models, &apiv1.Model{Name: name, Version: name, Placement: name})
+		set.Versions = append(set.Versions, &apiv1.Version{Name: name, Model: name, Checkpoint: name, MemoryMib: 300})
+		set.Placements = append(set.Placements, &apiv1.Placement{
+			Name: name, Pool: "pool", MinReplicas: uint32(least), MaxReplicas: uint32(most), TargetInFlight: 4,
+		})
+	}
+	m.configs = append(m.configs, config.NewIndex(uint64(len(m.configs)+1), set))
+}
+
+func (m *machine) drawRouter() *router { return rapid.SampledFrom(m.routers).Draw(m.t, "router") }
+
+func (m *machine) poll(r *router) {
+	if !m.listDown {
+		r.view.SetHosts(m.readList())
+	}
+	r.view.SetConfig(m.configs[len(m.configs)-1])
+	changes, err := m.table.Changes(context.Background(), "live/", r.view.Load().TableRevision)
+	if err != nil {
+		return
+	}
+	r.view.ApplyRows(changes)
+	for host, h := range r.hellos {
+		r.hellos[host] = hello{boot: h.boot, read: true}
+	}
+}
+
+func (m *machine) round(r *router) {
+	if r.busy {
+		return
+	}
+	r.busy = true
+	r.decider.round(context.Background())
+	r.busy = false
+}
+
+// takeover gives a shard's lease to a router. The former holder keeps its guard,
+// as a paused process would.
+func (m *machine) takeover() {
+	r := m.drawRouter()
+	name := platform.ShardLease(uint32(rapid.IntRange(0, testShards-1).Draw(m.t, "shard")))
+	m.give(r, name)
+}
+
+func (m *machine) give(r *router, name string) {
+	row, err := m.table.Get(context.Background(), platform.EpochKey(name))
+	if err != nil {
+		return
+	}
+	check := platform.Check{Key: row.Key, Version: row.Version}
+	result, err := m.table.Commit(context.Background(), platform.Txn{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: row.Key}}})
+	if err != nil {
+		return
+	}
+	check.Version = result.Version
+	r.guards[name] = lease.Guard{Epoch: m.epochs[name], Check: check}
+}
+
+// giveAll shares the shards among the routers.
+func (m *machine) giveAll() {
+	for shard := range uint32(testShards) {
+		m.give(m.routers[shard%2], platform.ShardLease(shard))
+	}
+}
+
+// greet learns a sidecar's boot, push hands it the slots of the view.
+func (m *machine) greet(r *router, s *sidecar) {
+	_, listed := r.view.Load().ByHost[s.host]
+	if listed && s.answers() && r.hellos[s.host].boot != s.boot {
+		r.hellos[s.host] = hello{boot: s.boot}
+	}
+}
+
+func (m *machine) push(r *router, s *sidecar) {
+	h := r.hellos[s.host]
+	if !h.read {
+		return
+	}
+	snapshot := r.view.Load()
+	p := push{to: s, boot: h.boot, revision: snapshot.TableRevision, slots: make(map[slotKey]uint64)}
+	for _, slot := range snapshot.SlotsOn(s.host) {
+		p.slots[slotKey{slot.Row.GetModel(), slot.Row.GetSlot()}] = slot.Row.GetGeneration()
+	}
+	m.pushes = append(m.pushes, p)
+}
+
+// deliver lets one push arrive; pushes overtake each other.
+func (m *machine) deliver() {
+	if len(m.pushes) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.pushes)-1).Draw(m.t, "push")
+	p := m.pushes[i]
+	m.pushes = append(m.pushes[:i], m.pushes[i+1:]...)
+	p.to.assign(p)
+}
+
+// contact is a router's whole exchange with one sidecar.
+func (m *machine) contact() {
+	r, s := m.drawRouter(), m.drawSidecar()
+	m.greet(r, s)
+	m.poll(r)
+	m.push(r, s)
+	m.deliver()
+	s.load()
+}
+
+// shuffle draws the order in which delayed commits land.
+func (m *machine) shuffle(n int) []int {
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	return rapid.Permutation(order).Draw(m.t, "order")
+}
+
+func TestDeciderMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		act := func(f func()) func(*rapid.T) {
+			return func(t *rapid.T) { m.t = t; f() }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance":  act(m.advance),
+			"poll":     act(func() { m.poll(m.drawRouter()) }),
+			"round":    act(func() { m.round(m.drawRouter()) }),
+			"run":      act(func() { m.decideFor(m.drawRouter()) }),
+			"takeover": act(m.takeover),
+			"contact":  act(m.contact),
+			"greet":    act(func() { m.greet(m.drawRouter(), m.drawSidecar()) }),
+			"push":     act(func() { m.push(m.drawRouter(), m.drawSidecar()) }),
+			"deliver":  act(m.deliver),
+			"load":     act(func() { m.drawSidecar().load() }),
+			"kill":     act(func() { m.kill(m.drawSidecar()) }),
+			"revive":   act(func() { m.revive(m.drawSidecar()) }),
+			"flap":     act(m.flap),
+			"restart":  act(m.restart),
+			"freeze":   act(m.freeze),
+			"drain":    act(m.drain),
+			"publish":  act(m.publish),
+			"outage":   act(m.outage),
+			"listDown": act(func() { m.listDown = !m.listDown }),
+			"land":     act(func() { m.table.Land(m.shuffle) }),
+			"":         act(m.check),
+		})
+		m.settle()
+	})
+}
+
+// applied is the oracle of the table: which writes may take effect.
+func (m *machine) applied(txn platform.Txn, _ int64) {
+	for _, put := range txn.Puts {
+		if name, ok := strings.CutPrefix(put.Key, platform.EpochPrefix); ok {
+			m.epochs[name]++
+			continue
+		}
+		next := &apiv1.SlotRow{}
+		if err := proto.Unmarshal(put.Value, next); err != nil {
+			m.t.Fatal(err)
+		}
+		m.checkWrite(m.sent[txn.ID], next)
+		m.rows[slotKey{next.GetModel(), next.GetSlot()}] = next
+		m.checkRows(m.sent[txn.ID], next)
+	}
+}
--- /dev/null
+++ b/internal/decider/main_test.go
@@ -0,0 +1,16 @@
+package decider
+
+import (
+	"flag"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	goleak.VerifyTestMain(m)
+}
--- a/internal/decider/releases.go
+++ b/internal/decider/releases.go
@@ -102,7 +102,7 @@
 	kept := make(map[placement.SlotID]bool, len(releasing))
 	asked := make(map[string]bool, len(releasing))
 	for _, slot := range releasing {
-		kept[idOf(slot)] = true
+		kept[placement.IDOf(slot)] = true
 		_, listed := hosts[slot.Row.GetHost()]
 		asked[slot.Row.GetHost()] = listed
 	}
@@ -119,7 +119,7 @@
 }
 
 func (r *releaser) release(slot view.Slot) *release {
-	id := idOf(slot)
+	id := placement.IDOf(slot)
 	rel := r.releases[id]
 	if rel == nil {
 		retry := backoff.NewExponentialBackOff()
@@ -149,7 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running--
-	rel := r.releases[idOf(slot)]
+	rel := r.releases[placement.IDOf(slot)]
 	rel.running = false
 	if err != nil {
 		r.silent[rel.host] = true
@@ -188,11 +188,3 @@
 	}
 	return silent
 }
-
-func idOf(slot view.Slot) placement.SlotID {
-	return placement.SlotID{
-		Model:      slot.Row.GetModel(),
-		Slot:       slot.Row.GetSlot(),
-		Generation: slot.Row.GetGeneration(),
-	}
-}
--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -34,7 +34,7 @@
 	d.memory.Observe(state)
 	d.release(ctx, state)
 	state.Confirmed = d.releases.confirmedSlots()
-	d.execute(ctx, held, placement.Decide(state))
+	d.execute(ctx, held, state.Config, placement.Decide(state))
 }
 
 // heldShards returns the shards whose lease is held and whose rows were read
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -71,7 +71,7 @@
 		if _, missing := m.unlisted[slot.Row.GetHost()]; !missing {
 			return
 		}
-		id := idOf(slot)
+		id := IDOf(slot)
 		since, known := m.releasing[id]
 		if !known {
 			since = s.Now
@@ -121,6 +121,7 @@
 	return slot.Row.GetState() != apiv1.SlotState_SLOT_STATE_FREE
 }
 
-func idOf(slot view.Slot) SlotID {
+// IDOf returns the generation of a slot that a row stands for.
+func IDOf(slot view.Slot) SlotID {
 	return SlotID{slot.Row.GetModel(), slot.Row.GetSlot(), slot.Row.GetGeneration()}
 }
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -126,7 +126,7 @@
 func (s State) freeNeeds(m modelState) []need {
 	var needs []need
 	for _, slot := range m.releasing {
-		id := idOf(slot)
+		id := IDOf(slot)
 		_, listed := s.Hosts[slot.Row.GetHost()]
 		switch {
 		case s.Confirmed[id]:
