Flush wait records every 20 s

390 routers that flush every 2 s would put 195 objects a second, most of the store's several hundred writes; every 20 s it is 20. explain finds a fresh record in its router's memory.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -37,7 +37,7 @@
 	gossipFanout     = 3 // peers
 	peerMemory       = 10 * time.Minute
 	maxWatchedHosts  = 600
-	recordFlush      = 2 * time.Second
+	recordFlush      = 20 * time.Second
 	tableRetryBudget = 0.1 // retries per call
 	tableRetryFloor  = 1.0 // retries per second
 )
