--- a/internal/daemon/idle_bench_test.go
+++ b/internal/daemon/idle_bench_test.go
@@ -1,20 +1,28 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
 const (
 	idleSettle = 8 * time.Second
 	idleWindow = 20 * time.Second
+	anyPort    = "127.0.0.1:0"
 )
 
 // usage is what a process has used so far.
@@ -53,28 +61,55 @@
 	return n
 }
 
-// BenchmarkIdleControl measures the processor time and memory of a router and
-// of a sidecar while no request runs, against the number of sidecars.
-func BenchmarkIdleControl(b *testing.B) {
-	for _, sidecars := range []int{4, 48} {
+// BenchmarkIdleRouter measures a router process while no request runs, against
+// the number of sidecars that it watches. The sidecars run in this process.
+func BenchmarkIdleRouter(b *testing.B) {
+	for _, sidecars := range []int{1, 200, 400} {
 		b.Run(fmt.Sprintf("sidecars=%d", sidecars), func(b *testing.B) {
-			engines := make([]standin.EngineKnobs, sidecars)
-			for i := range engines {
-				engines[i] = testKnobs()
-			}
-			d := deploy(b, deploymentOptions{routers: 1, engines: engines, set: testSet(maxTestModels)})
+			d := deploy(b, deploymentOptions{routers: 1, set: testSet(maxTestModels)})
+			runSidecars(b, d, sidecars)
 			time.Sleep(idleSettle)
 			for b.Loop() {
-				router, sidecar := usageOf(b, d.routers[0]), usageOf(b, d.sidecars[0])
-				time.Sleep(idleWindow)
-				routerAfter, sidecarAfter := usageOf(b, d.routers[0]), usageOf(b, d.sidecars[0])
-				report := func(before, after usage, name string) {
-					b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/idleWindow.Seconds(), name+"-cpu-%")
-					b.ReportMetric(float64(after.rss)/(1<<20), name+"-MiB")
-				}
-				report(router, routerAfter, "router")
-				report(sidecar, sidecarAfter, "sidecar")
+				measureIdle(b, d.routers[0], "router")
 			}
 		})
 	}
 }
+
+// BenchmarkIdleSidecar measures a sidecar process that three routers watch.
+func BenchmarkIdleSidecar(b *testing.B) {
+	d := deploy(b, deploymentOptions{routers: 3, engines: []standin.EngineKnobs{testKnobs()}, set: testSet(maxTestModels)})
+	time.Sleep(idleSettle)
+	for b.Loop() {
+		measureIdle(b, d.sidecars[0], "sidecar")
+	}
+}
+
+func measureIdle(b *testing.B, p *process, name string) {
+	b.Helper()
+	before := usageOf(b, p)
+	time.Sleep(idleWindow)
+	after := usageOf(b, p)
+	b.ReportMetric(100*(after.cpu-before.cpu).Seconds()/idleWindow.Seconds(), name+"-cpu-%")
+	b.ReportMetric(float64(after.rss)/(1<<20), name+"-MiB")
+}
+
+// runSidecars runs n sidecars without an upstream until the benchmark ends.
+func runSidecars(b *testing.B, d *deployment, n int) {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	b.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for i := range n {
+		cfg := &apiv1.SidecarSettings{Host: fmt.Sprintf("host-%03d", i), Listen: anyPort, OperatorListen: anyPort, StopTimeoutMs: 1000}
+		s, err := NewSidecar(cfg, log.New(io.Discard))
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.cluster.Hosts.Add(platform.Host{ID: cfg.GetHost(), Role: platform.RoleUpstream, Address: s.Address(), FailureDomain: "a"})
+		running.Go(func() { _ = s.Run(ctx) })
+	}
+}
