--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	permitTick       = 20 * time.Millisecond
+	permitTick       = 20 * time.Millisecond  // while requests wait
+	permitIdleTick   = 500 * time.Millisecond // to notice that the lease came or went
 	permitAgeStep    = 2 * time.Second
 	permitExpiry     = 2 * time.Minute
 	permitLostExpiry = 30 * time.Second
@@ -32,6 +33,7 @@
 	view   *view.Store
 	grant  func(host string, permit *apiv1.LoadPermit)
 	log    *log.Logger
+	wake   chan struct{} // a request came or a load ended
 
 	mu     sync.Mutex
 	keeper *permit.Keeper // nil while another router keeps; guarded by mu
@@ -44,6 +46,7 @@
 	if d.keeper == nil {
 		return false
 	}
+	defer d.wakeUp()
 	now := time.Now()
 	if req.GetDone() {
 		d.keeper.Done(host, req.GetId())
@@ -62,32 +65,50 @@
 	}
 }
 
+func (d *permitDesk) wakeUp() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
 // run grants permits until ctx is done.
 func (d *permitDesk) run(ctx context.Context) error {
-	ticker := time.NewTicker(permitTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(permitIdleTick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			for _, g := range d.tick(now) {
-				d.log.Info("weight-store permit granted", "host", g.Host, "id", g.ID, "behind", g.Behind)
-				d.grant(g.Host, &apiv1.LoadPermit{Id: g.ID, Behind: g.Behind})
-			}
+		case <-d.wake:
+		case <-timer.C:
+		}
+		grants, waiting := d.tick(time.Now())
+		for _, g := range grants {
+			d.log.Info("weight-store permit granted", "host", g.Host, "id", g.ID, "behind", g.Behind)
+			d.grant(g.Host, &apiv1.LoadPermit{Id: g.ID, Behind: g.Behind})
 		}
+		timer.Reset(nextTick(waiting))
+	}
+}
+
+func nextTick(waiting bool) time.Duration {
+	if waiting {
+		return permitTick
 	}
+	return permitIdleTick
 }
 
-// tick starts or stops keeping with the lease and returns the grants that are due.
-func (d *permitDesk) tick(now time.Time) []permit.Grant {
+// tick starts or stops keeping with the lease. It returns the grants that are
+// due and whether further requests wait.
+func (d *permitDesk) tick(now time.Time) (grants []permit.Grant, waiting bool) {
 	_, held := d.leases.Guard(platform.PermitLease)
 	limits := permitLimits(d.view.Load())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !held {
 		d.keeper = nil
-		return nil
+		return nil, false
 	}
 	if d.keeper == nil {
 		d.keeper = permit.NewKeeper(now, permit.Options{
@@ -99,7 +120,8 @@
 		})
 	}
 	d.keeper.SetLimits(now, limits)
-	return d.keeper.Tick(now)
+	grants = d.keeper.Tick(now)
+	return grants, d.keeper.Waiting() > 0
 }
 
 func permitLimits(snap *view.Snapshot) permit.Limits {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -141,7 +141,7 @@
 		Peers:   r.liveRouters,
 		Commit:  platform.CommitSettled,
 	})
-	r.permits = &permitDesk{leases: r.leases, view: r.store, log: r.log}
+	r.permits = &permitDesk{leases: r.leases, view: r.store, log: r.log, wake: make(chan struct{}, 1)}
 	r.sidecars = upstream.NewManager(upstream.Options{
 		Router:        r.cfg.GetHost(),
 		View:          r.store,
