config: routers follow the configuration by deltas

Cause: a body at 650 models and 9,600 adapters takes 144,666 bytes (checkpoint names that hardly compress). Ruled out: splitting the body into hashed parts, which changes the key that the head row names and needs dozens of reads at a start; lists of changed objects, which need an order of objects that both sides agree on. Change: beside the whole body the publisher stores a delta from the one before: zstd with the old body as dictionary. A Loader keeps the last body, applies the delta and verifies the result against the head's hash; on any doubt it reads the whole body. A delta that can't be stored delays a publication by at most a second and doesn't fail it. A router that misses a revision still reads the whole body.

--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -48,19 +48,31 @@
 // EncodeSet returns the stored form of a set: deterministic proto, compressed
 // with zstd.
 func EncodeSet(set *apiv1.ObjectSet) ([]byte, error) {
+	plain, err := marshalSet(set)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.EncodeAll(plain, nil), nil
+}
+
+func marshalSet(set *apiv1.ObjectSet) ([]byte, error) {
 	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(set)
 	if err != nil {
 		return nil, fmt.Errorf("encode object set: %w", err)
 	}
-	return encoder.EncodeAll(plain, nil), nil
+	return plain, nil
 }
 
 // DecodeSet reads what EncodeSet wrote.
-func DecodeSet(body []byte) (*apiv1.ObjectSet, error) {
-	plain, err := decoder.DecodeAll(body, nil)
+func DecodeSet(stored []byte) (*apiv1.ObjectSet, error) {
+	plain, err := decoder.DecodeAll(stored, nil)
 	if err != nil {
 		return nil, fmt.Errorf("decompress object set: %w", err)
 	}
+	return unmarshalSet(plain)
+}
+
+func unmarshalSet(plain []byte) (*apiv1.ObjectSet, error) {
 	set := &apiv1.ObjectSet{}
 	if err := proto.Unmarshal(plain, set); err != nil {
 		return nil, fmt.Errorf("decode object set: %w", err)
@@ -68,34 +80,35 @@
 	return set, nil
 }
 
-// BodyKey is the key under which a body is stored.
-func BodyKey(body []byte) string {
-	sum := sha256.Sum256(body)
+// BodyKey is the key of a stored body.
+func BodyKey(stored []byte) string {
+	sum := sha256.Sum256(stored)
 	return BodyPrefix + hex.EncodeToString(sum[:])
 }
 
 // LoadBody reads the set that a head row names, verifies its hash and indexes
 // it. A body that is damaged gives a *BodyError, any other failure the error of
-// the object store.
+// the object store. A Loader reads less when it follows successive revisions.
 func LoadBody(ctx context.Context, objects platform.ObjectStore, head *apiv1.HeadRow) (*Index, error) {
-	set, err := loadSet(ctx, objects, head.GetBodyKey())
-	if err != nil {
-		return nil, fmt.Errorf("load revision %d: %w", head.GetRevision(), err)
-	}
-	return NewIndex(head.GetRevision(), set), nil
+	return NewLoader(objects).Load(ctx, head)
 }
 
-func loadSet(ctx context.Context, objects platform.ObjectStore, key string) (*apiv1.ObjectSet, error) {
-	body, err := objects.Get(ctx, key)
-	if err != nil {
-		return nil, err
-	}
-	if BodyKey(body) != key {
+// openBody verifies and decodes a stored body.
+func openBody(key string, stored []byte) (*body, error) {
+	if BodyKey(stored) != key {
 		return nil, &BodyError{Key: key, Problem: "content does not match its hash"}
 	}
-	set, err := DecodeSet(body)
+	plain, err := decoder.DecodeAll(stored, nil)
+	if err != nil {
+		return nil, &BodyError{Key: key, Problem: "can't be decompressed", Err: err}
+	}
+	return newBody(key, plain)
+}
+
+func newBody(key string, plain []byte) (*body, error) {
+	set, err := unmarshalSet(plain)
 	if err != nil {
 		return nil, &BodyError{Key: key, Problem: "can't be decoded", Err: err}
 	}
-	return set, nil
+	return &body{key: key, plain: plain, set: set}, nil
 }
--- /dev/null
+++ b/internal/config/loader_test.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/sample"
+)
+
+// publishQueue publishes the sample with another queue length.
+func publishQueue(t *testing.T, p *Publisher, length uint32) (*apiv1.HeadRow, *apiv1.ObjectSet) {
+	t.Helper()
+	set := sample.OffcutGiveaway().Set()
+	set.Models[0].MaxQueue = length
+	row, err := p.Publish(context.Background(), set, PublishOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row, set
+}
+
+func TestLoaderFollowsByDeltas(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// spoil changes the store after the second publication.
+		spoil func(o *fakeObjects, deltaKey string)
+		want  LoaderStats
+	}{
+		{"delta", func(*fakeObjects, string) {}, LoaderStats{Deltas: 1, Bodies: 1}},
+		{"no delta", func(o *fakeObjects, key string) { delete(o.bodies, key) }, LoaderStats{Bodies: 2}},
+		{"damaged delta", func(o *fakeObjects, key string) { o.bodies[key] = []byte("damaged") }, LoaderStats{Bodies: 2}},
+		{"delta to another body", func(o *fakeObjects, key string) {
+			o.bodies[key], _ = encodeDelta(nil, []byte("another"))
+		}, LoaderStats{Bodies: 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			objects := newFakeObjects()
+			p := NewPublisher(newFakeTable(), objects, PublisherOptions{})
+			loader := NewLoader(objects)
+
+			first, _ := publishQueue(t, p, 10)
+			_, err := loader.Load(ctx, first)
+			is.NoErr(err)
+			second, set := publishQueue(t, p, 20)
+			test.spoil(objects, DeltaKey(first.GetBodyKey(), second.GetBodyKey()))
+			for range 2 { // the second time from memory
+				index, err := loader.Load(ctx, second)
+				is.NoErr(err)
+				is.True(proto.Equal(index.Set, set))
+			}
+			stats := loader.Stats()
+			stats.Bytes = 0
+			is.Equal(stats, test.want)
+		})
+	}
+}
+
+func TestLoaderSkipsRevisions(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	objects := newFakeObjects()
+	p := NewPublisher(newFakeTable(), objects, PublisherOptions{})
+	loader := NewLoader(objects)
+	first, _ := publishQueue(t, p, 10)
+	_, err := loader.Load(ctx, first)
+	is.NoErr(err)
+	publishQueue(t, p, 20)
+	third, set := publishQueue(t, p, 30)
+	index, err := loader.Load(ctx, third)
+	is.NoErr(err)
+	is.True(proto.Equal(index.Set, set))
+	is.Equal(index.Revision, uint64(3))
+}
+
+func TestDeltaIsOptional(t *testing.T) {
+	is := is.New(t)
+	objects := newFakeObjects()
+	p := NewPublisher(newFakeTable(), objects, PublisherOptions{})
+	publishQueue(t, p, 10)
+	puts := 0
+	objects.next = func(call string) fault {
+		puts++
+		if puts > 1 {
+			return faultNotSent // the body is stored, the delta isn't
+		}
+		return faultNone
+	}
+	row, set := publishQueue(t, p, 20)
+	index, err := LoadBody(context.Background(), objects, row)
+	is.NoErr(err)
+	is.True(proto.Equal(index.Set, set))
+}
+
+func BenchmarkDelta(b *testing.B) {
+	before, after := letterSet(), letterSet()
+	after.Models[300].MaxQueue = 9
+	base, err := marshalSet(before)
+	if err != nil {
+		b.Fatal(err)
+	}
+	next, err := marshalSet(after)
+	if err != nil {
+		b.Fatal(err)
+	}
+	delta, err := encodeDelta(base, next)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = encodeDelta(base, next)
+		}
+		b.ReportMetric(float64(len(delta)), "deltabytes")
+	})
+	stored := encoder.EncodeAll(next, nil)
+	objects := newFakeObjects()
+	baseKey, key := BodyKey(encoder.EncodeAll(base, nil)), BodyKey(stored)
+	objects.bodies[DeltaKey(baseKey, key)] = delta
+	objects.bodies[key] = stored
+	b.Run("load", func(b *testing.B) {
+		loader := NewLoader(objects)
+		for b.Loop() {
+			loader.last = &body{key: baseKey, plain: base}
+			if _, err := loader.Load(context.Background(), &apiv1.HeadRow{BodyKey: key}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if loader.Stats().Bodies > 0 {
+			b.Fatal("read whole bodies")
+		}
+	})
+}
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -18,6 +18,10 @@
 // deleted, one with each publication.
 const KeepRevisions = 100_000
 
+// deltaTimeout bounds how long a publication waits for its delta, which is only
+// an optimization.
+const deltaTimeout = time.Second
+
 // CommitFunc commits a transaction and settles a lost answer by repeating it.
 type CommitFunc func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error)
 
@@ -88,7 +92,7 @@
 	if row, done, err := p.alreadyDecided(ctx, current, options); done {
 		return row, err
 	}
-	bodyKey, err := p.storeBody(ctx, set)
+	bodyKey, err := p.storeBody(ctx, current.row.GetBodyKey(), set)
 	if err != nil {
 		return nil, notPublished("store the body", err)
 	}
@@ -137,13 +141,44 @@
 	return row, true, err
 }
 
-func (p *Publisher) storeBody(ctx context.Context, set *apiv1.ObjectSet) (string, error) {
-	body, err := EncodeSet(set)
+// storeBody stores the whole body and, for routers that hold the one before, a
+// delta. It returns the body's key.
+func (p *Publisher) storeBody(ctx context.Context, baseKey string, set *apiv1.ObjectSet) (string, error) {
+	plain, err := marshalSet(set)
 	if err != nil {
 		return "", err
 	}
-	key := BodyKey(body)
-	return key, p.objects.Put(ctx, key, body)
+	stored := encoder.EncodeAll(plain, nil)
+	key := BodyKey(stored)
+	if err := p.objects.Put(ctx, key, stored); err != nil {
+		return "", err
+	}
+	if baseKey == "" || baseKey == key {
+		return key, nil
+	}
+	if err := p.storeDelta(ctx, baseKey, key, plain); err != nil {
+		p.options.Log.Warn("delta not stored, routers read the whole body", "body", key, "err", err)
+	}
+	return key, nil
+}
+
+// storeDelta stores what turns the body at baseKey into plain.
+func (p *Publisher) storeDelta(ctx context.Context, baseKey, key string, plain []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, deltaTimeout)
+	defer cancel()
+	stored, err := p.objects.Get(ctx, baseKey)
+	if err != nil {
+		return err
+	}
+	base, err := openBody(baseKey, stored)
+	if err != nil {
+		return err
+	}
+	delta, err := encodeDelta(base.plain, plain)
+	if err != nil {
+		return err
+	}
+	return p.objects.Put(ctx, DeltaKey(baseKey, key), delta)
 }
 
 // commit writes the head row and the history row of next in one transaction.
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -30,6 +30,7 @@
 	table      *fakeTable
 	objects    *fakeObjects
 	publishers []*Publisher
+	loader     *Loader // of a router that follows the head
 	depth      int
 	serial     int
 
@@ -54,6 +55,7 @@
 		tried:     make(map[string]publicationTried),
 		dead:      make(map[string]bool),
 	}
+	m.loader = NewLoader(m.objects)
 	m.table.applied = func(txn platform.Txn) { m.apply(t, txn) }
 	m.table.next = func(call string) fault { return m.fault(t, call) }
 	m.objects.next = m.table.next
@@ -221,6 +223,12 @@
 	if err != nil || state.row.GetRevision() != m.head {
 		t.Fatalf("head is %d, not %d: %v", state.row.GetRevision(), m.head, err)
 	}
+	if m.head > 0 {
+		index, err := m.loader.Load(context.Background(), state.row)
+		if err != nil || !proto.Equal(index.Set, m.committed[m.head].set) {
+			t.Fatalf("revision %d was read as another set: %v", m.head, err)
+		}
+	}
 	for revision, winner := range m.committed {
 		row := m.table.row(platform.HistoryKey(revision))
 		if row.TxnID != winner.options.TxnID {
--- a/internal/config/revisions.go
+++ b/internal/config/revisions.go
@@ -62,7 +62,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return loadSet(ctx, p.objects, row.GetBodyKey())
+	index, err := LoadBody(ctx, p.objects, row)
+	if err != nil {
+		return nil, err
+	}
+	return index.Set, nil
 }
 
 // Revision returns the row of a revision; 0 means the one in force.
