config: the table of deltas really holds one to another body

Change: the row's delta now decodes, to the old body. Without the hash check the row fails, with it the table passes.

--- a/internal/config/loader_test.go
+++ b/internal/config/loader_test.go
@@ -26,15 +26,16 @@
 func TestLoaderFollowsByDeltas(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		// spoil changes the store after the second publication.
-		spoil func(o *fakeObjects, deltaKey string)
+		// spoil changes the stored delta after the second publication; base is
+		// the body that the loader holds.
+		spoil func(o *fakeObjects, deltaKey string, base []byte)
 		want  LoaderStats
 	}{
-		{"delta", func(*fakeObjects, string) {}, LoaderStats{Deltas: 1, Bodies: 1}},
-		{"no delta", func(o *fakeObjects, key string) { delete(o.bodies, key) }, LoaderStats{Bodies: 2}},
-		{"damaged delta", func(o *fakeObjects, key string) { o.bodies[key] = []byte("damaged") }, LoaderStats{Bodies: 2}},
-		{"delta to another body", func(o *fakeObjects, key string) {
-			o.bodies[key], _ = encodeDelta(nil, []byte("another"))
+		{"delta", func(*fakeObjects, string, []byte) {}, LoaderStats{Deltas: 1, Bodies: 1}},
+		{"no delta", func(o *fakeObjects, key string, _ []byte) { delete(o.bodies, key) }, LoaderStats{Bodies: 2}},
+		{"damaged delta", func(o *fakeObjects, key string, _ []byte) { o.bodies[key] = []byte("damaged") }, LoaderStats{Bodies: 2}},
+		{"delta to another body", func(o *fakeObjects, key string, base []byte) {
+			o.bodies[key], _ = encodeDelta(base, base)
 		}, LoaderStats{Bodies: 2}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -48,7 +49,7 @@
 			_, err := loader.Load(ctx, first)
 			is.NoErr(err)
 			second, set := publishQueue(t, p, 20)
-			test.spoil(objects, DeltaKey(first.GetBodyKey(), second.GetBodyKey()))
+			test.spoil(objects, DeltaKey(first.GetBodyKey(), second.GetBodyKey()), loader.last.plain)
 			for range 2 { // the second time from memory
 				index, err := loader.Load(ctx, second)
 				is.NoErr(err)
