shared: daemon: the router reads configurations through one Loader

Cause: config.LoadBody reads the whole body of every revision. Change: the poller's LoadConfig is the Load of one config.Loader, whose counters are published as "config". Shown by: go test ./internal/daemon passes (29 s).

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -55,6 +55,7 @@
 	pool     *transport.Pool
 	claims   *claim.Store
 	records  *waitlog.Writer
+	loader   *config.Loader
 	leases   *lease.Manager
 	decider  *decider.Decider
 	permits  *permitDesk
@@ -107,13 +108,12 @@
 
 func (r *Router) wireState(c clients) {
 	r.pool = transport.NewPool(r.creds, sessionIdle)
+	r.loader = config.NewLoader(c.objects)
 	r.poller = view.NewPoller(view.PollerOptions{
-		Store: r.store,
-		Table: c.table,
-		Hosts: c.hosts,
-		LoadConfig: func(ctx context.Context, head *apiv1.HeadRow) (*config.Index, error) {
-			return config.LoadBody(ctx, c.objects, head)
-		},
+		Store:       r.store,
+		Table:       c.table,
+		Hosts:       c.hosts,
+		LoadConfig:  r.loader.Load,
 		TablePeriod: milliseconds(r.cfg.GetTablePollMs()),
 		HostPeriod:  milliseconds(r.cfg.GetHostPollMs()),
 		Log:         r.log,
@@ -254,6 +254,7 @@
 	v.publish("router", func() any { return r.front.Stats() })
 	v.publish("decider", func() any { return r.decider.Stats() })
 	v.publish("gossip", func() any { return r.gossip.Stats() })
+	v.publish("config", func() any { return r.loader.Stats() })
 	v.publish("records", func() any { return r.records.Stats() })
 	v.publish("sessions", func() any { return r.pool.Size() })
 	return v
