--- a/internal/operator/cli/wait_commands.go
+++ b/internal/operator/cli/wait_commands.go
@@ -93,6 +93,9 @@
 	if report.BatchesRead < report.Batches {
 		fmt.Fprintf(w, "read %d of %d batches: the counts are those of this share; choose a shorter --since for all\n", report.BatchesRead, report.Batches)
 	}
+	if report.BatchesUnreadable > 0 {
+		fmt.Fprintf(w, "%d batches are damaged or have expired: their records are missing here\n", report.BatchesUnreadable)
+	}
 	for _, group := range report.Groups {
 		fmt.Fprintf(w, "\n%s: %d late, %d of them not served, p50 %s, p99 %s, longest %s\n", group.Cause, group.Count,
 			group.NotServed, formatMs(group.P50Ms), formatMs(group.P99Ms), formatMs(group.MaxMs))
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
@@ -37,6 +38,10 @@
 		result: Result{Present: make(map[string]bool)},
 	}
 	d.json.UseNumber()
+	if !utf8.Valid(data) {
+		d.fault("", "the text is not UTF-8", "save it as UTF-8")
+		return d.result
+	}
 	if err := d.document(msg.ProtoReflect()); err != nil {
 		d.fault("", syntaxProblem(data, d.json.InputOffset(), err), "mend the JSON at that place")
 	}
--- a/internal/waitlog/late.go
+++ b/internal/waitlog/late.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,7 +12,7 @@
 
 const (
 	// defaultMaxBatches bounds the batches that one report reads.
-	defaultMaxBatches = 5000
+	defaultMaxBatches = 1000
 	// lateReads bounds the reads in flight of one report.
 	lateReads = 16
 	// defaultLateMs is the wait above which a request counts as late.
@@ -31,7 +30,7 @@
 	// LateMs is the wait above which a request counts as late. Default 1000.
 	LateMs uint32
 	// MaxBatches bounds the objects that are read; beyond it an even share of
-	// them is. Default 5000.
+	// them is. Default 1000.
 	MaxBatches int
 }
 
@@ -45,14 +44,14 @@
 		return nil, err
 	}
 	chosen := evenShare(keys, filter.MaxBatches)
-	found := &collection{seen: make(map[string]bool), keep: func(record *apiv1.WaitRecord) bool {
+	sum := newSummary(filter.LateMs, func(record *apiv1.WaitRecord) bool {
 		return filter.keeps(record, since)
-	}}
-	found.add(buffered)
-	if err := r.readAll(ctx, chosen, found); err != nil {
+	})
+	sum.add(buffered)
+	if err := r.readAll(ctx, chosen, sum); err != nil {
 		return nil, err
 	}
-	report := Summarize(found.records, filter.LateMs)
+	report := sum.finish()
 	report.SinceUnixMs, report.UntilUnixMs = since.UnixMilli(), filter.Until.UnixMilli()
 	report.Batches, report.BatchesRead = len(keys), len(chosen)
 	return report, nil
@@ -117,36 +116,18 @@
 	return chosen
 }
 
-// collection gathers the records that keep accepts, each once. It is safe for
-// concurrent use.
-type collection struct {
-	keep func(*apiv1.WaitRecord) bool
-
-	mu      sync.Mutex
-	seen    map[string]bool
-	records []*apiv1.WaitRecord
-}
-
-// add takes records. A batch whose answer was lost is stored again under
-// another key, so a record may come twice.
-func (c *collection) add(records []*apiv1.WaitRecord) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, record := range records {
-		if c.keep(record) && !c.seen[record.GetRequestId()] {
-			c.seen[record.GetRequestId()] = true
-			c.records = append(c.records, record)
-		}
-	}
-}
-
-// readAll adds the records of the batches to a collection.
-func (r *Reader) readAll(ctx context.Context, keys []string, into *collection) error {
+// readAll adds the records of the batches to a summary. Batches that can't be
+// read are counted; an object store that does not answer is an error.
+func (r *Reader) readAll(ctx context.Context, keys []string, into *summary) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(lateReads)
 	for _, key := range keys {
 		group.Go(func() error {
 			records, err := r.batch(ctx, key)
+			if isUnreadable(err) {
+				into.addUnreadable()
+				return nil
+			}
 			into.add(records)
 			return err
 		})
--- a/internal/waitlog/late_test.go
+++ b/internal/waitlog/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +136,38 @@
 	is.Equal(report.BatchesRead, 7)
 	is.Equal(report.Records, 7)
 }
+
+func TestUnreadableBatches(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	objects := newFakeObjects()
+	records := []*apiv1.WaitRecord{served(0, 2000), served(6, 2000)} // of one router and minute
+	storeRecords(t, objects, records)
+	keys, err := objects.List(ctx, prefix)
+	is.NoErr(err)
+	objects.bodies[keys[0]] = []byte("damaged")
+	reader := NewReader(objects)
+	report, err := reader.Late(ctx, time.UnixMilli(baseMinute*60_000), Filter{Until: time.UnixMilli((baseMinute + 3) * 60_000)})
+	is.NoErr(err)
+	is.Equal(report.Records, 1)
+	is.Equal(report.BatchesUnreadable, 1)
+
+	var bad *BatchError
+	_, err = reader.Explain(ctx, records[0].GetRequestId())
+	is.True(errors.As(err, &bad)) // not "there is no record"
+	_, err = reader.Explain(ctx, records[1].GetRequestId())
+	is.NoErr(err)
+}
+
+func BenchmarkSummary(b *testing.B) {
+	records := make([]*apiv1.WaitRecord, 10_000)
+	for n := range records {
+		records[n] = served(n, uint32(n))
+		records[n].Phases = []*apiv1.Phase{phase(apiv1.PhaseKind_PHASE_KIND_LOAD, 0, uint32(n), "")}
+	}
+	for b.Loop() {
+		sum := newSummary(testLateMs, func(*apiv1.WaitRecord) bool { return true })
+		sum.add(records)
+		sum.finish()
+	}
+}
--- a/internal/waitlog/reader.go
+++ b/internal/waitlog/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
@@ -42,7 +43,7 @@
 }
 
 // Explain returns the record of a request. It returns a *BadIDError, a
-// *NotFoundError or the error of the object store.
+// *NotFoundError, a *BatchError or the error of the object store.
 func (r *Reader) Explain(ctx context.Context, requestID string) (*apiv1.WaitRecord, error) {
 	id, err := requestid.Parse(requestID)
 	if err != nil {
@@ -52,8 +53,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("list the records of request %q: %w", requestID, err)
 	}
+	var unreadable error
 	for _, key := range keys {
 		records, err := r.batch(ctx, key)
+		if isUnreadable(err) {
+			unreadable = err // the record may be in another batch
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -63,17 +69,44 @@
 			}
 		}
 	}
+	if unreadable != nil {
+		return nil, unreadable
+	}
 	return nil, &NotFoundError{RequestID: requestID}
 }
 
+// BatchError means that a stored batch is damaged or has expired.
+type BatchError struct {
+	Key string
+	Err error
+}
+
+// Error implements error.
+func (e *BatchError) Error() string {
+	return fmt.Sprintf("batch %s can't be read: its records are lost: %v", e.Key, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *BatchError) Unwrap() error { return e.Err }
+
+func isUnreadable(err error) bool {
+	var bad *BatchError
+	return errors.As(err, &bad)
+}
+
+// batch reads one batch. It returns a *BatchError or the error of the object
+// store.
 func (r *Reader) batch(ctx context.Context, key string) ([]*apiv1.WaitRecord, error) {
 	body, err := r.objects.Get(ctx, key)
+	if err != nil && platform.KindOf(err) == platform.KindNotFound {
+		return nil, &BatchError{Key: key, Err: err}
+	}
 	if err != nil {
 		return nil, fmt.Errorf("read %s: %w", key, err)
 	}
 	records, err := decodeBatch(body)
 	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", key, err)
+		return nil, &BatchError{Key: key, Err: err}
 	}
 	return records, nil
 }
--- a/internal/waitlog/report.go
+++ b/internal/waitlog/report.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 )
@@ -13,6 +15,8 @@
 	// maxWaitMs is the longest wait that a histogram tells apart.
 	maxWaitMs       = 3_600_000
 	significantFigs = 3
+	// firstBucketMs is the bound of the first bucket of a group.
+	firstBucketMs = 250
 	// slowestKept is the number of request ids that a group names.
 	slowestKept = 3
 )
@@ -27,9 +31,11 @@
 	Late    int `json:"late"`
 	// Batches counts the stored batches in the range; when fewer were read, the
 	// counts are those of the share that was.
-	Batches     int         `json:"batches"`
-	BatchesRead int         `json:"batches_read"`
-	Groups      []LateGroup `json:"groups"`
+	Batches     int `json:"batches"`
+	BatchesRead int `json:"batches_read"`
+	// BatchesUnreadable counts batches that are damaged or have expired.
+	BatchesUnreadable int         `json:"batches_unreadable"`
+	Groups            []LateGroup `json:"groups"`
 }
 
 // LateGroup holds the late requests with one main cause. Times are waits in
@@ -53,65 +59,140 @@
 	Count  int64 `json:"count"`
 }
 
-// Summarize groups the late ones of records by main cause.
-func Summarize(records []*apiv1.WaitRecord, lateMs uint32) *LateReport {
-	report := &LateReport{LateMs: lateMs, Records: len(records)}
-	byCause := make(map[Cause][]*apiv1.WaitRecord)
+// summary builds a LateReport from records that come in any order and maybe
+// twice. It holds the hash of each record's id but not the records. It is safe
+// for concurrent use.
+type summary struct {
+	keep func(*apiv1.WaitRecord) bool
+
+	mu     sync.Mutex
+	report *LateReport
+	seen   map[uint64]struct{} // hashes of request ids
+	groups map[Cause]*groupSummary
+}
+
+func newSummary(lateMs uint32, keep func(*apiv1.WaitRecord) bool) *summary {
+	return &summary{
+		keep:   keep,
+		report: &LateReport{LateMs: lateMs},
+		seen:   make(map[uint64]struct{}),
+		groups: make(map[Cause]*groupSummary),
+	}
+}
+
+// add takes records. A batch whose answer was lost is stored again under
+// another key, so a record may come twice; it counts once.
+func (s *summary) add(records []*apiv1.WaitRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, record := range records {
-		if IsLate(record, lateMs) {
-			report.Late++
-			cause := MainCause(record)
-			byCause[cause] = append(byCause[cause], record)
+		id := xxhash.Sum64String(record.GetRequestId())
+		if _, twice := s.seen[id]; twice || !s.keep(record) {
+			continue
 		}
+		s.seen[id] = struct{}{}
+		s.count(record)
+	}
+}
+
+func (s *summary) count(record *apiv1.WaitRecord) {
+	s.report.Records++
+	if !IsLate(record, s.report.LateMs) {
+		return
+	}
+	s.report.Late++
+	cause := MainCause(record)
+	group := s.groups[cause]
+	if group == nil {
+		group = newGroupSummary(cause)
+		s.groups[cause] = group
 	}
-	for cause, group := range byCause {
-		report.Groups = append(report.Groups, summarizeGroup(cause, group))
+	group.count(record)
+}
+
+// addUnreadable counts a batch that can't be read.
+func (s *summary) addUnreadable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.report.BatchesUnreadable++
+}
+
+// finish returns the report, its largest group first.
+func (s *summary) finish() *LateReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, group := range s.groups {
+		s.report.Groups = append(s.report.Groups, group.finish())
 	}
-	slices.SortFunc(report.Groups, func(a, b LateGroup) int {
+	slices.SortFunc(s.report.Groups, func(a, b LateGroup) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Cause, b.Cause))
 	})
-	return report
+	return s.report
 }
 
-func summarizeGroup(cause Cause, records []*apiv1.WaitRecord) LateGroup {
-	slices.SortFunc(records, func(a, b *apiv1.WaitRecord) int {
-		return cmp.Or(cmp.Compare(Wait(b), Wait(a)), cmp.Compare(a.GetRequestId(), b.GetRequestId()))
-	})
-	histogram := hdrhistogram.New(1, maxWaitMs, significantFigs)
-	group := LateGroup{Cause: cause, Count: len(records)}
-	for i, record := range records {
-		// The histogram takes values up to its bound only.
-		_ = histogram.RecordValue(min(int64(Wait(record)), maxWaitMs))
-		if record.GetOutcome() != apiv1.Outcome_OUTCOME_SERVED {
-			group.NotServed++
-		}
-		if i < slowestKept {
-			group.Slowest = append(group.Slowest, record.GetRequestId())
-		}
+// groupSummary builds a LateGroup.
+type groupSummary struct {
+	group   LateGroup
+	waits   *hdrhistogram.Histogram
+	slowest []slowRequest // longest wait first
+}
+
+type slowRequest struct {
+	id   string
+	wait uint32
+}
+
+func newGroupSummary(cause Cause) *groupSummary {
+	return &groupSummary{
+		group: LateGroup{Cause: cause, Histogram: []Bucket{{UpToMs: firstBucketMs}}},
+		waits: hdrhistogram.New(1, maxWaitMs, significantFigs),
 	}
-	group.P50Ms = histogram.ValueAtQuantile(50)
-	group.P99Ms = histogram.ValueAtQuantile(99)
-	group.MaxMs = histogram.Max()
-	group.Histogram = buckets(records)
-	return group
 }
 
-// buckets counts waits in steps that double from a quarter of a second.
-func buckets(records []*apiv1.WaitRecord) []Bucket {
-	const firstBucketMs = 250
-	all := []Bucket{{UpToMs: firstBucketMs}}
-	for _, record := range records {
-		i := 0
-		for int64(Wait(record)) > all[i].UpToMs {
-			i++
-			if i == len(all) {
-				all = append(all, Bucket{UpToMs: 2 * all[i-1].UpToMs})
-			}
+func (g *groupSummary) count(record *apiv1.WaitRecord) {
+	wait := Wait(record)
+	g.group.Count++
+	if record.GetOutcome() != apiv1.Outcome_OUTCOME_SERVED {
+		g.group.NotServed++
+	}
+	// Longer waits than the histogram tells apart count as its longest.
+	_ = g.waits.RecordValue(min(int64(wait), maxWaitMs))
+	g.countBucket(int64(wait))
+	g.countSlow(slowRequest{record.GetRequestId(), wait})
+}
+
+// countBucket counts a wait in steps that double.
+func (g *groupSummary) countBucket(wait int64) {
+	buckets := g.group.Histogram
+	i := 0
+	for wait > buckets[i].UpToMs {
+		i++
+		if i == len(buckets) {
+			buckets = append(buckets, Bucket{UpToMs: 2 * buckets[i-1].UpToMs})
 		}
-		all[i].Count++
 	}
-	for len(all) > 1 && all[0].Count == 0 {
-		all = all[1:]
+	buckets[i].Count++
+	g.group.Histogram = buckets
+}
+
+// countSlow keeps the requests that waited longest.
+func (g *groupSummary) countSlow(r slowRequest) {
+	g.slowest = append(g.slowest, r)
+	slices.SortFunc(g.slowest, func(a, b slowRequest) int {
+		return cmp.Or(cmp.Compare(b.wait, a.wait), cmp.Compare(a.id, b.id))
+	})
+	g.slowest = g.slowest[:min(len(g.slowest), slowestKept)]
+}
+
+func (g *groupSummary) finish() LateGroup {
+	g.group.P50Ms = g.waits.ValueAtQuantile(50)
+	g.group.P99Ms = g.waits.ValueAtQuantile(99)
+	g.group.MaxMs = g.waits.Max()
+	for _, r := range g.slowest {
+		g.group.Slowest = append(g.group.Slowest, r.id)
+	}
+	for len(g.group.Histogram) > 1 && g.group.Histogram[0].Count == 0 {
+		g.group.Histogram = g.group.Histogram[1:]
 	}
-	return all
+	return g.group
 }
