--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"context"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -279,4 +281,21 @@
 			NewIndex(1, set)
 		}
 	})
+	b.Run("heap", func(b *testing.B) {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		objects := newFakeObjects()
+		objects.bodies[BodyKey(body)] = body
+		loader := NewLoader(objects)
+		index, err := loader.Load(context.Background(), &apiv1.HeadRow{BodyKey: BodyKey(body)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heapbytes")
+		runtime.KeepAlive(index)
+		runtime.KeepAlive(loader)
+	})
 }
