waitlog: store what is left when Run ends

Cause: the daemon only runs Run, so a planned stop lost the records of the last seconds. Change: Run stores the rest for at most 5 seconds after its context has ended, which the daemon cancels only once the running requests have ended. Shown by: TestRunStoresWhatIsLeftAtItsEnd, which fails without the last flush.

--- a/internal/waitlog/writer.go
+++ b/internal/waitlog/writer.go
@@ -21,6 +21,7 @@
 const (
 	defaultFlushEvery = 20 * time.Second
 	defaultBuffer     = 20_000
+	lastFlushTimeout  = 5 * time.Second
 	// maxFlushRecords bounds the records of one batch.
 	maxFlushRecords = 4096
 )
@@ -159,20 +160,28 @@
 	return s
 }
 
-// Run stores records until ctx ends. Call Flush afterwards to store the rest.
+// Run stores records until ctx ends, and then what is left, for at most 5
+// seconds.
 func (w *Writer) Run(ctx context.Context) {
 	ticker := time.NewTicker(w.options.FlushEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastFlushTimeout)
+			defer cancel()
+			w.flushLogged(last)
 			return
 		case <-ticker.C:
+			w.flushLogged(ctx)
 		}
-		if err := w.Flush(ctx); err != nil {
-			s := w.Stats()
-			w.options.Log.Warn("wait records not stored", "err", err, "buffered", s.Buffered, "lost", s.Lost)
-		}
+	}
+}
+
+func (w *Writer) flushLogged(ctx context.Context) {
+	if err := w.Flush(ctx); err != nil {
+		s := w.Stats()
+		w.options.Log.Warn("wait records not stored", "err", err, "buffered", s.Buffered, "lost", s.Lost)
 	}
 }
 
--- a/internal/waitlog/writer_test.go
+++ b/internal/waitlog/writer_test.go
@@ -125,9 +125,9 @@
 	is.Equal(w.Stats(), Stats{Recorded: 4000, Stored: 4000})
 }
 
-func TestRunStoresUntilItsContextEnds(t *testing.T) {
+func TestRunStoresWhatIsLeftAtItsEnd(t *testing.T) {
 	is := is.New(t)
-	stored := make(chan struct{}, 1)
+	stored := make(chan struct{}, 2)
 	objects := newFakeObjects()
 	objects.after = func() error {
 		stored <- struct{}{}
@@ -141,10 +141,13 @@
 		close(ended)
 	}()
 	w.Record(served(1, 1))
-	<-stored
+	<-stored // by the ticker
 	cancel()
 	<-ended
-	is.Equal(w.Stats().Buffered, 0)
+
+	w.Record(served(2, 1))
+	w.Run(ctx) // its context has ended already
+	is.Equal(w.Stats(), Stats{Recorded: 2, Stored: 2})
 }
 
 // writerMachine records requests while the store fails and while batches are
