operator: Authorize for other handlers of operators

Cause: the sidecar's /debug/vars is open, also where a token is set. Change: the check of the bearer token is exported, to be wrapped around it.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -95,18 +95,19 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
-	mux.Handle("/", s.authorize(guarded))
+	mux.Handle("/", Authorize(s.Token, guarded))
 	return mux
 }
 
-// authorize demands the bearer token, if one is set.
-func (s *server) authorize(next http.Handler) http.Handler {
-	if len(s.Token) == 0 {
+// Authorize returns a handler that demands a bearer token. Without a token it
+// returns next.
+func Authorize(token []byte, next http.Handler) http.Handler {
+	if len(token) == 0 {
 		return next
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !isBearer || subtle.ConstantTimeCompare([]byte(token), s.Token) != 1 {
+		sent, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !isBearer || subtle.ConstantTimeCompare([]byte(sent), token) != 1 {
 			writeError(w, &Error{
 				Kind:    KindUnauthorized,
 				Message: "the bearer token is missing or wrong",
