shared: daemon: the sidecar's metrics demand the token

Cause: /debug/vars of a sidecar was open to everyone who reaches operator_listen, also where a token is set; a router's is not. Shown by: TestSidecarMetricsDemandTheToken, which the open handler fails; go test ./internal/daemon passes (27 s).

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent"
+	"github.com/ragwortdoor/ragwortdoor/internal/operator"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
@@ -36,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, s.operatorHandler())
+	s.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, s.operatorHandler(creds.Token))
 	if err != nil {
 		_ = s.server.Close()
 		return nil, err
@@ -61,11 +62,11 @@
 	return agent.New(opts)
 }
 
-func (s *Sidecar) operatorHandler() http.Handler {
+func (s *Sidecar) operatorHandler(token []byte) http.Handler {
 	v := &vars{}
 	v.publish("sidecar", func() any { return s.agent.Stats() })
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", v)
+	mux.Handle("GET /debug/vars", operator.Authorize(token, v))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintln(w, "ok")
 	})
