--- a/internal/operator/cli/cli_test.go
+++ b/internal/operator/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -266,3 +267,17 @@
 		{"late --class urgent", ExitOK, "0 of 0", ""},
 	})
 }
+
+func TestTLS(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewTLSServer(operator.NewServer(operator.ServerOptions{}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	authority := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	f.file("ca.pem", string(authority))
+	f.steps([]step{
+		{"--tls-ca-file DIR/ca.pem status", ExitOK, "revision 0", ""},
+		{"status", ExitFailure, "", "certificate"},
+		{"--tls-ca-file DIR/token status", ExitUsage, "", "no certificate in"},
+	})
+}
