operator: operators racing over HTTP with lost answers

Cause: the publisher's state machine runs on one thread and without HTTP. Change: four operators apply at once through two routers while the table loses every fifth answer; the history must be what was accepted, without gaps, and every loser must have been told the true winner.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -24,6 +24,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// callTimeout is long enough for a busy machine.
+const callTimeout = 10 * time.Second
+
 var testToken = []byte("0123456789abcdef")
 
 // router is one operators' API on a shared platform.
@@ -58,8 +61,8 @@
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(client.CloseIdleConnections)
-	table := platform.NewTableClient(platform.ClientOptions{BaseURL: p.tableURL, HTTP: client})
-	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: p.objectsURL, HTTP: client})
+	table := platform.NewTableClient(platform.ClientOptions{BaseURL: p.tableURL, HTTP: client, CallTimeout: callTimeout})
+	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: p.objectsURL, HTTP: client, CallTimeout: callTimeout})
 	r := &router{view: view.NewStore(), objects: objects}
 	r.writer = waitlog.NewWriter(waitlog.WriterOptions{Objects: objects, Sample: 1})
 	r.url = serve(t, wrap(NewServer(ServerOptions{
--- /dev/null
+++ b/internal/operator/race_test.go
@@ -0,0 +1,75 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+// raceResults holds what the racing operators were told.
+type raceResults struct {
+	mu        sync.Mutex
+	accepted  map[uint64]string // revision -> message
+	conflicts []*Error
+	others    []error
+}
+
+func (r *raceResults) add(message string, reply *ApplyReply, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var failure *Error
+	switch {
+	case err == nil && r.accepted[reply.Revision.Revision] != "":
+		r.others = append(r.others, fmt.Errorf("revision %d accepted twice", reply.Revision.Revision))
+	case err == nil:
+		r.accepted[reply.Revision.Revision] = message
+	case errors.As(err, &failure) && failure.Kind == KindConflict:
+		r.conflicts = append(r.conflicts, failure)
+	default:
+		r.others = append(r.others, err)
+	}
+}
+
+// TestConcurrentOperators lets operators apply at once through two routers
+// while the table service loses every fifth answer.
+func TestConcurrentOperators(t *testing.T) {
+	const operators, rounds = 4, 6
+	is := is.New(t)
+	p := newPlatform(t)
+	p.table.Faults.Set(standin.Faults{LoseEvery: 5})
+	urls := []string{p.newRouter(t, unwrapped).url, p.newRouter(t, unwrapped).url}
+	set := sampleJSON(t)
+	results := &raceResults{accepted: make(map[uint64]string)}
+	var wg sync.WaitGroup
+	for i := range operators {
+		client := newTestClient(t, urls[i%2], urls[(i+1)%2])
+		wg.Go(func() {
+			for round := range rounds {
+				message := fmt.Sprintf("operator %d, round %d", i, round)
+				reply, err := client.Apply(context.Background(), ApplyRequest{Set: set, Message: message})
+				results.add(message, reply, err)
+			}
+		})
+	}
+	wg.Wait()
+
+	p.table.Faults.Set(standin.Faults{})
+	is.Equal(len(results.others), 0) // every answer is clear
+	history, err := newTestClient(t, urls[0]).History(context.Background(), operators*rounds)
+	is.NoErr(err)
+	is.Equal(len(history.Revisions), len(results.accepted)) // accepted means committed, and nothing else is
+	is.Equal(len(results.accepted)+len(results.conflicts), operators*rounds)
+	for i, row := range history.Revisions {
+		is.Equal(row.Revision, uint64(len(history.Revisions)-i)) // without gaps
+		is.Equal(results.accepted[row.Revision], row.Message)
+	}
+	for _, conflict := range results.conflicts {
+		is.Equal(results.accepted[conflict.Winner.Revision], conflict.Winner.Message)
+	}
+}
