--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -44,20 +44,20 @@
 	objectsURL string
 }
 
-func serve(t *testing.T, handler http.Handler) string {
+func serve(t testing.TB, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return server.URL
 }
 
-func newPlatform(t *testing.T) *platformStandIn {
+func newPlatform(t testing.TB) *platformStandIn {
 	t.Helper()
 	table := standin.NewTable()
 	return &platformStandIn{table: table, tableURL: serve(t, table), objectsURL: serve(t, standin.NewObjects())}
 }
 
-func (p *platformStandIn) newRouter(t *testing.T, wrap func(http.Handler) http.Handler) *router {
+func (p *platformStandIn) newRouter(t testing.TB, wrap func(http.Handler) http.Handler) *router {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(client.CloseIdleConnections)
@@ -78,7 +78,7 @@
 
 func unwrapped(h http.Handler) http.Handler { return h }
 
-func newTestClient(t *testing.T, urls ...string) *Client {
+func newTestClient(t testing.TB, urls ...string) *Client {
 	t.Helper()
 	httpClient := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(httpClient.CloseIdleConnections)
--- a/internal/operator/race_test.go
+++ b/internal/operator/race_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/matryer/is"
 
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -73,3 +76,35 @@
 		is.Equal(results.accepted[conflict.Winner.Revision], conflict.Winner.Message)
 	}
 }
+
+// BenchmarkApply publishes 650 models and 9,600 adapters with one field changed,
+// over HTTP, and reads the new revision as a router does.
+func BenchmarkApply(b *testing.B) {
+	shape := sample.OffcutGiveaway()
+	shape.Models, shape.Adapters = 650, 9600
+	set := shape.Set()
+	p := newPlatform(b)
+	r := p.newRouter(b, unwrapped)
+	client := newTestClient(b, r.url)
+	loader := config.NewLoader(r.objects)
+	ctx := context.Background()
+	size, n := 0, uint32(0)
+	for b.Loop() {
+		n++
+		set.Models[300].MaxQueue = n
+		data, err := config.FormatSet(set)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+		reply, err := client.Apply(ctx, ApplyRequest{Set: data})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := loader.Load(ctx, &apiv1.HeadRow{BodyKey: reply.Revision.BodyKey}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "jsonbytes")
+	b.ReportMetric(float64(loader.Stats().Bodies), "bodies")
+}
