--- a/internal/config/loader.go
+++ b/internal/config/loader.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The head row vouches for the stored form only, so it is made again. A
+	// The key is the hash of the compressed form, so that is made again. A
 	// release that compresses otherwise reads whole bodies.
 	if BodyKey(encoder.EncodeAll(plain, nil)) != key {
 		return nil, errNoDelta
--- a/internal/config/publisher_machine_test.go
+++ b/internal/config/publisher_machine_test.go
@@ -118,8 +118,8 @@
 func (m *publisherMachine) run(t *rapid.T, try publicationTried) {
 	m.depth++
 	publisher := rapid.SampledFrom(m.publishers).Draw(t, "publisher")
-	patience := rapid.SampledFrom([]time.Duration{time.Millisecond, time.Minute}).Draw(t, "patience")
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	timeout := rapid.SampledFrom([]time.Duration{time.Millisecond, time.Minute}).Draw(t, "timeout")
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	row, err := publisher.Publish(ctx, try.set, try.options)
 	cancel()
 	m.depth--
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -21,6 +22,8 @@
 const (
 	defaultServer = "http://127.0.0.1:8081"
 	callTimeout   = 30 * time.Second
+	// dialTimeout bounds the wait for a server that can't be reached.
+	dialTimeout = 3 * time.Second
 )
 
 const description = `Exit codes:
@@ -130,8 +133,11 @@
 		Servers: servers,
 		Token:   creds.Token,
 		HTTP: &http.Client{
-			Timeout:   callTimeout,
-			Transport: &http.Transport{TLSClientConfig: creds.Client},
+			Timeout: callTimeout,
+			Transport: &http.Transport{
+				TLSClientConfig: creds.Client,
+				DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			},
 		},
 	}), nil
 }
