--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -106,6 +106,7 @@
 	clock  *testClock
 	table  uint64
 	wg     sync.WaitGroup
+	ctx    context.Context // of the agent and its streams
 	stop   func()
 }
 
@@ -117,9 +118,8 @@
 		change(&opts)
 	}
 	b.agent = New(opts)
-	ctx, cancel := context.WithCancel(context.Background())
-	b.stop = cancel
-	b.wg.Go(func() { _ = b.agent.Run(ctx) })
+	b.ctx, b.stop = context.WithCancel(context.Background())
+	b.wg.Go(func() { _ = b.agent.Run(b.ctx) })
 	synctest.Wait()
 	return b
 }
@@ -135,7 +135,7 @@
 func (b *bench) open(frame *apiv1.RouterFrame) *fakeStream {
 	s := newFakeStream()
 	s.in <- frame
-	b.wg.Go(func() { b.agent.serve(context.Background(), s) })
+	b.wg.Go(func() { b.agent.serve(b.ctx, s) })
 	return s
 }
 
