--- a/internal/adapterload/controller.go
+++ b/internal/adapterload/controller.go
@@ -8,28 +8,46 @@
 import "time"
 
 const (
-	// slowRatio is the load time, relative to the best one, that counts as
+	// slowRatio is the mean load time, relative to the best one, that counts as
 	// congestion.
-	slowRatio = 1.5
+	slowRatio = 1.4
+	// newShare is the weight of the newest load time in the mean.
+	newShare = 0.15
+	// slowShare is newShare of the slow mean, which changes too little between
+	// two loads for its lowest value to be an accident.
+	slowShare = 0.04
+	// warmLoads is the number of loads after which the slow mean is believed.
+	warmLoads = 20
 	// increase is added to the window for each window's worth of fast loads.
-	increase = 1.0
+	increase = 0.25
 	// decrease multiplies the window on congestion.
 	decrease = 0.5
 	// minWindow paces a host to one load in ten load times.
 	minWindow = 0.1
 	maxWindow = 16.0 // loads
-	// initialWindow lets a newly started host load one adapter at a time.
-	initialWindow = 1.0
-	// bestForget raises the best load time a little with each load, so that a
+	// initialWindow is small, so that hosts that start together learn the time
+	// of a load at full speed.
+	initialWindow = minWindow
+	// judgedLoads is the number of loads after a cut of the window before it
+	// changes again.
+	judgedLoads = 6
+	// bestForget raises the best mean a little with each load, so that a
 	// lasting change of the storage's speed is learned.
-	bestForget = 1.002
+	bestForget = 1.0002
 )
 
 // Controller is the window of one host. It is not safe for concurrent use.
 type Controller struct {
 	window   float64
-	best     time.Duration
 	inFlight int
+	// mean and slow are moving averages of the load times, in seconds; mean
+	// begins anew with each cut of the window.
+	mean, slow float64
+	// best is the lowest slow mean, in seconds; 0 until warmLoads have ended.
+	best  float64
+	loads int
+	// sinceCut counts the loads that began and ended after lastCut.
+	sinceCut int
 	// lastCut is when the window shrank last; loads that began earlier say
 	// nothing about the smaller window.
 	lastCut time.Time
@@ -37,7 +55,7 @@
 	notBefore time.Time
 }
 
-// New makes a controller with one load in flight.
+// New makes a controller with the smallest window.
 func New() *Controller { return &Controller{window: initialWindow} }
 
 // Window is the number of loads that may be in flight; below 1 it is the share
@@ -67,25 +85,47 @@
 // Finish counts a load that started at began and succeeded at now.
 func (c *Controller) Finish(began, now time.Time) {
 	c.inFlight--
-	took := now.Sub(began)
-	c.learnBest(took)
-	switch {
-	case float64(took) <= slowRatio*float64(c.best):
-		c.window = min(maxWindow, c.window+increase/max(1, c.window)*min(1, c.window))
-	case began.After(c.lastCut):
-		c.window = max(minWindow, c.window*decrease)
-		c.lastCut = now
+	if began.Before(c.lastCut) {
+		return // it says nothing about the present window
 	}
+	took := now.Sub(began)
+	c.learn(took.Seconds())
+	c.adjust(now)
 	if c.window < 1 {
 		pause := float64(took) * (1/c.window - 1)
 		c.notBefore = now.Add(time.Duration(pause))
 	}
 }
 
-func (c *Controller) learnBest(took time.Duration) {
-	if c.best == 0 || took < c.best {
-		c.best = took
-		return
+// adjust moves the window once the mean speaks for it.
+func (c *Controller) adjust(now time.Time) {
+	switch {
+	case c.best == 0 || c.sinceCut < judgedLoads:
+	case c.mean <= slowRatio*c.best:
+		c.window = min(maxWindow, c.window+increase*min(c.window, 1/c.window))
+	default:
+		c.window = max(minWindow, c.window*decrease)
+		c.lastCut = now
+		c.sinceCut = 0
+		c.mean = 0
+	}
+}
+
+func (c *Controller) learn(took float64) {
+	c.loads++
+	c.sinceCut++
+	c.mean = average(c.mean, took, newShare, c.sinceCut)
+	c.slow = average(c.slow, took, slowShare, c.loads)
+	switch {
+	case c.loads < warmLoads:
+	case c.best == 0 || c.slow < c.best:
+		c.best = c.slow
+	default:
+		c.best = min(c.slow, c.best*bestForget)
 	}
-	c.best = min(took, time.Duration(float64(c.best)*bestForget))
+}
+
+// average moves mean towards the n-th value; the first values weigh the same.
+func average(mean, value, share float64, n int) float64 {
+	return mean + max(share, 1/float64(n))*(value-mean)
 }
