router: leave time for a sidecar's refusal before the deadline

A request that waited for a load until its deadline was answered as unknown: the router gave up 5 ms before the sidecar could say that it had not run. The sidecar is now given a deadline that is 20 ms (at most a quarter) earlier.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -87,7 +87,7 @@
 	req.ConfigRevision = snap.Config.Revision
 	// The sidecar needs slots as new as the row that this choice rests on.
 	req.TableRevision = uint64(leave.slot.Version)
-	req.DeadlineMs = uint32(max(g.x.left().Milliseconds(), 1))
+	req.DeadlineMs = g.x.upstreamDeadlineMs()
 	req.Offset = g.answer.next
 	return req
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -143,7 +143,7 @@
 		Method:     c.x.req.Method,
 		Path:       c.path,
 		Headers:    c.headers,
-		DeadlineMs: uint32(max(c.x.left().Milliseconds(), 1)),
+		DeadlineMs: c.x.upstreamDeadlineMs(),
 	}
 }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -22,6 +22,9 @@
 
 	// answerMargin is kept free before the deadline to write the answer.
 	answerMargin = 5 * time.Millisecond
+	// upstreamMargin is kept free before the deadline for the refusal of a
+	// sidecar to come back: it knows whether the request has run.
+	upstreamMargin = 20 * time.Millisecond
 	// writeGrace lets an answer that is being written at the deadline end.
 	writeGrace = time.Second
 	// bodyTimeout bounds the time in which a caller sends its request.
@@ -136,6 +139,13 @@
 // left is the time until the deadline.
 func (x *exchange) left() time.Duration { return x.deadline.Sub(x.r.opts.Now()) }
 
+// upstreamDeadlineMs is the time that a sidecar is given, in milliseconds.
+func (x *exchange) upstreamDeadlineMs() uint32 {
+	left := x.left()
+	left -= min(upstreamMargin, left/4)
+	return uint32(max(left.Milliseconds(), 1))
+}
+
 // expired is the Error of a request whose context has ended.
 func (x *exchange) expired(sent bool) *Error {
 	if x.req.Context().Err() != nil {
