--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -291,6 +291,8 @@
 }
 
 func TestClaimsRunAtMostOnce(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		t.Repeat(map[string]func(*rapid.T){
@@ -301,7 +303,10 @@
 			"finish":  m.finish,
 			"die":     m.die,
 			"arrive":  m.arrive,
-			"":        m.check,
+			"": func(t *rapid.T) {
+				steps++
+				m.check(t)
+			},
 		})
 		m.settle(t)
 	})
--- a/internal/route/queue_test.go
+++ b/internal/route/queue_test.go
@@ -179,6 +179,8 @@
 }
 
 func TestQueueAgainstOracle(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &queueMachine{queue: route.NewQueue[int](queueLimit), now: time.Unix(1000, 0)}
 		t.Repeat(map[string]func(*rapid.T){
@@ -187,7 +189,10 @@
 			"pop":    m.pop,
 			"leave":  m.leave,
 			"wait":   m.wait,
-			"":       m.check,
+			"": func(t *rapid.T) {
+				steps++
+				m.check(t)
+			},
 		})
 	})
 }
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -115,6 +115,7 @@
 					want = tc.streamed
 				}
 				checkAnswer(t, got, stream, want)
+				is.Equal(len(f.refreshed) > 0, tc.name == "not assigned yet")
 				if !stream {
 					is.Equal(a.generations.Load(), tc.tries[0])
 					is.Equal(b.generations.Load(), tc.tries[1])
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -136,6 +136,7 @@
 	client    *http.Client
 	records   *recorder
 	refreshed chan string
+	stop      func() // ends the router; called at the end of the test if not before
 }
 
 type recorder struct {
@@ -217,19 +218,25 @@
 	}
 	f.router = router.New(router.Options{
 		Host: "r1", View: f.view, Pool: pool, Claims: claims, Records: f.records, Log: quiet, MaxBodyBytes: 4096,
-		Refresh: func(host string) { f.refreshed <- host },
+		Refresh: func(host string) {
+			select {
+			case f.refreshed <- host:
+			default:
+			}
+		},
 	})
 	running.Go(func() { _ = f.router.Run(ctx) })
 	server := httptest.NewServer(f.router.Handler())
 	f.url = server.URL
 	f.client = server.Client()
-	t.Cleanup(func() {
+	f.stop = sync.OnceFunc(func() {
 		server.Close()
 		_ = f.router.Wait(context.Background())
 		cancel()
 		running.Wait()
 		pool.Close()
 	})
+	t.Cleanup(f.stop)
 }
 
 // report sets the load report of a host that holds one replica.
