--- a/internal/router/outcomes_test.go
+++ b/internal/router/outcomes_test.go
@@ -24,6 +24,8 @@
 	refuseWith(apiv1.RefusalKind_REFUSAL_KIND_UPSTREAM, true),
 }
 
+var tableFaults = []tabletest.Fault{tabletest.None, tabletest.None, tabletest.None, tabletest.LostAnswer, tabletest.Down}
+
 // callFault is what a sidecar may do with a call: cut or refuse it, before or
 // after it ran, or answer it.
 type callFault struct{ runs, refuses, unknown, answers bool }
@@ -45,6 +47,7 @@
 	a, b := newFakeSidecar(t, "a"), newFakeSidecar(t, "b")
 	rapid.Check(t, func(rt *rapid.T) {
 		script := rapid.SliceOfN(rapid.IntRange(0, len(faults)*len(callFaults)-1), 32, 32).Draw(rt, "script")
+		table := tabletest.New()
 		var next atomic.Int64
 		draw := func(n int) int { return script[int(next.Add(1))%len(script)] % n }
 		var runs sync.Map  // call key -> *atomic.Int64
@@ -52,16 +55,18 @@
 		for _, s := range []*fakeSidecar{a, b} {
 			s.generate = func(s *transport.Stream, req *apiv1.GenerateRequest) { faults[draw(len(faults))](s, req) }
 			s.call = func(s *transport.Stream, req *apiv1.CallRequest, body []byte) {
+				table.SetFault(tableFaults[draw(len(tableFaults))]) // for the write of the outcome
 				callFaults[draw(len(callFaults))].play(s, req, &runs, string(body))
 			}
 		}
-		f := newFixture(t, tabletest.New(), a, b)
+		f := newFixture(t, table, a, b)
 		f.report("a", 0, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
 		var callers sync.WaitGroup
 		for i := range 8 {
 			callers.Go(func() {
 				stream := i%2 == 0
 				got := f.chat(t, stream)
+				table.SetFault(tabletest.None)
 				want := got.outcome()
 				if _, finished, _ := readAnswer(t, got, stream); got.status == http.StatusOK && !finished {
 					want = "unknown"
