--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -86,6 +86,7 @@
 	return placement.State{
 		Config:    snapshot.Config,
 		Slots:     snapshot.Slots,
+		Listing:   snapshot.Hosts.Hosts,
 		Hosts:     snapshot.ByHost,
 		HostReads: snapshot.HostReads,
 		Drains:    snapshot.Drains,
--- a/internal/placement/hosts.go
+++ b/internal/placement/hosts.go
@@ -21,24 +21,19 @@
 // hostFinder chooses hosts for the slots of one round.
 type hostFinder struct {
 	state State
-	// pools holds the hosts of each pool; it is filled at the first choice.
-	pools map[string][]platform.Host
 	// assignedMiB and slots count what each host is assigned, over all models.
+	// They are filled at the first choice.
 	assignedMiB map[string]uint64
 	slots       map[string]int
 }
 
 func newHostFinder(s State) *hostFinder { return &hostFinder{state: s} }
 
-// fill indexes hosts and slots once a choice is needed.
+// fill counts what the hosts are assigned once a choice is needed.
 func (f *hostFinder) fill() {
-	if f.pools != nil {
+	if f.slots != nil {
 		return
 	}
-	f.pools = make(map[string][]platform.Host)
-	for _, h := range f.state.Hosts {
-		f.pools[h.Pool] = append(f.pools[h.Pool], h)
-	}
 	f.assignedMiB = make(map[string]uint64)
 	f.slots = make(map[string]int)
 	for model, slots := range f.state.Slots {
@@ -88,7 +83,8 @@
 	f.fill()
 	q := f.search(n)
 	var best []candidate
-	for _, host := range f.pools[q.placement.GetPool()] {
+	for i := range f.state.Listing {
+		host := &f.state.Listing[i]
 		if f.eligible(host, q) {
 			best = insert(best, f.candidate(host, q), q.spread)
 		}
@@ -125,8 +121,8 @@
 	return q
 }
 
-func (f *hostFinder) eligible(host platform.Host, q search) bool {
-	if q.holders[host.ID] || !allowed(host, q.placement) {
+func (f *hostFinder) eligible(host *platform.Host, q search) bool {
+	if !allowed(host, q.placement) || q.holders[host.ID] {
 		return false
 	}
 	if host.MemoryMiB > 0 && host.MemoryMiB < q.version.GetMemoryMib() {
@@ -135,7 +131,7 @@
 	return !f.state.draining(host) && !f.state.Silent[host.ID]
 }
 
-func (f *hostFinder) candidate(host platform.Host, q search) candidate {
+func (f *hostFinder) candidate(host *platform.Host, q search) candidate {
 	report := f.state.report(host.ID)
 	c := candidate{
 		host:      host.ID,
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -60,9 +60,9 @@
 		m.silent = append(m.silent, slot)
 	case !listed:
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonUnlisted})
-	case repeated || !allowed(host, p):
+	case repeated || !allowed(&host, p):
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonMisplaced})
-	case s.draining(host):
+	case s.draining(&host):
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonDraining})
 	case s.Silent[id]:
 		m.silent = append(m.silent, slot)
@@ -72,7 +72,7 @@
 }
 
 // allowed reports whether a placement names the host's pool and domain.
-func allowed(host platform.Host, p *apiv1.Placement) bool {
+func allowed(host *platform.Host, p *apiv1.Placement) bool {
 	if host.Role != platform.RoleUpstream || host.Pool != p.GetPool() {
 		return false
 	}
@@ -81,7 +81,7 @@
 }
 
 // draining reports whether a listed host takes no new work.
-func (s State) draining(host platform.Host) bool {
+func (s State) draining(host *platform.Host) bool {
 	return host.State != platform.HostLive || s.Drains[host.ID] || s.report(host.ID).GetDraining()
 }
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -24,7 +24,9 @@
 	Config *config.Index
 	// Slots holds the slot rows of every model, ordered by slot number.
 	Slots map[string][]view.Slot
-	// Hosts is the last host list by id.
+	// Listing is the last host list.
+	Listing []platform.Host
+	// Hosts is the same list by id.
 	Hosts map[string]platform.Host
 	// HostReads counts how often the host list was read; 0 gives no orders.
 	HostReads uint64
