placement: short silence adds nothing; decider: real gate in its machine

A host that fails one call, or is missing from one read of the list, no longer gets its slots made up for elsewhere at once: silence counts after SilentAfter. The number of models short of usable slots is in Stats. A router that is not in the list of live routers ranks last for every lease, so a leaving one hands its leases over. The sidecars of the decider's machine use the agent's slots gate. A constant load of 0 to 29 requests settles and then changes nothing for 10 minutes (TestConstantLoadDoesNotThrash).

--- a/internal/decider/commit.go
+++ b/internal/decider/commit.go
@@ -55,8 +55,8 @@
 			d.failures++
 			return
 		}
+		d.failures = 0
 	}
-	d.failures = 0
 }
 
 // commit writes one order. Its transaction checks the shard's epoch and every
--- a/internal/decider/decider.go
+++ b/internal/decider/decider.go
@@ -79,13 +79,16 @@
 	ReleaseFailures uint64 `json:"release_failures"`
 	// Stranded is the number of releasing slots whose host does not answer.
 	Stranded uint64 `json:"stranded"`
+	// ModelsShort is the number of models with fewer usable slots than their
+	// min_replicas.
+	ModelsShort uint64 `json:"models_short"`
 	// ShardsHeld is the number of shards decided in the last round.
 	ShardsHeld uint64 `json:"shards_held"`
 }
 
 type counters struct {
 	rounds, committed, conflicts, unknown, releases, releaseFailures atomic.Uint64
-	stranded, shardsHeld                                             atomic.Uint64
+	stranded, modelsShort, shardsHeld                                atomic.Uint64
 }
 
 // Decider runs the decision loop.
@@ -202,6 +205,7 @@
 		Releases:        d.stats.releases.Load(),
 		ReleaseFailures: d.stats.releaseFailures.Load(),
 		Stranded:        d.stats.stranded.Load(),
+		ModelsShort:     d.stats.modelsShort.Load(),
 		ShardsHeld:      d.stats.shardsHeld.Load(),
 	}
 }
--- a/internal/decider/machine_test.go
+++ b/internal/decider/machine_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
@@ -27,7 +28,7 @@
 
 // hello is what a router knows of a sidecar's boot.
 type hello struct {
-	boot int
+	boot string
 	// read is true once the table was read after the boot was learned.
 	read bool
 }
@@ -72,7 +73,7 @@
 	listDown bool
 
 	// rows and epochs are the oracle's copy of the table.
-	rows   map[slotKey]*apiv1.SlotRow
+	rows   map[slots.Key]*apiv1.SlotRow
 	epochs map[string]uint64
 	sent   map[string]sentTxn
 }
@@ -81,12 +82,12 @@
 	m := &machine{
 		t: t, now: time.Unix(1_800_000_000, 0), table: tabletest.New(),
 		sidecars: make(map[string]*sidecar),
-		rows:     make(map[slotKey]*apiv1.SlotRow), epochs: make(map[string]uint64),
+		rows:     make(map[slots.Key]*apiv1.SlotRow), epochs: make(map[string]uint64),
 		sent: make(map[string]sentTxn),
 	}
 	m.table.OnApplied(m.applied)
 	for _, host := range hostNames {
-		s := &sidecar{host: host, alive: true, loaded: make(map[slotKey]uint64)}
+		s := &sidecar{host: host, alive: true, loaded: make(map[slots.Key]uint64)}
 		s.reset()
 		m.sidecars[host] = s
 	}
@@ -235,8 +236,8 @@
 // greet learns a sidecar's boot, push hands it the slots of the view.
 func (m *machine) greet(r *router, s *sidecar) {
 	_, listed := r.view.Load().ByHost[s.host]
-	if listed && s.answers() && r.hellos[s.host].boot != s.boot {
-		r.hellos[s.host] = hello{boot: s.boot}
+	if listed && s.answers() && r.hellos[s.host].boot != s.gate.BootID() {
+		r.hellos[s.host] = hello{boot: s.gate.BootID()}
 	}
 }
 
@@ -246,11 +247,17 @@
 		return
 	}
 	snapshot := r.view.Load()
-	p := push{to: s, boot: h.boot, revision: snapshot.TableRevision, slots: make(map[slotKey]uint64)}
+	list := &apiv1.AssignSlots{
+		BootId:         h.boot,
+		ConfigRevision: snapshot.Config.Revision,
+		TableRevision:  uint64(snapshot.TableRevision),
+	}
 	for _, slot := range snapshot.SlotsOn(s.host) {
-		p.slots[slotKey{slot.Row.GetModel(), slot.Row.GetSlot()}] = slot.Row.GetGeneration()
+		list.Slots = append(list.Slots, &apiv1.SlotSpec{
+			Model: slot.Row.GetModel(), Slot: slot.Row.GetSlot(), Generation: slot.Row.GetGeneration(),
+		})
 	}
-	m.pushes = append(m.pushes, p)
+	m.pushes = append(m.pushes, push{s, list})
 }
 
 // deliver lets one push arrive; pushes overtake each other.
@@ -261,7 +268,7 @@
 	i := rapid.IntRange(0, len(m.pushes)-1).Draw(m.t, "push")
 	p := m.pushes[i]
 	m.pushes = append(m.pushes[:i], m.pushes[i+1:]...)
-	p.to.assign(p)
+	p.to.assign(p.list)
 }
 
 // contact is a router's whole exchange with one sidecar.
@@ -328,7 +335,7 @@
 			m.t.Fatal(err)
 		}
 		m.checkWrite(m.sent[txn.ID], next)
-		m.rows[slotKey{next.GetModel(), next.GetSlot()}] = next
+		m.rows[slots.Key{Model: next.GetModel(), Slot: next.GetSlot()}] = next
 		m.checkRows(m.sent[txn.ID], next)
 	}
 }
--- a/internal/decider/oracle_test.go
+++ b/internal/decider/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
@@ -20,7 +21,7 @@
 	if sent.guards[name].Epoch != m.epochs[name] {
 		m.t.Fatalf("%v written under epoch %d in epoch %d", next, sent.guards[name].Epoch, m.epochs[name])
 	}
-	old := m.rows[slotKey{next.GetModel(), next.GetSlot()}]
+	old := m.rows[slots.Key{Model: next.GetModel(), Slot: next.GetSlot()}]
 	grown := next.GetGeneration() == old.GetGeneration()+1
 	same := next.GetGeneration() == old.GetGeneration()
 	sameHost := next.GetHost() == old.GetHost()
@@ -46,7 +47,7 @@
 	}
 	used, sameHost := 0, 0
 	for key, row := range m.rows {
-		if key.model != next.GetModel() || row.GetState() == free {
+		if key.Model != next.GetModel() || row.GetState() == free {
 			continue
 		}
 		used++
@@ -112,10 +113,10 @@
 	usable, used := make(map[string]int), make(map[string]int)
 	for key, row := range m.rows {
 		if row.GetState() != free {
-			used[key.model]++
+			used[key.Model]++
 		}
 		if row.GetState() == assigned && m.sidecars[row.GetHost()].alive {
-			usable[key.model]++
+			usable[key.Model]++
 		}
 	}
 	for _, model := range modelNames {
--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -32,6 +32,7 @@
 	}
 	state := d.state(held)
 	d.memory.Observe(state)
+	d.stats.modelsShort.Store(uint64(placement.ModelsShort(state)))
 	d.release(ctx, state)
 	state.Confirmed = d.releases.confirmedSlots()
 	d.execute(ctx, held, state.Config, placement.Decide(state))
@@ -71,6 +72,7 @@
 		d.warn("slots not read after a takeover: check the table service", "err", err)
 		return false
 	}
+	d.failures = 0
 	// The revision is left out: rows under other prefixes were not read.
 	d.opts.View.ApplyRows(platform.Changes{Rows: changes.Rows})
 	for shard, guard := range held {
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
@@ -16,79 +18,59 @@
 
 var errSilent = errors.New("sidecar does not answer")
 
-// slotKey names a slot row.
-type slotKey struct {
-	model string
-	slot  uint32
-}
-
-// sidecar is the simplest sidecar that keeps the rules of the wire: it loads
-// only slots handed to this boot, and never a generation that it has released.
+// sidecar is the simplest one that keeps the rules of the wire, with the gate of
+// the real one: it loads only slots handed to this boot, and never a generation
+// that it has released.
 type sidecar struct {
 	host     string
 	alive    bool
 	frozen   bool
 	draining bool
 	boot     int
-	revision int64
-	assigned map[slotKey]uint64
-	released map[slotKey]uint64
+	gate     *slots.Gate
 	// loaded is what the engine holds; it outlives a restart of the sidecar.
-	loaded map[slotKey]uint64
+	loaded map[slots.Key]uint64
 }
 
 // reset starts a new sidecar process.
 func (s *sidecar) reset() {
 	s.boot++
-	s.revision = 0
-	s.assigned = make(map[slotKey]uint64)
-	s.released = make(map[slotKey]uint64)
+	s.gate = slots.New(fmt.Sprintf("%s-%d", s.host, s.boot))
 }
 
 func (s *sidecar) answers() bool { return s.alive && !s.frozen }
 
 // push is an AssignSlots on its way to a sidecar.
 type push struct {
-	to       *sidecar
-	boot     int
-	revision int64
-	slots    map[slotKey]uint64
+	to   *sidecar
+	list *apiv1.AssignSlots
 }
 
-func (s *sidecar) assign(p push) {
-	if !s.answers() || p.boot != s.boot || p.revision < s.revision {
+// assign takes over a list, and unloads what it no longer names.
+func (s *sidecar) assign(list *apiv1.AssignSlots) {
+	if !s.answers() || s.gate.Assign(list) != nil {
 		return
 	}
-	s.revision = p.revision
-	s.assigned = make(map[slotKey]uint64)
-	for key, generation := range p.slots {
-		if generation > s.released[key] {
-			s.assigned[key] = generation
-		}
-	}
 	for key, generation := range s.loaded {
-		if s.assigned[key] != generation {
+		if s.gate.Spec(key, generation) == nil {
 			delete(s.loaded, key)
 		}
 	}
 }
 
-// load starts the load of every slot that it may load.
+// load loads every slot that the gate allows.
 func (s *sidecar) load() {
 	if !s.answers() {
 		return
 	}
-	for key, generation := range s.assigned {
-		s.loaded[key] = generation
+	for _, spec := range s.gate.Specs() {
+		s.loaded[slots.KeyOf(spec)] = spec.GetGeneration()
 	}
 }
 
 func (s *sidecar) release(o *apiv1.ReleaseSlot) {
-	key := slotKey{o.GetModel(), o.GetSlot()}
-	s.released[key] = max(s.released[key], o.GetGeneration())
-	if s.assigned[key] <= o.GetGeneration() {
-		delete(s.assigned, key)
-	}
+	key := slots.Key{Model: o.GetModel(), Slot: o.GetSlot()}
+	s.gate.Release(key, o.GetGeneration())
 	if s.loaded[key] <= o.GetGeneration() {
 		delete(s.loaded, key)
 	}
@@ -161,7 +143,7 @@
 // kill ends a host for good or for a time; what it had loaded is gone.
 func (m *machine) kill(s *sidecar) {
 	s.alive = false
-	s.loaded = make(map[slotKey]uint64)
+	s.loaded = make(map[slots.Key]uint64)
 	m.relist()
 }
 
--- a/internal/lease/spread.go
+++ b/internal/lease/spread.go
@@ -23,8 +23,12 @@
 	}
 }
 
-// rankOf counts the peers that a lease prefers to holder.
+// rankOf counts the peers that a lease prefers to holder. A holder that is not
+// among the live routers, as it leaves or has just come, ranks last.
 func rankOf(name, holder string, peers []string) int {
+	if !slices.Contains(peers, holder) {
+		return len(peers)
+	}
 	own := weight(name, holder)
 	rank := 0
 	for _, peer := range peers {
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -157,6 +157,10 @@
 			f.slot("m", assigned, "b1")
 			f.Drains["b1"], f.Silent["a1"] = true, true
 		}, []string{"release m/1 b1 g3: host draining or leaving"}},
+		{"a short silence adds nothing", 1, 2, time.Second, func(f *fixture) {
+			f.slot("m", assigned, "a1")
+			f.Silent["a1"] = true
+		}, nil},
 		{"silence never frees or releases", 1, 1, day, func(f *fixture) {
 			f.slot("m", assigned, "a1")
 			f.Silent["a1"] = true
@@ -276,6 +280,50 @@
 	is.Equal(len(Decide(f.State)), 0)
 }
 
+// Under any constant load the slots settle and then stay.
+func TestConstantLoadDoesNotThrash(t *testing.T) {
+	for inFlight := range uint32(30) {
+		is := is.New(t)
+		f := newFixture(1, 4)
+		changes := 0
+		for second := range 1200 {
+			f.Now = testStart.Add(time.Duration(second) * time.Second)
+			f.HostReads++
+			f.share(inFlight)
+			f.Memory.Observe(f.State)
+			orders := Decide(f.State)
+			for _, o := range orders {
+				f.apply(o)
+			}
+			if second > 600 {
+				changes += len(orders)
+			}
+		}
+		is.Equal(changes, 0)
+		used := uint32(len(f.Slots["m"]))
+		is.True(used == 4 || inFlight <= 4*used) // enough slots for the load
+		is.True(used == 1 || inFlight > 4*(used-1))
+	}
+}
+
+// share spreads requests in flight evenly over the model's ready replicas.
+func (f *fixture) share(inFlight uint32) {
+	clear(f.reports)
+	slots := uint32(len(f.Slots["m"]))
+	for i, slot := range f.Slots["m"] {
+		part := inFlight / slots
+		if uint32(i) < inFlight%slots {
+			part++
+		}
+		f.load(slot.Row.GetHost(), slot.Row.GetSlot(), ready, part)
+	}
+}
+
+// apply carries out an order that adds a slot.
+func (f *fixture) apply(o Order) {
+	f.slot("m", assigned, o.Host)
+}
+
 // A small budget goes to the most urgent orders, and the rest follow.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/memory.go
+++ b/internal/placement/memory.go
@@ -16,7 +16,9 @@
 	unlisted map[string]absence
 	// releasing is when a slot was first seen releasing on an unlisted host.
 	releasing map[SlotID]time.Time
-	loads     map[string]loadMemory
+	// silent is when a host was first seen silent.
+	silent map[string]time.Time
+	loads  map[string]loadMemory
 }
 
 // absence is the span over which every read of the host list missed a host.
@@ -29,6 +31,7 @@
 	return &Memory{
 		unlisted:  make(map[string]absence),
 		releasing: make(map[SlotID]time.Time),
+		silent:    make(map[string]time.Time),
 		loads:     make(map[string]loadMemory),
 	}
 }
@@ -40,6 +43,7 @@
 		m.observeHosts(s)
 	}
 	m.observeReleasing(s)
+	m.observeSilent(s)
 	m.observeLoads(s)
 }
 
@@ -81,6 +85,27 @@
 	m.releasing = seen
 }
 
+func (m *Memory) observeSilent(s State) {
+	silent := make(map[string]time.Time, len(s.Silent))
+	for host := range s.Silent {
+		since, known := m.silent[host]
+		if !known {
+			since = s.Now
+		}
+		silent[host] = since
+	}
+	m.silent = silent
+}
+
+// silentFor is how long a host has been silent.
+func (m *Memory) silentFor(host string, now time.Time) time.Duration {
+	since, silent := m.silent[host]
+	if !silent {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // unlistedFor is the span over which the host list was read without the host.
 func (m *Memory) unlistedFor(host string) time.Duration {
 	a := m.unlisted[host]
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -14,10 +14,11 @@
 	free []view.Slot
 	// releasing slots still count against max_replicas.
 	releasing []view.Slot
-	// usable slots are assigned to hosts that may keep them.
+	// usable slots are assigned to hosts that may keep them. They include those
+	// whose host has been silent or unlisted for a moment only.
 	usable []view.Slot
-	// silent slots are assigned to hosts that don't answer or have just
-	// vanished from the list. They are neither used nor released.
+	// silent slots are assigned to hosts that don't answer. They are neither
+	// used nor released.
 	silent []view.Slot
 	// leaving slots are assigned to hosts that must give them up.
 	leaving []leavingSlot
@@ -57,14 +58,14 @@
 	hosts[id] = true
 	switch {
 	case !listed && s.Memory.unlistedFor(id) < s.Timing.UnlistedRelease:
-		m.silent = append(m.silent, slot)
+		m.usable = append(m.usable, slot)
 	case !listed:
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonUnlisted})
 	case repeated || !allowed(&host, p):
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonMisplaced})
 	case s.draining(&host):
 		m.leaving = append(m.leaving, leavingSlot{slot, ReasonDraining})
-	case s.Silent[id]:
+	case s.Memory.silentFor(id, s.Now) > s.Timing.SilentAfter:
 		m.silent = append(m.silent, slot)
 	default:
 		m.usable = append(m.usable, slot)
@@ -89,8 +90,7 @@
 func (s State) modelNeeds(name string, p *apiv1.Placement) []need {
 	m := s.sortSlots(name, p)
 	needs := s.freeNeeds(m)
-	most := max(1, int(p.GetMaxReplicas()))
-	least := min(max(1, int(p.GetMinReplicas())), most)
+	least, most := limits(p)
 	change := s.Memory.loads[name].change(s.Now, s.Timing)
 	want := min(max(len(m.usable)+change, least), most)
 	switch {
@@ -106,6 +106,33 @@
 	return needs
 }
 
+// limits returns the fewest and the most slots of a model.
+func limits(p *apiv1.Placement) (least, most int) {
+	most = max(1, int(p.GetMaxReplicas()))
+	least = min(max(1, int(p.GetMinReplicas())), most)
+	return least, most
+}
+
+// ModelsShort counts the models that the caller decides for and that have fewer
+// usable slots than min_replicas.
+func ModelsShort(s State) int {
+	if s.Config == nil {
+		return 0
+	}
+	short := 0
+	for _, m := range s.Config.Set.GetModels() {
+		p := s.Config.Placement(m.GetPlacement())
+		if p == nil || !s.mine(m.GetName()) {
+			continue
+		}
+		sorted := s.sortSlots(m.GetName(), p)
+		if least, _ := limits(p); len(sorted.usable) < least {
+			short++
+		}
+	}
+	return short
+}
+
 // unconfiguredNeeds releases every slot of a model that isn't configured.
 func (s State) unconfiguredNeeds(name string) []need {
 	var needs []need
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -55,6 +55,9 @@
 
 // Timing holds the waiting times of the rules.
 type Timing struct {
+	// SilentAfter is how long a host is silent before its slots are made up for
+	// elsewhere.
+	SilentAfter time.Duration
 	// UnlistedRelease is how long a host is unlisted before its slots are
 	// released.
 	UnlistedRelease time.Duration
@@ -73,6 +76,7 @@
 // DefaultTiming returns the waiting times used in production.
 func DefaultTiming() Timing {
 	return Timing{
+		SilentAfter:     5 * time.Second,
 		UnlistedRelease: 2 * time.Second,
 		HostGone:        5 * time.Second,
 		ScaleUp:         2 * time.Second,
