--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -151,6 +152,12 @@
 			hosts[slot.Row.GetHost()] = true
 		}
 	}
+	slices.SortFunc(releasing, func(a, b view.Slot) int {
+		return cmp.Or(
+			cmp.Compare(a.Row.GetModel(), b.Row.GetModel()),
+			cmp.Compare(a.Row.GetSlot(), b.Row.GetSlot()),
+		)
+	})
 	d.noteHosts(hosts)
 	d.releases.ask(ctx, releasing, state.Hosts)
 }
