decider: wait for slow releases, and probe silent hosts with one call

Cause: a sidecar answers a release after the unload or after 30 s; a call ended after 5 s counted its host as silent. Change: calls end after 35 s, so that a live sidecar always answers and a frozen one fails by the session's keep-alive. Silent hosts get one call at a time, so that they can't use up the limit of 64 calls (TestFrozenSidecarHoldsUpNoRound).

--- a/internal/decider/fleet_test.go
+++ b/internal/decider/fleet_test.go
@@ -165,3 +165,42 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// frozen sidecars leave every call open until its context ends.
+type frozen struct{ calls chan string }
+
+func (f frozen) Release(ctx context.Context, host string, _ *apiv1.ReleaseSlot) (*apiv1.ReleaseReply, error) {
+	f.calls <- host
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// A host that doesn't answer holds up no round, is silent once its call has
+// failed, and then gets one call at a time.
+func TestFrozenSidecarHoldsUpNoRound(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	sidecars := frozen{make(chan string, 8)}
+	r := newReleaser(sidecars, &counters{}, func() time.Time { return now })
+	hosts := map[string]platform.Host{"host": {}}
+	var releasing []view.Slot
+	for slot := range uint32(3) {
+		row := &apiv1.SlotRow{Model: "m", Slot: slot, Host: "host", Generation: 1, State: apiv1.SlotState_SLOT_STATE_RELEASING}
+		releasing = append(releasing, view.Slot{Row: row})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.ask(ctx, releasing, hosts)
+	r.ask(ctx, releasing, hosts) // each slot is asked for once
+	cancel()
+	r.wait()
+	is.Equal(len(sidecars.calls), 3)
+	is.True(r.silentHosts()["host"])
+	is.Equal(len(r.confirmedSlots()), 0)
+
+	now = now.Add(time.Minute)
+	ctx, cancel = context.WithCancel(context.Background())
+	r.ask(ctx, releasing, hosts)
+	cancel()
+	r.wait()
+	is.Equal(len(sidecars.calls), 4)
+}
--- a/internal/decider/releases.go
+++ b/internal/decider/releases.go
@@ -15,8 +15,10 @@
 
 // Limits of the calls to sidecars.
 const (
-	maxReleaseCalls    = 16
-	releaseTimeout     = 5 * time.Second
+	maxReleaseCalls = 64
+	// releaseTimeout is longer than a live sidecar waits for running requests
+	// before it answers that the slot is not released yet.
+	releaseTimeout     = 35 * time.Second
 	releaseRetryFirst  = 250 * time.Millisecond
 	releaseRetryLimit  = 5 * time.Second
 	releaseRetryFactor = 2
@@ -43,20 +45,23 @@
 	spawn func(func())
 	calls sync.WaitGroup
 
-	mu       sync.Mutex
-	running  int
-	releases map[placement.SlotID]*release
+	mu      sync.Mutex
+	running int
+	// runningOn counts the calls that are out to each host.
+	runningOn map[string]int
+	releases  map[placement.SlotID]*release
 	// silent holds the hosts whose last call was not answered.
 	silent map[string]bool
 }
 
 func newReleaser(sidecars Sidecars, stats *counters, now func() time.Time) *releaser {
 	r := &releaser{
-		sidecars: sidecars,
-		stats:    stats,
-		now:      now,
-		releases: make(map[placement.SlotID]*release),
-		silent:   make(map[string]bool),
+		sidecars:  sidecars,
+		stats:     stats,
+		now:       now,
+		runningOn: make(map[string]int),
+		releases:  make(map[placement.SlotID]*release),
+		silent:    make(map[string]bool),
 	}
 	r.spawn = r.calls.Go
 	return r
@@ -86,17 +91,29 @@
 		if !rel.confirmed && (!listed || r.silent[host]) {
 			stranded++
 		}
-		if !listed || rel.confirmed || rel.running || r.running >= maxReleaseCalls || r.now().Before(rel.next) {
-			continue
+		if listed && r.mayCall(rel) {
+			rel.running = true
+			r.running++
+			r.runningOn[host]++
+			due = append(due, slot)
 		}
-		rel.running = true
-		r.running++
-		due = append(due, slot)
 	}
 	r.stats.stranded.Store(stranded)
 	return due
 }
 
+// mayCall reports whether a call is due and within the limits. A silent host
+// gets one call at a time, so that it can't hold up the others.
+func (r *releaser) mayCall(rel *release) bool {
+	if rel.confirmed || rel.running || r.running >= maxReleaseCalls {
+		return false
+	}
+	if r.silent[rel.host] && r.runningOn[rel.host] > 0 {
+		return false
+	}
+	return !r.now().Before(rel.next)
+}
+
 // prune forgets releases that have ended and hosts that have none left.
 func (r *releaser) prune(releasing []view.Slot, hosts map[string]platform.Host) {
 	kept := make(map[placement.SlotID]bool, len(releasing))
@@ -148,9 +165,13 @@
 func (r *releaser) answered(slot view.Slot, reply *apiv1.ReleaseReply, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running--
 	rel := r.releases[placement.IDOf(slot)]
 	rel.running = false
+	r.running--
+	r.runningOn[rel.host]--
+	if r.runningOn[rel.host] == 0 {
+		delete(r.runningOn, rel.host)
+	}
 	if err != nil {
 		r.silent[rel.host] = true
 	} else {
