--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,12 +16,6 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
-const (
-	assigned  = apiv1.SlotState_SLOT_STATE_ASSIGNED
-	releasing = apiv1.SlotState_SLOT_STATE_RELEASING
-	free      = apiv1.SlotState_SLOT_STATE_FREE
-)
-
 var testStart = time.Unix(1_800_000_000, 0)
 
 // fixture is a state with one model "m" of 400 MiB and the hosts a1, a2, b1 and
@@ -63,19 +59,64 @@
 	f.Slots[model] = append(f.Slots[model], view.Slot{Row: row, Version: 9})
 }
 
-// load reports the replica of slot n of "m" on a host.
-func (f *fixture) load(host string, n uint32, state apiv1.ReplicaState, inFlight uint32) {
-	f.reports[host] = &apiv1.LoadReport{Host: host, Replicas: []*apiv1.ReplicaReport{{
-		Model: "m", Slot: n, Generation: 3, State: state, InFlight: inFlight,
-	}}}
+func (f *fixture) report(host string) *apiv1.LoadReport {
+	if f.reports[host] == nil {
+		f.reports[host] = &apiv1.LoadReport{Host: host}
+	}
+	return f.reports[host]
 }
 
-func (f *fixture) cached(host string, tier apiv1.CheckpointTier) {
-	f.reports[host] = &apiv1.LoadReport{Host: host, Cached: []*apiv1.CachedCheckpoint{{Checkpoint: "c", Tier: tier}}}
+// load reports the replica of a slot of "m".
+func (f *fixture) load(slot uint32, state apiv1.ReplicaState, inFlight uint32) {
+	report := f.report(f.Slots["m"][slot].Row.GetHost())
+	report.Replicas = append(report.Replicas, &apiv1.ReplicaReport{
+		Model: "m", Slot: slot, Generation: 3, State: state, InFlight: inFlight,
+	})
+}
+
+// set takes words of the form "what:subject=value".
+func (f *fixture) set(t *testing.T, words string) {
+	for word := range strings.FieldsSeq(words) {
+		what, rest, _ := strings.Cut(word, ":")
+		subject, text, _ := strings.Cut(rest, "=")
+		value, _ := strconv.Atoi(text)
+		number, _ := strconv.Atoi(subject)
+		switch what {
+		case "assigned":
+			f.slot(text, apiv1.SlotState_SLOT_STATE_ASSIGNED, subject)
+		case "releasing":
+			f.slot(text, apiv1.SlotState_SLOT_STATE_RELEASING, subject)
+		case "free":
+			f.slot(text, apiv1.SlotState_SLOT_STATE_FREE, "")
+		case "confirmed":
+			f.Confirmed[SlotID{"m", uint32(number), uint64(value)}] = true
+		case "drain":
+			f.Drains[subject] = true
+		case "silent":
+			f.Silent[subject] = true
+		case "cached":
+			tier := apiv1.CheckpointTier(apiv1.CheckpointTier_value["CHECKPOINT_TIER_"+text])
+			f.report(subject).Cached = []*apiv1.CachedCheckpoint{{Checkpoint: "c", Tier: tier}}
+		case "reserved":
+			f.report(subject).MemoryReservedMib = uint32(value)
+		case "ready":
+			f.load(uint32(number), apiv1.ReplicaState_REPLICA_STATE_READY, uint32(value))
+		case "cold":
+			f.load(uint32(number), apiv1.ReplicaState_REPLICA_STATE_COLD, 0)
+		case "memory":
+			for i := range f.Listing {
+				f.Listing[i].MemoryMiB = uint32(value)
+			}
+		case "pool":
+			f.list(platform.Host{ID: subject, Role: platform.RoleUpstream, Pool: text, State: platform.HostLive})
+		default:
+			t.Fatalf("unknown word %q", word)
+		}
+	}
 }
 
 // decide observes and decides after a time in which all stayed as it is.
-func (f *fixture) decide(after time.Duration) []string {
+func (f *fixture) decide(after time.Duration) string {
 	for step := time.Duration(0); step <= after; step += time.Second {
 		f.Now = testStart.Add(step)
 		f.HostReads++
@@ -85,179 +126,60 @@
 	for _, o := range Decide(f.State) {
 		got = append(got, fmt.Sprintf("%s %s/%d %s g%d: %s", o.Kind, o.Model, o.Slot, o.Host, o.Generation, o.Reason))
 	}
-	return got
+	return strings.Join(got, "; ")
 }
 
-const (
-	memory = apiv1.CheckpointTier_CHECKPOINT_TIER_MEMORY
-	disk   = apiv1.CheckpointTier_CHECKPOINT_TIER_DISK
-	ready  = apiv1.ReplicaState_REPLICA_STATE_READY
-	cold   = apiv1.ReplicaState_REPLICA_STATE_COLD
-)
-
 func TestDecide(t *testing.T) {
-	const day = 5 * time.Minute
+	const long = 5 * time.Minute
 	cases := []struct {
 		name        string
 		least, most uint32
 		after       time.Duration
-		setup       func(*fixture)
-		want        []string
+		state       string
+		want        string
 	}{
-		{"cached in memory comes first", 1, 1, 0, func(f *fixture) {
-			f.cached("b1", disk)
-			f.cached("b2", memory)
-		}, []string{"create m/0 b2 g1: below min_replicas"}},
-		{"disk before remote", 1, 1, 0, func(f *fixture) { f.cached("a2", disk) }, []string{"create m/0 a2 g1: below min_replicas"}},
-		{"an overcommitted host loses its cache's advantage", 1, 1, 0, func(f *fixture) {
-			f.cached("b1", memory)
-			f.reports["b1"].MemoryReservedMib = 1700
-			f.cached("b2", disk)
-		}, []string{"create m/0 b2 g1: below min_replicas"}},
-		{"the emptiest host", 1, 1, 0, func(f *fixture) {
-			for _, host := range []string{"a1", "a2", "b2"} {
-				f.reports[host] = &apiv1.LoadReport{MemoryReservedMib: 100}
-			}
-		}, []string{"create m/0 b1 g1: below min_replicas"}},
-		{"another failure domain, though the checkpoint is cached in the same", 2, 2, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.cached("a2", memory)
-			f.cached("b2", disk)
-		}, []string{"create m/1 b2 g1: below min_replicas"}},
-		{"a free row is used again with a higher generation", 1, 2, 0, func(f *fixture) {
-			f.slot("m", free, "")
-			f.cached("a1", memory)
-		}, []string{"assign m/0 a1 g4: below min_replicas"}},
-		{"a model too large for the hosts", 1, 1, 0, func(f *fixture) {
-			for i := range f.Listing {
-				f.Listing[i].MemoryMiB = 300
-			}
-		}, nil},
-		{"a draining host's slot is replaced first", 1, 2, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.Drains["a1"] = true
-			f.cached("b1", memory)
-		}, []string{"create m/1 b1 g1: replaces a slot that moves"}},
-		{"then released", 1, 2, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.Drains["a1"] = true
-		}, []string{"release m/0 a1 g3: host draining or leaving"}},
-		{"at max_replicas a draining host's slot is released first", 1, 1, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.Drains["a1"] = true
-		}, []string{"release m/0 a1 g3: host draining or leaving"}},
-		{"one move at a time", 2, 2, 0, func(f *fixture) {
-			f.slot("m", releasing, "a1")
-			f.slot("m", assigned, "b1")
-			f.Drains["a1"], f.Drains["b1"] = true, true
-		}, nil},
-		{"a stranded release doesn't hold up the other moves", 2, 2, 0, func(f *fixture) {
-			f.slot("m", releasing, "a1")
-			f.slot("m", assigned, "b1")
-			f.Drains["b1"], f.Silent["a1"] = true, true
-		}, []string{"release m/1 b1 g3: host draining or leaving"}},
-		{"a short silence adds nothing", 1, 2, time.Second, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.Silent["a1"] = true
-		}, nil},
-		{"silence never frees or releases", 1, 1, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.Silent["a1"] = true
-		}, nil},
-		{"silence is made up for under max_replicas", 1, 2, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.Silent["a1"] = true
-			f.cached("b1", memory)
-		}, []string{"create m/1 b1 g1: host of another slot is silent"}},
-		{"stranded slots count against max_replicas", 1, 1, day, func(f *fixture) {
-			f.slot("m", releasing, "a1")
-			f.Silent["a1"] = true
-		}, nil},
-		{"a confirmed release is freed", 1, 1, 0, func(f *fixture) {
-			f.slot("m", releasing, "a1")
-			f.Confirmed[SlotID{"m", 0, 3}] = true
-		}, []string{"free m/0 a1 g3: release confirmed"}},
-		{"the confirmation of an earlier generation doesn't count", 1, 1, 0, func(f *fixture) {
-			f.slot("m", releasing, "a1")
-			f.Confirmed[SlotID{"m", 0, 2}] = true
-		}, nil},
-		{"an unlisted host keeps its slot for a moment", 1, 1, time.Second, func(f *fixture) {
-			f.slot("m", assigned, "gone")
-		}, nil},
-		{"then it is released", 1, 1, 3 * time.Second, func(f *fixture) {
-			f.slot("m", assigned, "gone")
-		}, []string{"release m/0 gone g3: host not listed"}},
-		{"and freed after the grace period", 1, 1, 5 * time.Second, func(f *fixture) {
-			f.slot("m", releasing, "gone")
-		}, []string{"free m/0 gone g3: host gone"}},
-		{"a release is not freed before", 1, 1, 4 * time.Second, func(f *fixture) {
-			f.slot("m", releasing, "gone")
-		}, nil},
-		{"a host outside of the placement", 1, 1, 0, func(f *fixture) {
-			f.list(platform.Host{ID: "x", Role: platform.RoleUpstream, Pool: "other", State: platform.HostLive})
-			f.slot("m", assigned, "x")
-		}, []string{"release m/0 x g3: host not allowed by placement"}},
-		{"a model that isn't configured", 1, 1, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("old", assigned, "a1")
-			f.slot("old", releasing, "b1")
-		}, []string{"release old/0 a1 g3: model not configured"}},
-		{"all above max_replicas, the least busy first", 1, 1, 0, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "a2")
-			f.slot("m", assigned, "b1")
-			f.load("a2", 1, ready, 3)
-		}, []string{"release m/0 a1 g3: above max_replicas", "release m/2 b1 g3: above max_replicas"}},
-		{"a short peak adds nothing", 1, 3, time.Second, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.load("a1", 0, ready, 5)
-		}, nil},
-		{"a lasting load adds a slot where the checkpoint is cached", 1, 3, 20 * time.Second, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.load("a1", 0, ready, 5)
-			f.cached("a2", disk)
-		}, []string{"create m/1 a2 g1: above target_in_flight"}},
-		{"not while another replica is still cold", 1, 3, 20 * time.Second, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.load("a1", 0, ready, 9)
-			f.load("b1", 1, cold, 0)
-		}, nil},
-		{"not beyond max_replicas", 1, 1, 20 * time.Second, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.load("a1", 0, ready, 50)
-		}, nil},
-		{"an idle added slot is taken back", 1, 3, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.load("a1", 0, ready, 1)
-			f.load("b1", 1, ready, 0)
-		}, []string{"release m/1 b1 g3: more slots than the load needs"}},
-		{"not when the rest would be near the target", 1, 3, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.load("a1", 0, ready, 2)
-			f.load("b1", 1, ready, 1)
-		}, nil},
-		{"not when a report is missing", 1, 3, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.load("a1", 0, ready, 0)
-		}, nil},
-		{"not below min_replicas", 2, 3, day, func(f *fixture) {
-			f.slot("m", assigned, "a1")
-			f.slot("m", assigned, "b1")
-			f.load("a1", 0, ready, 0)
-			f.load("b1", 1, ready, 0)
-		}, nil},
+		{"cached in memory comes first", 1, 1, 0, "cached:b1=DISK cached:b2=MEMORY", "create m/0 b2 g1: below min_replicas"},
+		{"disk before remote", 1, 1, 0, "cached:a2=DISK", "create m/0 a2 g1: below min_replicas"},
+		{"an overcommitted host's cache doesn't count", 1, 1, 0, "cached:b1=MEMORY reserved:b1=1700 cached:b2=DISK", "create m/0 b2 g1: below min_replicas"},
+		{"the emptiest host", 1, 1, 0, "reserved:a1=100 reserved:a2=100 reserved:b2=100", "create m/0 b1 g1: below min_replicas"},
+		{"another failure domain before a nearer checkpoint", 2, 2, 0, "assigned:a1=m cached:a2=MEMORY cached:b2=DISK", "create m/1 b2 g1: below min_replicas"},
+		{"a free row is used again", 1, 2, 0, "free:=m cached:a1=MEMORY", "assign m/0 a1 g4: below min_replicas"},
+		{"a model too large for the hosts", 1, 1, 0, "memory:=300", ""},
+		{"a draining host's slot is replaced", 1, 2, 0, "assigned:a1=m drain:a1 cached:b1=MEMORY", "create m/1 b1 g1: replaces a slot that moves"},
+		{"and then released", 1, 2, 0, "assigned:a1=m assigned:b1=m drain:a1", "release m/0 a1 g3: host draining or leaving"},
+		{"at max_replicas it is released first", 1, 1, 0, "assigned:a1=m drain:a1", "release m/0 a1 g3: host draining or leaving"},
+		{"one move at a time", 2, 2, 0, "releasing:a1=m assigned:b1=m drain:a1 drain:b1", ""},
+		{"a stranded release holds up no other move", 2, 2, 0, "releasing:a1=m assigned:b1=m drain:b1 silent:a1", "release m/1 b1 g3: host draining or leaving"},
+		{"silence never frees or releases", 1, 1, long, "assigned:a1=m silent:a1", ""},
+		{"a short silence adds nothing", 1, 2, time.Second, "assigned:a1=m silent:a1", ""},
+		{"a long one does under max_replicas", 1, 2, long, "assigned:a1=m silent:a1 cached:b1=MEMORY", "create m/1 b1 g1: host of another slot is silent"},
+		{"stranded slots count", 1, 1, long, "releasing:a1=m silent:a1", ""},
+		{"a confirmed release is freed", 1, 1, 0, "releasing:a1=m confirmed:0=3", "free m/0 a1 g3: release confirmed"},
+		{"an earlier generation's confirmation doesn't count", 1, 1, 0, "releasing:a1=m confirmed:0=2", ""},
+		{"an unlisted host keeps its slot for a moment", 1, 1, time.Second, "assigned:gone=m", ""},
+		{"and then releases it", 1, 1, 3 * time.Second, "assigned:gone=m", "release m/0 gone g3: host not listed"},
+		{"which is freed after the grace period", 1, 1, 5 * time.Second, "releasing:gone=m", "free m/0 gone g3: host gone"},
+		{"and not before", 1, 1, 4 * time.Second, "releasing:gone=m", ""},
+		{"a host outside of the placement", 1, 1, 0, "pool:x=other assigned:x=m", "release m/0 x g3: host not allowed by placement"},
+		{"a model that isn't configured", 1, 1, 0, "assigned:a1=m assigned:a1=old releasing:b1=old", "release old/0 a1 g3: model not configured"},
+		{
+			"all above max_replicas, the least busy first", 1, 1, 0, "assigned:a1=m assigned:a2=m assigned:b1=m ready:1=3",
+			"release m/0 a1 g3: above max_replicas; release m/2 b1 g3: above max_replicas",
+		},
+		{"a short peak adds nothing", 1, 3, time.Second, "assigned:a1=m ready:0=5", ""},
+		{"a lasting load adds a slot near the checkpoint", 1, 3, 20 * time.Second, "assigned:a1=m ready:0=5 cached:a2=DISK", "create m/1 a2 g1: above target_in_flight"},
+		{"not while a replica is cold", 1, 3, 20 * time.Second, "assigned:a1=m assigned:b1=m ready:0=9 cold:1", ""},
+		{"not beyond max_replicas", 1, 1, 20 * time.Second, "assigned:a1=m ready:0=50", ""},
+		{"an idle added slot is taken back", 1, 3, long, "assigned:a1=m assigned:b1=m ready:0=1 ready:1=0", "release m/1 b1 g3: more slots than the load needs"},
+		{"not when the rest would be near the target", 1, 3, long, "assigned:a1=m assigned:b1=m ready:0=2 ready:1=1", ""},
+		{"not when a report is missing", 1, 3, long, "assigned:a1=m assigned:b1=m ready:0=0", ""},
+		{"not below min_replicas", 2, 3, long, "assigned:a1=m assigned:b1=m ready:0=0 ready:1=0", ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
 			f := newFixture(c.least, c.most)
-			c.setup(f)
-			is.Equal(f.decide(c.after), c.want)
+			f.set(t, c.state)
+			is.New(t).Equal(f.decide(c.after), c.want)
 		})
 	}
 }
@@ -266,7 +188,7 @@
 func TestKeptHostListFreesNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 1)
-	f.slot("m", releasing, "gone")
+	f.set(t, "releasing:gone=m")
 	f.Memory.Observe(f.State)
 	f.Now = testStart.Add(time.Hour)
 	f.Memory.Observe(f.State)
@@ -293,7 +215,7 @@
 			f.Memory.Observe(f.State)
 			orders := Decide(f.State)
 			for _, o := range orders {
-				f.apply(o)
+				f.slot("m", apiv1.SlotState_SLOT_STATE_ASSIGNED, o.Host)
 			}
 			if second > 600 {
 				changes += len(orders)
@@ -310,29 +232,18 @@
 func (f *fixture) share(inFlight uint32) {
 	clear(f.reports)
 	slots := uint32(len(f.Slots["m"]))
-	for i, slot := range f.Slots["m"] {
-		part := inFlight / slots
-		if uint32(i) < inFlight%slots {
-			part++
-		}
-		f.load(slot.Row.GetHost(), slot.Row.GetSlot(), ready, part)
+	for i := range slots {
+		f.load(i, apiv1.ReplicaState_REPLICA_STATE_READY, (inFlight+i)/slots)
 	}
 }
 
-// apply carries out an order that adds a slot.
-func (f *fixture) apply(o Order) {
-	f.slot("m", assigned, o.Host)
-}
-
 // A small budget goes to the most urgent orders, and the rest follow.
 func TestBudget(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1, 1)
 	f.Budget = 1
-	f.slot("m", releasing, "a1")
-	f.Confirmed[SlotID{"m", 0, 3}] = true
-	f.slot("old", assigned, "a1")
-	is.Equal(f.decide(0), []string{"free m/0 a1 g3: release confirmed"})
+	f.set(t, "releasing:a1=m confirmed:0=3 assigned:a1=old")
+	is.Equal(f.decide(0), "free m/0 a1 g3: release confirmed")
 }
 
 func TestShardOfSpreadsModels(t *testing.T) {
