--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -32,6 +33,7 @@
 	}
 	state := d.state(held)
 	d.memory.Observe(state)
+	d.stats.modelsShort.Store(uint64(placement.ModelsShort(state)))
 	d.release(ctx, state)
 	state.Confirmed = d.releases.confirmedSlots()
 	d.execute(ctx, held, state.Config, placement.Decide(state))
@@ -71,6 +73,7 @@
 		d.warn("slots not read after a takeover: check the table service", "err", err)
 		return false
 	}
+	d.failures = 0
 	// The revision is left out: rows under other prefixes were not read.
 	d.opts.View.ApplyRows(platform.Changes{Rows: changes.Rows})
 	for shard, guard := range held {
@@ -86,6 +89,7 @@
 	return placement.State{
 		Config:    snapshot.Config,
 		Slots:     snapshot.Slots,
+		Listing:   snapshot.Hosts.Hosts,
 		Hosts:     snapshot.ByHost,
 		HostReads: snapshot.HostReads,
 		Drains:    snapshot.Drains,
@@ -148,6 +152,12 @@
 			hosts[slot.Row.GetHost()] = true
 		}
 	}
+	slices.SortFunc(releasing, func(a, b view.Slot) int {
+		return cmp.Or(
+			cmp.Compare(a.Row.GetModel(), b.Row.GetModel()),
+			cmp.Compare(a.Row.GetSlot(), b.Row.GetSlot()),
+		)
+	})
 	d.noteHosts(hosts)
 	d.releases.ask(ctx, releasing, state.Hosts)
 }
