shared: policies of a process can be replaced for load tests

Load tests have to run the policy beside its baselines in the real processes. Policies holds what they may replace: the keep-alive of a sidecar, the limits of weight-store permits, the threshold and period of load reports, prefix affinity. NewRouter and NewSidecar use the zero value, which changes nothing.

--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -30,6 +30,8 @@
 type permitDesk struct {
 	leases *lease.Manager
 	view   *view.Store
+	// limits replaces those of the deployment unless nil.
+	limits *permit.Limits
 	grant  func(host string, permit *apiv1.LoadPermit)
 	log    *log.Logger
 
@@ -83,6 +85,9 @@
 func (d *permitDesk) tick(now time.Time) []permit.Grant {
 	_, held := d.leases.Guard(platform.PermitLease)
 	limits := permitLimits(d.view.Load())
+	if d.limits != nil {
+		limits = *d.limits
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !held {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -47,6 +47,8 @@
 	cfg   *apiv1.RouterSettings
 	log   *log.Logger
 	creds transport.Credentials
+	// policies replaces parts of the policy in load tests.
+	policies Policies
 	// bootID tells peers this process from earlier ones on the same host.
 	bootID string
 
@@ -93,11 +95,15 @@
 
 // NewRouter binds the router's addresses and wires its parts.
 func NewRouter(cfg *apiv1.RouterSettings, logger *log.Logger) (*Router, error) {
+	return newRouter(cfg, logger, Policies{})
+}
+
+func newRouter(cfg *apiv1.RouterSettings, logger *log.Logger, policies Policies) (*Router, error) {
 	creds, err := settings.Credentials(cfg.GetSecurity())
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{cfg: cfg, log: logger, creds: creds, bootID: rand.Text(), store: view.NewStore()}
+	r := &Router{cfg: cfg, log: logger, creds: creds, policies: policies.withDefaults(), bootID: rand.Text(), store: view.NewStore()}
 	platformClients := newClients(cfg.GetPlatform())
 	r.wireState(platformClients)
 	r.wireDecisions(platformClients)
@@ -141,15 +147,15 @@
 		Peers:   r.liveRouters,
 		Commit:  platform.CommitSettled,
 	})
-	r.permits = &permitDesk{leases: r.leases, view: r.store, log: r.log}
+	r.permits = &permitDesk{leases: r.leases, view: r.store, limits: r.policies.PermitLimits, log: r.log}
 	r.sidecars = upstream.NewManager(upstream.Options{
 		Router:        r.cfg.GetHost(),
 		View:          r.store,
 		Pool:          r.pool,
 		Refresh:       r.poller.Refresh,
 		Watches:       r.watches,
-		InFlightDelta: inFlightDelta,
-		ReportPeriod:  reportPeriod,
+		InFlightDelta: r.policies.InFlightDelta,
+		ReportPeriod:  r.policies.ReportPeriod,
 		Permits:       r.permits,
 		Log:           r.log,
 	})
@@ -200,7 +206,8 @@
 		View:          r.store,
 		Pool:          r.pool,
 		Claims:        r.claims,
-		Records:       r.records,
+		Records:       r.policies.recorder(r.records),
+		NoAffinity:    r.policies.NoAffinity,
 		Refresh:       r.sidecars.Refresh,
 		MaxBodyBytes:  int64(r.cfg.GetMaxBodyBytes()),
 		RetryBudget:   r.cfg.GetRetryBudget(),
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -27,11 +27,15 @@
 // NewSidecar binds the sidecar's addresses. The routers' address stays bound
 // for the life of the process, so that two sidecars never run on one host.
 func NewSidecar(cfg *apiv1.SidecarSettings, logger *log.Logger) (*Sidecar, error) {
+	return newSidecar(cfg, logger, Policies{})
+}
+
+func newSidecar(cfg *apiv1.SidecarSettings, logger *log.Logger, policies Policies) (*Sidecar, error) {
 	creds, err := settings.Credentials(cfg.GetSecurity())
 	if err != nil {
 		return nil, err
 	}
-	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger)}
+	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger, policies)}
 	s.server, err = transport.Listen(cfg.GetListen(), creds, s.agent.Handle)
 	if err != nil {
 		return nil, err
@@ -44,13 +48,16 @@
 	return s, nil
 }
 
-func newAgent(cfg *apiv1.SidecarSettings, logger *log.Logger) *agent.Agent {
+func newAgent(cfg *apiv1.SidecarSettings, logger *log.Logger, policies Policies) *agent.Agent {
 	opts := agent.Options{
 		Host:          cfg.GetHost(),
 		EngineFences:  cfg.GetEngineFences(),
 		PermitTimeout: milliseconds(cfg.GetPermitTimeoutMs()),
 		Log:           logger,
 	}
+	if policies.KeepAlive != nil {
+		opts.KeepAlive = policies.KeepAlive()
+	}
 	if cfg.GetEngineUrl() != "" {
 		opts.Engine = platform.NewEngineClient(platform.ClientOptions{BaseURL: cfg.GetEngineUrl()})
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -60,6 +60,9 @@
 	Only bool
 	// Avoid is a host that is taken only when there is no other.
 	Avoid string
+	// LoadOnly takes the less loaded of the two replicas that Key selects, also
+	// when the difference is small.
+	LoadOnly bool
 }
 
 // affinitySlack is the number of requests by which the affinity choice may
@@ -94,7 +97,7 @@
 }
 
 func pick(candidates []Candidate, wish Wish, avoid string) (int, Reason) {
-	i, reason := pickReady(candidates, wish.Key, avoid)
+	i, reason := pickReady(candidates, wish, avoid)
 	if i >= 0 {
 		return i, reason
 	}
@@ -135,7 +138,7 @@
 
 // pickReady takes the two best ready replicas with room by rendezvous hashing
 // and of these the one with less load.
-func pickReady(candidates []Candidate, key uint64, avoid string) (chosen int, reason Reason) {
+func pickReady(candidates []Candidate, wish Wish, avoid string) (chosen int, reason Reason) {
 	first, second := -1, -1
 	var firstScore, secondScore uint64
 	for i := range candidates {
@@ -143,7 +146,7 @@
 		if c.State != StateReady || !c.Room || c.Host == avoid {
 			continue
 		}
-		score := mix(key ^ c.HostHash)
+		score := mix(wish.Key ^ c.HostHash)
 		switch {
 		case first < 0 || score > firstScore:
 			second, secondScore = first, firstScore
@@ -152,12 +155,16 @@
 			second, secondScore = i, score
 		}
 	}
+	slack := affinitySlack
+	if wish.LoadOnly {
+		slack = 0
+	}
 	switch {
 	case first < 0:
 		return -1, ""
 	case second < 0:
 		return first, ReasonRoom
-	case candidates[first].InFlight > candidates[second].InFlight+affinitySlack:
+	case candidates[first].InFlight > candidates[second].InFlight+slack:
 		return second, ReasonLoad
 	default:
 		return first, ReasonAffinity
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -52,6 +53,10 @@
 		ticket: &ticket{x: x, adapter: target.Adapter.GetName(), admitted: make(chan admission, 1)},
 	}
 	g.ticket.wish.Key = affinity(target, text)
+	if x.r.opts.NoAffinity {
+		g.ticket.wish.Key = rand.Uint64()
+		g.ticket.wish.LoadOnly = true
+	}
 	created := x.arrived.Unix()
 	if chat.Stream {
 		g.sink = &eventSink{x: x, head: appendHead(nil, "chat.completion.chunk", x.id, chat.Model, created)}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,9 @@
 	// RetryBudget is the number of retries allowed as a share of requests.
 	// Default 0.2.
 	RetryBudget float64
+	// NoAffinity chooses among ready replicas by load alone, without regard to
+	// the prompt.
+	NoAffinity bool
 	// Now tells the time; nil takes time.Now.
 	Now func() time.Time
 	Log *log.Logger
