--- /dev/null
+++ b/internal/loadtest/report.go
@@ -0,0 +1,166 @@
+package loadtest
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Result is the report of one run.
+type Result struct {
+	Scenario, Policy string
+	// Cold holds the times to the first token of cold starts by class, Warm
+	// those of all other generations.
+	Cold map[string]*hdrhistogram.Histogram
+	Warm *hdrhistogram.Histogram
+
+	// Requests counts all tries, Outcomes the tries by outcome.
+	Requests int
+	Outcomes map[string]int
+	// Refused counts refused first tries, Returned those of them that were sent
+	// again after Retry-After, and ReturnedServed those that were then served.
+	Refused, Returned, ReturnedServed int
+
+	// IdleSeconds are replica-seconds loaded without a request, LoadedSeconds
+	// all replica-seconds.
+	IdleSeconds, LoadedSeconds float64
+	Loads, AdapterLoads        int
+	// DuplicateLoads counts models that were held by more engines than slots
+	// had been decided.
+	DuplicateLoads     int
+	OvercommitAttempts int
+	Retries            int
+	// Accepted and Ended are the routers' own sums; they are equal once all
+	// requests have ended.
+	Accepted, Ended int64
+	// Reports counts load reports; StaleRequests is the mean difference between
+	// the requests in flight that a router believes of a host and the real ones.
+	Reports       int
+	StaleRequests float64
+	// PeakStoreLoads is the highest number of weight-store loads at a time.
+	PeakStoreLoads int
+	// Cost is ColdWeight*cold-start seconds + IdleWeight*idle replica-seconds.
+	Cost float64
+}
+
+const (
+	maxMicros    = int64(10 * time.Minute / time.Microsecond)
+	significant  = 3
+	microsPerSec = 1e6
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxMicros, significant) }
+
+// NewResult sorts the answers of a run. cold tells whether a try waited for a
+// load.
+func NewResult(answers []Answer, cold func(requestID string) bool) *Result {
+	r := &Result{
+		Cold:     make(map[string]*hdrhistogram.Histogram),
+		Warm:     newHistogram(),
+		Outcomes: make(map[string]int),
+	}
+	for _, a := range answers {
+		r.Requests++
+		r.Outcomes[a.Outcome]++
+		r.countRefusal(a)
+		if a.Outcome != OutcomeServed || a.Request.Class == "" {
+			continue
+		}
+		_ = r.histogram(a, cold).RecordValue(a.FirstToken.Microseconds())
+	}
+	return r
+}
+
+func (r *Result) countRefusal(a Answer) {
+	switch {
+	case a.Again:
+		r.Returned++
+		if a.Outcome == OutcomeServed {
+			r.ReturnedServed++
+		}
+	case a.Outcome == OutcomeNotRun:
+		r.Refused++
+	}
+}
+
+func (r *Result) histogram(a Answer, cold func(string) bool) *hdrhistogram.Histogram {
+	if !cold(a.RequestID) {
+		return r.Warm
+	}
+	if r.Cold[a.Request.Class] == nil {
+		r.Cold[a.Request.Class] = newHistogram()
+	}
+	return r.Cold[a.Request.Class]
+}
+
+// AllCold holds the cold starts of all classes.
+func (r *Result) AllCold() *hdrhistogram.Histogram {
+	all := newHistogram()
+	for _, h := range r.Cold {
+		all.Merge(h)
+	}
+	return all
+}
+
+// Weigh sets the cost under a deployment's weights.
+func (r *Result) Weigh(coldStart, idle float64) {
+	all := r.AllCold()
+	seconds := all.Mean() * float64(all.TotalCount()) / microsPerSec
+	r.Cost = coldStart*seconds + idle*r.IdleSeconds
+}
+
+// quantiles formats p50/p95/p99 in milliseconds and the count.
+func quantiles(h *hdrhistogram.Histogram) string {
+	if h == nil || h.TotalCount() == 0 {
+		return "-"
+	}
+	ms := func(q float64) int64 { return h.ValueAtQuantile(q) / 1000 }
+	return fmt.Sprintf("%d/%d/%d (%d)", ms(50), ms(95), ms(99), h.TotalCount())
+}
+
+var header = []string{
+	"scenario", "policy",
+	"cold urgent", "cold normal", "cold routine", "warm",
+	"refused", "back served", "idle s", "loaded s", "loads", "adapters",
+	"dup", "over", "served/not-run/unknown", "sum", "retries", "reports", "stale", "store peak", "cost",
+}
+
+func (r *Result) row() []string {
+	return []string{
+		r.Scenario, r.Policy,
+		quantiles(r.Cold[classUrgent]), quantiles(r.Cold[classNormal]), quantiles(r.Cold[classRoutine]), quantiles(r.Warm),
+		fmt.Sprint(r.Refused), fmt.Sprintf("%d/%d", r.ReturnedServed, r.Returned),
+		fmt.Sprintf("%.1f", r.IdleSeconds), fmt.Sprintf("%.1f", r.LoadedSeconds),
+		fmt.Sprint(r.Loads), fmt.Sprint(r.AdapterLoads),
+		fmt.Sprint(r.DuplicateLoads), fmt.Sprint(r.OvercommitAttempts),
+		fmt.Sprintf("%d/%d/%d", r.Outcomes[OutcomeServed], r.Outcomes[OutcomeNotRun], r.Outcomes[OutcomeUnknown]+r.Outcomes[OutcomeNone]),
+		fmt.Sprintf("%d=%d", r.Accepted, r.Ended), fmt.Sprint(r.Retries),
+		fmt.Sprint(r.Reports), fmt.Sprintf("%.2f", r.StaleRequests),
+		fmt.Sprint(r.PeakStoreLoads), fmt.Sprintf("%.1f", r.Cost),
+	}
+}
+
+// WriteTable writes results as a Markdown table. Times to the first token are
+// p50/p95/p99 in milliseconds with the number of samples.
+func WriteTable(w io.Writer, results []*Result) error {
+	rows := make([][]string, 0, len(results))
+	for _, r := range results {
+		rows = append(rows, r.row())
+	}
+	return writeMarkdown(w, header, rows)
+}
+
+func writeMarkdown(w io.Writer, head []string, rows [][]string) error {
+	rule := strings.Repeat("| --- ", len(head)) + "|"
+	lines := []string{markdownRow(head), rule}
+	for _, row := range rows {
+		lines = append(lines, markdownRow(row))
+	}
+	_, err := fmt.Fprintln(w, strings.Join(lines, "\n"))
+	return err
+}
+
+func markdownRow(cells []string) string { return "| " + strings.Join(cells, " | ") + " |" }
