ragwortdoord loadtest: run load against a deployment in one process

Starts two routers, all sidecars and the stand-ins on free loopback ports, sends the load and prints one table with the policy and its baselines. Suites: scenarios, keepalive, permits, reports, affinity and probe.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
@@ -27,6 +28,13 @@
 	flagDeployment   = "deployment"
 	flagPlatformOnly = "platform-only"
 	flagLogLevel     = "log-level"
+	flagSuite        = "suite"
+	flagSeed         = "seed"
+	flagDuration     = "duration"
+	flagRate         = "rate"
+	flagRuns         = "runs"
+
+	allDeployments = "all"
 )
 
 // Main runs the command line and returns the exit code. A cancelled ctx stops
@@ -89,6 +97,20 @@
 				},
 				Action: runDev,
 			},
+			{
+				Name:  "loadtest",
+				Usage: "run load against a deployment of stand-ins in this process and print tables",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment, or all: " + deploymentNames(), Value: allDeployments},
+					&cli.StringFlag{Name: flagSuite, Usage: "`NAME` of the comparison: " + suiteNames(), Value: suiteScenarios},
+					&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the load", Value: 1},
+					&cli.DurationFlag{Name: flagDuration, Usage: "length of one run", Value: 20 * time.Second},
+					&cli.FloatFlag{Name: flagRate, Usage: "chat requests a second", Value: 10},
+					&cli.IntFlag{Name: flagRuns, Usage: "runs of each policy, with consecutive seeds", Value: 1},
+					&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "error"},
+				},
+				Action: runLoadTest,
+			},
 		},
 	}
 }
@@ -145,6 +167,31 @@
 	return RunDev(ctx, DevOptions{Shape: shape, PlatformOnly: cmd.Bool(flagPlatformOnly), Log: logger})
 }
 
+func runLoadTest(ctx context.Context, cmd *cli.Command) error {
+	shapes := sample.Shapes()
+	if name := cmd.String(flagDeployment); name != allDeployments {
+		shape, err := sample.ByName(name)
+		if err != nil {
+			return &usageError{err}
+		}
+		shapes = []sample.Shape{shape}
+	}
+	logger, err := newLogger(&apiv1.LogSettings{Level: cmd.String(flagLogLevel)})
+	if err != nil {
+		return err
+	}
+	return RunLoadTest(ctx, LoadTestOptions{
+		Shapes:   shapes,
+		Suite:    cmd.String(flagSuite),
+		Seed:     cmd.Uint64(flagSeed),
+		Duration: cmd.Duration(flagDuration),
+		Rate:     cmd.Float(flagRate),
+		Runs:     cmd.Int(flagRuns),
+		Out:      os.Stdout,
+		Log:      logger,
+	})
+}
+
 // newLogger logs to standard error as the settings say.
 func newLogger(cfg *apiv1.LogSettings) (*log.Logger, error) {
 	level := log.InfoLevel
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -200,10 +200,18 @@
 }
 
 func newDevRouter(cluster *standin.Cluster, h platform.Host, logger *log.Logger) (*Router, error) {
+	cfg, err := devRouterSettings(cluster, h, loopback(devCallers))
+	if err != nil {
+		return nil, err
+	}
+	return NewRouter(cfg, logger.With("process", h.ID))
+}
+
+func devRouterSettings(cluster *standin.Cluster, h platform.Host, listen string) (*apiv1.RouterSettings, error) {
 	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(&apiv1.RouterSettings{
 		Host:           h.ID,
 		FailureDomain:  h.FailureDomain,
-		Listen:         loopback(devCallers),
+		Listen:         listen,
 		OperatorListen: h.OperatorAddress,
 		GossipListen:   h.Address,
 		Platform: &apiv1.PlatformSettings{
@@ -216,15 +224,19 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := settings.ParseRouter(h.ID, data)
+	return settings.ParseRouter(h.ID, data)
+}
+
+// newDevSidecar makes the sidecar of the i-th upstream host.
+func newDevSidecar(cluster *standin.Cluster, h platform.Host, i int, logger *log.Logger) (*Sidecar, error) {
+	cfg, err := devSidecarSettings(cluster, h, i)
 	if err != nil {
 		return nil, err
 	}
-	return NewRouter(cfg, logger.With("process", h.ID))
+	return NewSidecar(cfg, logger.With("process", h.ID))
 }
 
-// newDevSidecar makes the sidecar of the i-th upstream host.
-func newDevSidecar(cluster *standin.Cluster, h platform.Host, i int, logger *log.Logger) (*Sidecar, error) {
+func devSidecarSettings(cluster *standin.Cluster, h platform.Host, i int) (*apiv1.SidecarSettings, error) {
 	wanted := &apiv1.SidecarSettings{
 		Host:           h.ID,
 		FailureDomain:  h.FailureDomain,
@@ -242,9 +254,5 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg, err := settings.ParseSidecar(h.ID, data)
-	if err != nil {
-		return nil, err
-	}
-	return NewSidecar(cfg, logger.With("process", h.ID))
+	return settings.ParseSidecar(h.ID, data)
 }
--- /dev/null
+++ b/internal/daemon/loadtest.go
@@ -0,0 +1,195 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
+	"github.com/ragwortdoor/ragwortdoor/internal/loadtest"
+	"github.com/ragwortdoor/ragwortdoor/internal/permit"
+	"github.com/ragwortdoor/ragwortdoor/internal/sample"
+	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+)
+
+// LoadTestOptions configure RunLoadTest.
+type LoadTestOptions struct {
+	Shapes []sample.Shape
+	// Suite names the comparison, see Suites.
+	Suite    string
+	Seed     uint64
+	Duration time.Duration
+	// Rate is the mean number of chat requests a second.
+	Rate float64
+	// Runs is the number of runs of each policy, with consecutive seeds.
+	Runs int
+	Out  io.Writer
+	Log  *log.Logger
+}
+
+// trial is one scenario under one policy.
+type trial struct {
+	scenario string
+	policy   string
+	policies Policies
+	// slowStore lengthens the loads of the weight store.
+	slowStore float64
+	// killHost ends an engine host in the second burst.
+	killHost bool
+}
+
+const (
+	scenarioNormal    = "normal"
+	scenarioSlowStore = "store at half speed"
+	scenarioHostDies  = "host dies in the burst"
+
+	policyDefault  = "default"
+	suiteScenarios = "scenarios"
+
+	// unlimitedLoads lets every sidecar load at once.
+	unlimitedLoads = 10_000
+	// neverOnChange is a change of requests in flight that no host reaches.
+	neverOnChange = 1 << 20
+	shortPeriod   = 100 * time.Millisecond
+	longPeriod    = time.Second
+)
+
+// suites lists the comparisons by name.
+func suites() map[string][]trial {
+	fixed := func(keep time.Duration) Policies {
+		return Policies{KeepAlive: func() keepalive.Policy { return keepalive.Fixed(keep) }}
+	}
+	return map[string][]trial{
+		suiteScenarios: {
+			{scenario: scenarioNormal, policy: policyDefault},
+			{scenario: scenarioSlowStore, policy: policyDefault, slowStore: 2},
+			{scenario: scenarioHostDies, policy: policyDefault, killHost: true},
+		},
+		"keepalive": {
+			{scenario: scenarioNormal, policy: "learned"},
+			{scenario: scenarioNormal, policy: "unload at once", policies: fixed(0)},
+			{scenario: scenarioNormal, policy: "fixed 1 s", policies: fixed(time.Second)},
+			{scenario: scenarioNormal, policy: "fixed 5 s", policies: fixed(5 * time.Second)},
+			{scenario: scenarioNormal, policy: "fixed 30 s", policies: fixed(30 * time.Second)},
+		},
+		"permits": {
+			{scenario: scenarioNormal, policy: "permits by class"},
+			{scenario: scenarioNormal, policy: "every sidecar at once", policies: unlimited()},
+			{scenario: scenarioSlowStore, policy: "permits by class", slowStore: 2},
+			{scenario: scenarioSlowStore, policy: "every sidecar at once", policies: unlimited(), slowStore: 2},
+		},
+		"reports": {
+			{scenario: scenarioNormal, policy: "on change of 2, 5 s"},
+			{scenario: scenarioNormal, policy: "on change of 1, 5 s", policies: Policies{InFlightDelta: 1}},
+			{scenario: scenarioNormal, policy: "each 100 ms", policies: Policies{InFlightDelta: neverOnChange, ReportPeriod: shortPeriod}},
+			{scenario: scenarioNormal, policy: "each 1 s", policies: Policies{InFlightDelta: neverOnChange, ReportPeriod: longPeriod}},
+		},
+		"affinity": {
+			{scenario: scenarioNormal, policy: "prefix affinity"},
+			{scenario: scenarioNormal, policy: "two choices", policies: Policies{NoAffinity: true}},
+		},
+	}
+}
+
+func suiteNames() string {
+	names := append(slices.Collect(maps.Keys(suites())), suiteProbe)
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+func unlimited() Policies {
+	return Policies{PermitLimits: &permit.Limits{Parallel: unlimitedLoads, PerSecond: unlimitedLoads}}
+}
+
+// RunLoadTest runs a suite and writes its tables.
+func RunLoadTest(ctx context.Context, opts LoadTestOptions) error {
+	if opts.Suite == suiteProbe {
+		return runProbes(ctx, opts)
+	}
+	trials, ok := suites()[opts.Suite]
+	if !ok {
+		return &usageError{fmt.Errorf("no suite %q: choose one of %s", opts.Suite, suiteNames())}
+	}
+	for _, shape := range opts.Shapes {
+		var results []*loadtest.Result
+		for _, t := range trials {
+			for run := range opts.Runs {
+				result, err := t.run(ctx, shape, opts, opts.Seed+uint64(run))
+				if err != nil {
+					return err
+				}
+				results = append(results, result)
+			}
+		}
+		if _, err := fmt.Fprintf(opts.Out, "\n%s\n\n", shape.Name); err != nil {
+			return err
+		}
+		if err := loadtest.WriteTable(opts.Out, loadtest.Medians(results)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// run starts a deployment, sends it the load and stops it.
+func (t trial) run(ctx context.Context, shape sample.Shape, opts LoadTestOptions, seed uint64) (*loadtest.Result, error) {
+	bed, ctx, err := startTestbed(ctx, shape, t.policies, loadTestKnobs(), opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	defer bed.stop()
+	if t.slowStore > 0 {
+		knobs := bed.cluster.Weights.Knobs()
+		knobs.SlowFactor = t.slowStore
+		bed.cluster.Weights.SetKnobs(knobs)
+	}
+	load := loadtest.Options{Shape: shape, Seed: seed, Duration: opts.Duration, Rate: opts.Rate}
+	if t.killHost {
+		timer := time.AfterFunc(load.SecondBurst()+hostDeathDelay, func() { bed.killEngineHost(busiest(bed)) })
+		defer timer.Stop()
+	}
+	result := bed.measure(ctx, loadtest.Generate(load))
+	result.Scenario, result.Policy = t.scenario, t.policy
+	return result, context.Cause(ctx)
+}
+
+// hostDeathDelay lets the burst's first loads begin before a host dies.
+const hostDeathDelay = 400 * time.Millisecond
+
+// busiest is the engine with the most streams.
+func busiest(bed *testbed) int {
+	best, streams := 0, -1
+	for i, engine := range bed.cluster.Engines {
+		if n := engine.Use().Streams; n > streams {
+			best, streams = i, n
+		}
+	}
+	return best
+}
+
+// measure sends the load and waits for its end.
+func (b *testbed) measure(ctx context.Context, load []loadtest.Request) *loadtest.Result {
+	sampling, stop := context.WithCancel(ctx)
+	done := make(chan *sampler, 1)
+	go func() { done <- b.sample(sampling) }()
+	client := newLoadClient()
+	defer client.CloseIdleConnections()
+	runner := &loadtest.Runner{Routers: b.routerURLs(), HTTP: client}
+	answers := runner.Run(ctx, load)
+	stop()
+	result := loadtest.NewResult(answers, b.cold)
+	(<-done).fill(result)
+	return result
+}
+
+// loadTestKnobs are the same for all engines, so that hosts differ in nothing
+// but what they hold.
+func loadTestKnobs() standin.EngineKnobs {
+	return devEngineKnobs(0)
+}
--- a/internal/loadtest/report.go
+++ b/internal/loadtest/report.go
@@ -1,8 +1,10 @@
 package loadtest
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +42,8 @@
 	// the requests in flight that a router believes of a host and the real ones.
 	Reports       int
 	StaleRequests float64
+	// ReportBytes is Reports times the mean size of a report.
+	ReportBytes int
 	// PeakStoreLoads is the highest number of weight-store loads at a time.
 	PeakStoreLoads int
 	// Cost is ColdWeight*cold-start seconds + IdleWeight*idle replica-seconds.
@@ -125,7 +129,7 @@
 	"scenario", "policy",
 	"cold urgent", "cold normal", "cold routine", "warm",
 	"refused", "back served", "idle s", "loaded s", "loads", "adapters",
-	"dup", "over", "served/not-run/unknown", "sum", "retries", "reports", "stale", "store peak", "cost",
+	"dup", "over", "served/not-run/unknown", "sum", "retries", "reports", "report KB", "stale", "store peak", "cost",
 }
 
 func (r *Result) row() []string {
@@ -138,11 +142,67 @@
 		fmt.Sprint(r.DuplicateLoads), fmt.Sprint(r.OvercommitAttempts),
 		fmt.Sprintf("%d/%d/%d", r.Outcomes[OutcomeServed], r.Outcomes[OutcomeNotRun], r.Outcomes[OutcomeUnknown]+r.Outcomes[OutcomeNone]),
 		fmt.Sprintf("%d=%d", r.Accepted, r.Ended), fmt.Sprint(r.Retries),
-		fmt.Sprint(r.Reports), fmt.Sprintf("%.2f", r.StaleRequests),
+		fmt.Sprint(r.Reports), fmt.Sprint(r.ReportBytes / 1000), fmt.Sprintf("%.2f", r.StaleRequests),
 		fmt.Sprint(r.PeakStoreLoads), fmt.Sprintf("%.1f", r.Cost),
 	}
 }
 
+// Medians keeps, of the runs of each scenario and policy, the one with the
+// median cost, and merges the histograms and counters of faults of all of them
+// into it. The order of first appearance is kept.
+func Medians(results []*Result) []*Result {
+	type key struct{ scenario, policy string }
+	runs := make(map[key][]*Result)
+	var order []key
+	for _, r := range results {
+		k := key{r.Scenario, r.Policy}
+		if runs[k] == nil {
+			order = append(order, k)
+		}
+		runs[k] = append(runs[k], r)
+	}
+	medians := make([]*Result, 0, len(order))
+	for _, k := range order {
+		medians = append(medians, median(runs[k]))
+	}
+	return medians
+}
+
+func median(runs []*Result) *Result {
+	slices.SortFunc(runs, func(a, b *Result) int { return cmp.Compare(a.Cost, b.Cost) })
+	chosen := runs[(len(runs)-1)/2]
+	for _, other := range runs {
+		if other != chosen {
+			chosen.merge(other)
+		}
+	}
+	return chosen
+}
+
+// merge adds the times and the faults of another run; costs and loads stay
+// those of one run.
+func (r *Result) merge(other *Result) {
+	r.Warm.Merge(other.Warm)
+	for class, h := range other.Cold {
+		if r.Cold[class] == nil {
+			r.Cold[class] = newHistogram()
+		}
+		r.Cold[class].Merge(h)
+	}
+	for outcome, n := range other.Outcomes {
+		r.Outcomes[outcome] += n
+	}
+	r.Requests += other.Requests
+	r.Refused += other.Refused
+	r.Returned += other.Returned
+	r.ReturnedServed += other.ReturnedServed
+	r.DuplicateLoads += other.DuplicateLoads
+	r.OvercommitAttempts += other.OvercommitAttempts
+	r.Accepted += other.Accepted
+	r.Ended += other.Ended
+	r.Retries += other.Retries
+}
+
 // WriteTable writes results as a Markdown table. Times to the first token are
 // p50/p95/p99 in milliseconds with the number of samples.
 func WriteTable(w io.Writer, results []*Result) error {
