--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -31,6 +31,8 @@
 type permitDesk struct {
 	leases *lease.Manager
 	view   *view.Store
+	// limits replaces those of the deployment unless nil.
+	limits *permit.Limits
 	grant  func(host string, permit *apiv1.LoadPermit)
 	log    *log.Logger
 	wake   chan struct{} // a request came or a load ended
@@ -104,6 +106,9 @@
 func (d *permitDesk) tick(now time.Time) (grants []permit.Grant, waiting bool) {
 	_, held := d.leases.Guard(platform.PermitLease)
 	limits := permitLimits(d.view.Load())
+	if d.limits != nil {
+		limits = *d.limits
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !held {
