adapterload: larger first window, lower threshold

Cause: with a first window of 0.1 a new host pauses 90 ms between its first adapters of 10 ms each. Change: first window 0.25; congestion from 1.3 times the best mean.

--- a/internal/adapterload/controller.go
+++ b/internal/adapterload/controller.go
@@ -10,7 +10,7 @@
 const (
 	// slowRatio is the mean load time, relative to the best one, that counts as
 	// congestion.
-	slowRatio = 1.4
+	slowRatio = 1.3
 	// newShare is the weight of the newest load time in the mean.
 	newShare = 0.15
 	// slowShare is newShare of the slow mean, which changes too little between
@@ -27,7 +27,7 @@
 	maxWindow = 16.0 // loads
 	// initialWindow is small, so that hosts that start together learn the time
 	// of a load at full speed.
-	initialWindow = minWindow
+	initialWindow = 0.25
 	// judgedLoads is the number of loads after a cut of the window before it
 	// changes again.
 	judgedLoads = 6
@@ -55,7 +55,7 @@
 	notBefore time.Time
 }
 
-// New makes a controller with the smallest window.
+// New makes a controller with a small window.
 func New() *Controller { return &Controller{window: initialWindow} }
 
 // Window is the number of loads that may be in flight; below 1 it is the share
--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -288,12 +288,14 @@
 	is.Equal(len(r.sent), 1) // one load for both requests, and y behind the window
 	is.Equal(r.engine(10*time.Millisecond, nil).Adapter, "x")
 	is.Equal(len(r.granted), 3) // with that of load
-	r.engine(10*time.Millisecond, nil)
+	r.pass(time.Second)         // the window of a new host paces its loads
+	is.Equal(r.engine(10*time.Millisecond, nil).Adapter, "y")
 	is.Equal(r.p.ledger.FreeMiB(), uint32(0))
 	for _, id := range []uint64{x, x2} {
 		r.take(r.p.Finish(r.now, id))
 	}
 	want("z") // needs room; y runs, x is idle
+	r.pass(time.Second)
 	order := r.engine(time.Millisecond, nil)
 	is.Equal(order.Kind, platform.OrderUnloadAdapter)
 	is.Equal(order.Adapter, "x")
