--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -196,7 +196,7 @@
 
 // call posts to the plain service and returns status, outcome and body.
 func (d *deployment) call(router int, key, body string) answer {
-	url := "http://" + d.routerSettings[router].GetListen() + "/services/" + testService + "/book"
+	url := d.url(router) + "/services/" + testService + "/book"
 	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return answer{err: err}
@@ -204,7 +204,7 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -139,6 +139,9 @@
 
 	routerSettings  []*apiv1.RouterSettings
 	sidecarSettings []*apiv1.SidecarSettings
+
+	security *apiv1.SecuritySettings // of every process; nil protects nothing
+	client   *http.Client
 }
 
 // deploymentOptions describe a deployment of a test.
@@ -147,6 +150,7 @@
 	engines  []standin.EngineKnobs
 	services []standin.ServiceKnobs
 	set      *apiv1.ObjectSet
+	security *apiv1.SecuritySettings
 }
 
 const (
@@ -163,7 +167,10 @@
 // and waits until every router is ready.
 func deploy(t testing.TB, o deploymentOptions) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir()}
+	d := &deployment{t: t, dir: t.TempDir(), security: o.security, client: http.DefaultClient}
+	if o.security != nil {
+		d.client = trustingClient(t, o.security)
+	}
 	d.startStandins(o)
 	for i := range o.routers {
 		d.addRouter(i)
@@ -222,7 +229,8 @@
 			TableUrl: d.cluster.TableURL, ObjectUrl: d.cluster.ObjectURL,
 			HostListUrl: d.cluster.HostListURL, WeightUrl: d.cluster.WeightURL,
 		},
-		Log: &apiv1.LogSettings{Level: testLogLevel()},
+		Log:      &apiv1.LogSettings{Level: testLogLevel()},
+		Security: d.security,
 	}
 	d.routerSettings = append(d.routerSettings, cfg)
 	d.routers = append(d.routers, startProcess(d.t, d.dir, "router", host.ID, cfg))
@@ -234,6 +242,7 @@
 	d.cluster.Hosts.Add(host)
 	cfg.Host, cfg.FailureDomain, cfg.Listen, cfg.OperatorListen = name, "a", host.Address, host.OperatorAddress
 	cfg.Log = &apiv1.LogSettings{Level: testLogLevel()}
+	cfg.Security = d.security
 	d.sidecarSettings = append(d.sidecarSettings, cfg)
 	d.sidecars = append(d.sidecars, startProcess(d.t, d.dir, "sidecar", name, cfg))
 }
@@ -261,7 +270,7 @@
 func (d *deployment) waitReady(router int) {
 	d.t.Helper()
 	d.eventually("router is ready", func() bool {
-		response, err := http.Get("http://" + d.routerSettings[router].GetListen() + "/readyz")
+		response, err := d.client.Get(d.url(router) + "/readyz")
 		if err != nil {
 			return false
 		}
@@ -270,6 +279,15 @@
 	})
 }
 
+// url is where callers reach a router.
+func (d *deployment) url(router int) string {
+	scheme := "http://"
+	if d.security != nil {
+		scheme = "https://"
+	}
+	return scheme + d.routerSettings[router].GetListen()
+}
+
 // eventually polls until the condition holds.
 func (d *deployment) eventually(what string, holds func() bool) {
 	d.t.Helper()
@@ -325,12 +343,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerDeadline)
 	defer cancel()
-	url := "http://" + d.routerSettings[router].GetListen() + "/v1/chat/completions"
+	url := d.url(router) + "/v1/chat/completions"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -33,7 +34,7 @@
 		listener: listener,
 		server: &http.Server{
 			Handler:           handler,
-			TLSConfig:         creds.Server,
+			TLSConfig:         settings.ListenerTLS(creds),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 		},
