agent: load nothing while orders of an earlier process may arrive

Cause: a sidecar killed between sending a load and the engine's receipt leaves an order on its way. The next process read the inventory before it arrived, and could fill the memory or confirm the release of a slot that was then loaded. Ruled out: asking the engine to refuse orders of an earlier process; not every engine checks who gives an order. Change: no load is ordered and no release confirmed before an inventory was asked for 2 s (the ledger's settle delay) after the first one. Loaded replicas serve at once. The fuzzing kills and restarts the sidecar and plays permit keepers; every permit must be given back.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -188,3 +188,40 @@
 		is.True(result(b.generate(request("r2", "m", 1))).end != nil)
 	})
 }
+
+func TestRestartedSidecarTakesOverTheLoadInFlight(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault fault
+	}{{"loading", faultNone}, {"order still on its way", faultLateOrder}} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := newFakeEngine()
+				engine.faults = []fault{tc.fault}
+				engine.loadTime = 4 * time.Second
+				b := newBench(engine, nil)
+				defer b.close()
+				b.assign(slot("m", 1))
+				first := b.generate(request("r1", "m", 1))
+				time.Sleep(500 * time.Millisecond) // past the jitter of a load without permit
+				b.restart()
+				is.Equal(result(first).end, nil)
+				released := b.release("m", 1)
+				<-released.closed
+				is.True(!released.frames()[0].GetRelease().GetReleased()) // not known yet
+				b.assign(slot("m", 2), slot("n", 1), slot("o", 1))
+				streams := []*fakeStream{
+					b.generate(request("r2", "m", 2)),
+					b.generate(request("r3", "n", 1)),
+					b.generate(request("r4", "o", 1)),
+				}
+				for _, s := range streams {
+					is.True(result(s).end != nil)
+				}
+				is.Equal(engine.breaches, nil)
+				is.Equal(engine.loads["m"], 1)
+			})
+		})
+	}
+}
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -101,6 +101,7 @@
 
 // bench is one agent beside a fake engine, within a synctest bubble.
 type bench struct {
+	opts   Options
 	agent  *Agent
 	engine *fakeEngine
 	clock  *testClock
@@ -113,17 +114,32 @@
 // newBench starts an agent that has read the engine's inventory.
 func newBench(engine *fakeEngine, change func(*Options)) *bench {
 	b := &bench{engine: engine, clock: &testClock{}}
-	opts := Options{Host: "host-1", Engine: engine, Clock: b.clock, Seed: 1, EngineFences: engine.fences != nil}
+	b.opts = Options{Host: "host-1", Engine: engine, Clock: b.clock, Seed: 1, EngineFences: engine.fences != nil}
 	if change != nil {
-		change(&opts)
+		change(&b.opts)
 	}
-	b.agent = New(opts)
-	b.ctx, b.stop = context.WithCancel(context.Background())
-	b.wg.Go(func() { _ = b.agent.Run(b.ctx) })
+	b.start()
+	time.Sleep(3 * time.Second) // nothing is loaded in the first two
 	synctest.Wait()
 	return b
 }
 
+func (b *bench) start() {
+	b.agent = New(b.opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	b.ctx, b.stop = ctx, cancel
+	agent := b.agent
+	b.wg.Go(func() { _ = agent.Run(ctx) })
+	synctest.Wait()
+}
+
+// restart kills the sidecar process and starts another beside the same engine.
+func (b *bench) restart() {
+	b.stop()
+	b.wg.Wait()
+	b.start()
+}
+
 // close stops the agent and waits for the engine's last orders.
 func (b *bench) close() {
 	b.stop()
@@ -135,7 +151,8 @@
 func (b *bench) open(frame *apiv1.RouterFrame) *fakeStream {
 	s := newFakeStream()
 	s.in <- frame
-	b.wg.Go(func() { b.agent.serve(b.ctx, s) })
+	agent, ctx := b.agent, b.ctx
+	b.wg.Go(func() { agent.serve(ctx, s) })
 	return s
 }
 
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -20,6 +20,8 @@
 	b *bench
 	// open is false until slots were accepted, and again after a pause.
 	open bool
+	// accepted is true once this process has accepted slots.
+	accepted bool
 	// assigned, released and confirmed hold generations by model.
 	assigned, released, confirmed map[string]uint64
 	newest                        map[string]uint64
@@ -29,6 +31,7 @@
 	generations map[*fakeStream]*apiv1.GenerateRequest
 	releases    map[*fakeStream]*apiv1.ReleaseSlot
 	cut         map[*fakeStream]bool
+	watchers    []*fakeStream
 }
 
 func newOracle(b *bench) *oracle {
@@ -105,6 +108,7 @@
 		t.Fatalf("fresh slots refused: %s", reply.GetReason())
 	}
 	o.open = true
+	o.accepted = true
 	o.assigned = make(map[string]uint64)
 	for model, generation := range next {
 		if generation > o.released[model] {
@@ -127,18 +131,13 @@
 	for _, model := range fuzzModels {
 		stale.Slots = append(stale.Slots, fuzzSlot(model, 1))
 	}
-	switch rapid.IntRange(0, 2).Draw(t, "stale") {
-	case 0:
+	kind := rapid.IntRange(0, 2).Draw(t, "stale")
+	switch {
+	case kind == 0 || !o.accepted:
 		stale.BootId = "earlier"
-	case 1:
-		if o.b.table == 0 {
-			return
-		}
+	case kind == 1:
 		stale.TableRevision--
-	case 2:
-		if o.b.table == 0 {
-			return
-		}
+	case kind == 2:
 		stale.ConfigRevision = 0
 	}
 	frame := &apiv1.RouterFrame{Body: &apiv1.RouterFrame_Assign{Assign: stale}}
@@ -149,7 +148,7 @@
 
 func (o *oracle) generate(t *rapid.T) {
 	model := rapid.SampledFrom(fuzzModels).Draw(t, "model")
-	generation := max(1, o.newest[model]+uint64(rapid.IntRange(0, 2).Draw(t, "ahead"))-1)
+	generation := max(2, o.newest[model]+uint64(rapid.IntRange(0, 2).Draw(t, "ahead"))) - 1
 	in := request(fmt.Sprint("r", len(o.streams)), model, generation)
 	in.DeadlineMs = rapid.SampledFrom([]uint32{0, 300, 2500, 20_000}).Draw(t, "deadline")
 	in.Priority = uint32(rapid.IntRange(0, 2).Draw(t, "priority"))
@@ -172,7 +171,7 @@
 
 func (o *oracle) release(t *rapid.T) {
 	model := rapid.SampledFrom(fuzzModels).Draw(t, "model")
-	generation := max(1, o.newest[model]+uint64(rapid.IntRange(0, 1).Draw(t, "ahead"))-1)
+	generation := max(2, o.newest[model]+uint64(rapid.IntRange(0, 1).Draw(t, "ahead"))) - 1
 	o.released[model] = max(o.released[model], generation)
 	if o.assigned[model] <= generation {
 		delete(o.assigned, model)
@@ -190,6 +189,61 @@
 	o.assigned = make(map[string]uint64)
 }
 
+// restartSidecar kills the process. The next one has forgotten the releases; the
+// table lists no released generation by then.
+func (o *oracle) restartSidecar(*rapid.T) {
+	for _, s := range o.streams {
+		o.cut[s] = true
+	}
+	o.b.restart()
+	o.open = false
+	o.accepted = false
+	o.assigned = make(map[string]uint64)
+	for model, generation := range o.released {
+		o.newest[model] = max(o.newest[model], generation) + 1
+	}
+	o.released = make(map[string]uint64)
+}
+
+func (o *oracle) watch(*rapid.T) {
+	o.watchers = append(o.watchers, o.b.watch(1))
+}
+
+// answer plays the router of one watch, for the last permit that it was asked.
+func (o *oracle) answer(t *rapid.T) {
+	if len(o.watchers) == 0 {
+		return
+	}
+	w := rapid.SampledFrom(o.watchers).Draw(t, "watcher")
+	asked := permitRequests(w)
+	if len(asked) == 0 || ended(w) {
+		return
+	}
+	answer := &apiv1.LoadPermit{Id: asked[len(asked)-1].GetId()}
+	switch rapid.IntRange(0, 2).Draw(t, "answer") {
+	case 0:
+		answer.NoKeeper = true
+	case 1:
+		answer.Queued = true
+	}
+	answerPermit(w, answer)
+}
+
+// checkPermits runs when no request is left: every permit was given back.
+func (o *oracle) checkPermits(t *rapid.T) {
+	for _, w := range o.watchers {
+		open := make(map[uint64]bool)
+		for _, request := range permitRequests(w) {
+			open[request.GetId()] = !request.GetDone()
+		}
+		for id, still := range open {
+			if still && !ended(w) {
+				t.Fatalf("permit %d was never given back", id)
+			}
+		}
+	}
+}
+
 func (o *oracle) fault(t *rapid.T) {
 	f := rapid.SampledFrom([]fault{faultLostAnswer, faultLostOrder, faultLateOrder, faultRefused}).Draw(t, "fault")
 	o.b.engine.mu.Lock()
@@ -292,6 +346,7 @@
 	if len(o.generations)+len(o.releases) > 0 {
 		t.Fatalf("%d generations and %d releases never ended", len(o.generations), len(o.releases))
 	}
+	o.checkPermits(t)
 }
 
 // TestAgentKeepsItsPromises drives a whole agent beside an engine that loses
@@ -314,6 +369,9 @@
 				"pause":        o.pause,
 				"fault":        o.fault,
 				"cut":          o.cutStream,
+				"watch":        o.watch,
+				"permit":       o.answer,
+				"new sidecar":  o.restartSidecar,
 				"bad stream":   o.badStream,
 				"restart":      func(*rapid.T) { engine.restart() },
 				"short time":   func(*rapid.T) { time.Sleep(50 * time.Millisecond) },
--- a/internal/agent/ledger/settle.go
+++ b/internal/agent/ledger/settle.go
@@ -17,6 +17,9 @@
 	sequence uint64
 }
 
+// At is when the mark was taken.
+func (m Mark) At() time.Time { return m.at }
+
 // Mark is taken right before the engine is asked for its inventory.
 func (l *Ledger) Mark(now time.Time) Mark { return Mark{at: now, sequence: l.sequence} }
 
--- a/internal/agent/planner/adapter.go
+++ b/internal/agent/planner/adapter.go
@@ -89,7 +89,7 @@
 func (p *Planner) adapterWaiters() []*request {
 	var all []*request
 	for _, r := range p.sorted() {
-		if p.state(r) != ledger.Ready || !p.gate.Open() || p.mustGo(r) != "" {
+		if p.state(r) != ledger.Ready || !p.gate.Open() || !p.settled || p.mustGo(r) != "" {
 			continue
 		}
 		for _, q := range r.waiting {
--- a/internal/agent/planner/load.go
+++ b/internal/agent/planner/load.go
@@ -86,6 +86,10 @@
 			p.emit(WakeAt{l.notBefore})
 			continue
 		}
+		if !p.settled {
+			l.awaitStart(now)
+			continue
+		}
 		if !l.reserved {
 			if claimed {
 				continue
@@ -103,6 +107,13 @@
 	}
 }
 
+// awaitStart notes that a load waits until the engine's state is known.
+func (l *load) awaitStart(now time.Time) {
+	if l.memory.begin.IsZero() {
+		l.memory = span{begin: now, cause: "start of the sidecar: earlier orders may still arrive"}
+	}
+}
+
 func (p *Planner) pendingLoads() []*replica {
 	pending := slices.DeleteFunc(p.sorted(), func(r *replica) bool {
 		return r.load == nil || !r.load.pending()
--- a/internal/agent/planner/planner.go
+++ b/internal/agent/planner/planner.go
@@ -55,7 +55,11 @@
 	estimates  estimates
 	stats      Stats
 
+	// started is when the first inventory was asked for; settled is true once
+	// one was read that shows all orders of an earlier sidecar of this host.
+	started     time.Time
 	inventoried bool
+	settled     bool
 	lastTick    time.Time
 	lastID      uint64
 	// unpermitted is the load that runs without a permit; 0 for none.
--- a/internal/agent/planner/release.go
+++ b/internal/agent/planner/release.go
@@ -15,8 +15,8 @@
 	p.gate.Release(key, generation)
 	r := p.replicas[key.Model]
 	switch {
-	case !p.inventoried:
-		p.emit(Released{Release: id, Reason: "the engine's inventory was not read yet: release again later"})
+	case !p.settled:
+		p.emit(Released{Release: id, Reason: "the sidecar has just started and does not know yet what the engine holds: release again later"})
 	case r == nil:
 		p.emit(Released{Release: id, Done: true})
 	default:
--- a/internal/agent/planner/rig_test.go
+++ b/internal/agent/planner/rig_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
@@ -39,7 +40,10 @@
 		Policy:       policy,
 	})
 	inv.MemoryTotalMiB = 100
-	r.take(r.p.Inventory(r.now, r.p.MarkInventory(r.now), inv))
+	for range 2 {
+		r.take(r.p.Inventory(r.now, r.p.MarkInventory(r.now), inv))
+		r.now = r.now.Add(ledger.SettleDelay)
+	}
 	return r
 }
 
