lease: takeovers back off while the table doesn't answer

Run: go test ./internal/lease -run xxx -bench Fleet -benchtime 1x. Ruled out a fault of the manager; the stop is now marked as busy, as steps are.

--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -170,6 +170,15 @@
 		before := f.table.Commits()
 		f.run(time.Minute)
 		b.ReportMetric(float64(f.table.Commits()-before)/60, "steady-commits/s")
+		f.table.SetFault(tabletest.Down)
+		before = f.table.Commits()
+		f.run(time.Minute)
+		b.ReportMetric(float64(f.table.Commits()-before)/60, "outage-commits/s")
+		f.table.SetFault(tabletest.None)
+		before = f.table.Commits()
+		f.run(10 * time.Second)
+		b.ReportMetric(float64(f.table.Commits()-before)/10, "after-commits/s")
+		f.run(time.Minute)
 		f.managers = f.managers[lost:] // they die without a release
 		before = f.table.Commits()
 		start := f.now
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -73,7 +73,11 @@
 	snapshot     *view.Snapshot
 	nextRenewal  time.Time
 	nextHandover time.Time
-	failures     int
+	// renewFailures and takeFailures count the commits without an answer since
+	// the last that had one.
+	renewFailures int
+	nextTake      time.Time
+	takeFailures  int
 
 	stats counters
 }
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -191,7 +191,10 @@
 // stop releases a node's leases; the answer may be lost.
 func (m *machine) stop() {
 	m.table.SetFault(rapid.SampledFrom([]tabletest.Fault{tabletest.None, tabletest.LostAnswer}).Draw(m.t, "stop fault"))
-	m.drawNode().manager.releaseAll(context.Background())
+	n := m.drawNode()
+	n.busy = true // one goroutine runs a manager's steps and its stop
+	n.manager.releaseAll(context.Background())
+	n.busy = false
 	m.table.SetFault(tabletest.None)
 }
 
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -48,11 +48,11 @@
 func (m *Manager) scheduleRenewal(ok bool) {
 	wait := m.timing.renewEvery()
 	if ok {
-		m.failures = 0
+		m.renewFailures = 0
 	} else {
-		m.failures++
+		m.renewFailures++
 	}
-	if m.failures == 1 {
+	if m.renewFailures == 1 {
 		wait /= 2
 	}
 	m.nextRenewal = m.opts.Now().Add(spread(wait, m.random))
@@ -118,26 +118,42 @@
 // contend takes over the leases that have no holder or a silent one.
 func (m *Manager) contend(ctx context.Context) {
 	now := m.opts.Now()
+	if now.Before(m.nextTake) {
+		return
+	}
 	var batch []change
 	for _, e := range m.entries {
 		if m.mayTake(e, now) {
 			batch = append(batch, m.takeover(e))
 		}
 	}
+	if len(batch) == 0 {
+		return
+	}
 	none := func(*entry) (change, bool) { return change{}, false }
 	done, sent, err := m.commit(ctx, batch, none)
 	if err != nil {
-		// Nobody could renew either: the holder gets its whole time anew.
-		for _, c := range batch {
-			m.watch(c.entry, m.opts.Now())
-		}
+		m.postponeTakeovers(batch)
+		return
 	}
+	m.takeFailures = 0
 	for _, c := range done {
 		m.hold(c.entry, c.row.GetEpoch(), c.entry.version)
 		m.extend(c.entry, sent)
 	}
 }
 
+// postponeTakeovers follows takeovers without an answer. The holders could not
+// renew either, so they get their whole time anew.
+func (m *Manager) postponeTakeovers(batch []change) {
+	now := m.opts.Now()
+	for _, c := range batch {
+		m.watch(c.entry, now)
+	}
+	m.nextTake = now.Add(spread(m.timing.retryAfter(m.takeFailures), m.random))
+	m.takeFailures++
+}
+
 // mayTake reports whether a lease was watched without a change for long enough.
 func (m *Manager) mayTake(e *entry, now time.Time) bool {
 	if e.held {
--- a/internal/lease/timing.go
+++ b/internal/lease/timing.go
@@ -21,6 +21,15 @@
 // was sent.
 func (t timing) validFor() time.Duration { return t.ttl * 3 / 4 }
 
+// maxRetryDoublings bounds the back-off of takeovers that bring no answer.
+const maxRetryDoublings = 3
+
+// retryAfter is the wait after takeovers that brought no answer, so that an
+// outage of the table brings no storm of them.
+func (t timing) retryAfter(failures int) time.Duration {
+	return t.renewEvery() << min(failures, maxRetryDoublings)
+}
+
 // callTimeout bounds one commit.
 func (t timing) callTimeout() time.Duration { return t.ttl / 4 }
 
