--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -47,6 +47,8 @@
 	cfg   *apiv1.RouterSettings
 	log   *log.Logger
 	creds transport.Credentials
+	// policies replaces parts of the policy in load tests.
+	policies Policies
 	// bootID tells peers this process from earlier ones on the same host.
 	bootID string
 
@@ -55,6 +57,7 @@
 	pool     *transport.Pool
 	claims   *claim.Store
 	records  *waitlog.Writer
+	loader   *config.Loader
 	leases   *lease.Manager
 	decider  *decider.Decider
 	permits  *permitDesk
@@ -93,11 +96,15 @@
 
 // NewRouter binds the router's addresses and wires its parts.
 func NewRouter(cfg *apiv1.RouterSettings, logger *log.Logger) (*Router, error) {
+	return newRouter(cfg, logger, Policies{})
+}
+
+func newRouter(cfg *apiv1.RouterSettings, logger *log.Logger, policies Policies) (*Router, error) {
 	creds, err := settings.Credentials(cfg.GetSecurity())
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{cfg: cfg, log: logger, creds: creds, bootID: rand.Text(), store: view.NewStore()}
+	r := &Router{cfg: cfg, log: logger, creds: creds, policies: policies.withDefaults(), bootID: rand.Text(), store: view.NewStore()}
 	platformClients := newClients(cfg.GetPlatform())
 	r.wireState(platformClients)
 	r.wireDecisions(platformClients)
@@ -107,13 +114,12 @@
 
 func (r *Router) wireState(c clients) {
 	r.pool = transport.NewPool(r.creds, sessionIdle)
+	r.loader = config.NewLoader(c.objects)
 	r.poller = view.NewPoller(view.PollerOptions{
-		Store: r.store,
-		Table: c.table,
-		Hosts: c.hosts,
-		LoadConfig: func(ctx context.Context, head *apiv1.HeadRow) (*config.Index, error) {
-			return config.LoadBody(ctx, c.objects, head)
-		},
+		Store:       r.store,
+		Table:       c.table,
+		Hosts:       c.hosts,
+		LoadConfig:  r.loader.Load,
 		TablePeriod: milliseconds(r.cfg.GetTablePollMs()),
 		HostPeriod:  milliseconds(r.cfg.GetHostPollMs()),
 		Log:         r.log,
@@ -141,15 +147,21 @@
 		Peers:   r.liveRouters,
 		Commit:  platform.CommitSettled,
 	})
-	r.permits = &permitDesk{leases: r.leases, view: r.store, log: r.log}
+	r.permits = &permitDesk{
+		leases: r.leases,
+		view:   r.store,
+		limits: r.policies.PermitLimits,
+		log:    r.log,
+		wake:   make(chan struct{}, 1),
+	}
 	r.sidecars = upstream.NewManager(upstream.Options{
 		Router:        r.cfg.GetHost(),
 		View:          r.store,
 		Pool:          r.pool,
 		Refresh:       r.poller.Refresh,
 		Watches:       r.watches,
-		InFlightDelta: inFlightDelta,
-		ReportPeriod:  reportPeriod,
+		InFlightDelta: r.policies.InFlightDelta,
+		ReportPeriod:  r.policies.ReportPeriod,
 		Permits:       r.permits,
 		Log:           r.log,
 	})
@@ -200,7 +212,8 @@
 		View:          r.store,
 		Pool:          r.pool,
 		Claims:        r.claims,
-		Records:       r.records,
+		Records:       r.policies.recorder(r.records),
+		NoAffinity:    r.policies.NoAffinity,
 		Refresh:       r.sidecars.Refresh,
 		MaxBodyBytes:  int64(r.cfg.GetMaxBodyBytes()),
 		RetryBudget:   r.cfg.GetRetryBudget(),
@@ -254,6 +267,7 @@
 	v.publish("router", func() any { return r.front.Stats() })
 	v.publish("decider", func() any { return r.decider.Stats() })
 	v.publish("gossip", func() any { return r.gossip.Stats() })
+	v.publish("config", func() any { return r.loader.Stats() })
 	v.publish("records", func() any { return r.records.Stats() })
 	v.publish("sessions", func() any { return r.pool.Size() })
 	return v
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent"
+	"github.com/ragwortdoor/ragwortdoor/internal/operator"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
@@ -27,16 +28,20 @@
 // NewSidecar binds the sidecar's addresses. The routers' address stays bound
 // for the life of the process, so that two sidecars never run on one host.
 func NewSidecar(cfg *apiv1.SidecarSettings, logger *log.Logger) (*Sidecar, error) {
+	return newSidecar(cfg, logger, Policies{})
+}
+
+func newSidecar(cfg *apiv1.SidecarSettings, logger *log.Logger, policies Policies) (*Sidecar, error) {
 	creds, err := settings.Credentials(cfg.GetSecurity())
 	if err != nil {
 		return nil, err
 	}
-	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger)}
+	s := &Sidecar{cfg: cfg, log: logger, agent: newAgent(cfg, logger, policies)}
 	s.server, err = transport.Listen(cfg.GetListen(), creds, s.agent.Handle)
 	if err != nil {
 		return nil, err
 	}
-	s.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, s.operatorHandler())
+	s.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, s.operatorHandler(creds.Token))
 	if err != nil {
 		_ = s.server.Close()
 		return nil, err
@@ -44,13 +49,16 @@
 	return s, nil
 }
 
-func newAgent(cfg *apiv1.SidecarSettings, logger *log.Logger) *agent.Agent {
+func newAgent(cfg *apiv1.SidecarSettings, logger *log.Logger, policies Policies) *agent.Agent {
 	opts := agent.Options{
 		Host:          cfg.GetHost(),
 		EngineFences:  cfg.GetEngineFences(),
 		PermitTimeout: milliseconds(cfg.GetPermitTimeoutMs()),
 		Log:           logger,
 	}
+	if policies.KeepAlive != nil {
+		opts.KeepAlive = policies.KeepAlive()
+	}
 	if cfg.GetEngineUrl() != "" {
 		opts.Engine = platform.NewEngineClient(platform.ClientOptions{BaseURL: cfg.GetEngineUrl()})
 	}
@@ -61,11 +69,11 @@
 	return agent.New(opts)
 }
 
-func (s *Sidecar) operatorHandler() http.Handler {
+func (s *Sidecar) operatorHandler(token []byte) http.Handler {
 	v := &vars{}
 	v.publish("sidecar", func() any { return s.agent.Stats() })
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", v)
+	mux.Handle("GET /debug/vars", operator.Authorize(token, v))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintln(w, "ok")
 	})
