router: names of the field, stored outcomes at a stop, bound on prompts

Wait now gives outcomes of claimed calls up to 10 s to be stored, since a stop lost them and left their claims open for repeats. A request is counted after its wait record was handed on: two tests read the record before it was there, and so could a stop. A prompt that does not fit into a frame is refused with 413 instead of being tried as a cut stream. Names: capacity, target, suspend, granted in place of outlook, place, punish, leave.

--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -46,7 +46,7 @@
 	ReasonRoom     Reason = "only ready replica with room"
 	ReasonLoading  Reason = "lowest slot that is loading"
 	ReasonCold     Reason = "lowest slot, none is ready"
-	ReasonScaleOut Reason = "ready replicas are full, wakes another slot"
+	ReasonScaleOut Reason = "ready replicas are full, loads another slot"
 	ReasonRetry    Reason = "same host as the earlier try"
 )
 
@@ -68,7 +68,7 @@
 
 // Pick chooses among the candidates, which are ordered by slot. It returns the
 // index of the choice, or -1 when none has room. The choice among cold slots
-// depends on the candidates alone, so that all routers wake the same one.
+// depends on the candidates alone, so that all routers load the same one.
 func Pick(candidates []Candidate, wish Wish) (int, Reason) {
 	if wish.Prefer != "" {
 		if i := onHost(candidates, wish.Prefer); i >= 0 {
@@ -102,7 +102,7 @@
 	if paused {
 		return -1, ""
 	}
-	i = pickWaking(candidates, avoid)
+	i = pickCold(candidates, avoid)
 	if i < 0 || !candidates[i].Room {
 		return -1, ""
 	}
@@ -164,9 +164,9 @@
 	}
 }
 
-// pickWaking returns the lowest slot that is loading, else the lowest one that
+// pickCold returns the lowest slot that is loading, else the lowest one that
 // is not ready.
-func pickWaking(candidates []Candidate, avoid string) int {
+func pickCold(candidates []Candidate, avoid string) int {
 	cold := -1
 	for i := range candidates {
 		c := &candidates[i]
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -226,7 +226,7 @@
 	got := f.chat(t, true, router.HeaderDeadline, "40")
 	is.Equal(got.status, http.StatusServiceUnavailable)
 	is.Equal(got.outcome(), "not-run")
+	f.checkSum(t)
 	record := f.records.last()
 	is.Equal(record.GetPhases()[0].GetCause(), "no replica is assigned to a live host")
-	f.checkSum(t)
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -30,17 +30,17 @@
 // attempt sends a generation to a replica and passes its tokens on until the
 // answer is whole or the stream ends. The Error is set when the caller can't be
 // answered any more.
-func (r *Router) attempt(ctx context.Context, g *generation, leave *grant) (ending, *Error) {
-	stream, err := r.open(ctx, leave.host, leave.address)
+func (r *Router) attempt(ctx context.Context, g *generation, granted *grant) (ending, *Error) {
+	stream, err := r.open(ctx, granted.host, granted.address)
 	if err != nil {
 		return ending{kind: endNotOpened, cause: err}, nil
 	}
-	leaveStream := r.guard(ctx, stream)
-	defer leaveStream()
-	if err := stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Generate{Generate: g.next(leave)}}); err != nil {
+	closeStream := r.guard(ctx, stream)
+	defer closeStream()
+	if err := stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Generate{Generate: g.next(granted)}}); err != nil {
 		return ending{kind: endCut, cause: err}, nil
 	}
-	t := &tryStream{r: r, g: g, leave: leave, stream: stream, asked: r.opts.Now()}
+	t := &tryStream{r: r, g: g, granted: granted, stream: stream, asked: r.opts.Now()}
 	return t.receive(ctx)
 }
 
@@ -78,15 +78,15 @@
 }
 
 // next makes the request of the next try.
-func (g *generation) next(leave *grant) *apiv1.GenerateRequest {
+func (g *generation) next(granted *grant) *apiv1.GenerateRequest {
 	snap := g.x.r.opts.View.Load()
 	req := proto.CloneOf(g.request)
 	req.Attempt = g.ticket.attempt
-	req.Slot = leave.slot.Row.GetSlot()
-	req.Generation = leave.slot.Row.GetGeneration()
+	req.Slot = granted.slot.Row.GetSlot()
+	req.Generation = granted.slot.Row.GetGeneration()
 	req.ConfigRevision = snap.Config.Revision
 	// The sidecar needs slots as new as the row that this choice rests on.
-	req.TableRevision = uint64(leave.slot.Version)
+	req.TableRevision = uint64(granted.slot.Version)
 	req.DeadlineMs = g.x.upstreamDeadlineMs()
 	req.Offset = g.answer.next
 	return req
@@ -94,12 +94,12 @@
 
 // tryStream receives the frames of one try.
 type tryStream struct {
-	r      *Router
-	g      *generation
-	leave  *grant
-	stream *transport.Stream
-	asked  time.Time
-	first  time.Time // of the first token of this try
+	r       *Router
+	g       *generation
+	granted *grant
+	stream  *transport.Stream
+	asked   time.Time
+	first   time.Time // of the first token of this try
 }
 
 func (t *tryStream) receive(ctx context.Context) (ending, *Error) {
@@ -126,7 +126,7 @@
 	switch body := frame.GetBody().(type) {
 	case *apiv1.SidecarFrame_Phase:
 		t.accepted()
-		t.g.x.upstreamPhase(body.Phase, t.asked, t.leave.host)
+		t.g.x.upstreamPhase(body.Phase, t.asked, t.granted.host)
 	case *apiv1.SidecarFrame_Tokens:
 		return t.tokens(body.Tokens)
 	case *apiv1.SidecarFrame_End:
@@ -167,9 +167,9 @@
 
 // accepted notes that the replica takes work.
 func (t *tryStream) accepted() {
-	t.leave.model.mu.Lock()
-	defer t.leave.model.mu.Unlock()
-	t.leave.replica.answered()
+	t.granted.model.mu.Lock()
+	defer t.granted.model.mu.Unlock()
+	t.granted.replica.answered()
 }
 
 func (t *tryStream) end(frame *apiv1.StreamEnd) (ending, *Error) {
@@ -184,8 +184,8 @@
 		return ending{}, err
 	}
 	now := t.r.opts.Now()
-	t.g.x.phase(apiv1.PhaseKind_PHASE_KIND_STREAM, t.first, "", t.leave.host)
-	t.r.served(t.leave, t.first, now)
+	t.g.x.phase(apiv1.PhaseKind_PHASE_KIND_STREAM, t.first, "", t.granted.host)
+	t.r.served(t.granted, t.first, now)
 	return ending{kind: endServed}, nil
 }
 
@@ -196,6 +196,6 @@
 	}
 	t.r.counters.crossed.Add(1)
 	t.r.opts.Log.Warn("discarded the frame of another request", "request_id", t.g.x.id,
-		"found", requestID, "host", t.leave.host)
+		"found", requestID, "host", t.granted.host)
 	return false
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -22,12 +22,12 @@
 
 // call sends a call until it is answered or must not be sent again.
 func (r *Router) call(ctx context.Context, c *serviceCall) (*answer, *Error) {
-	unsure := false
+	mayHaveRun := false
 	var tried []string
 	for {
 		host, ok := r.pickServiceHost(c, tried)
 		if !ok {
-			return nil, noServiceHost(c).mayHaveRun(unsure)
+			return nil, noServiceHost(c).unknownIf(mayHaveRun)
 		}
 		tried = append(tried, host.ID)
 		c.x.record.Host = host.ID
@@ -41,8 +41,8 @@
 		case e.kind == endServed:
 			return a, nil
 		}
-		unsure = unsure || e.unsure()
-		if err := r.afterCall(ctx, c, e, host.ID, unsure, len(tried)); err != nil {
+		mayHaveRun = mayHaveRun || e.mayHaveRun()
+		if err := r.afterCall(ctx, c, e, host.ID, mayHaveRun, len(tried)); err != nil {
 			return nil, err
 		}
 	}
@@ -80,7 +80,7 @@
 
 // afterCall acts on a failed sending. It returns an Error when the call is not
 // sent again.
-func (r *Router) afterCall(ctx context.Context, c *serviceCall, e ending, host string, unsure bool, tries int) *Error {
+func (r *Router) afterCall(ctx context.Context, c *serviceCall, e ending, host string, mayHaveRun bool, tries int) *Error {
 	now := r.opts.Now()
 	switch {
 	case e.kind == endNotOpened:
@@ -91,23 +91,23 @@
 		r.counters.cuts.Add(1)
 	}
 	if ctx.Err() != nil {
-		return c.x.expired(unsure)
+		return c.x.expired(mayHaveRun)
 	}
 	p := planCall(e, c.repeatable)
 	if !p.again || tries >= maxCallHops {
-		return callFailed(e, unsure)
+		return callFailed(e, mayHaveRun)
 	}
 	if p.budgeted && !r.budget.retry() {
 		r.counters.retriesDenied.Add(1)
-		return callFailed(e, unsure)
+		return callFailed(e, mayHaveRun)
 	}
 	r.counters.retries.Add(1)
 	return nil
 }
 
-func callFailed(e ending, unsure bool) *Error {
+func callFailed(e ending, mayHaveRun bool) *Error {
 	after := time.Duration(e.refusal.GetRetryAfterMs()) * time.Millisecond
-	if unsure {
+	if mayHaveRun {
 		return unknown(KindUpstream, http.StatusBadGateway, remedyCheck, "%s", e)
 	}
 	kind := KindUpstream
@@ -125,8 +125,8 @@
 	if err != nil {
 		return nil, ending{kind: endNotOpened, cause: err}, nil
 	}
-	leave := r.guard(ctx, stream)
-	defer leave()
+	done := r.guard(ctx, stream)
+	defer done()
 	asked := r.opts.Now()
 	if err := stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Call{Call: c.request()}}); err != nil {
 		return nil, ending{kind: endCut, cause: err}, nil
@@ -207,7 +207,7 @@
 
 // abort makes the caller see that the answer is not whole.
 func (s *callStream) abort(err *Error) *Error {
-	s.c.x.cutAnswer = s.passing()
+	s.c.x.truncated = s.passing()
 	return err
 }
 
--- a/internal/router/outlook.go
+++ b/internal/router/capacity.go
@@ -12,21 +12,21 @@
 // adapterLoadTime is the expected time to load an adapter.
 const adapterLoadTime = 15 * time.Millisecond
 
-// outlook is what the replicas of a model let a waiting request expect.
-type outlook struct {
+// capacity is what the replicas of a model let a waiting request expect.
+type capacity struct {
 	// known is false when no replica is assigned to a live host.
 	known bool
-	// wakes is true when the next request starts a load. It is sent on although
+	// startsLoad is true when the next request starts a load. It is sent on although
 	// its deadline can't be met, since else nobody would start it.
-	wakes bool
-	cold  bool
-	load  route.Load
+	startsLoad bool
+	cold       bool
+	load       route.Load
 }
 
-// outlook looks at the replicas of a model; the caller holds m.mu.
-func (r *Router) outlook(m *model, snap *view.Snapshot, adapter string, now time.Time) outlook {
+// capacity looks at the replicas of a model; the caller holds m.mu.
+func (r *Router) capacity(m *model, snap *view.Snapshot, adapter string, now time.Time) capacity {
 	m.buf = r.candidates(m, snap, adapter, now, m.buf[:0])
-	o := outlook{load: route.Load{Hold: m.hold.Value(now), FirstToken: m.first.Value(now)}}
+	o := capacity{load: route.Load{Hold: m.hold.Value(now), FirstToken: m.first.Value(now)}}
 	window := window(snap, m.name)
 	hasAdapter := adapter == ""
 	ready := 0
@@ -47,17 +47,17 @@
 	if ready > 0 || !o.known {
 		return o
 	}
-	c := waking(m.buf)
+	c := coldChoice(m.buf)
 	o.cold = true
-	o.wakes = c.State == route.StateCold
+	o.startsLoad = c.State == route.StateCold
 	o.load.Window = window
 	o.load.Dispatched = min(c.InFlight, window)
 	o.load.ReadyIn = c.ReadyIn
 	return o
 }
 
-// waking is the candidate that route.Pick takes when none is ready.
-func waking(candidates []route.Candidate) *route.Candidate {
+// coldChoice is the candidate that route.Pick takes when none is ready.
+func coldChoice(candidates []route.Candidate) *route.Candidate {
 	for i := range candidates {
 		if candidates[i].State == route.StateLoading {
 			return &candidates[i]
@@ -66,7 +66,7 @@
 	return &candidates[0]
 }
 
-func (o outlook) estimate(ahead int, extra time.Duration) route.Estimate {
+func (o capacity) estimate(ahead int, extra time.Duration) route.Estimate {
 	load := o.load
 	load.Ahead = ahead
 	load.ReadyIn += extra
@@ -74,8 +74,8 @@
 }
 
 // refusal returns the Error of a request whose deadline can't be met.
-func (o outlook) refusal(w *route.Waiter[*ticket], ahead int, now time.Time) *Error {
-	if !o.known || o.wakes {
+func (o capacity) refusal(w *route.Waiter[*ticket], ahead int, now time.Time) *Error {
+	if !o.known || o.startsLoad {
 		return nil
 	}
 	e := o.estimate(ahead, 0)
@@ -96,7 +96,7 @@
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
 // cause says what a request in a queue of a length waits for.
-func (o outlook) cause(length int) string {
+func (o capacity) cause(length int) string {
 	switch {
 	case !o.known:
 		return "no replica is assigned to a live host"
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/route"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
 const defaultMaxTokens = 256
@@ -79,14 +80,22 @@
 	}
 	x.record.Target = target.Model.GetName()
 	x.record.Adapter = target.Adapter.GetName()
-	if err := x.setTerms(snap.Config, target.Model.GetPriorityClass(), 0); err != nil {
+	if err := x.setClassAndDeadline(snap.Config, target.Model.GetPriorityClass(), 0); err != nil {
 		return err
 	}
+	g := newGeneration(x, target, chat, maxTokens)
+	if len(g.request.GetPrompt()) > maxPromptBytes {
+		return notRun(KindBodyTooLarge, http.StatusRequestEntityTooLarge, "send shorter messages",
+			"the prompt is longer than %d bytes", maxPromptBytes)
+	}
 	ctx, cancel := x.context()
 	defer cancel()
-	return r.generate(ctx, newGeneration(x, target, chat, maxTokens))
+	return r.generate(ctx, g)
 }
 
+// maxPromptBytes lets a request fit into one frame with its other fields.
+const maxPromptBytes = transport.MaxFrameBytes - 64<<10
+
 func parseChat(body []byte) (*chatRequest, uint32, *Error) {
 	chat := &chatRequest{}
 	if err := json.Unmarshal(body, chat); err != nil {
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -87,9 +87,9 @@
 	return e
 }
 
-// mayHaveRun turns the outcome to unknown if a part of the request may have run.
-func (e *Error) mayHaveRun(may bool) *Error {
-	if !may {
+// unknownIf turns the outcome to unknown if a part of the request may have run.
+func (e *Error) unknownIf(mayHaveRun bool) *Error {
+	if !mayHaveRun {
 		return e
 	}
 	e.Outcome = apiv1.Outcome_OUTCOME_UNKNOWN
@@ -108,7 +108,7 @@
 }
 
 func callerGone(sent bool) *Error {
-	return notRun(KindCallerGone, statusClientClosed, remedyAgain, "the caller closed the connection").mayHaveRun(sent)
+	return notRun(KindCallerGone, statusClientClosed, remedyAgain, "the caller closed the connection").unknownIf(sent)
 }
 
 // statusClientClosed is logged for a caller that has gone; nobody reads it.
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -46,9 +46,9 @@
 	record   *apiv1.WaitRecord
 
 	started bool // a byte of the answer may have been written
-	// cutAnswer is true when the connection must be closed, so that the caller
+	// truncated is true when the connection must be closed, so that the caller
 	// sees that the answer is not whole.
-	cutAnswer bool
+	truncated bool
 	ended     bool
 }
 
@@ -85,10 +85,10 @@
 	return err
 }
 
-// setTerms reads the class and the deadline of the request. The class in the
+// setClassAndDeadline reads the class and the deadline of the request. The class in the
 // header goes before the one of the object; fallback is the deadline of
 // requests that carry none.
-func (x *exchange) setTerms(index *config.Index, class string, fallback time.Duration) *Error {
+func (x *exchange) setClassAndDeadline(index *config.Index, class string, fallback time.Duration) *Error {
 	if name := x.req.Header.Get(HeaderPriority); name != "" {
 		if index.PriorityClass(name) == nil {
 			return badRequest("name a published priority class", "%s: no priority class %q", HeaderPriority, name)
@@ -152,7 +152,7 @@
 		return callerGone(sent)
 	}
 	err := notRun(KindDeadline, http.StatusServiceUnavailable, remedyDeadline, "the deadline passed before an answer was there")
-	return err.mayHaveRun(sent).after(time.Second)
+	return err.unknownIf(sent).after(time.Second)
 }
 
 // readBody reads the request body up to the bound.
@@ -223,7 +223,8 @@
 		return
 	}
 	x.ended = true
-	x.r.counters.end(outcome, kindOf(err))
+	// Counted last, so that Wait returns after the record was handed on.
+	defer x.r.counters.end(outcome, kindOf(err))
 	x.finishWrites()
 	x.record.Outcome = outcome
 	x.record.TotalMs = x.sinceArrival(x.r.opts.Now())
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -20,17 +20,17 @@
 
 // generation is one request for tokens over all of its tries.
 type generation struct {
-	x        *exchange
-	target   config.Target
-	request  *apiv1.GenerateRequest
-	ticket   *ticket
-	answer   assembly
-	sink     sink
-	unsure   bool // an earlier try may have run
-	failures int  // tries that an upstream began and did not finish
-	onHost   int  // tries in a row on lastHost
-	lastHost string
-	backOff  *backoff.ExponentialBackOff // nil before the first retry
+	x          *exchange
+	target     config.Target
+	request    *apiv1.GenerateRequest
+	ticket     *ticket
+	answer     assembly
+	sink       sink
+	mayHaveRun bool // an earlier try may have run
+	failures   int  // tries that an upstream began and did not finish
+	onHost     int  // tries in a row on lastHost
+	lastHost   string
+	backOff    *backoff.ExponentialBackOff // nil before the first retry
 }
 
 func newGeneration(x *exchange, target config.Target, chat *chatRequest, maxTokens uint32) *generation {
@@ -67,16 +67,16 @@
 	m := r.model(g.target.Model.GetName())
 	for {
 		g.ticket.attempt++
-		leave, err := r.place(ctx, m, g)
+		granted, err := r.acquireNext(ctx, m, g)
 		if err != nil {
-			return g.fail(err.mayHaveRun(g.unsure))
+			return g.fail(err.unknownIf(g.mayHaveRun))
 		}
-		e, err := r.try(ctx, g, leave)
+		e, err := r.try(ctx, g, granted)
 		if e.kind == endServed {
 			return nil
 		}
 		if err == nil {
-			err = g.pause(ctx, e, leave.host)
+			err = g.pause(ctx, e, granted.host)
 		}
 		if err != nil {
 			return g.fail(err)
@@ -92,12 +92,12 @@
 	return err
 }
 
-// place finds a replica for the next try.
-func (r *Router) place(ctx context.Context, m *model, g *generation) (*grant, *Error) {
+// acquireNext finds a replica for the next try.
+func (r *Router) acquireNext(ctx context.Context, m *model, g *generation) (*grant, *Error) {
 	wish := g.ticket.wish
 	if wish.Prefer != "" {
-		if leave := r.pickNow(m, g.ticket); leave != nil {
-			return leave, nil
+		if granted := r.pickNow(m, g.ticket); granted != nil {
+			return granted, nil
 		}
 		if wish.Only {
 			return nil, unknown(KindCut, statusBadGateway, remedyAgain, "host %s, which has the stream, has left", wish.Prefer)
@@ -112,12 +112,12 @@
 // host, whose place the request had before.
 func (r *Router) pickNow(m *model, t *ticket) *grant {
 	m.mu.Lock()
-	leave := r.pick(m, r.opts.View.Load(), t, r.opts.Now())
+	granted := r.pick(m, r.opts.View.Load(), t, r.opts.Now())
 	m.mu.Unlock()
-	if leave != nil {
-		r.logRoute(t, leave)
+	if granted != nil {
+		r.logRoute(t, granted)
 	}
-	return leave
+	return granted
 }
 
 func (g *generation) restart() {
@@ -130,47 +130,47 @@
 // try sends a generation to a replica and prepares the next try if it fails.
 // The Error is set when there is none. The replica's place is given back after
 // a failed replica was paused, so that no other request takes it too soon.
-func (r *Router) try(ctx context.Context, g *generation, leave *grant) (ending, *Error) {
-	defer r.release(leave)
-	if leave.host != g.lastHost {
-		g.lastHost = leave.host
+func (r *Router) try(ctx context.Context, g *generation, granted *grant) (ending, *Error) {
+	defer r.release(granted)
+	if granted.host != g.lastHost {
+		g.lastHost = granted.host
 		g.onHost = 0
 	}
 	g.onHost++
-	g.x.record.Host = leave.host
+	g.x.record.Host = granted.host
 	g.x.record.Attempts = g.ticket.attempt
-	g.x.record.ColdStart = g.x.record.GetColdStart() || leave.cold
-	e, err := r.attempt(ctx, g, leave)
-	g.unsure = g.unsure || e.unsure()
+	g.x.record.ColdStart = g.x.record.GetColdStart() || granted.cold
+	e, err := r.attempt(ctx, g, granted)
+	g.mayHaveRun = g.mayHaveRun || e.mayHaveRun()
 	switch {
 	case e.kind == endServed:
 		return e, nil
 	case err != nil:
-		return e, err.mayHaveRun(g.unsure)
+		return e, err.unknownIf(g.mayHaveRun)
 	case ctx.Err() != nil:
-		return e, g.x.expired(g.unsure)
+		return e, g.x.expired(g.mayHaveRun)
 	default:
-		return e, r.prepareRetry(g, leave, e)
+		return e, r.prepareRetry(g, granted, e)
 	}
 }
 
 // prepareRetry acts on the end of a try. It returns an Error when there is no
 // other one.
-func (r *Router) prepareRetry(g *generation, leave *grant, e ending) *Error {
+func (r *Router) prepareRetry(g *generation, granted *grant, e ending) *Error {
 	if e.failed() {
 		g.failures++
 	}
 	p := planRetry(e, progress{delivered: g.sink.delivered(), triesOnHost: g.onHost, failures: g.failures})
-	r.punish(leave, p)
+	r.suspend(granted, p)
 	if e.kind == endCut {
 		r.counters.cuts.Add(1)
 	}
-	if p.place == placeNone {
-		return p.final(e, g.unsure)
+	if p.target == targetNone {
+		return p.final(e, g.mayHaveRun)
 	}
 	if p.budgeted && !r.budget.retry() {
 		r.counters.retriesDenied.Add(1)
-		return p.final(e, g.unsure)
+		return p.final(e, g.mayHaveRun)
 	}
 	r.counters.retries.Add(1)
 	if p.restart {
@@ -179,41 +179,41 @@
 	if g.answer.next > 0 {
 		r.counters.resumed.Add(1)
 	}
-	g.ticket.setPlace(p.place, leave.host)
+	g.ticket.setTarget(p.target, granted.host)
 	return nil
 }
 
-// punish keeps work from the host or the replica of a failed try.
-func (r *Router) punish(leave *grant, p plan) {
+// suspend keeps work from the host or the replica of a failed try.
+func (r *Router) suspend(granted *grant, p plan) {
 	now := r.opts.Now()
 	if p.unreachable {
-		r.hosts.unreachable(leave.host, now)
+		r.hosts.unreachable(granted.host, now)
 	}
 	if p.draining {
-		r.hosts.draining(leave.host, now)
+		r.hosts.draining(granted.host, now)
 	}
 	if p.refresh {
-		r.opts.Refresh(leave.host)
+		r.opts.Refresh(granted.host)
 	}
 	if p.pause {
-		leave.model.mu.Lock()
-		leave.replica.pause(now.Add(assignPause))
-		leave.model.mu.Unlock()
+		granted.model.mu.Lock()
+		granted.replica.pause(now.Add(assignPause))
+		granted.model.mu.Unlock()
 	}
 }
 
-// setPlace narrows the choice of the next try.
-func (t *ticket) setPlace(place resumePlace, host string) {
+// setTarget narrows the choice of the next try.
+func (t *ticket) setTarget(target retryTarget, host string) {
 	t.wish.Prefer = ""
 	t.wish.Only = false
 	t.wish.Avoid = ""
-	switch place {
-	case placeSame:
+	switch target {
+	case targetSame:
 		t.wish.Prefer = host
-	case placeOnlySame:
+	case targetOnlySame:
 		t.wish.Prefer = host
 		t.wish.Only = true
-	case placeOther:
+	case targetOther:
 		t.wish.Avoid = host
 	}
 }
@@ -231,7 +231,7 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		return g.x.expired(g.unsure)
+		return g.x.expired(g.mayHaveRun)
 	}
 	g.x.phase(apiv1.PhaseKind_PHASE_KIND_RETRY, start, e.String(), host)
 	return nil
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -239,6 +239,7 @@
 	is.Equal(seen.GetPrompt(), "user: hi")
 	is.True(seen.GetDeadlineMs() > 0 && seen.GetDeadlineMs() <= 3000)
 
+	f.checkSum(t)
 	record := f.records.last()
 	is.Equal(record.GetOutcome(), apiv1.Outcome_OUTCOME_SERVED)
 	is.True(record.GetColdStart())
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -59,7 +59,7 @@
 		return
 	}
 	x.fail(err)
-	if x.cutAnswer {
+	if x.truncated {
 		panic(http.ErrAbortHandler) // net/http closes the connection
 	}
 }
--- a/internal/router/model.go
+++ b/internal/router/model.go
@@ -41,7 +41,7 @@
 	err   *Error
 }
 
-// grant is the leave to send one request to one replica. End it with release.
+// grant is the right to send one request to one replica. End it with release.
 type grant struct {
 	model   *model
 	replica *replica
@@ -110,7 +110,7 @@
 	snap := r.opts.View.Load()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := r.outlook(m, snap, w.Value.adapter, now)
+	o := r.capacity(m, snap, w.Value.adapter, now)
 	if w.Value.attempt > 1 {
 		m.queue.Return(w)
 	} else if err := r.push(m, snap, w, o, now); err != nil {
@@ -122,7 +122,7 @@
 }
 
 // push admits a new request.
-func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], o outlook, now time.Time) *Error {
+func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], o capacity, now time.Time) *Error {
 	if err := o.refusal(w, m.queue.Ahead(w.Class, now), now); err != nil {
 		return err
 	}
@@ -144,7 +144,7 @@
 	return defaultMaxQueue
 }
 
-func queueFull(kind Kind, o outlook, length int) *Error {
+func queueFull(kind Kind, o capacity, length int) *Error {
 	message := "the queue of the model is full"
 	if kind == KindShed {
 		message = "a request of a higher priority class took the place in the full queue"
@@ -236,7 +236,7 @@
 	if m.queue.Len() == 0 {
 		return
 	}
-	o := r.outlook(m, snap, "", now)
+	o := r.capacity(m, snap, "", now)
 	ahead := 0
 	for _, w := range m.queue.Ordered(now) {
 		t := w.Value
--- a/internal/router/outcomes_test.go
+++ b/internal/router/outcomes_test.go
@@ -83,6 +83,7 @@
 			})
 		}
 		callers.Wait()
+		table.SetFault(tabletest.None)
 		runs.Range(func(key, _ any) bool {
 			if _, told := maybe.Load(key); !told {
 				t.Errorf("call %s ran and all callers were told that it did not", key)
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -33,8 +33,8 @@
 	cause   error          // for the log and the wait record
 }
 
-// unsure reports whether the try may have run.
-func (e ending) unsure() bool {
+// mayHaveRun reports whether the try may have run.
+func (e ending) mayHaveRun() bool {
 	switch e.kind {
 	case endNotOpened:
 		return false
@@ -82,26 +82,26 @@
 	failures int
 }
 
-// resumePlace tells where the next try may go.
-type resumePlace int
+// retryTarget tells where the next try may go.
+type retryTarget int
 
-// Places of the next try.
+// Targets of the next try.
 const (
-	// placeNone means that there is no next try.
-	placeNone resumePlace = iota
-	// placeAny takes the place in the queue again.
-	placeAny
-	// placeOther avoids the last host if there is another.
-	placeOther
-	// placeSame prefers the last host.
-	placeSame
-	// placeOnlySame allows no other host.
-	placeOnlySame
+	// targetNone means that there is no next try.
+	targetNone retryTarget = iota
+	// targetAny takes the place in the queue again.
+	targetAny
+	// targetOther avoids the last host if there is another.
+	targetOther
+	// targetSame prefers the last host.
+	targetSame
+	// targetOnlySame allows no other host.
+	targetOnlySame
 )
 
 // plan is what follows from an ending.
 type plan struct {
-	place resumePlace
+	target retryTarget
 	// budgeted is true when the retry must be paid from the budget.
 	budgeted bool
 	// restart drops the received tokens and starts at offset 0.
@@ -113,7 +113,7 @@
 	draining    bool
 	// pause keeps the replica from new work for a while.
 	pause bool
-	// refused and retryAfter describe the final Error when place is placeNone.
+	// refused and retryAfter describe the final Error when target is targetNone.
 	refused    Kind
 	retryAfter time.Duration
 }
@@ -141,21 +141,21 @@
 func planNotOpened(p progress) plan {
 	switch {
 	case !p.delivered:
-		return plan{place: placeAny, restart: true, unreachable: true, refused: KindNoHost}
+		return plan{target: targetAny, restart: true, unreachable: true, refused: KindNoHost}
 	case p.triesOnHost < maxTriesOnHost:
-		return plan{place: placeOnlySame, budgeted: true, refused: KindCut}
+		return plan{target: targetOnlySame, budgeted: true, refused: KindCut}
 	default:
 		return plan{unreachable: true, refused: KindCut}
 	}
 }
 
-// moved is the place for work that must stay on its host once the caller has
+// moved is the target of work that must stay on its host once the caller has
 // seen a part of the answer.
-func moved(p progress, place resumePlace) resumePlace {
+func moved(p progress, target retryTarget) retryTarget {
 	if p.delivered {
-		return placeOnlySame
+		return targetOnlySame
 	}
-	return place
+	return target
 }
 
 // maxFailures bounds the tries that upstreams began.
@@ -168,11 +168,11 @@
 	case p.failures >= maxFailures:
 		return plan{refused: kind}
 	case p.triesOnHost < 2:
-		return plan{place: moved(p, placeSame), budgeted: true, refused: kind}
+		return plan{target: moved(p, targetSame), budgeted: true, refused: kind}
 	case p.delivered:
 		return plan{refused: kind}
 	default:
-		return plan{place: placeOther, budgeted: true, restart: true, refused: kind}
+		return plan{target: targetOther, budgeted: true, restart: true, refused: kind}
 	}
 }
 
@@ -180,12 +180,12 @@
 	after := time.Duration(refusal.GetRetryAfterMs()) * time.Millisecond
 	switch refusal.GetKind() {
 	case apiv1.RefusalKind_REFUSAL_KIND_NOT_ASSIGNED, apiv1.RefusalKind_REFUSAL_KIND_STALE:
-		return plan{place: moved(p, placeAny), budgeted: p.delivered, restart: !p.delivered, refresh: true, pause: true, refused: KindNoHost}
+		return plan{target: moved(p, targetAny), budgeted: p.delivered, restart: !p.delivered, refresh: true, pause: true, refused: KindNoHost}
 	case apiv1.RefusalKind_REFUSAL_KIND_DRAINING:
 		if p.delivered {
 			return plan{draining: true, refused: KindCut}
 		}
-		return plan{place: placeAny, restart: true, draining: true, refused: KindNoHost}
+		return plan{target: targetAny, restart: true, draining: true, refused: KindNoHost}
 	case apiv1.RefusalKind_REFUSAL_KIND_DEADLINE:
 		return plan{refused: KindDeadline, retryAfter: after}
 	case apiv1.RefusalKind_REFUSAL_KIND_NO_MEMORY:
@@ -194,7 +194,7 @@
 		if p.delivered {
 			return plan{refused: KindCut}
 		}
-		return plan{place: placeSame, budgeted: true, restart: true, refused: KindCut}
+		return plan{target: targetSame, budgeted: true, restart: true, refused: KindCut}
 	default:
 		again := planAgain(p, KindUpstream)
 		again.retryAfter = after
@@ -203,10 +203,10 @@
 }
 
 // final makes the Error of a generation that is not tried again.
-func (p plan) final(e ending, unsure bool) *Error {
+func (p plan) final(e ending, mayHaveRun bool) *Error {
 	status := http.StatusServiceUnavailable
 	remedy := remedyRetry
-	if unsure {
+	if mayHaveRun {
 		status = http.StatusBadGateway
 	}
 	switch p.refused {
@@ -215,7 +215,7 @@
 	case KindCut, KindUpstream:
 		remedy = remedyAgain
 	}
-	err := notRun(p.refused, status, remedy, "%s", e).mayHaveRun(unsure)
+	err := notRun(p.refused, status, remedy, "%s", e).unknownIf(mayHaveRun)
 	if p.retryAfter == 0 && p.refused != KindDeadline {
 		return err.after(time.Second)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -60,6 +60,9 @@
 	// reports and the end of pauses give none.
 	dispatchPeriod = 20 * time.Millisecond
 	drainPoll      = 10 * time.Millisecond
+
+	// claimFlushTimeout bounds the wait for outcomes of claimed calls at a stop.
+	claimFlushTimeout = 10 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -141,17 +144,35 @@
 // Drain refuses new work; running requests go on.
 func (r *Router) Drain() { r.draining.Store(true) }
 
-// Wait returns when no request runs, or with an error when ctx is done.
+// Wait returns when no request runs, or with an error when ctx is done. It gives
+// the outcomes of claimed calls some time to be stored: those that are not leave
+// their claims open, and repeats are answered as unknown.
 func (r *Router) Wait(ctx context.Context) error {
+	if err := pollUntil(ctx, func() bool { return r.counters.inFlight() == 0 }); err != nil {
+		return err
+	}
+	r.cleanup.Wait() // bounded by cancelTimeout
+	if r.opts.Claims == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimFlushTimeout)
+	defer cancel()
+	if err := pollUntil(ctx, func() bool { return r.opts.Claims.Pending() == 0 }); err != nil {
+		r.opts.Log.Warn("outcomes of claimed calls are not stored", "count", r.opts.Claims.Pending())
+	}
+	return nil
+}
+
+// pollUntil returns when done reports true, or with an error when ctx is done.
+func pollUntil(ctx context.Context, done func() bool) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for r.counters.inFlight() > 0 {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
-	r.cleanup.Wait() // bounded by cancelTimeout
 	return nil
 }
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -59,7 +59,7 @@
 	if fallback == 0 {
 		fallback = defaultCallDeadline
 	}
-	if err := x.setTerms(index, "", fallback); err != nil {
+	if err := x.setClassAndDeadline(index, "", fallback); err != nil {
 		return nil, err
 	}
 	headers, err := callHeaders(x.req.Header)
