--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -102,6 +102,7 @@
 		return callFailed(e, mayHaveRun)
 	}
 	r.counters.retries.Add(1)
+	r.opts.Log.Info("retry", "request_id", c.x.id, "service", c.service.GetName(), "host", host, "attempt", tries, "cause", e.String())
 	return nil
 }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -68,7 +68,6 @@
 		deadline: now.Add(defaultDeadline),
 		record: &apiv1.WaitRecord{
 			RequestId:     id,
-			Target:        req.URL.Path,
 			ArrivedUnixMs: now.UnixMilli(),
 		},
 	}
@@ -233,7 +232,8 @@
 		x.record.RetryAfterMs = uint32(err.RetryAfter.Milliseconds())
 	}
 	x.logEnd(outcome, err)
-	if x.r.opts.Records != nil {
+	// A request that names no model or service has waited for none.
+	if x.r.opts.Records != nil && x.record.GetTarget() != "" {
 		x.r.opts.Records.Record(x.record)
 	}
 }
--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -173,6 +173,7 @@
 		return p.final(e, g.mayHaveRun)
 	}
 	r.counters.retries.Add(1)
+	r.opts.Log.Info("retry", "request_id", g.x.id, "model", g.target.Model.GetName(), "host", granted.host, "attempt", g.ticket.attempt, "cause", e.String())
 	if p.restart {
 		g.restart()
 	}
--- a/internal/router/model.go
+++ b/internal/router/model.go
@@ -24,6 +24,8 @@
 	hold     route.Mean // dispatch to the end of a request
 	first    route.Mean // dispatch to the first token, on a ready replica
 	buf      []route.Candidate
+	// waiting is true while the model is in Router.waiting.
+	waiting bool
 }
 
 // ticket is one request that waits for a replica.
@@ -194,11 +196,16 @@
 }
 
 // setWaiting keeps the set of models with queued requests; the caller holds
-// m.mu.
+// m.mu. The lock of the set is taken only when the model enters or leaves it.
 func (r *Router) setWaiting(m *model) {
+	waiting := m.queue.Len() > 0
+	if waiting == m.waiting {
+		return
+	}
+	m.waiting = waiting
 	r.waitingMu.Lock()
 	defer r.waitingMu.Unlock()
-	if m.queue.Len() > 0 {
+	if waiting {
 		r.waiting[m] = struct{}{}
 		return
 	}
