--- a/internal/daemon/sidecar_test.go
+++ b/internal/daemon/sidecar_test.go
@@ -14,7 +14,7 @@
 
 func TestSidecarMetricsDemandTheToken(t *testing.T) {
 	const token = "0123456789abcdef"
-	s := &Sidecar{agent: newAgent(&apiv1.SidecarSettings{Host: "e1"}, log.New(io.Discard))}
+	s := &Sidecar{agent: newAgent(&apiv1.SidecarSettings{Host: "e1"}, log.New(io.Discard), Policies{})}
 	for _, test := range []struct {
 		path, header string
 		want         int
