shared: planner: models that fill the memory don't wait for each other

Cause: a loaded model whose requests wait for an adapter counts as busy, so it can't be evicted. Two models of 24 GiB on a host of 48 GiB, both with requests that wait for an adapter of 128 MiB, waited for each other until the deadline: none ran, each answer ended as unknown after 60 s.

Ruled out: the window of adapter loads (no load was in flight), the engine (no order was sent).

Change: a model that runs nothing, whose requests all wait for adapters that don't fit, may be unloaded for a request that goes before its own first one (by priority, then arrival); the order is total, so one always goes on. Adapters of loaded models take their memory before pending loads do, otherwise the unloaded model takes the freed memory again.

The new test fails without the change (no order is sent).

--- a/internal/agent/planner/evict.go
+++ b/internal/agent/planner/evict.go
@@ -88,6 +88,8 @@
 	for _, r := range p.sorted() {
 		switch {
 		case p.state(r) != ledger.Ready || now.Before(r.unloadAt):
+		case p.stuckBehind(r, wanted):
+			all = append(all, p.modelVictim(now, r))
 		case r.busy():
 			all = append(all, p.idleAdapters(now, r)...)
 		case r != wanted && !now.Before(r.wantedUntil) && !p.adapterOpen(r):
@@ -97,6 +99,18 @@
 	return all
 }
 
+// stuckBehind reports whether a loaded model runs nothing, has all its requests
+// waiting for adapters that don't fit, and would go on after wanted. Without
+// this rule two models that fill the memory wait for each other's.
+func (p *Planner) stuckBehind(r, wanted *replica) bool {
+	if r == wanted || r.running > 0 || len(r.waiting) == 0 || len(wanted.waiting) == 0 || p.adapterOpen(r) {
+		return false
+	}
+	blocked := func(q *request) bool { return q.Adapter.Name != "" && r.adapter(q.Adapter.Name).blocked }
+	return compareRequests(wanted.waiting[0], r.waiting[0]) < 0 &&
+		!slices.ContainsFunc(r.waiting, func(q *request) bool { return !blocked(q) })
+}
+
 func (p *Planner) modelVictim(now time.Time, r *replica) victim {
 	v := victim{replica: r}
 	for key, entry := range p.ledger.Entries() {
@@ -104,7 +118,10 @@
 			v.mib += entry.MiB
 		}
 	}
-	nextUse := max(p.policy.NextUse(r.model, now.Sub(r.idleSince)), minNextUse)
+	nextUse := minNextUse
+	if !r.busy() {
+		nextUse = max(p.policy.NextUse(r.model, now.Sub(r.idleSince)), minNextUse)
+	}
 	v.cost = p.loadTimeOr(r, assumedLoad).Seconds() / nextUse.Seconds()
 	return v
 }
--- a/internal/agent/planner/planner.go
+++ b/internal/agent/planner/planner.go
@@ -201,8 +201,8 @@
 	for _, r := range p.sorted() {
 		p.step(now, r)
 	}
+	p.startAdapters(now) // first: models that are loaded need little more memory
 	p.startLoads(now)
-	p.startAdapters(now)
 	p.forget()
 	out := p.out
 	p.out = nil
--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -181,6 +182,35 @@
 	is.True(ok)
 }
 
+func TestModelsThatFillTheMemoryDoNotWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, onDisk("a", "b"))
+	half := func(model string) *apiv1.SlotSpec {
+		s := spec(model, 1)
+		s.MemoryMib = 50
+		return s
+	}
+	r.assign(half("a"), half("b"))
+	withAdapter := func(in *Request) { in.Adapter = AdapterSpec{Name: "x", Checkpoint: "x.ckpt", MiB: 10} }
+	first := r.admit("a", withAdapter)
+	second := r.admit("b", withAdapter)
+	r.engine(time.Second, nil)
+	r.engine(time.Second, nil)
+	r.pass(time.Second)
+	var kinds []string
+	for range 5 {
+		order := r.engine(time.Millisecond, nil)
+		kinds = append(kinds, fmt.Sprintf("%s %s", order.Kind, order.Model))
+		if _, ok := r.granted[first]; ok {
+			r.take(r.p.Finish(r.now, first))
+		}
+		r.pass(time.Second)
+	}
+	is.Equal(kinds, []string{"unload b", "load_adapter a", "unload a", "load b", "load_adapter b"})
+	_, ok := r.granted[second]
+	is.True(ok)
+}
+
 func TestEvictionChoosesTheCheapestIdleModels(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
