--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -18,7 +18,7 @@
 // watcher is one router that watches the host. Its fields but wake are guarded
 // by the agent's lock.
 type watcher struct {
-	delta   uint32
+	delta   threshold
 	refresh time.Duration
 	// wake holds one token while something may have to be sent.
 	wake    chan struct{}
@@ -31,7 +31,7 @@
 
 func newWatcher(in *apiv1.Watch) *watcher {
 	w := &watcher{
-		delta:   max(1, in.GetInFlightDelta()),
+		delta:   threshold{requests: max(1, in.GetInFlightDelta()), percent: in.GetInFlightPercent()},
 		refresh: time.Duration(in.GetRefreshMs()) * time.Millisecond,
 		wake:    make(chan struct{}, 1),
 	}
@@ -154,9 +154,8 @@
 	if !due && !worthReporting(w.last, shared, w.delta) {
 		return nil
 	}
-	w.last = shared
 	w.sequence++
-	return &apiv1.LoadReport{
+	report := &apiv1.LoadReport{
 		Host:              shared.GetHost(),
 		BootId:            shared.GetBootId(),
 		Sequence:          w.sequence,
@@ -169,6 +168,12 @@
 		Cached:            shared.GetCached(),
 		CallsInFlight:     shared.GetCallsInFlight(),
 	}
+	if w.last != nil && sameCached(w.last, shared) {
+		report.Cached = nil
+		report.CachedUnchanged = true
+	}
+	w.last = shared
+	return report
 }
 
 // sharedReport is built once for all watchers after each event. It is not
@@ -182,25 +187,40 @@
 	return a.lastReport
 }
 
+// threshold is the change of requests in flight that is worth a report: a number
+// of requests or a share of those last reported, whichever is larger.
+type threshold struct {
+	requests uint32
+	percent  uint32
+}
+
+func (t threshold) passed(last, next uint32) bool {
+	apart := max(last, next) - min(last, next)
+	return apart >= max(t.requests, last*t.percent/100)
+}
+
 // worthReporting tells whether a report differs from the last one by more than
 // a small change of requests in flight.
-func worthReporting(last, next *apiv1.LoadReport, delta uint32) bool {
+func worthReporting(last, next *apiv1.LoadReport, delta threshold) bool {
 	if last == nil || last.GetBootId() != next.GetBootId() || last.GetDraining() != next.GetDraining() {
 		return true
 	}
 	if last.GetConfigRevision() != next.GetConfigRevision() || last.GetTableRevision() != next.GetTableRevision() {
 		return true
 	}
-	if apart(last.GetCallsInFlight(), next.GetCallsInFlight()) >= delta {
+	if delta.passed(last.GetCallsInFlight(), next.GetCallsInFlight()) {
 		return true
 	}
-	sameCached := slices.EqualFunc(last.GetCached(), next.GetCached(), func(a, b *apiv1.CachedCheckpoint) bool {
-		return a.GetCheckpoint() == b.GetCheckpoint() && a.GetTier() == b.GetTier()
-	})
 	sameReplicas := slices.EqualFunc(last.GetReplicas(), next.GetReplicas(), func(a, b *apiv1.ReplicaReport) bool {
-		return sameReplica(a, b) && apart(a.GetInFlight(), b.GetInFlight()) < delta
+		return sameReplica(a, b) && !delta.passed(a.GetInFlight(), b.GetInFlight())
+	})
+	return !sameReplicas || !sameCached(last, next)
+}
+
+func sameCached(last, next *apiv1.LoadReport) bool {
+	return slices.EqualFunc(last.GetCached(), next.GetCached(), func(a, b *apiv1.CachedCheckpoint) bool {
+		return a.GetCheckpoint() == b.GetCheckpoint() && a.GetTier() == b.GetTier()
 	})
-	return !sameCached || !sameReplicas
 }
 
 func sameReplica(a, b *apiv1.ReplicaReport) bool {
@@ -210,5 +230,3 @@
 		a.GetState() == b.GetState() &&
 		slices.Equal(a.GetAdapters(), b.GetAdapters())
 }
-
-func apart(a, b uint32) uint32 { return max(a, b) - min(a, b) }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -31,8 +31,9 @@
 const (
 	sessionIdle      = time.Minute
 	idleSweepPeriod  = 10 * time.Second
-	reportPeriod     = 5 * time.Second
-	inFlightDelta    = 2 // requests
+	reportPeriod     = 30 * time.Second
+	inFlightDelta    = 2  // requests
+	inFlightPercent  = 25 // of the requests last reported
 	gossipPeriod     = time.Second
 	gossipFanout     = 3 // peers
 	peerMemory       = 10 * time.Minute
@@ -155,15 +156,16 @@
 		wake:   make(chan struct{}, 1),
 	}
 	r.sidecars = upstream.NewManager(upstream.Options{
-		Router:        r.cfg.GetHost(),
-		View:          r.store,
-		Pool:          r.pool,
-		Refresh:       r.poller.Refresh,
-		Watches:       r.watches,
-		InFlightDelta: r.policies.InFlightDelta,
-		ReportPeriod:  r.policies.ReportPeriod,
-		Permits:       r.permits,
-		Log:           r.log,
+		Router:          r.cfg.GetHost(),
+		View:            r.store,
+		Pool:            r.pool,
+		Refresh:         r.poller.Refresh,
+		Watches:         r.watches,
+		InFlightDelta:   r.policies.InFlightDelta,
+		InFlightPercent: inFlightPercent,
+		ReportPeriod:    r.policies.ReportPeriod,
+		Permits:         r.permits,
+		Log:             r.log,
 	})
 	r.permits.grant = r.sidecars.Grant
 	r.decider = decider.New(decider.Options{
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -110,9 +110,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	err = stream.Send(&apiv1.RouterFrame{Body: &apiv1.RouterFrame_Watch{Watch: &apiv1.Watch{
-		Router:        l.opts.Router,
-		InFlightDelta: l.opts.InFlightDelta,
-		RefreshMs:     uint32(l.opts.ReportPeriod.Milliseconds()),
+		Router:          l.opts.Router,
+		InFlightDelta:   l.opts.InFlightDelta,
+		InFlightPercent: l.opts.InFlightPercent,
+		RefreshMs:       uint32(l.opts.ReportPeriod.Milliseconds()),
 	}}})
 	if err != nil {
 		return err
@@ -173,6 +174,9 @@
 func (l *link) handle(ctx context.Context, frame *apiv1.SidecarFrame) {
 	switch body := frame.GetBody().(type) {
 	case *apiv1.SidecarFrame_Report:
+		if body.Report.GetCachedUnchanged() {
+			body.Report.Cached = l.opts.View.Report(l.host.ID).GetCached()
+		}
 		l.opts.View.SetReport(body.Report)
 		if body.Report.GetBootId() != l.bootID {
 			l.push(ctx, false)
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -38,8 +38,10 @@
 	Refresh func(ctx context.Context) error
 	// Watches reports whether this router keeps a session to a host.
 	Watches func(platform.Host) bool
-	// InFlightDelta is the change of requests in flight that is worth a report.
-	InFlightDelta uint32
+	// InFlightDelta and InFlightPercent are the change of requests in flight that
+	// is worth a report: the larger of the two.
+	InFlightDelta   uint32
+	InFlightPercent uint32
 	// ReportPeriod is the longest time between two reports.
 	ReportPeriod time.Duration
 	Permits      Permits
