One router of a domain hands over a change, the others wait their turn

Change: a router waits 300 ms for each one that ranks before it for the host (rendezvous hashing, shared with lease), 2 s at most, and then finds in the sidecar's report that nothing is left to do. A sidecar that refuses a request as stale is still served at once. Process tests pass (go test ./internal/daemon).

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -161,6 +161,7 @@
 		Pool:            r.pool,
 		Refresh:         r.poller.Refresh,
 		Watches:         r.watches,
+		Peers:           r.watchers,
 		InFlightDelta:   r.policies.InFlightDelta,
 		InFlightPercent: inFlightPercent,
 		ReportPeriod:    r.policies.ReportPeriod,
@@ -197,9 +198,21 @@
 }
 
 func (r *Router) liveRouters() []string {
+	return r.routersWhere(func(platform.Host) bool { return true })
+}
+
+// watchers lists the live routers that watch the same hosts as this one.
+func (r *Router) watchers() []string {
+	all := len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts
+	return r.routersWhere(func(h platform.Host) bool {
+		return all || h.FailureDomain == r.cfg.GetFailureDomain()
+	})
+}
+
+func (r *Router) routersWhere(matches func(platform.Host) bool) []string {
 	var ids []string
 	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter && h.State == platform.HostLive {
+		if h.Role == platform.RoleRouter && h.State == platform.HostLive && matches(h) {
 			ids = append(ids, h.ID)
 		}
 	}
--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -83,7 +84,7 @@
 
 func (f *fleet) preferred(name string) string {
 	for _, peer := range f.peers {
-		if rankOf(name, peer, f.peers) == 0 {
+		if rendezvous.Rank(name, peer, f.peers) == 0 {
 			return peer
 		}
 	}
--- a/internal/lease/spread.go
+++ b/internal/lease/spread.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 )
 
 // rankPeers finds this router's place in each lease's order of preference
@@ -19,35 +19,10 @@
 	}
 	m.peers = append([]string{}, peers...)
 	for _, e := range m.entries {
-		e.rank = rankOf(e.name, m.opts.Holder, peers)
+		e.rank = rendezvous.Rank(e.name, m.opts.Holder, peers)
 	}
 }
 
-// rankOf counts the peers that a lease prefers to holder. A holder that is not
-// among the live routers, as it leaves or has just come, ranks last.
-func rankOf(name, holder string, peers []string) int {
-	if !slices.Contains(peers, holder) {
-		return len(peers)
-	}
-	own := weight(name, holder)
-	rank := 0
-	for _, peer := range peers {
-		if peer != holder && weight(name, peer) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-func weight(name, peer string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(peer)
-	return d.Sum64()
-}
-
 // dueHandover returns a held lease that another router should hold for long
 // enough, or nil. It returns at most one for each handoverEvery.
 func (m *Manager) dueHandover(now time.Time) *entry {
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -17,6 +18,11 @@
 const (
 	redialDelay    = 200 * time.Millisecond // doubles, with jitter, up to maxRedialDelay
 	maxRedialDelay = 5 * time.Second
+
+	// pushStagger is what each router waits for the ones before it in the
+	// host's rank to hand over a change, up to maxPushDelay.
+	pushStagger  = 300 * time.Millisecond
+	maxPushDelay = 2 * time.Second
 )
 
 // link is the session to one sidecar: a watch stream for reports and permits,
@@ -146,6 +152,7 @@
 	defer drain(frames)
 	l.bootID = ""
 	l.pushed = revisions{}
+	var due <-chan time.Time // set while a push waits for its turn
 	for {
 		select {
 		case <-ctx.Done():
@@ -158,6 +165,11 @@
 		case <-l.force:
 			l.push(ctx, true)
 		case <-l.wake:
+			if due == nil && l.isBehind() {
+				due = time.After(l.pushDelay())
+			}
+		case <-due:
+			due = nil
 			l.push(ctx, false)
 		}
 	}
@@ -178,9 +190,7 @@
 			body.Report.Cached = l.opts.View.Report(l.host.ID).GetCached()
 		}
 		l.opts.View.SetReport(body.Report)
-		if body.Report.GetBootId() != l.bootID {
-			l.push(ctx, false)
-		}
+		l.notify() // a sidecar that has restarted holds no slots
 	case *apiv1.SidecarFrame_Permit:
 		l.requestPermit(body.Permit)
 	}
@@ -229,6 +239,23 @@
 	}
 }
 
+// isBehind reports whether the sidecar lacks something of the snapshot.
+func (l *link) isBehind() bool {
+	snap := l.opts.View.Load()
+	return snap.Config != nil && !l.holds(snap)
+}
+
+// pushDelay lets the routers that rank before this one for the host go first.
+// Its assignment then shows in the sidecar's report, and this router need not
+// hand over the same.
+func (l *link) pushDelay() time.Duration {
+	if l.opts.Peers == nil {
+		return 0
+	}
+	rank := rendezvous.Rank(l.host.ID, l.opts.Router, l.opts.Peers())
+	return min(time.Duration(rank)*pushStagger, maxPushDelay)
+}
+
 // holds reports whether the sidecar has an assignment as new as the snapshot,
 // from this router or, by its last report, from another one.
 func (l *link) holds(snap *view.Snapshot) bool {
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -38,6 +38,9 @@
 	Refresh func(ctx context.Context) error
 	// Watches reports whether this router keeps a session to a host.
 	Watches func(platform.Host) bool
+	// Peers lists the live routers that watch the same hosts, this one included;
+	// nil means that it is alone.
+	Peers func() []string
 	// InFlightDelta and InFlightPercent are the change of requests in flight that
 	// is worth a report: the larger of the two.
 	InFlightDelta   uint32
