Process tests choose ports that outgoing connections can't take

Seen again in a loop: TestLeavingHostGetsNoNewWork, "not within 30s: router is ready", one of four runs. Cause: freeAddress let a port of the ephemeral range go before the daemon bound it; the router then ended with the port taken, and the same tests ran in other worktrees at the time. Ruled out: the staggered pushes (the router never got ready). Change: ports below the ephemeral range, TCP and UDP tried, logs dumped also when deploy itself fails.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -171,6 +172,11 @@
 	if o.security != nil {
 		d.client = trustingClient(t, o.security)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			d.dumpLogs()
+		}
+	})
 	d.startStandins(o)
 	for i := range o.routers {
 		d.addRouter(i)
@@ -191,11 +197,6 @@
 	for i := range d.routers {
 		d.waitReady(i)
 	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			d.dumpLogs()
-		}
-	})
 	return d
 }
 
@@ -310,14 +311,44 @@
 	}
 }
 
+// Ports of the daemons lie below those that the system gives to outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
+// portsUsed starts at a place of its own in each test process.
+var portsUsed atomic.Int64
+
+func init() { portsUsed.Store(int64(os.Getpid()) * 101) }
+
+// freeAddress returns an address of the loopback interface that nobody listens
+// on with TCP or UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed.Add(1)%portCount)
+		if isFree(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // answer is what a caller got.
