--- /dev/null
+++ b/internal/config/publisher_test.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/sample"
+)
+
+func TestHistoryBodyAndRollback(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p := NewPublisher(newFakeTable(), newFakeObjects(), PublisherOptions{})
+	first := sample.OffcutGiveaway().Set()
+	second := sample.StrazcaSal().Set()
+
+	_, err := p.Body(ctx, 0)
+	var unknown *RevisionError
+	is.True(errors.As(err, &unknown)) // nothing published yet
+	for _, set := range []*apiv1.ObjectSet{first, second} {
+		_, err := p.Publish(ctx, set, PublishOptions{Author: "a", Message: set.GetDeployment().GetName()})
+		is.NoErr(err)
+	}
+	old, err := p.Body(ctx, 1)
+	is.NoErr(err)
+	row, err := p.Publish(ctx, old, PublishOptions{Author: "b", Message: "rollback to 1"})
+	is.NoErr(err)
+	is.Equal(row.GetRevision(), uint64(3)) // a rollback is a new revision
+	now, err := p.Body(ctx, 0)
+	is.NoErr(err)
+	is.True(proto.Equal(now, first))
+
+	rows, err := p.History(ctx, 2)
+	is.NoErr(err)
+	is.Equal(len(rows), 2)
+	is.Equal(rows[0].GetRevision(), uint64(3))
+	is.Equal(rows[1].GetMessage(), "strazca-sal")
+	_, err = p.Body(ctx, 9)
+	is.True(errors.As(err, &unknown))
+}
+
+func TestConflictNamesWinner(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p := NewPublisher(newFakeTable(), newFakeObjects(), PublisherOptions{})
+	set := sample.OffcutGiveaway().Set()
+	base := uint64(0)
+	_, err := p.Publish(ctx, set, PublishOptions{Author: "batbayar", Message: "winter", ExpectRevision: &base})
+	is.NoErr(err)
+	_, err = p.Publish(ctx, set, PublishOptions{Author: "saran", ExpectRevision: &base})
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Winner.GetAuthor(), "batbayar")
+	is.Equal(conflict.Winner.GetRevision(), uint64(1))
+}
+
+func TestLoadBodyVerifiesHash(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	objects := newFakeObjects()
+	body, err := EncodeSet(sample.OffcutGiveaway().Set())
+	is.NoErr(err)
+	head := &apiv1.HeadRow{Revision: 4, BodyKey: BodyKey(body)}
+	_, err = LoadBody(ctx, objects, head)
+	is.Equal(platform.KindOf(err), platform.KindNotFound)
+
+	objects.bodies[head.GetBodyKey()] = body[:len(body)-1]
+	_, err = LoadBody(ctx, objects, head)
+	var damaged *BodyError
+	is.True(errors.As(err, &damaged))
+
+	objects.bodies[head.GetBodyKey()] = body
+	index, err := LoadBody(ctx, objects, head)
+	is.NoErr(err)
+	is.Equal(index.Revision, uint64(4))
+}
