--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -341,6 +341,9 @@
 }
 
 func (o *oracle) finish(t *rapid.T) {
+	if rapid.Bool().Draw(t, "requests go on") {
+		o.recovers(t)
+	}
 	time.Sleep(90 * time.Second)
 	o.check(t)
 	if len(o.generations)+len(o.releases) > 0 {
@@ -349,6 +352,38 @@
 	o.checkPermits(t)
 }
 
+// recovers checks that every model is served as soon as the faults end.
+func (o *oracle) recovers(t *rapid.T) {
+	for _, w := range o.watchers {
+		_ = w.Close() // a keeper may have queued a load for ever
+	}
+	o.b.engine.mu.Lock()
+	o.b.engine.faults, o.b.engine.script = nil, nil
+	o.b.engine.mu.Unlock()
+	var specs []*apiv1.SlotSpec
+	for _, model := range fuzzModels {
+		o.newest[model] = max(o.newest[model], o.released[model]) + 1
+		specs = append(specs, fuzzSlot(model, o.newest[model]))
+		o.assigned[model] = o.newest[model]
+		o.holdUnder(model, o.newest[model])
+	}
+	o.open = true
+	o.b.assign(specs...)
+	var streams []*fakeStream
+	for _, model := range rapid.Permutation(fuzzModels).Draw(t, "order") {
+		synctest.Wait()
+		in := request("last-"+model, model, o.newest[model])
+		in.DeadlineMs = 100_000
+		streams = append(streams, o.b.generate(in))
+	}
+	for _, s := range streams {
+		if got := result(s); got.end == nil {
+			t.Fatalf("not served after the faults: %v", got.refusal)
+		}
+	}
+	o.check(t)
+}
+
 // TestAgentKeepsItsPromises drives a whole agent beside an engine that loses
 // answers and orders, restarts and damages streams.
 func TestAgentKeepsItsPromises(t *testing.T) {
