router: places in the window are counted from this router's requests only

The estimate took what other routers had sent to a replica for taken places in this router's window, and so refused requests that would have been dispatched at once. Engines batch; the delay that others cause shows in the mean hold.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -24,7 +24,9 @@
 
 const (
 	// Timeout is the age at which a row that is still CLAIMED is answered as
-	// unknown: its router has died or can't reach the table.
+	// unknown: its router has died or can't reach the table. The age is taken by
+	// the clocks of two routers; a difference between them changes only how long
+	// a repeat waits.
 	Timeout = 60 * time.Second
 	// MaxBodyBytes bounds a stored body. A longer one is left out.
 	MaxBodyBytes = 64 << 10
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -6,9 +6,10 @@
 type Load struct {
 	// Ahead counts the waiters that go first.
 	Ahead int
-	// Window is the number of requests that may be dispatched at a time.
-	Window int
-	// Dispatched counts those that are.
+	// Window is the number of requests that this router may have dispatched at a
+	// time, and Dispatched the number of those that are. What other routers send
+	// takes no place here: engines batch, and their delay shows in Hold.
+	Window     int
 	Dispatched int
 	// Hold is the mean time from dispatch to the end of a request.
 	Hold time.Duration
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -24,8 +24,10 @@
 	Slot       uint32
 	Generation uint64
 	State      State
-	// InFlight is the expected number of requests on the replica.
+	// InFlight is the expected number of requests on the replica, and Sent the
+	// number of those from this router.
 	InFlight int
+	Sent     int
 	// Room is false when this router may not send it more now.
 	Room bool
 	// Paused is true when that is due to a recent refusal, not to its load.
--- a/internal/router/capacity.go
+++ b/internal/router/capacity.go
@@ -26,7 +26,7 @@
 // capacity looks at the replicas of a model; the caller holds m.mu.
 func (r *Router) capacity(m *model, snap *view.Snapshot, adapter string, now time.Time) capacity {
 	m.buf = r.candidates(m, snap, adapter, now, m.buf[:0])
-	o := capacity{load: route.Load{Hold: m.hold.Value(now), FirstToken: m.first.Value(now)}}
+	out := capacity{load: route.Load{Hold: m.hold.Value(now), FirstToken: m.first.Value(now)}}
 	window := window(snap, m.name)
 	hasAdapter := adapter == ""
 	ready := 0
@@ -37,23 +37,23 @@
 		}
 		ready++
 		hasAdapter = hasAdapter || c.HasAdapter
-		o.load.Window += window
-		o.load.Dispatched += min(c.InFlight, window)
+		out.load.Window += window
+		out.load.Dispatched += c.Sent
 	}
 	if !hasAdapter {
-		o.load.Adapter = adapterLoadTime
+		out.load.Adapter = adapterLoadTime
 	}
-	o.known = len(m.buf) > 0
-	if ready > 0 || !o.known {
-		return o
+	out.known = len(m.buf) > 0
+	if ready > 0 || !out.known {
+		return out
 	}
 	c := coldChoice(m.buf)
-	o.cold = true
-	o.startsLoad = c.State == route.StateCold
-	o.load.Window = window
-	o.load.Dispatched = min(c.InFlight, window)
-	o.load.ReadyIn = c.ReadyIn
-	return o
+	out.cold = true
+	out.startsLoad = c.State == route.StateCold
+	out.load.Window = window
+	out.load.Dispatched = c.Sent
+	out.load.ReadyIn = c.ReadyIn
+	return out
 }
 
 // coldChoice is the candidate that route.Pick takes when none is ready.
@@ -66,19 +66,19 @@
 	return &candidates[0]
 }
 
-func (o capacity) estimate(ahead int, extra time.Duration) route.Estimate {
-	load := o.load
+// estimate is the expected wait behind a number of waiters.
+func (c capacity) estimate(ahead int) route.Estimate {
+	load := c.load
 	load.Ahead = ahead
-	load.ReadyIn += extra
 	return route.EstimateWait(load)
 }
 
 // refusal returns the Error of a request whose deadline can't be met.
-func (o capacity) refusal(w *route.Waiter[*ticket], ahead int, now time.Time) *Error {
-	if !o.known || o.startsLoad {
+func (c capacity) refusal(w *route.Waiter[*ticket], ahead int, now time.Time) *Error {
+	if !c.known || c.startsLoad {
 		return nil
 	}
-	e := o.estimate(ahead, 0)
+	e := c.estimate(ahead)
 	left := w.Value.x.deadline.Sub(now)
 	if e.Total() <= left {
 		return nil
@@ -96,11 +96,11 @@
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
 // cause says what a request in a queue of a length waits for.
-func (o capacity) cause(length int) string {
+func (c capacity) cause(length int) string {
 	switch {
-	case !o.known:
+	case !c.known:
 		return "no replica is assigned to a live host"
-	case o.cold:
+	case c.cold:
 		return fmt.Sprintf("the model is not loaded, %d requests wait", length)
 	default:
 		return fmt.Sprintf("replicas have no room, %d requests wait", length)
--- a/internal/router/model.go
+++ b/internal/router/model.go
@@ -112,29 +112,29 @@
 	snap := r.opts.View.Load()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := r.capacity(m, snap, w.Value.adapter, now)
+	c := r.capacity(m, snap, w.Value.adapter, now)
 	if w.Value.attempt > 1 {
 		m.queue.Return(w)
-	} else if err := r.push(m, snap, w, o, now); err != nil {
+	} else if err := r.push(m, snap, w, c, now); err != nil {
 		return "", err
 	}
 	r.dispatch(m, snap, now)
 	r.setWaiting(m)
-	return o.cause(m.queue.Len()), nil
+	return c.cause(m.queue.Len()), nil
 }
 
 // push admits a new request.
-func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], o capacity, now time.Time) *Error {
-	if err := o.refusal(w, m.queue.Ahead(w.Class, now), now); err != nil {
+func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], c capacity, now time.Time) *Error {
+	if err := c.refusal(w, m.queue.Ahead(w.Class, now), now); err != nil {
 		return err
 	}
 	m.queue.SetLimit(maxQueue(snap, m.name))
 	evicted, ok := m.queue.Push(w)
 	if !ok {
-		return queueFull(KindQueueFull, o, m.queue.Len())
+		return queueFull(KindQueueFull, c, m.queue.Len())
 	}
 	if evicted != nil {
-		evicted.Value.admitted <- admission{err: queueFull(KindShed, o, m.queue.Len())}
+		evicted.Value.admitted <- admission{err: queueFull(KindShed, c, m.queue.Len())}
 	}
 	return nil
 }
@@ -146,13 +146,13 @@
 	return defaultMaxQueue
 }
 
-func queueFull(kind Kind, o capacity, length int) *Error {
+func queueFull(kind Kind, c capacity, length int) *Error {
 	message := "the queue of the model is full"
 	if kind == KindShed {
 		message = "a request of a higher priority class took the place in the full queue"
 	}
 	err := notRun(kind, http.StatusServiceUnavailable, remedyRetry, "%s", message)
-	return err.after(max(o.estimate(length, 0).Backlog(), time.Second))
+	return err.after(max(c.estimate(length).Backlog(), time.Second))
 }
 
 // dispatch sends waiting requests on while replicas have room; the caller holds
@@ -243,7 +243,7 @@
 	if m.queue.Len() == 0 {
 		return
 	}
-	o := r.capacity(m, snap, "", now)
+	c := r.capacity(m, snap, "", now)
 	ahead := 0
 	for _, w := range m.queue.Ordered(now) {
 		t := w.Value
@@ -251,7 +251,7 @@
 			ahead++
 			continue // admitted before; its deadline ends it
 		}
-		err := o.refusal(w, ahead, now)
+		err := c.refusal(w, ahead, now)
 		if err == nil {
 			ahead++
 			continue
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -135,6 +135,7 @@
 		Slot:       row.GetSlot(),
 		Generation: row.GetGeneration(),
 		InFlight:   rep.inFlight,
+		Sent:       rep.inFlight,
 		Room:       rep.room(window, now),
 		Paused:     rep.probing,
 	}
