shared: transport: Pool.Probe

A frozen or cut-off peer shows only after the keep-alive of its session, 10 s. A shorter keep-alive costs each router more of its 20 KB a second: a router with 400 sessions would send a ping of about 100 bytes both ways for each. Probe asks one peer on demand and closes the session of one that is silent.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -137,6 +138,39 @@
 	return nil, ctx.Err()
 }
 
+// ErrSilent means that a peer gave no sign of life.
+var ErrSilent = errors.New("the peer does not answer: check its process and the network to it")
+
+// Probe waits for a sign of life of the peer at addr. When ctx ends first, the
+// session to the peer is closed, which cuts its streams. A peer without a
+// session is not probed.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	entry, err := p.entry(addr)
+	if err != nil {
+		return err
+	}
+	if err := entry.acquire(ctx); err != nil {
+		return fmt.Errorf("probe %s: %w", addr, ErrSilent) // a dial takes this long
+	}
+	session := entry.session
+	entry.release()
+	if session == nil {
+		return nil
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := session.mux.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		_ = session.Close()
+		return fmt.Errorf("probe %s: %w", addr, ErrSilent)
+	}
+}
+
 func (p *Pool) entry(addr string) (*poolEntry, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
