router: probe hosts that are silent while requests wait for them

A request at a frozen host was answered as unknown at its deadline, although another replica could have served it: the cut came with the keep-alive after 10 s. Streams without a frame for a second now make the router probe their host, once a second at most; without an answer in 1.5 s the session is closed and the requests are tried elsewhere. A slow load or engine is not affected, since its sidecar answers. TestFrozenHostIsLeft fails without the probes at its 9 s deadline and passes in 2.8 s with them.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -41,6 +41,8 @@
 		return ending{kind: endCut, cause: err}, nil
 	}
 	t := &tryStream{r: r, g: g, granted: granted, stream: stream, asked: r.opts.Now()}
+	t.activity = r.stalls.begin(granted.host, granted.address, t.asked)
+	defer r.stalls.end(t.activity)
 	return t.receive(ctx)
 }
 
@@ -94,12 +96,13 @@
 
 // tryStream receives the frames of one try.
 type tryStream struct {
-	r       *Router
-	g       *generation
-	granted *grant
-	stream  *transport.Stream
-	asked   time.Time
-	first   time.Time // of the first token of this try
+	r        *Router
+	g        *generation
+	granted  *grant
+	stream   *transport.Stream
+	asked    time.Time
+	activity *activity
+	first    time.Time // of the first token of this try
 }
 
 func (t *tryStream) receive(ctx context.Context) (ending, *Error) {
@@ -111,6 +114,7 @@
 			}
 			return ending{kind: endCut, cause: err}, nil
 		}
+		t.activity.touch(t.r.opts.Now())
 		e, err := t.handle(frame)
 		if err != nil {
 			return ending{kind: endCaller}, err
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -134,6 +134,8 @@
 	}
 	r.cleanup.Go(func() { sendBody(stream, c.body) })
 	in := &callStream{r: r, c: c, host: host.ID, stream: stream, asked: asked}
+	in.activity = r.stalls.begin(host.ID, host.Address, asked)
+	defer r.stalls.end(in.activity)
 	return in.receive(ctx)
 }
 
@@ -171,6 +173,8 @@
 	stream *transport.Stream
 	asked  time.Time
 	answer *answer // nil before the response
+
+	activity *activity
 }
 
 func (s *callStream) receive(ctx context.Context) (*answer, ending, *Error) {
@@ -179,6 +183,7 @@
 		if err := s.stream.Recv(frame); err != nil {
 			return s.lost(ctx, err)
 		}
+		s.activity.touch(s.r.opts.Now())
 		done, e, err := s.handle(frame)
 		switch {
 		case err != nil:
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -247,3 +248,30 @@
 	is.True(len(record.GetPhases()) > 0)
 	is.Equal(record.GetPhases()[0].GetCause(), "from disk")
 }
+
+// TestFrozenHostIsLeft freezes a host that has taken a request: the request is
+// served by another one within its deadline, which passes before the sessions'
+// own keep-alive would find out.
+func TestFrozenHostIsLeft(t *testing.T) {
+	is := is.New(t)
+	a, b := newFakeSidecar(t, "a"), newFakeSidecar(t, "b")
+	frozen := newFreezer(t, a.server.Addr())
+	a.generate = func(s *transport.Stream, req *apiv1.GenerateRequest) {
+		sendTokens(s, req.GetRequestId(), 0, words[0])
+		frozen.gate.Lock()
+		_ = s.Recv(&apiv1.RouterFrame{})
+	}
+	b.generate = serveWords
+	f := newFixture(t, nil, a, b)
+	listing := f.view.Load().Hosts
+	listing.Hosts = slices.Clone(listing.Hosts)
+	listing.Hosts[0].Address = frozen.address
+	listing.Revision++
+	f.view.SetHosts(listing)
+	f.report("a", 0, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
+	got := f.chat(t, false, router.HeaderDeadline, "9000")
+	frozen.gate.Unlock()
+	checkAnswer(t, got, false, "")
+	is.Equal(b.generations.Load(), int64(1))
+	is.True(f.checkSum(t).Cuts >= 1)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,6 +95,7 @@
 	budget   *retryBudget
 	hosts    *hostHealth
 	services *serviceIndex
+	stalls   stalls
 	draining atomic.Bool
 
 	models sync.Map // name -> *model
@@ -124,10 +125,11 @@
 // Handler serves callers over HTTP.
 func (r *Router) Handler() http.Handler { return http.HandlerFunc(r.serveHTTP) }
 
-// Run moves the queues until ctx is done.
+// Run moves the queues and probes silent hosts until ctx is done.
 func (r *Router) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.runDispatch(ctx) })
+	group.Go(func() error { return r.runStalls(ctx) })
 	return group.Wait()
 }
 
