router: a half-delivered stream waits for its host

When the host of a half-delivered answer could not be reached for a moment, the answer ended at once in an error, since the host was kept from new work. The rest of an answer is not new work: the router now waits until the deadline while the host is listed as live and keeps its slot.

--- a/internal/router/generate.go
+++ b/internal/router/generate.go
@@ -3,18 +3,23 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
 const (
 	retryMin = 20 * time.Millisecond // between two tries of one request
 	retryMax = 500 * time.Millisecond
 
+	// samePoll is how often a host that can't be reached is looked at for the
+	// rest of its answer.
+	samePoll = 100 * time.Millisecond
 	// assignPause keeps work from a replica whose sidecar does not know it yet.
 	assignPause = 60 * time.Millisecond
 )
@@ -99,18 +104,49 @@
 
 // acquireNext finds a replica for the next try.
 func (r *Router) acquireNext(ctx context.Context, m *model, g *generation) (*grant, *Error) {
-	wish := g.ticket.wish
-	if wish.Prefer != "" {
-		if granted := r.pickNow(m, g.ticket); granted != nil {
+	if g.ticket.wish.Prefer == "" {
+		return r.acquire(ctx, m, g.ticket)
+	}
+	if g.ticket.wish.Only {
+		return r.acquireSame(ctx, m, g.ticket)
+	}
+	if granted := r.pickNow(m, g.ticket); granted != nil {
+		return granted, nil
+	}
+	g.restart()
+	g.ticket.wish.Prefer = ""
+	return r.acquire(ctx, m, g.ticket)
+}
+
+// acquireSame takes the host that has the stream of a half-delivered answer. It
+// waits while the host can't be reached, as long as the host keeps its slot.
+func (r *Router) acquireSame(ctx context.Context, m *model, t *ticket) (*grant, *Error) {
+	host := t.wish.Prefer
+	for {
+		if granted := r.pickNow(m, t); granted != nil {
 			return granted, nil
 		}
-		if wish.Only {
-			return nil, unknown(KindCut, statusBadGateway, remedyAgain, "host %s, which has the stream, has left", wish.Prefer)
+		if !holdsSlot(r.opts.View.Load(), m.name, host) {
+			return nil, unknown(KindCut, statusBadGateway, remedyAgain, "host %s, which has the stream, has left", host)
+		}
+		timer := time.NewTimer(samePoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, t.x.expired(true)
 		}
-		g.restart()
-		g.ticket.wish.Prefer = ""
 	}
-	return r.acquire(ctx, m, g.ticket)
+}
+
+// holdsSlot reports whether a live host is assigned a slot of a model.
+func holdsSlot(snap *view.Snapshot, model, host string) bool {
+	if !takesWork(snap, host) {
+		return false
+	}
+	return slices.ContainsFunc(snap.Slots[model], func(s view.Slot) bool {
+		return s.Row.GetHost() == host && s.Row.GetState() == apiv1.SlotState_SLOT_STATE_ASSIGNED
+	})
 }
 
 // pickNow takes a replica without a place in the queue, for a try on the same
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -249,29 +251,44 @@
 	is.Equal(record.GetPhases()[0].GetCause(), "from disk")
 }
 
-// TestFrozenHostIsLeft freezes a host that has taken a request: the request is
-// served by another one within its deadline, which passes before the sessions'
-// own keep-alive would find out.
-func TestFrozenHostIsLeft(t *testing.T) {
-	is := is.New(t)
-	a, b := newFakeSidecar(t, "a"), newFakeSidecar(t, "b")
-	frozen := newFreezer(t, a.server.Addr())
-	a.generate = func(s *transport.Stream, req *apiv1.GenerateRequest) {
-		sendTokens(s, req.GetRequestId(), 0, words[0])
-		frozen.gate.Lock()
-		_ = s.Recv(&apiv1.RouterFrame{})
+// TestFrozenHost freezes a host in the middle of an answer. A plain request is
+// served by another host within its deadline, which passes before the sessions'
+// own keep-alive would find out. A half-delivered stream goes on at the host when
+// it is back.
+func TestFrozenHost(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream %v", stream), func(t *testing.T) {
+			is := is.New(t)
+			a, b := newFakeSidecar(t, "a"), newFakeSidecar(t, "b")
+			frozen := newFreezer(t, a.server.Addr())
+			script{func(s *transport.Stream, req *apiv1.GenerateRequest) {
+				sendTokens(s, req.GetRequestId(), 0, words[0])
+				time.Sleep(50 * time.Millisecond) // the token passes
+				frozen.gate.Lock()
+				_ = s.Recv(&apiv1.RouterFrame{})
+			}, serveWords}.play(a)
+			b.generate = serveWords
+			f := newFixture(t, nil, a, b)
+			listing := f.view.Load().Hosts
+			listing.Hosts = slices.Clone(listing.Hosts)
+			listing.Hosts[0].Address = frozen.address
+			listing.Revision++
+			f.view.SetHosts(listing)
+			f.report("a", 0, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
+			got := make(chan reply, 1)
+			go func() { got <- f.chat(t, stream, router.HeaderDeadline, "9000") }()
+			for f.router.Stats().Cuts == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if !stream {
+				checkAnswer(t, <-got, stream, "")
+			}
+			frozen.gate.Unlock()
+			if stream {
+				checkAnswer(t, <-got, stream, "")
+			}
+			is.Equal(b.generations.Load() == 1, !stream)
+			f.checkSum(t)
+		})
 	}
-	b.generate = serveWords
-	f := newFixture(t, nil, a, b)
-	listing := f.view.Load().Hosts
-	listing.Hosts = slices.Clone(listing.Hosts)
-	listing.Hosts[0].Address = frozen.address
-	listing.Revision++
-	f.view.SetHosts(listing)
-	f.report("a", 0, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
-	got := f.chat(t, false, router.HeaderDeadline, "9000")
-	frozen.gate.Unlock()
-	checkAnswer(t, got, false, "")
-	is.Equal(b.generations.Load(), int64(1))
-	is.True(f.checkSum(t).Cuts >= 1)
 }
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -122,10 +122,15 @@
 	return dst
 }
 
-// live reports whether a host may get work.
+// live reports whether a host may get work now.
 func (r *Router) live(snap *view.Snapshot, host string, now time.Time) bool {
+	return takesWork(snap, host) && r.hosts.usable(host, now)
+}
+
+// takesWork reports whether a host is listed as live and not being drained.
+func takesWork(snap *view.Snapshot, host string) bool {
 	h, listed := snap.ByHost[host]
-	return listed && h.State == platform.HostLive && !snap.Drains[host] && r.hosts.usable(host, now)
+	return listed && h.State == platform.HostLive && !snap.Drains[host]
 }
 
 func (rep *replica) candidate(row *apiv1.SlotRow, adapter string, window int, now time.Time) route.Candidate {
