--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,7 +6,8 @@
 // that created it changes it: to DONE, UNKNOWN or, when the call was certainly
 // not sent, NOT_RUN. Each row names the request that wrote it, so that a write
 // whose answer was lost can be repeated: a conflict with the own row means that
-// the earlier write took effect.
+// the earlier write took effect. This holds as long as nobody deletes a row
+// while a write of it may still be on its way.
 package claim
 
 import (
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -20,6 +20,8 @@
 	maxRounds  = 8        // transactions in a row for one batch
 	claimTries = 3        // writes of a claim without an answer
 
+	commitTimeout = 2 * time.Second
+
 	pauseMin = 100 * time.Millisecond // after a failed transaction
 	pauseMax = time.Second
 )
@@ -177,7 +179,7 @@
 			w.putBack(batch)
 			return
 		}
-		res, err := w.opts.Table.Commit(ctx, w.txn(batch))
+		res, err := w.commit(ctx, batch)
 		if err != nil {
 			w.failed(batch, err)
 			return
@@ -191,6 +193,13 @@
 	}
 }
 
+// commit bounds the wait for one transaction, since claims wait behind it.
+func (w *writer) commit(ctx context.Context, batch []*op) (platform.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	return w.opts.Table.Commit(ctx, w.txn(batch))
+}
+
 func (w *writer) idle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
