--- a/internal/router/service_test.go
+++ b/internal/router/service_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,9 +9,13 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/claim"
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/router"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
@@ -218,3 +223,47 @@
 		})
 	}
 }
+
+// TestStoredClaims has the rows that other routers may have left under a key.
+// None of them lets the call run again.
+func TestStoredClaims(t *testing.T) {
+	const (
+		open    = apiv1.ClaimState_CLAIM_STATE_CLAIMED
+		done    = apiv1.ClaimState_CLAIM_STATE_DONE
+		unknown = apiv1.ClaimState_CLAIM_STATE_UNKNOWN
+	)
+	fingerprint := xxhash.Sum64String("POST\x00/book\x00pallets")
+	for _, tc := range []struct {
+		name    string
+		row     *apiv1.ClaimRow
+		age     time.Duration
+		status  int
+		outcome string
+	}{
+		{"router died long ago", &apiv1.ClaimRow{State: open, Fingerprint: fingerprint}, claim.Timeout, 504, "unknown"},
+		{"another router may still run it", &apiv1.ClaimRow{State: open, Fingerprint: fingerprint}, 0, 504, "unknown"},
+		{"outcome is unknown", &apiv1.ClaimRow{State: unknown, Fingerprint: fingerprint}, 0, 409, "unknown"},
+		{"answer was too long", &apiv1.ClaimRow{State: done, Fingerprint: fingerprint, BodyOmitted: true}, 0, 409, "unknown"},
+		{"answered", &apiv1.ClaimRow{State: done, Fingerprint: fingerprint, Status: 202}, 0, 202, ""},
+		{"another call", &apiv1.ClaimRow{State: done, Status: 202}, 0, 422, "not-run"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tc.row.RequestId = "other.1"
+			tc.row.UnixMs = time.Now().Add(-tc.age).UnixMilli()
+			value, err := proto.Marshal(tc.row)
+			is.NoErr(err)
+			table := tabletest.New()
+			_, err = table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: platform.ClaimKey("bookings", "k"), Value: value}}})
+			is.NoErr(err)
+			a := newFakeSidecar(t, "a")
+			a.call = func(s *transport.Stream, req *apiv1.CallRequest, _ []byte) { book(a, s, req) }
+			f := newFixture(t, table, a)
+			got := f.do(t, http.MethodPost, "/services/bookings/book", "pallets", router.HeaderIdempotencyKey, "k", router.HeaderDeadline, "100")
+			is.Equal(got.status, tc.status)
+			is.Equal(got.outcome(), tc.outcome)
+			is.Equal(a.runs.Load(), int64(0))
+			f.checkSum(t)
+		})
+	}
+}
