--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,7 +6,8 @@
 // that created it changes it: to DONE, UNKNOWN or, when the call was certainly
 // not sent, NOT_RUN. Each row names the request that wrote it, so that a write
 // whose answer was lost can be repeated: a conflict with the own row means that
-// the earlier write took effect.
+// the earlier write took effect. This holds as long as nobody deletes a row
+// while a write of it may still be on its way.
 package claim
 
 import (
@@ -24,7 +25,9 @@
 
 const (
 	// Timeout is the age at which a row that is still CLAIMED is answered as
-	// unknown: its router has died or can't reach the table.
+	// unknown: its router has died or can't reach the table. The age is taken by
+	// the clocks of two routers; a difference between them changes only how long
+	// a repeat waits.
 	Timeout = 60 * time.Second
 	// MaxBodyBytes bounds a stored body. A longer one is left out.
 	MaxBodyBytes = 64 << 10
