--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -33,6 +33,8 @@
 	flagDuration     = "duration"
 	flagRate         = "rate"
 	flagRuns         = "runs"
+	flagSlowest      = "slowest"
+	flagOnly         = "only"
 
 	allDeployments = "all"
 )
@@ -106,6 +108,8 @@
 					&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the load", Value: 1},
 					&cli.DurationFlag{Name: flagDuration, Usage: "length of one run", Value: 20 * time.Second},
 					&cli.FloatFlag{Name: flagRate, Usage: "chat requests a second", Value: 10},
+					&cli.StringFlag{Name: flagOnly, Usage: "run the trials whose scenario or policy contains `TEXT`"},
+					&cli.IntFlag{Name: flagSlowest, Usage: "wait records to print for each run: failed requests, then the slowest"},
 					&cli.IntFlag{Name: flagRuns, Usage: "runs of each policy, with consecutive seeds", Value: 1},
 					&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "error"},
 				},
@@ -187,6 +191,8 @@
 		Duration: cmd.Duration(flagDuration),
 		Rate:     cmd.Float(flagRate),
 		Runs:     cmd.Int(flagRuns),
+		Only:     cmd.String(flagOnly),
+		Slowest:  cmd.Int(flagSlowest),
 		Out:      os.Stdout,
 		Log:      logger,
 	})
--- a/internal/daemon/loadtest.go
+++ b/internal/daemon/loadtest.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
 	"github.com/ragwortdoor/ragwortdoor/internal/loadtest"
@@ -29,8 +31,13 @@
 	Rate float64
 	// Runs is the number of runs of each policy, with consecutive seeds.
 	Runs int
-	Out  io.Writer
-	Log  *log.Logger
+	// Only selects the trials whose scenario or policy contains it.
+	Only string
+	// Slowest is the number of requests of each run whose wait is printed: first
+	// those without an answer, then the slowest.
+	Slowest int
+	Out     io.Writer
+	Log     *log.Logger
 }
 
 // trial is one scenario under one policy.
@@ -119,6 +126,9 @@
 	for _, shape := range opts.Shapes {
 		var results []*loadtest.Result
 		for _, t := range trials {
+			if !strings.Contains(t.scenario, opts.Only) && !strings.Contains(t.policy, opts.Only) {
+				continue
+			}
 			for run := range opts.Runs {
 				result, err := t.run(ctx, shape, opts, opts.Seed+uint64(run))
 				if err != nil {
@@ -154,11 +164,17 @@
 		timer := time.AfterFunc(load.SecondBurst()+hostDeathDelay, func() { bed.killEngineHost(busiest(bed)) })
 		defer timer.Stop()
 	}
-	result := bed.measure(ctx, loadtest.Generate(load))
+	limited, cancel := context.WithTimeout(ctx, opts.Duration+tailLimit)
+	defer cancel()
+	answers, result := bed.measure(limited, loadtest.Generate(load))
+	bed.printSlowest(opts.Out, answers, opts.Slowest)
 	result.Scenario, result.Policy = t.scenario, t.policy
 	return result, context.Cause(ctx)
 }
 
+// tailLimit bounds the wait for answers after the last request was sent.
+const tailLimit = 30 * time.Second
+
 // hostDeathDelay lets the burst's first loads begin before a host dies.
 const hostDeathDelay = 400 * time.Millisecond
 
@@ -174,7 +190,7 @@
 }
 
 // measure sends the load and waits for its end.
-func (b *testbed) measure(ctx context.Context, load []loadtest.Request) *loadtest.Result {
+func (b *testbed) measure(ctx context.Context, load []loadtest.Request) ([]loadtest.Answer, *loadtest.Result) {
 	sampling, stop := context.WithCancel(ctx)
 	done := make(chan *sampler, 1)
 	go func() { done <- b.sample(sampling) }()
@@ -185,7 +201,33 @@
 	stop()
 	result := loadtest.NewResult(answers, b.cold)
 	(<-done).fill(result)
-	return result
+	return answers, result
+}
+
+// printSlowest prints why the slowest requests waited.
+func (b *testbed) printSlowest(out io.Writer, answers []loadtest.Answer, n int) {
+	worst := slices.Clone(answers)
+	slices.SortStableFunc(worst, func(x, y loadtest.Answer) int {
+		if failed(x) != failed(y) {
+			return cmp.Compare(failed(y), failed(x))
+		}
+		return cmp.Compare(y.Total, x.Total)
+	})
+	for _, a := range worst[:min(n, len(worst))] {
+		_, _ = fmt.Fprintf(out, "%s %s at %v: %s %s after %v\n", a.Request.Kind, a.Request.Target, a.Request.At, a.Outcome, a.ErrorKind, a.Total)
+		b.mu.Lock()
+		record := b.records[a.RequestID]
+		b.mu.Unlock()
+		_, _ = fmt.Fprintln(out, protojson.Format(record))
+	}
+}
+
+// failed is 1 for an answer that is neither whole nor a refusal.
+func failed(a loadtest.Answer) int {
+	if a.Outcome == loadtest.OutcomeServed || a.Outcome == loadtest.OutcomeNotRun {
+		return 0
+	}
+	return 1
 }
 
 // loadTestKnobs are the same for all engines, so that hosts differ in nothing
