--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -22,6 +22,9 @@
 
 	// answerMargin is kept free before the deadline to write the answer.
 	answerMargin = 5 * time.Millisecond
+	// upstreamMargin is kept free before the deadline for the refusal of a
+	// sidecar to come back: it knows whether the request has run.
+	upstreamMargin = 20 * time.Millisecond
 	// writeGrace lets an answer that is being written at the deadline end.
 	writeGrace = time.Second
 	// bodyTimeout bounds the time in which a caller sends its request.
@@ -43,9 +46,9 @@
 	record   *apiv1.WaitRecord
 
 	started bool // a byte of the answer may have been written
-	// cutAnswer is true when the connection must be closed, so that the caller
+	// truncated is true when the connection must be closed, so that the caller
 	// sees that the answer is not whole.
-	cutAnswer bool
+	truncated bool
 	ended     bool
 }
 
@@ -65,7 +68,6 @@
 		deadline: now.Add(defaultDeadline),
 		record: &apiv1.WaitRecord{
 			RequestId:     id,
-			Target:        req.URL.Path,
 			ArrivedUnixMs: now.UnixMilli(),
 		},
 	}
@@ -82,10 +84,10 @@
 	return err
 }
 
-// setTerms reads the class and the deadline of the request. The class in the
+// setClassAndDeadline reads the class and the deadline of the request. The class in the
 // header goes before the one of the object; fallback is the deadline of
 // requests that carry none.
-func (x *exchange) setTerms(index *config.Index, class string, fallback time.Duration) *Error {
+func (x *exchange) setClassAndDeadline(index *config.Index, class string, fallback time.Duration) *Error {
 	if name := x.req.Header.Get(HeaderPriority); name != "" {
 		if index.PriorityClass(name) == nil {
 			return badRequest("name a published priority class", "%s: no priority class %q", HeaderPriority, name)
@@ -136,13 +138,20 @@
 // left is the time until the deadline.
 func (x *exchange) left() time.Duration { return x.deadline.Sub(x.r.opts.Now()) }
 
+// upstreamDeadlineMs is the time that a sidecar is given, in milliseconds.
+func (x *exchange) upstreamDeadlineMs() uint32 {
+	left := x.left()
+	left -= min(upstreamMargin, left/4)
+	return uint32(max(left.Milliseconds(), 1))
+}
+
 // expired is the Error of a request whose context has ended.
 func (x *exchange) expired(sent bool) *Error {
 	if x.req.Context().Err() != nil {
 		return callerGone(sent)
 	}
 	err := notRun(KindDeadline, http.StatusServiceUnavailable, remedyDeadline, "the deadline passed before an answer was there")
-	return err.mayHaveRun(sent).after(time.Second)
+	return err.unknownIf(sent).after(time.Second)
 }
 
 // readBody reads the request body up to the bound.
@@ -213,7 +222,8 @@
 		return
 	}
 	x.ended = true
-	x.r.counters.end(outcome, kindOf(err))
+	// Counted last, so that Wait returns after the record was handed on.
+	defer x.r.counters.end(outcome, kindOf(err))
 	x.finishWrites()
 	x.record.Outcome = outcome
 	x.record.TotalMs = x.sinceArrival(x.r.opts.Now())
@@ -222,7 +232,8 @@
 		x.record.RetryAfterMs = uint32(err.RetryAfter.Milliseconds())
 	}
 	x.logEnd(outcome, err)
-	if x.r.opts.Records != nil {
+	// A request that names no model or service has waited for none.
+	if x.r.opts.Records != nil && x.record.GetTarget() != "" {
 		x.r.opts.Records.Record(x.record)
 	}
 }
--- a/internal/router/generate_test.go
+++ b/internal/router/generate_test.go
@@ -115,6 +115,7 @@
 					want = tc.streamed
 				}
 				checkAnswer(t, got, stream, want)
+				is.Equal(len(f.refreshed) > 0, tc.name == "not assigned yet")
 				if !stream {
 					is.Equal(a.generations.Load(), tc.tries[0])
 					is.Equal(b.generations.Load(), tc.tries[1])
@@ -238,6 +239,7 @@
 	is.Equal(seen.GetPrompt(), "user: hi")
 	is.True(seen.GetDeadlineMs() > 0 && seen.GetDeadlineMs() <= 3000)
 
+	f.checkSum(t)
 	record := f.records.last()
 	is.Equal(record.GetOutcome(), apiv1.Outcome_OUTCOME_SERVED)
 	is.True(record.GetColdStart())
--- a/internal/router/model.go
+++ b/internal/router/model.go
@@ -24,6 +24,8 @@
 	hold     route.Mean // dispatch to the end of a request
 	first    route.Mean // dispatch to the first token, on a ready replica
 	buf      []route.Candidate
+	// waiting is true while the model is in Router.waiting.
+	waiting bool
 }
 
 // ticket is one request that waits for a replica.
@@ -41,7 +43,7 @@
 	err   *Error
 }
 
-// grant is the leave to send one request to one replica. End it with release.
+// grant is the right to send one request to one replica. End it with release.
 type grant struct {
 	model   *model
 	replica *replica
@@ -110,7 +112,7 @@
 	snap := r.opts.View.Load()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := r.outlook(m, snap, w.Value.adapter, now)
+	o := r.capacity(m, snap, w.Value.adapter, now)
 	if w.Value.attempt > 1 {
 		m.queue.Return(w)
 	} else if err := r.push(m, snap, w, o, now); err != nil {
@@ -122,7 +124,7 @@
 }
 
 // push admits a new request.
-func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], o outlook, now time.Time) *Error {
+func (r *Router) push(m *model, snap *view.Snapshot, w *route.Waiter[*ticket], o capacity, now time.Time) *Error {
 	if err := o.refusal(w, m.queue.Ahead(w.Class, now), now); err != nil {
 		return err
 	}
@@ -144,7 +146,7 @@
 	return defaultMaxQueue
 }
 
-func queueFull(kind Kind, o outlook, length int) *Error {
+func queueFull(kind Kind, o capacity, length int) *Error {
 	message := "the queue of the model is full"
 	if kind == KindShed {
 		message = "a request of a higher priority class took the place in the full queue"
@@ -194,11 +196,16 @@
 }
 
 // setWaiting keeps the set of models with queued requests; the caller holds
-// m.mu.
+// m.mu. The lock of the set is taken only when the model enters or leaves it.
 func (r *Router) setWaiting(m *model) {
+	waiting := m.queue.Len() > 0
+	if waiting == m.waiting {
+		return
+	}
+	m.waiting = waiting
 	r.waitingMu.Lock()
 	defer r.waitingMu.Unlock()
-	if m.queue.Len() > 0 {
+	if waiting {
 		r.waiting[m] = struct{}{}
 		return
 	}
@@ -236,7 +243,7 @@
 	if m.queue.Len() == 0 {
 		return
 	}
-	o := r.outlook(m, snap, "", now)
+	o := r.capacity(m, snap, "", now)
 	ahead := 0
 	for _, w := range m.queue.Ordered(now) {
 		t := w.Value
