--- a/internal/daemon/loadtest.go
+++ b/internal/daemon/loadtest.go
@@ -58,6 +58,9 @@
 
 	policyDefault  = "default"
 	suiteScenarios = "scenarios"
+	// suiteDay and suiteAdapters simulate one policy each, without processes.
+	suiteDay      = "day"
+	suiteAdapters = "adapters"
 
 	// unlimitedLoads lets every sidecar load at once.
 	unlimitedLoads = 10_000
@@ -79,7 +82,9 @@
 			{scenario: scenarioHostDies, policy: policyDefault, killHost: true},
 		},
 		"keepalive": {
-			{scenario: scenarioNormal, policy: "learned"},
+			{scenario: scenarioNormal, policy: "learned", policies: learnedAfter(0)},
+			{scenario: scenarioNormal, policy: "learned, break-even for 3 gaps", policies: learnedAfter(3)},
+			{scenario: scenarioNormal, policy: "break-even", policies: Policies{KeepAlive: func() keepalive.Policy { return keepalive.BreakEven{} }}},
 			{scenario: scenarioNormal, policy: "unload at once", policies: fixed(0)},
 			{scenario: scenarioNormal, policy: "fixed 1 s", policies: fixed(time.Second)},
 			{scenario: scenarioNormal, policy: "fixed 5 s", policies: fixed(5 * time.Second)},
@@ -104,8 +109,12 @@
 	}
 }
 
+func learnedAfter(gaps int) Policies {
+	return Policies{KeepAlive: func() keepalive.Policy { return keepalive.NewLearnedAfter(gaps) }}
+}
+
 func suiteNames() string {
-	names := append(slices.Collect(maps.Keys(suites())), suiteProbe)
+	names := append(slices.Collect(maps.Keys(suites())), suiteProbe, suiteDay, suiteAdapters)
 	slices.Sort(names)
 	return strings.Join(names, ", ")
 }
@@ -116,8 +125,13 @@
 
 // RunLoadTest runs a suite and writes its tables.
 func RunLoadTest(ctx context.Context, opts LoadTestOptions) error {
-	if opts.Suite == suiteProbe {
+	switch opts.Suite {
+	case suiteProbe:
 		return runProbes(ctx, opts)
+	case suiteDay:
+		return simulate(opts, loadtest.WriteDays)
+	case suiteAdapters:
+		return simulate(opts, loadtest.WriteAdapters)
 	}
 	trials, ok := suites()[opts.Suite]
 	if !ok {
@@ -147,6 +161,19 @@
 	return nil
 }
 
+// simulate writes the table of a simulation for each deployment.
+func simulate(opts LoadTestOptions, write func(io.Writer, sample.Shape, uint64) error) error {
+	for _, shape := range opts.Shapes {
+		if _, err := fmt.Fprintf(opts.Out, "\n%s\n\n", shape.Name); err != nil {
+			return err
+		}
+		if err := write(opts.Out, shape, opts.Seed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // run starts a deployment, sends it the load and stops it.
 func (t trial) run(ctx context.Context, shape sample.Shape, opts LoadTestOptions, seed uint64) (*loadtest.Result, error) {
 	bed, ctx, err := startTestbed(ctx, shape, t.policies, loadTestKnobs(), opts.Log)
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -19,6 +19,15 @@
 	Load time.Duration
 }
 
+// BreakEven is the idle time that costs as much as one cold start. Keeping a
+// replica for it costs at most twice as much as knowing the gap in advance.
+func (c Cost) BreakEven() time.Duration {
+	if c.Idle <= 0 {
+		return Forever
+	}
+	return min(Forever, time.Duration(c.ColdStart/c.Idle*float64(c.Load)))
+}
+
 // Policy decides keep-alives. Implementations are not safe for concurrent use.
 type Policy interface {
 	// Observe records an idle gap of a model: the time from the end of its last
@@ -43,5 +52,12 @@
 // NextUse implements Policy. The longest idle replica counts as needed last.
 func (Fixed) NextUse(_ string, idle time.Duration) time.Duration { return idle + time.Second }
 
+// BreakEven keeps every replica for the break-even time of its model. It learns
+// nothing.
+type BreakEven struct{ Fixed }
+
+// KeepAlive implements Policy.
+func (BreakEven) KeepAlive(_ string, cost Cost) time.Duration { return cost.BreakEven() }
+
 // AtOnce unloads a replica as soon as it is idle.
 const AtOnce = Fixed(0)
--- a/internal/keepalive/learned.go
+++ b/internal/keepalive/learned.go
@@ -33,6 +33,7 @@
 // histogram counts the gaps of one model.
 type histogram struct {
 	counts [buckets]float32
+	gaps   int
 }
 
 // Learned chooses the keep-alive with the lowest expected cost under each
@@ -40,10 +41,19 @@
 // uniform over the logarithm of the gap.
 type Learned struct {
 	models map[string]*histogram
+	// minGaps is the number of gaps below which a model gets its break-even
+	// time instead of the best time under its few gaps.
+	minGaps int
 }
 
 // NewLearned makes a policy without history.
-func NewLearned() *Learned { return &Learned{models: make(map[string]*histogram)} }
+func NewLearned() *Learned { return NewLearnedAfter(0) }
+
+// NewLearnedAfter makes a policy that keeps each model for its break-even time
+// until it has seen a number of gaps of the model.
+func NewLearnedAfter(gaps int) *Learned {
+	return &Learned{models: make(map[string]*histogram), minGaps: gaps}
+}
 
 // Observe implements Policy.
 func (l *Learned) Observe(model string, gap time.Duration) {
@@ -56,6 +66,13 @@
 		h.counts[i] *= decay
 	}
 	h.counts[bucketOf(gap)]++
+	h.gaps++
+}
+
+// untried reports whether too few gaps of a model were seen.
+func (l *Learned) untried(model string) bool {
+	h := l.models[model]
+	return l.minGaps > 0 && (h == nil || h.gaps < l.minGaps)
 }
 
 func bucketOf(gap time.Duration) int {
@@ -90,6 +107,9 @@
 //
 //	ColdStart * P(gap > k) * Load + Idle * E[min(gap, k)].
 func (l *Learned) KeepAlive(model string, cost Cost) time.Duration {
+	if l.untried(model) {
+		return cost.BreakEven()
+	}
 	shares := l.shares(model)
 	coldCost := cost.ColdStart * cost.Load.Seconds()
 	best, bestCost := time.Duration(0), coldCost
