--- a/internal/loadtest/adapters.go
+++ b/internal/loadtest/adapters.go
@@ -183,14 +183,38 @@
 const keeperRoundTrip = 2 * time.Millisecond
 
 func adapterPolicies(hosts int) []adapterPolicy {
-	windows := make(adaptive, hosts)
-	for i := range windows {
-		windows[i] = adapterload.New()
-	}
 	return []adapterPolicy{
-		{"adaptive window", windows, 0},
+		{"adaptive window, new hosts", newWindows(hosts), 0},
+		{"adaptive window, hosts in use", usedWindows(hosts), 0},
 		{"static share", &staticShare{share: max(1, adapterFullSpeed/hosts), inFlight: make([]int, hosts)}, 0},
 		{"keeper, 2 ms round trip", &keeper{limit: adapterFullSpeed}, keeperRoundTrip},
 		{"no limit", &keeper{limit: 1 << 20}, 0},
 	}
 }
+
+func newWindows(hosts int) adaptive {
+	windows := make(adaptive, hosts)
+	for i := range windows {
+		windows[i] = adapterload.New()
+	}
+	return windows
+}
+
+// usedLoads is the number of loads that hosts in use have had, one at a time.
+const usedLoads = 200
+
+func usedWindows(hosts int) adaptive {
+	windows := newWindows(hosts)
+	r := rand.New(rand.NewPCG(1, 3))
+	for _, w := range windows {
+		now := time.Unix(-3600, 0)
+		for range usedLoads {
+			began := now
+			now = now.Add(adapterBase + time.Duration(r.Int64N(int64(adapterSpread))))
+			w.Start()
+			w.Finish(began, now)
+			now = now.Add(time.Second)
+		}
+	}
+	return windows
+}
