placement: hosts of plain services get no model slots

Cause: a model was given to a host that runs a plain service when both are in one pool. The sidecar there has no engine, so the model was never loaded, and a request waited until its deadline (60 s) and was refused. Seen in TestOutcomesAddUpOverAnOutage, whose stand-ins put engines and services into one pool: 'create model-1 ... host=service-1'. Ruled out: a validation that forbids the mixed pool; the list of hosts changes after a set was accepted. The change: a placement allows only hosts that have an engine; a slot that is there already is released as misplaced. TestHostsOfPlainServicesGetNoSlots failed before and passes now.

--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -109,6 +109,8 @@
 			}
 		case "pool":
 			f.list(platform.Host{ID: subject, Role: platform.RoleUpstream, Pool: text, State: platform.HostLive})
+		case "service":
+			f.list(platform.Host{ID: subject, Role: platform.RoleUpstream, Pool: text, State: platform.HostLive, Service: "bookings"})
 		default:
 			t.Fatalf("unknown word %q", word)
 		}
@@ -184,6 +186,16 @@
 	}
 }
 
+func TestHostsOfPlainServicesGetNoSlots(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1)
+	f.set(t, "memory:=100 service:s1=pool") // no engine has room
+	is.Equal(f.decide(0), "")
+	f = newFixture(1, 1)
+	f.set(t, "service:s1=pool assigned:s1=m")
+	is.Equal(f.decide(0), "release m/0 s1 g3: host not allowed by placement")
+}
+
 // A host list that can't be read says nothing about who is gone.
 func TestKeptHostListFreesNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -72,9 +72,10 @@
 	}
 }
 
-// allowed reports whether a placement names the host's pool and domain.
+// allowed reports whether the host has an engine and a placement names its pool
+// and domain.
 func allowed(host *platform.Host, p *apiv1.Placement) bool {
-	if host.Role != platform.RoleUpstream || host.Pool != p.GetPool() {
+	if host.Role != platform.RoleUpstream || host.Service != "" || host.Pool != p.GetPool() {
 		return false
 	}
 	domains := p.GetFailureDomains()
