planner: a paused sidecar asks for its slots again

Cause: after a pause the sidecar drops its slots and takes a new boot id, but its load report still named the table revision of the dropped slots. Routers took that for 'holds all' and did not hand the slots over until a request was refused as stale. A model that nobody asked for kept its accelerator: without slots the planner neither knows a keep-alive nor may unload. Ruled out: comparing boot ids in the router; a router that did not hand the slots over itself can't know under which boot id another one did. The change: the report names table revision 0 while no slots are held. TestPauseDropsTheSlotsAndKeepsTheReplica failed with the new line (1 != 0) and passes now; TestPausedSidecarGetsItsSlotsAgain (process test: not unloaded within 30 s) failed before.

--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -55,6 +55,7 @@
 	id := r.admit("m", nil)
 	is.Equal(r.refused[id].GetKind(), apiv1.RefusalKind_REFUSAL_KIND_STALE)
 	is.True(r.p.BootID() != before)
+	is.Equal(r.p.Report(r.now).GetTableRevision(), uint64(0)) // asks for its slots
 	r.assign(spec("m", 1))
 	id = r.admit("m", nil)
 	is.True(!r.granted[id].Cold) // served without a load
--- a/internal/agent/planner/report.go
+++ b/internal/agent/planner/report.go
@@ -16,7 +16,7 @@
 		Host:              p.opts.Host,
 		BootId:            p.gate.BootID(),
 		ConfigRevision:    p.gate.ConfigRevision(),
-		TableRevision:     p.gate.TableRevision(),
+		TableRevision:     p.heldRevision(),
 		MemoryTotalMib:    p.ledger.TotalMiB(),
 		MemoryReservedMib: p.ledger.ReservedMiB(),
 		Cached:            p.cachedReport(),
@@ -32,6 +32,15 @@
 	return report
 }
 
+// heldRevision is the table revision of the slots that are held. After a pause
+// none are: 0 makes the routers hand them over again.
+func (p *Planner) heldRevision() uint64 {
+	if !p.gate.Open() {
+		return 0
+	}
+	return p.gate.TableRevision()
+}
+
 func (p *Planner) slotReport(now time.Time, spec *apiv1.SlotSpec) *apiv1.ReplicaReport {
 	r := p.replicas[spec.GetModel()]
 	if r == nil {
