--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -166,6 +168,57 @@
 	<-first
 }
 
+// A sidecar is frozen between a request's admission and the order that it leads
+// to, while it waits for the unload of another model. The order must not be sent
+// when the process wakes after the slot has moved.
+func TestFrozenSidecarDropsItsWaitingLoad(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, deploymentOptions{routers: 1, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(0)})
+	other := d.hostOf(1)
+	d.cluster.Hosts.Drop(other.ID)
+	d.publish(testSet(3))
+	for i := range 3 {
+		d.eventually("the slot is on the only host", func() bool { return d.holder(fmt.Sprintf("model-%d", i)) == 0 })
+	}
+	for _, model := range []string{"model-1", "model-2"} { // two models fill the engine
+		wantWhole(t, d.chat(0, model, "warm", 5), model, "warm", 5)
+	}
+	knobs := testKnobs()
+	knobs.UnloadMS = 2000
+	d.cluster.Engines[0].SetKnobs(knobs)
+	first := make(chan answer, 1)
+	go func() { first <- d.chat(0, "model-0", "waits for room", 5) }()
+	d.eventually("a model is being unloaded", func() bool { return d.unloading(0) })
+	d.sidecars[0].freeze()
+	d.cluster.Hosts.Add(other)
+	d.cluster.Hosts.Drop(d.sidecarSettings[0].GetHost())
+	d.eventually("the slot has moved", func() bool { return d.holder("model-0") == 1 })
+	wantWhole(t, d.chat(0, "model-0", "after the move", 5), "model-0", "after the move", 5)
+	d.sidecars[0].thaw()
+	time.Sleep(2 * time.Second) // time for a wrong load
+	d.wantMemoryKept()
+	<-first
+}
+
+// hostOf returns the host of a sidecar as the host list has it.
+func (d *deployment) hostOf(sidecar int) platform.Host {
+	d.t.Helper()
+	for _, h := range d.cluster.Hosts.Listing().Hosts {
+		if h.ID == d.sidecarSettings[sidecar].GetHost() {
+			return h
+		}
+	}
+	d.t.Fatalf("sidecar %d is not listed", sidecar)
+	return platform.Host{}
+}
+
+// unloading reports whether an engine unloads a model.
+func (d *deployment) unloading(engine int) bool {
+	return slices.ContainsFunc(d.cluster.Engines[engine].Inventory().Models, func(m platform.EngineModel) bool {
+		return m.State == platform.ModelUnloading
+	})
+}
+
 func TestColdStartWhileTableIsDown(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineKnobs{testKnobs(), testKnobs()}, set: testSet(2)})
@@ -196,11 +249,20 @@
 
 // call posts to the plain service and returns status, outcome and body.
 func (d *deployment) call(router int, key, body string) answer {
+	return d.callWithin(context.Background(), router, key, body, serviceDeadline)
+}
+
+// serviceDeadline is the one that the configuration gives a call.
+const serviceDeadline = 30 * time.Second
+
+// callWithin is call with a deadline of its own.
+func (d *deployment) callWithin(ctx context.Context, router int, key, body string, deadline time.Duration) answer {
 	url := "http://" + d.routerSettings[router].GetListen() + "/services/" + testService + "/book"
-	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return answer{err: err}
 	}
+	request.Header.Set("Ragwortdoor-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 
@@ -35,14 +34,15 @@
 }
 
 // wantWhole fails unless the answer is the whole answer to its own prompt. The
-// engine's tokens depend on the prompt, which holds the text as one message.
+// engine's tokens depend on the model and the prompt, which holds the text as
+// one message.
 func wantWhole(t *testing.T, a answer, model, prompt string, tokens int) {
 	t.Helper()
 	if a.err != nil || a.status != 200 || !a.whole {
 		t.Fatalf("answer to %q: status %d, whole %v, outcome %q, error %v, body %s", prompt, a.status, a.whole, a.outcome, a.err, a.body)
 	}
-	if got := len(strings.Fields(a.text)); got != tokens {
-		t.Fatalf("answer to %q has %d tokens, want %d", prompt, got, tokens)
+	if want := standin.Answer(model, "", "user: "+prompt, tokens); a.text != want {
+		t.Fatalf("answer to %q is %q, want %q", prompt, a.text, want)
 	}
 }
 
