A router that takes a peer's state over keeps its drains, and reads all rows later

Found by reading; TestDrainsAreTakenOver failed first. Change: drains carry their table version and are part of Rows; the taken-over state does not move the revision, so the first read takes every row.

--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -78,6 +78,7 @@
 		r.log.Warn("state of a peer refused", "peer", address, "err", err)
 		return
 	}
+	state.Changes.Revision = 0 // the first read of the table takes all rows again
 	r.store.ApplyRows(state.Changes)
 	if index != nil && r.store.SetConfig(index) {
 		r.log.Info("configuration in force", "revision", index.Revision, "from_peer", address)
--- a/internal/view/rows.go
+++ b/internal/view/rows.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
@@ -23,6 +24,9 @@
 	for name, lease := range s.Leases {
 		e.add(platform.LeaseKey(name), lease.Row, lease.Version)
 	}
+	for host, draining := range s.Drains {
+		e.add(platform.DrainKey(host), &apiv1.DrainRow{Host: host, Draining: draining}, s.drainVersions[host])
+	}
 	return e.out, e.err
 }
 
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -57,7 +57,8 @@
 	// was only kept.
 	HostReads uint64
 
-	slotIndex *slotIndex // replaced whenever Slots is
+	slotIndex     *slotIndex       // replaced whenever Slots is
+	drainVersions map[string]int64 // table versions of the rows behind Drains
 }
 
 // slotIndex finds the assigned slots of a host. It is built by the first
@@ -86,7 +87,8 @@
 		Drains: make(map[string]bool),
 		ByHost: make(map[string]platform.Host),
 
-		slotIndex: &slotIndex{},
+		slotIndex:     &slotIndex{},
+		drainVersions: make(map[string]int64),
 	}
 }
 
@@ -285,8 +287,12 @@
 	}
 	if !f.drains {
 		f.next.Drains = maps.Clone(f.next.Drains)
+		f.next.drainVersions = maps.Clone(f.next.drainVersions)
 		f.drains = true
 	}
-	f.next.Drains[drain.GetHost()] = drain.GetDraining()
+	if row.Version > f.next.drainVersions[drain.GetHost()] {
+		f.next.Drains[drain.GetHost()] = drain.GetDraining()
+		f.next.drainVersions[drain.GetHost()] = row.Version
+	}
 	return true
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -102,6 +102,32 @@
 	is.Equal(store.Load().Config.Revision, uint64(2))
 }
 
+func drainRow(t *testing.T, draining bool, version int64) platform.Row {
+	t.Helper()
+	value, err := proto.Marshal(&apiv1.DrainRow{Host: "h", Draining: draining})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Row{Key: platform.DrainKey("h"), Value: value, Version: version}
+}
+
+// A router that takes over a peer's rows knows its drains, and an older peer
+// does not bring a drain back that was taken back.
+func TestDrainsAreTakenOver(t *testing.T) {
+	is := is.New(t)
+	peer := NewStore()
+	peer.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, true, 1)}, Revision: 1})
+	old, err := peer.Load().Rows()
+	is.NoErr(err)
+	store := NewStore()
+	store.ApplyRows(old)
+	is.True(store.Load().Drains["h"])
+
+	store.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, false, 2)}, Revision: 2})
+	store.ApplyRows(old)
+	is.True(!store.Load().Drains["h"])
+}
+
 func TestUnreadableRowIsReportedAndSkipped(t *testing.T) {
 	is := is.New(t)
 	store := NewStore()
