agent: lost answers and engine restarts no longer hold up requests

Cause: an order whose answer never came blocked its model for the order's timeout of 10 min; after an engine restart requests failed with 'not found' until the next inventory, up to 5 s later. Change: the wait for an answer ends when an inventory asked for a second after the order shows its effect, or another engine start; a request whose model the engine has lost reads the inventory and waits once more for the load, from its next token on. Before: with an engine that never answers or restarts the fuzzing found permits that were not given back and requests refused after the faults.

--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -29,6 +29,10 @@
 	switch action := action.(type) {
 	case planner.SendOrder:
 		a.startOrder(action)
+	case planner.AbortOrder:
+		if abort := a.aborts[action.Order]; abort != nil {
+			abort()
+		}
 	case planner.AskPermit:
 		return a.askPermit(action)
 	case planner.DropPermit:
@@ -85,13 +89,21 @@
 	a.orders.Go(func() { a.runOrder(ctx, action) })
 }
 
+func (a *Agent) forgetAbort(order uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.aborts, order)
+}
+
 func (a *Agent) runOrder(ctx context.Context, action planner.SendOrder) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	a.mu.Lock()
+	a.aborts[action.Order] = cancel
 	order, ok, actions := a.planner.Begin(a.opts.Clock.Now(), action.Order)
 	a.apply(actions)
 	a.mu.Unlock()
+	defer a.forgetAbort(action.Order)
 	if !ok {
 		a.opts.Log.Info("order dropped", "host", a.opts.Host, "reason", "the slot is no longer assigned")
 		return
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -60,6 +60,7 @@
 	planner  *planner.Planner
 	runCtx   context.Context // nil before and after Run
 	orders   sync.WaitGroup
+	aborts   map[uint64]context.CancelFunc // of the orders in flight
 	requests map[uint64]chan decision
 	releases map[uint64]chan planner.Released
 	permits  map[uint64]*permitAsk
@@ -77,6 +78,10 @@
 
 	// readInventory asks the inventory loop for a read at once.
 	readInventory chan struct{}
+	// inventoryMu serializes the reads; it is taken before mu.
+	inventoryMu sync.Mutex
+	// inventoryAt is when the last inventory that came was asked for.
+	inventoryAt time.Time
 }
 
 type systemClock struct{}
@@ -107,6 +112,7 @@
 			Rand:         mathrand.New(mathrand.NewPCG(opts.Seed, 0)),
 			Policy:       opts.KeepAlive,
 		}),
+		aborts:        make(map[uint64]context.CancelFunc),
 		requests:      make(map[uint64]chan decision),
 		releases:      make(map[uint64]chan planner.Released),
 		permits:       make(map[uint64]*permitAsk),
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -223,3 +223,65 @@
 		})
 	}
 }
+
+func TestOrderFaultsDelayButDoNotFailTheRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault fault
+		loads int
+	}{
+		{"answer lost", faultLostAnswer, 1},
+		{"no answer", faultNoAnswer, 1},
+		{"order late", faultLateOrder, 1},
+		{"order lost", faultLostOrder, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := newFakeEngine()
+				engine.faults = []fault{tc.fault}
+				b := newBench(engine, nil)
+				defer b.close()
+				b.assign(slot("m", 1))
+				is.True(result(b.generate(request("r", "m", 1))).end != nil)
+				is.Equal(engine.loads["m"], tc.loads)
+				engine.faults = []fault{tc.fault}
+				released := b.release("m", 1)
+				<-released.closed
+				is.True(released.frames()[0].GetRelease().GetReleased())
+				is.Equal(len(engine.models), 0)
+				is.Equal(engine.breaches, nil)
+			})
+		})
+	}
+}
+
+func TestRequestSurvivesAnEngineRestart(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		after time.Duration // of the restart
+	}{{"before the request", 0}, {"in the middle of the answer", 25 * time.Millisecond}} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(newFakeEngine(), nil)
+				defer b.close()
+				b.assign(slot("m", 1))
+				result(b.generate(request("r1", "m", 1)))
+				if tc.after == 0 {
+					b.engine.restart()
+				}
+				s := b.generate(request("r2", "m", 1))
+				time.Sleep(tc.after)
+				if tc.after > 0 {
+					is.True(len(read(s).text) > 0)
+					b.engine.restart()
+				}
+				got := result(s)
+				is.Equal(got.text, []string{"t0", "t1", "t2", "t3", "t4"})
+				is.True(got.end != nil && !got.gap)
+				is.Equal(b.engine.loads["m"], 2)
+			})
+		})
+	}
+}
--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -21,6 +21,8 @@
 	faultLostOrder
 	// faultLateOrder reports a lost order and applies it a second later.
 	faultLateOrder
+	// faultNoAnswer applies the order and never answers.
+	faultNoAnswer
 	// faultRefused fails the order for certain.
 	faultRefused
 )
@@ -120,6 +122,10 @@
 	}
 	select {
 	case err := <-done:
+		if f == faultNoAnswer && err == nil {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
@@ -332,7 +338,10 @@
 	case <-t.ctx.Done():
 		return platform.TokenEvent{}, t.ctx.Err()
 	}
-	if len(t.events) == 0 {
+	t.engine.mu.Lock()
+	cut := t.engine.models[t.model.Model] != t.model // the engine has restarted
+	t.engine.mu.Unlock()
+	if len(t.events) == 0 || cut {
 		return platform.TokenEvent{}, io.ErrUnexpectedEOF
 	}
 	event := t.events[0]
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -26,10 +26,11 @@
 // errCut means that the engine's stream ended before its last event.
 var errCut = errors.New("the engine cut the stream")
 
-// run forwards the engine's tokens. It returns nil after it has sent the
-// StreamEnd, and the refusal to send otherwise.
-func (g *generation) run(ctx context.Context, grant *planner.Grant) *apiv1.Refusal {
+// run forwards the engine's tokens to a request that waited from admitted. It
+// returns nil after it has sent the StreamEnd, and the refusal to send otherwise.
+func (g *generation) run(ctx context.Context, grant *planner.Grant, admitted time.Time) *apiv1.Refusal {
 	for _, phase := range grant.Phases {
+		phase.StartMs += uint32(admitted.Sub(g.arrived).Milliseconds())
 		if err := g.sendPhase(phase); err != nil {
 			return g.refusal(ctx, errRouterGone)
 		}
@@ -88,6 +89,7 @@
 	})
 	if err != nil {
 		g.sent = g.sent || platform.OutcomeUnknown(err)
+		g.modelGone = platform.KindOf(err) == platform.KindNotFound
 		return err
 	}
 	g.sent = true
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -245,7 +245,7 @@
 }
 
 func (o *oracle) fault(t *rapid.T) {
-	f := rapid.SampledFrom([]fault{faultLostAnswer, faultLostOrder, faultLateOrder, faultRefused}).Draw(t, "fault")
+	f := rapid.SampledFrom([]fault{faultLostAnswer, faultNoAnswer, faultLostOrder, faultLateOrder, faultRefused}).Draw(t, "fault")
 	o.b.engine.mu.Lock()
 	defer o.b.engine.mu.Unlock()
 	o.b.engine.faults = append(o.b.engine.faults, f)
--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -12,6 +12,9 @@
 // cancelTimeout bounds the order that ends a stream at the engine.
 const cancelTimeout = 2 * time.Second
 
+// maxReloads is how often a request waits for a model that the engine has lost.
+const maxReloads = 1
+
 // generation is one GenerateRequest from its arrival to its last frame.
 type generation struct {
 	agent   *Agent
@@ -22,6 +25,8 @@
 	next uint32
 	// sent is true once a byte may have reached the engine.
 	sent bool
+	// modelGone is true when the engine does not hold the model any more.
+	modelGone bool
 }
 
 // generate serves one request. The stream ends in exactly one StreamEnd or
@@ -45,20 +50,38 @@
 	wait := receive(s, cancel, func(*apiv1.RouterFrame) {})
 	defer wait()
 	g := &generation{agent: a, stream: s, request: in, arrived: a.opts.Clock.Now(), next: in.GetOffset()}
-	id, verdict := a.admit(ctx, in, deadline)
-	if verdict.refusal != nil {
-		a.logRefusal(in, verdict.refusal)
-		sendRefusal(s, verdict.refusal)
-		return
-	}
-	started := a.opts.Clock.Now()
-	defer a.finish(id, started)
-	if refusal := g.run(ctx, verdict.grant); refusal != nil {
+	if refusal := a.runGeneration(ctx, g, deadline); refusal != nil {
 		a.logRefusal(in, refusal)
 		sendRefusal(s, refusal)
 	}
 }
 
+// runGeneration returns nil after the StreamEnd was sent, and the refusal to
+// send otherwise. A model that the engine turns out to have lost, as after a
+// restart, is loaded again within the deadline.
+func (a *Agent) runGeneration(ctx context.Context, g *generation, deadline time.Duration) *apiv1.Refusal {
+	for reloads := 0; ; reloads++ {
+		g.modelGone = false
+		refusal := a.admitAndRun(ctx, g, deadline)
+		if refusal == nil || !g.modelGone || reloads == maxReloads || ctx.Err() != nil {
+			return refusal
+		}
+		a.counters.reloads.Add(1)
+		a.inventorySince(ctx, a.opts.Clock.Now())
+	}
+}
+
+func (a *Agent) admitAndRun(ctx context.Context, g *generation, deadline time.Duration) *apiv1.Refusal {
+	admitted := a.opts.Clock.Now()
+	id, verdict := a.admit(ctx, g.request, deadline-admitted.Sub(g.arrived))
+	if verdict.refusal != nil {
+		verdict.refusal.OutcomeUnknown = g.sent
+		return verdict.refusal
+	}
+	defer a.finish(id, a.opts.Clock.Now())
+	return g.run(ctx, verdict.grant, admitted)
+}
+
 func (a *Agent) logRefusal(in *apiv1.GenerateRequest, why *apiv1.Refusal) {
 	a.counters.refusals.Add(1)
 	a.opts.Log.Info("refused", "host", a.opts.Host, "request", in.GetRequestId(), "model", in.GetModel(),
--- a/internal/agent/planner/action.go
+++ b/internal/agent/planner/action.go
@@ -16,6 +16,10 @@
 	Reason string
 }
 
+// AbortOrder asks to wait no longer for the engine's answer to an order. End
+// the order with an unknown outcome.
+type AbortOrder struct{ Order uint64 }
+
 // AskPermit asks the permit keeper for a load from the weight store. Answer
 // with Permit or NoPermit.
 type AskPermit struct {
@@ -59,6 +63,7 @@
 }
 
 func (SendOrder) action()     {}
+func (AbortOrder) action()    {}
 func (AskPermit) action()     {}
 func (DropPermit) action()    {}
 func (ReadInventory) action() {}
--- a/internal/agent/planner/inventory.go
+++ b/internal/agent/planner/inventory.go
@@ -30,9 +30,58 @@
 	for key := range p.ledger.Entries() {
 		p.takeOver(now, key)
 	}
+	p.abortAnswered(mark, inv)
 	return p.flush(now)
 }
 
+// answerGrace is how long after its start an order's answer is waited for
+// although the inventory shows its effect.
+const answerGrace = time.Second
+
+// abortAnswered ends the wait for answers that were lost without an error: the
+// inventory shows the effect, or the engine has restarted.
+func (p *Planner) abortAnswered(mark ledger.Mark, inv platform.Inventory) {
+	restarted := p.engineBootID != inv.BootID
+	p.engineBootID = inv.BootID
+	for id, o := range p.orders {
+		if o.begun.IsZero() || mark.At().Before(o.begun) {
+			continue
+		}
+		late := mark.At().Sub(o.begun) >= answerGrace
+		if restarted || (late && effective(o, inv)) {
+			p.emit(AbortOrder{Order: id})
+		}
+	}
+}
+
+// effective reports whether an inventory shows what the order asked for.
+func effective(o *order, inv platform.Inventory) bool {
+	ready, present := shownState(o.key, inv)
+	switch o.body.Kind {
+	case platform.OrderLoad, platform.OrderLoadAdapter:
+		return ready
+	default:
+		return !present
+	}
+}
+
+func shownState(key ledger.Key, inv platform.Inventory) (ready, present bool) {
+	for _, model := range inv.Models {
+		if model.Model != key.Model {
+			continue
+		}
+		if key.Adapter == "" {
+			return model.State == platform.ModelReady, true
+		}
+		for _, a := range model.Adapters {
+			if a.Adapter == key.Adapter {
+				return a.State == platform.ModelReady, true
+			}
+		}
+	}
+	return false, false
+}
+
 // takeOver adds a holder that the planner did not order.
 func (p *Planner) takeOver(now time.Time, key ledger.Key) {
 	r := p.replicas[key.Model]
--- a/internal/agent/planner/planner.go
+++ b/internal/agent/planner/planner.go
@@ -60,8 +60,10 @@
 	started     time.Time
 	inventoried bool
 	settled     bool
-	lastTick    time.Time
-	lastID      uint64
+	// engineBootID is that of the last inventory.
+	engineBootID string
+	lastTick     time.Time
+	lastID       uint64
 	// unpermitted is the load that runs without a permit; 0 for none.
 	unpermitted uint64
 	out         []Action
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -92,8 +92,25 @@
 	return inventoryPeriod
 }
 
+// inventorySince makes sure that an inventory was asked for at since or later.
+func (a *Agent) inventorySince(ctx context.Context, since time.Time) {
+	a.inventoryMu.Lock()
+	defer a.inventoryMu.Unlock()
+	if a.inventoryAt.Before(since) {
+		a.readInventoryLocked(ctx)
+	}
+}
+
 // inventory reads the engine's inventory once and reports whether it came.
 func (a *Agent) inventory(ctx context.Context) bool {
+	a.inventoryMu.Lock()
+	defer a.inventoryMu.Unlock()
+	return a.readInventoryLocked(ctx)
+}
+
+// readInventoryLocked is called under inventoryMu, since the ledger takes
+// inventories in the order in which they were asked for.
+func (a *Agent) readInventoryLocked(ctx context.Context) bool {
 	a.mu.Lock()
 	mark := a.planner.MarkInventory(a.opts.Clock.Now())
 	a.mu.Unlock()
@@ -105,6 +122,7 @@
 		a.opts.Log.Warn("inventory failed: check the engine", "host", a.opts.Host, "err", err)
 		return false
 	}
+	a.inventoryAt = mark.At()
 	a.do(func(now time.Time) []planner.Action { return a.planner.Inventory(now, mark, inv) })
 	return true
 }
--- a/internal/agent/stats.go
+++ b/internal/agent/stats.go
@@ -8,12 +8,12 @@
 
 // counters are the agent's own; each is independent of the others.
 type counters struct {
-	served, refusals, drained    atomic.Uint64
-	resumes, strayEvents         atomic.Uint64
-	duplicateTokens, tokenGaps   atomic.Uint64
-	calls, callFailures          atomic.Uint64
-	inventoryFailures, badFrames atomic.Uint64
-	reports                      atomic.Uint64
+	served, refusals, drained     atomic.Uint64
+	resumes, reloads, strayEvents atomic.Uint64
+	duplicateTokens, tokenGaps    atomic.Uint64
+	calls, callFailures           atomic.Uint64
+	inventoryFailures, badFrames  atomic.Uint64
+	reports                       atomic.Uint64
 }
 
 // Stats are the counters of an Agent, for expvar.
@@ -28,6 +28,8 @@
 	Drained uint64 `json:"drained"`
 	// Resumes counts streams taken up again after the engine cut them.
 	Resumes uint64 `json:"resumes"`
+	// Reloads counts requests that waited again for a model that the engine lost.
+	Reloads uint64 `json:"reloads"`
 	// StrayEvents counts token events of another request.
 	StrayEvents uint64 `json:"stray_events"`
 	// DuplicateTokens counts tokens that were already forwarded.
@@ -66,6 +68,7 @@
 		Refusals:          a.counters.refusals.Load(),
 		Drained:           a.counters.drained.Load(),
 		Resumes:           a.counters.resumes.Load(),
+		Reloads:           a.counters.reloads.Load(),
 		StrayEvents:       a.counters.strayEvents.Load(),
 		DuplicateTokens:   a.counters.duplicateTokens.Load(),
 		TokenGaps:         a.counters.tokenGaps.Load(),
