decider: machine settles without drawn failures, and retries are fixed

Cause: of 17 runs of 1,200,000 steps of TestDeciderMachine 5 failed; the one that was kept says: flaky, '0 usable of 1 slots' after the faults. Sidecars still refused or lost half of the releases after the faults, so that some releases did not end in the 75 s, and the retry's jitter came from an unseeded source, so that rapid could not replay it. Ruled out a stuck decision: only the settling check failed in the kept run; the output of the 4 others was filtered away. Change: sidecars release once the faults have ended; the retries follow the rounds' own jitter, which is seeded. Run: TestDeciderMachine with seeds 1 to 8, -rapid.checks=10000 -rapid.steps=60 (4,800,000 steps in all): all pass.

--- a/internal/decider/releases.go
+++ b/internal/decider/releases.go
@@ -143,6 +143,8 @@
 		retry.InitialInterval = releaseRetryFirst
 		retry.Multiplier = releaseRetryFactor
 		retry.MaxInterval = releaseRetryLimit
+		// Calls start in rounds, and those are jittered.
+		retry.RandomizationFactor = 0
 		rel = &release{host: slot.Row.GetHost(), retry: retry}
 		r.releases[id] = rel
 	}
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -82,16 +82,18 @@
 	if !s.answers() {
 		return nil, errSilent
 	}
-	switch rapid.IntRange(0, 3).Draw(m.t, "release") {
-	case 0:
+	outcome := 0
+	if !m.calm {
+		outcome = rapid.IntRange(0, 3).Draw(m.t, "release")
+	}
+	if outcome == 1 {
 		return &apiv1.ReleaseReply{Reason: "still unloading"}, nil
-	case 1:
-		s.release(o)
+	}
+	s.release(o)
+	if outcome == 2 {
 		return nil, errSilent // the answer was lost
-	default:
-		s.release(o)
-		return &apiv1.ReleaseReply{Released: true}, nil
 	}
+	return &apiv1.ReleaseReply{Released: true}, nil
 }
 
 // listed is the host list from some time on.
