--- a/internal/agent/ledger/ledger_test.go
+++ b/internal/agent/ledger/ledger_test.go
@@ -244,6 +244,33 @@
 	is.Equal(w.ledger.FreeMiB(), uint32(totalMiB))
 }
 
+func TestLostUnloadMayArriveLate(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	key := Key{Model: "m"}
+	w.held[key] = holding{mib: 70, state: platform.ModelReady}
+	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
+	is.NoErr(w.ledger.BeginUnload(key))
+	w.ledger.EndUnload(key, Unknown, w.now)
+	w.ledger.Settle(w.ledger.Mark(w.now.Add(time.Second)), w.inventory())
+	is.Equal(w.ledger.Get(key).State, Unsettled) // no request may start on it
+	w.ledger.Settle(w.ledger.Mark(w.now.Add(SettleDelay)), w.inventory())
+	is.Equal(w.ledger.Get(key).State, Ready)
+}
+
+func TestOldInventoryDoesNotBringBackWhatWasUnloaded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	key := Key{Model: "m"}
+	w.held[key] = holding{mib: 70, state: platform.ModelReady}
+	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
+	is.NoErr(w.ledger.BeginUnload(key))
+	mark, old := w.ledger.Mark(w.now), w.inventory()
+	w.ledger.EndUnload(key, Done, w.now)
+	w.ledger.Settle(mark, old)
+	is.Equal(w.ledger.Get(key).State, Absent)
+}
+
 func TestInventoryAtStartSeedsTheLedger(t *testing.T) {
 	for _, tc := range []struct {
 		state platform.ModelState
--- a/internal/agent/planner/planner.go
+++ b/internal/agent/planner/planner.go
@@ -55,7 +55,11 @@
 	estimates  estimates
 	stats      Stats
 
+	// started is when the first inventory was asked for; settled is true once
+	// one was read that shows all orders of an earlier sidecar of this host.
+	started     time.Time
 	inventoried bool
+	settled     bool
 	lastTick    time.Time
 	lastID      uint64
 	// unpermitted is the load that runs without a permit; 0 for none.
@@ -201,8 +205,8 @@
 	for _, r := range p.sorted() {
 		p.step(now, r)
 	}
+	p.startAdapters(now) // first: models that are loaded need little more memory
 	p.startLoads(now)
-	p.startAdapters(now)
 	p.forget()
 	out := p.out
 	p.out = nil
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -101,7 +101,7 @@
 		name string
 		// answer plays the routers; it is called when they were asked.
 		answer  func(a, b *fakeStream, id uint64)
-		waitMs  uint32 // of the PERMIT phase, at least
+		waitMs  uint32 // length of the PERMIT phase
 		without bool   // without permit
 	}{
 		{"granted", func(a, _ *fakeStream, id uint64) {
@@ -118,6 +118,18 @@
 			time.Sleep(10 * time.Second)
 			answerPermit(a, &apiv1.LoadPermit{Id: id, Behind: 3})
 		}, 10 * second, false},
+		{"queued, then the keeper's lease moves", func(a, b *fakeStream, id uint64) {
+			answerPermit(a, &apiv1.LoadPermit{Id: id, Queued: true})
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			time.Sleep(permitRepeat + time.Second)
+			if len(permitRequests(a)) > 1 { // asked again
+				answerPermit(a, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			}
+			synctest.Wait()
+			if len(permitRequests(b)) > 1 {
+				answerPermit(b, &apiv1.LoadPermit{Id: id})
+			}
+		}, 3 * second, false},
 		{"other says no, keeper grants late", func(a, b *fakeStream, id uint64) {
 			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
 			time.Sleep(2 * time.Second)
@@ -150,7 +162,7 @@
 						waited += phase.GetLengthMs()
 					}
 				}
-				is.True(waited >= tc.waitMs)
+				is.Equal(waited, tc.waitMs)
 				is.Equal(b.agent.Stats().Engine.UnpermittedLoads == 1, tc.without)
 				all := permitRequests(other)
 				is.True(all[len(all)-1].GetDone())
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -139,6 +140,9 @@
 
 	routerSettings  []*apiv1.RouterSettings
 	sidecarSettings []*apiv1.SidecarSettings
+
+	security *apiv1.SecuritySettings // of every process; nil protects nothing
+	client   *http.Client
 }
 
 // deploymentOptions describe a deployment of a test.
@@ -147,6 +151,7 @@
 	engines  []standin.EngineKnobs
 	services []standin.ServiceKnobs
 	set      *apiv1.ObjectSet
+	security *apiv1.SecuritySettings
 }
 
 const (
@@ -163,7 +168,15 @@
 // and waits until every router is ready.
 func deploy(t testing.TB, o deploymentOptions) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir()}
+	d := &deployment{t: t, dir: t.TempDir(), security: o.security, client: http.DefaultClient}
+	if o.security != nil {
+		d.client = trustingClient(t, o.security)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			d.dumpLogs()
+		}
+	})
 	d.startStandins(o)
 	for i := range o.routers {
 		d.addRouter(i)
@@ -184,11 +197,6 @@
 	for i := range d.routers {
 		d.waitReady(i)
 	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			d.dumpLogs()
-		}
-	})
 	return d
 }
 
@@ -222,7 +230,8 @@
 			TableUrl: d.cluster.TableURL, ObjectUrl: d.cluster.ObjectURL,
 			HostListUrl: d.cluster.HostListURL, WeightUrl: d.cluster.WeightURL,
 		},
-		Log: &apiv1.LogSettings{Level: testLogLevel()},
+		Log:      &apiv1.LogSettings{Level: testLogLevel()},
+		Security: d.security,
 	}
 	d.routerSettings = append(d.routerSettings, cfg)
 	d.routers = append(d.routers, startProcess(d.t, d.dir, "router", host.ID, cfg))
@@ -234,6 +243,7 @@
 	d.cluster.Hosts.Add(host)
 	cfg.Host, cfg.FailureDomain, cfg.Listen, cfg.OperatorListen = name, "a", host.Address, host.OperatorAddress
 	cfg.Log = &apiv1.LogSettings{Level: testLogLevel()}
+	cfg.Security = d.security
 	d.sidecarSettings = append(d.sidecarSettings, cfg)
 	d.sidecars = append(d.sidecars, startProcess(d.t, d.dir, "sidecar", name, cfg))
 }
@@ -261,7 +271,7 @@
 func (d *deployment) waitReady(router int) {
 	d.t.Helper()
 	d.eventually("router is ready", func() bool {
-		response, err := http.Get("http://" + d.routerSettings[router].GetListen() + "/readyz")
+		response, err := d.client.Get(d.url(router) + "/readyz")
 		if err != nil {
 			return false
 		}
@@ -270,6 +280,15 @@
 	})
 }
 
+// url is where callers reach a router.
+func (d *deployment) url(router int) string {
+	scheme := "http://"
+	if d.security != nil {
+		scheme = "https://"
+	}
+	return scheme + d.routerSettings[router].GetListen()
+}
+
 // eventually polls until the condition holds.
 func (d *deployment) eventually(what string, holds func() bool) {
 	d.t.Helper()
@@ -292,14 +311,44 @@
 	}
 }
 
+// Ports of the daemons lie below those that the system gives to outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
+// portsUsed starts at a place of its own in each test process.
+var portsUsed atomic.Int64
+
+func init() { portsUsed.Store(int64(os.Getpid()) * 101) }
+
+// freeAddress returns an address of the loopback interface that nobody listens
+// on with TCP or UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed.Add(1)%portCount)
+		if isFree(address) {
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
 	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // answer is what a caller got.
@@ -325,12 +374,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerDeadline)
 	defer cancel()
-	url := "http://" + d.routerSettings[router].GetListen() + "/v1/chat/completions"
+	url := d.url(router) + "/v1/chat/completions"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
