--- a/internal/daemon/loadtest.go
+++ b/internal/daemon/loadtest.go
@@ -49,12 +49,16 @@
 	slowStore float64
 	// killHost ends an engine host in the second burst.
 	killHost bool
+	// deadline replaces the deadlines of generations.
+	deadline time.Duration
 }
 
 const (
 	scenarioNormal    = "normal"
 	scenarioSlowStore = "store at half speed"
 	scenarioHostDies  = "host dies in the burst"
+	scenarioShort     = "deadlines of 3 s"
+	shortDeadline     = 3 * time.Second
 
 	policyDefault  = "default"
 	suiteScenarios = "scenarios"
@@ -80,6 +84,7 @@
 			{scenario: scenarioNormal, policy: policyDefault},
 			{scenario: scenarioSlowStore, policy: policyDefault, slowStore: 2},
 			{scenario: scenarioHostDies, policy: policyDefault, killHost: true},
+			{scenario: scenarioShort, policy: policyDefault, deadline: shortDeadline},
 		},
 		"keepalive": {
 			{scenario: scenarioNormal, policy: "learned", policies: learnedAfter(0)},
@@ -186,7 +191,7 @@
 		knobs.SlowFactor = t.slowStore
 		bed.cluster.Weights.SetKnobs(knobs)
 	}
-	load := loadtest.Options{Shape: shape, Seed: seed, Duration: opts.Duration, Rate: opts.Rate}
+	load := loadtest.Options{Shape: shape, Seed: seed, Duration: opts.Duration, Rate: opts.Rate, Deadline: t.deadline}
 	if t.killHost {
 		timer := time.AfterFunc(load.SecondBurst()+hostDeathDelay, func() { bed.killEngineHost(busiest(bed)) })
 		defer timer.Stop()
--- a/internal/daemon/sampler.go
+++ b/internal/daemon/sampler.go
@@ -106,6 +106,7 @@
 		r.StaleRequests = s.stale / float64(s.samples)
 		r.ReportBytes = int(s.reported / float64(s.samples) * float64(r.Reports))
 	}
-	r.PeakStoreLoads = int(b.cluster.Weights.Counts().PeakLoads)
+	store := b.cluster.Weights.Counts()
+	r.StoreLoads, r.PeakStoreLoads = int(store.Loads), int(store.PeakLoads)
 	r.Weigh(b.shape.ColdStartWeight, b.shape.IdleWeight)
 }
--- a/internal/loadtest/report.go
+++ b/internal/loadtest/report.go
@@ -44,8 +44,9 @@
 	StaleRequests float64
 	// ReportBytes is Reports times the mean size of a report.
 	ReportBytes int
-	// PeakStoreLoads is the highest number of weight-store loads at a time.
-	PeakStoreLoads int
+	// StoreLoads counts loads from the weight store, PeakStoreLoads the highest
+	// number of them at a time.
+	StoreLoads, PeakStoreLoads int
 	// Cost is ColdWeight*cold-start seconds + IdleWeight*idle replica-seconds.
 	Cost float64
 }
@@ -129,7 +130,7 @@
 	"scenario", "policy",
 	"cold urgent", "cold normal", "cold routine", "warm",
 	"refused", "back served", "idle s", "loaded s", "loads", "adapters",
-	"dup", "over", "served/not-run/unknown", "sum", "retries", "reports", "report KB", "stale", "store peak", "cost",
+	"dup", "over", "served/not-run/unknown", "sum", "retries", "reports", "report KB", "stale", "store loads", "store peak", "cost",
 }
 
 func (r *Result) row() []string {
@@ -143,7 +144,7 @@
 		fmt.Sprintf("%d/%d/%d", r.Outcomes[OutcomeServed], r.Outcomes[OutcomeNotRun], r.Outcomes[OutcomeUnknown]+r.Outcomes[OutcomeNone]),
 		fmt.Sprintf("%d=%d", r.Accepted, r.Ended), fmt.Sprint(r.Retries),
 		fmt.Sprint(r.Reports), fmt.Sprint(r.ReportBytes / 1000), fmt.Sprintf("%.2f", r.StaleRequests),
-		fmt.Sprint(r.PeakStoreLoads), fmt.Sprintf("%.1f", r.Cost),
+		fmt.Sprint(r.StoreLoads), fmt.Sprint(r.PeakStoreLoads), fmt.Sprintf("%.1f", r.Cost),
 	}
 }
 
--- a/internal/loadtest/workload.go
+++ b/internal/loadtest/workload.go
@@ -56,6 +56,8 @@
 	Duration time.Duration
 	// Rate is the mean number of chat requests a second.
 	Rate float64
+	// Deadline replaces the deadlines of all generations unless 0.
+	Deadline time.Duration
 }
 
 const (
@@ -129,6 +131,9 @@
 }
 
 func (g *generator) add(r Request) {
+	if g.opts.Deadline > 0 && r.Tokens > 0 {
+		r.Deadline = g.opts.Deadline
+	}
 	if r.At < g.opts.Duration {
 		g.out = append(g.out, r)
 	}
