--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -257,7 +257,7 @@
 
 // callWithin is call with a deadline of its own.
 func (d *deployment) callWithin(ctx context.Context, router int, key, body string, deadline time.Duration) answer {
-	url := "http://" + d.routerSettings[router].GetListen() + "/services/" + testService + "/book"
+	url := d.url(router) + "/services/" + testService + "/book"
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return answer{err: err}
@@ -266,7 +266,7 @@
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := d.client.Do(request)
 	if err != nil {
 		return answer{err: err}
 	}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -31,8 +31,9 @@
 const (
 	sessionIdle      = time.Minute
 	idleSweepPeriod  = 10 * time.Second
-	reportPeriod     = 5 * time.Second
-	inFlightDelta    = 2 // requests
+	reportPeriod     = 30 * time.Second
+	inFlightDelta    = 2  // requests
+	inFlightPercent  = 25 // of the requests last reported
 	gossipPeriod     = time.Second
 	gossipFanout     = 3 // peers
 	peerMemory       = 10 * time.Minute
@@ -155,15 +156,17 @@
 		wake:   make(chan struct{}, 1),
 	}
 	r.sidecars = upstream.NewManager(upstream.Options{
-		Router:        r.cfg.GetHost(),
-		View:          r.store,
-		Pool:          r.pool,
-		Refresh:       r.poller.Refresh,
-		Watches:       r.watches,
-		InFlightDelta: r.policies.InFlightDelta,
-		ReportPeriod:  r.policies.ReportPeriod,
-		Permits:       r.permits,
-		Log:           r.log,
+		Router:          r.cfg.GetHost(),
+		View:            r.store,
+		Pool:            r.pool,
+		Refresh:         r.poller.Refresh,
+		Watches:         r.watches,
+		Peers:           r.watchers,
+		InFlightDelta:   r.policies.InFlightDelta,
+		InFlightPercent: inFlightPercent,
+		ReportPeriod:    r.policies.ReportPeriod,
+		Permits:         r.permits,
+		Log:             r.log,
 	})
 	r.permits.grant = r.sidecars.Grant
 	r.decider = decider.New(decider.Options{
@@ -195,9 +198,21 @@
 }
 
 func (r *Router) liveRouters() []string {
+	return r.routersWhere(func(platform.Host) bool { return true })
+}
+
+// watchers lists the live routers that watch the same hosts as this one.
+func (r *Router) watchers() []string {
+	all := len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts
+	return r.routersWhere(func(h platform.Host) bool {
+		return all || h.FailureDomain == r.cfg.GetFailureDomain()
+	})
+}
+
+func (r *Router) routersWhere(matches func(platform.Host) bool) []string {
 	var ids []string
 	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter && h.State == platform.HostLive {
+		if h.Role == platform.RoleRouter && h.State == platform.HostLive && matches(h) {
 			ids = append(ids, h.ID)
 		}
 	}
--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -83,7 +84,7 @@
 
 func (f *fleet) preferred(name string) string {
 	for _, peer := range f.peers {
-		if rankOf(name, peer, f.peers) == 0 {
+		if rendezvous.Rank(name, peer, f.peers) == 0 {
 			return peer
 		}
 	}
@@ -170,6 +171,15 @@
 		before := f.table.Commits()
 		f.run(time.Minute)
 		b.ReportMetric(float64(f.table.Commits()-before)/60, "steady-commits/s")
+		f.table.SetFault(tabletest.Down)
+		before = f.table.Commits()
+		f.run(time.Minute)
+		b.ReportMetric(float64(f.table.Commits()-before)/60, "outage-commits/s")
+		f.table.SetFault(tabletest.None)
+		before = f.table.Commits()
+		f.run(10 * time.Second)
+		b.ReportMetric(float64(f.table.Commits()-before)/10, "after-commits/s")
+		f.run(time.Minute)
 		f.managers = f.managers[lost:] // they die without a release
 		before = f.table.Commits()
 		start := f.now
