--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -57,6 +57,7 @@
 	poller   *view.Poller
 	pool     *transport.Pool
 	claims   *claim.Store
+	sweeper  *claim.Sweeper
 	records  *waitlog.Writer
 	loader   *config.Loader
 	leases   *lease.Manager
@@ -181,7 +182,7 @@
 }
 
 func leaseNames(shards uint32) []string {
-	names := []string{platform.PermitLease}
+	names := []string{platform.PermitLease, claim.SweepLease}
 	for shard := range shards {
 		names = append(names, platform.ShardLease(shard))
 	}
@@ -221,6 +222,7 @@
 
 func (r *Router) wireFront(c clients) {
 	r.claims = claim.New(claim.Options{Table: c.table, Router: r.cfg.GetHost(), Log: r.log})
+	r.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: c.table, Leases: r.leases, Log: r.log})
 	r.front = router.New(router.Options{
 		Host:          r.cfg.GetHost(),
 		FailureDomain: r.cfg.GetFailureDomain(),
@@ -303,7 +305,7 @@
 	g, work := errgroup.WithContext(work)
 	parts := []func(context.Context) error{
 		r.poller.Run, r.sidecars.Run, r.leases.Run, r.decider.Run, r.permits.run,
-		r.claims.Run, r.writeRecords, r.front.Run, r.gossip.Run,
+		r.claims.Run, r.sweeper.Run, r.writeRecords, r.front.Run, r.gossip.Run,
 		r.callers.run, r.operator.run, r.sweep, r.bootstrap,
 	}
 	for _, run := range parts {
