--- a/internal/agent/generate.go
+++ b/internal/agent/generate.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
@@ -75,8 +77,9 @@
 	admitted := a.opts.Clock.Now()
 	id, verdict := a.admit(ctx, g.request, deadline-admitted.Sub(g.arrived))
 	if verdict.refusal != nil {
-		verdict.refusal.OutcomeUnknown = g.sent
-		return verdict.refusal
+		refusal := proto.CloneOf(verdict.refusal) // shared with other requests
+		refusal.OutcomeUnknown = g.sent
+		return refusal
 	}
 	defer a.finish(id, a.opts.Clock.Now())
 	return g.run(ctx, verdict.grant, admitted)
