standin: full burst of the weight store, cheaper history, tests of the limits

Tests on a synctest clock show the limits that placement is measured against: adapter loads at full speed up to 30 in flight and twice as long at 60; four weight loads at full speed, eight at half; SlowFactor; starts a second.

They found two faults of the stand-ins: a fresh weight store let one load start where LoadsPerSecond allows several, and a job that began before the others was credited its first tick at full speed.

The lagging load report scanned its history from the start, and a begin with more than 1024 streams scanned them all; both are bounded now.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -59,6 +59,7 @@
 	epochs   map[string]uint64
 	orders   map[string]*orderRun
 	streams  map[string]*stream
+	cut      []*stream // the oldest first; some were resumed since
 	waiting  []*stream
 	running  int
 	prefixes prefixCache
--- a/internal/standin/engine_streams.go
+++ b/internal/standin/engine_streams.go
@@ -11,8 +11,7 @@
 const (
 	// defaultMaxTokens is the length of an answer whose request sets none.
 	defaultMaxTokens = 16
-	// keptStreams is the number of streams, cut ones included, above which the
-	// engine forgets the cut ones.
+	// keptStreams is the number of cut streams that an engine can resume.
 	keptStreams = 1024
 )
 
@@ -78,7 +77,6 @@
 		earlier.cancel()
 		s.resumed = true
 	}
-	b.forgetCutStreams()
 	b.streams[gen.RequestID] = s
 	e.applyStreamFaults(s)
 	s.prefixHit = e.touchPrefix(b, PrefixHash(gen.Model, gen.Prompt), gen.Model)
@@ -160,6 +158,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.active = false
+	if b.streams[s.gen.RequestID] == s {
+		b.keepCutStream(s)
+	}
 	if s.running {
 		s.running = false
 		b.running--
@@ -179,14 +180,16 @@
 	}
 }
 
-func (b *boot) forgetCutStreams() {
-	if len(b.streams) < keptStreams {
+// keepCutStream remembers a cut stream and forgets the oldest one.
+func (b *boot) keepCutStream(s *stream) {
+	b.cut = append(b.cut, s)
+	if len(b.cut) <= keptStreams {
 		return
 	}
-	for id, s := range b.streams {
-		if !s.active {
-			delete(b.streams, id)
-		}
+	oldest := b.cut[0]
+	b.cut = b.cut[1:]
+	if b.streams[oldest.gen.RequestID] == oldest {
+		delete(b.streams, oldest.gen.RequestID)
 	}
 }
 
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -1,9 +1,12 @@
 package standin
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // historyKept is how long a history remembers, and so the longest lag.
-const historyKept = 10 * time.Minute
+const historyKept = 2 * time.Minute
 
 // history remembers past values, so that a lagging one can be served. It is not
 // safe for concurrent use.
@@ -34,14 +37,13 @@
 	return h.entries[len(h.entries)-1].value
 }
 
-// at returns the value that held at a time.
+// at returns the value that held at a time. It looks from the newest value back,
+// since most lags are short.
 func (h *history[T]) at(t time.Time) T {
-	value := h.first
-	for _, e := range h.entries {
-		if e.at.After(t) {
-			break
+	for _, e := range slices.Backward(h.entries) {
+		if !e.at.After(t) {
+			return e.value
 		}
-		value = e.value
 	}
-	return value
+	return h.first
 }
--- a/internal/standin/shared.go
+++ b/internal/standin/shared.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// progressTick is the period at which work notices that its speed changed.
-const progressTick = 5 * time.Millisecond
+const (
+	// progressTick is the period at which work notices that its speed changed.
+	progressTick = 5 * time.Millisecond
+	// minSlower keeps a speed finite.
+	minSlower = 1e-3
+)
 
 // sharedSpeed is a resource at which up to full jobs run at full speed; beyond,
 // all of them are proportionally slower.
@@ -23,19 +27,19 @@
 	raise(&s.peak, s.inFlight.Add(1))
 	defer s.inFlight.Add(-1)
 	for left := length; left > 0; {
-		slowdown := s.slowdown() * max(slower(), 1e-3)
-		step := min(progressTick, time.Duration(float64(left)*slowdown)+1)
 		start := time.Now()
-		if !sleep(ctx, step) {
+		rest := time.Duration(float64(left)*s.slowdown(slower)) + 1
+		if !sleep(ctx, min(progressTick, rest)) {
 			return false
 		}
-		left -= time.Duration(float64(time.Since(start)) / slowdown)
+		left -= time.Duration(float64(time.Since(start)) / s.slowdown(slower))
 	}
 	return ctx.Err() == nil
 }
 
-func (s *sharedSpeed) slowdown() float64 {
-	return max(1, float64(s.inFlight.Load())/float64(max(1, s.full.Load())))
+func (s *sharedSpeed) slowdown(slower func() float64) float64 {
+	crowding := max(1, float64(s.inFlight.Load())/float64(max(1, s.full.Load())))
+	return crowding * max(slower(), minSlower)
 }
 
 // raise sets peak to value if that is higher.
--- /dev/null
+++ b/internal/standin/shared_test.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+)
+
+// elapsed runs jobs at the same time on the bubble's clock and returns how long
+// all of them took.
+func elapsed(jobs int, job func()) time.Duration {
+	start := time.Now()
+	var wg sync.WaitGroup
+	for range jobs {
+		wg.Go(job)
+	}
+	wg.Wait()
+	return time.Since(start)
+}
+
+// near reports whether got is want, but for the ticks of progress.
+func near(got, want time.Duration) bool {
+	return got >= want && got <= want+2*progressTick
+}
+
+func TestAdapterLoadsSlowDownBeyondThirty(t *testing.T) {
+	for _, tc := range []struct {
+		jobs int
+		want time.Duration
+	}{
+		{1, 10 * time.Millisecond},
+		{30, 10 * time.Millisecond},
+		{60, 20 * time.Millisecond},
+		{120, 40 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			census := NewCensus()
+			took := elapsed(tc.jobs, func() {
+				census.adapters.work(t.Context(), 10*time.Millisecond, func() float64 { return 1 })
+			})
+			is.True(near(took, tc.want))
+			is.Equal(census.PeakAdapterLoads(), tc.jobs)
+		})
+	}
+}
+
+func TestWeightStoreIsRateLimited(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		knobs WeightKnobs
+		loads int
+		want  time.Duration
+	}{
+		{"four at full speed", WeightKnobs{LoadsPerSecond: 100}, 4, time.Second},
+		{"eight at half of it", WeightKnobs{LoadsPerSecond: 100}, 8, 2 * time.Second},
+		{"slowed", WeightKnobs{LoadsPerSecond: 100, SlowFactor: 3}, 4, 3 * time.Second},
+		{"starts limited", WeightKnobs{LoadsPerSecond: 2}, 4, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tc.knobs.MiBPerSecond = 100
+				store := NewWeights(tc.knobs, []platform.CheckpointInfo{{Checkpoint: "c", SizeMiB: 100}})
+				took := elapsed(tc.loads, func() {
+					req := httptest.NewRequest(http.MethodPost, "/v1/checkpoints/c/load", nil)
+					store.ServeHTTP(httptest.NewRecorder(), req)
+				})
+				is.True(near(took, tc.want))
+				is.Equal(store.Counts().Loads, int64(tc.loads))
+			})
+		})
+	}
+}
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -46,6 +46,9 @@
 	return k
 }
 
+// burst is the number of loads that may start at once.
+func (k WeightKnobs) burst() int { return max(1, int(k.LoadsPerSecond)) }
+
 // WeightCounts are the counters of a Weights.
 type WeightCounts struct {
 	Loads        int64 `json:"loads"`
@@ -70,8 +73,9 @@
 
 // NewWeights makes a store of some checkpoints.
 func NewWeights(knobs WeightKnobs, checkpoints []platform.CheckpointInfo) *Weights {
+	knobs = knobs.withDefaults()
 	s := &Weights{
-		starts:      rate.NewLimiter(1, 1),
+		starts:      rate.NewLimiter(rate.Limit(knobs.LoadsPerSecond), knobs.burst()),
 		checkpoints: make(map[string]platform.CheckpointInfo),
 	}
 	s.SetKnobs(knobs)
@@ -109,7 +113,7 @@
 	defer s.mu.Unlock()
 	s.knobs = knobs.withDefaults()
 	s.starts.SetLimit(rate.Limit(s.knobs.LoadsPerSecond))
-	s.starts.SetBurst(max(1, int(s.knobs.LoadsPerSecond)))
+	s.starts.SetBurst(s.knobs.burst())
 	s.speed.full.Store(int64(s.knobs.FullSpeedLoads))
 }
 
