--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
@@ -59,14 +60,17 @@
 	planner  *planner.Planner
 	runCtx   context.Context // nil before and after Run
 	orders   sync.WaitGroup
+	aborts   map[uint64]context.CancelFunc // of the orders in flight
 	requests map[uint64]chan decision
 	releases map[uint64]chan planner.Released
 	permits  map[uint64]*permitAsk
 	watchers map[*watcher]struct{}
-	wake     *time.Timer // next Wake of the planner, or nil
-	wakeAt   time.Time
-	draining bool
-	leaving  bool
+	// lastReport is the report after the last event, or nil.
+	lastReport *apiv1.LoadReport
+	wake       *time.Timer // next Wake of the planner, or nil
+	wakeAt     time.Time
+	draining   bool
+	leaving    bool
 	// active counts requests and calls; idle is closed when it falls to 0.
 	active int
 	calls  int
@@ -74,6 +78,10 @@
 
 	// readInventory asks the inventory loop for a read at once.
 	readInventory chan struct{}
+	// inventoryMu serializes the reads; it is taken before mu.
+	inventoryMu sync.Mutex
+	// inventoryAt is when the last inventory that came was asked for.
+	inventoryAt time.Time
 }
 
 type systemClock struct{}
@@ -104,6 +112,7 @@
 			Rand:         mathrand.New(mathrand.NewPCG(opts.Seed, 0)),
 			Policy:       opts.KeepAlive,
 		}),
+		aborts:        make(map[uint64]context.CancelFunc),
 		requests:      make(map[uint64]chan decision),
 		releases:      make(map[uint64]chan planner.Released),
 		permits:       make(map[uint64]*permitAsk),
--- a/internal/agent/planner/inventory.go
+++ b/internal/agent/planner/inventory.go
@@ -8,13 +8,21 @@
 )
 
 // MarkInventory is called right before the engine is asked for its inventory.
-func (p *Planner) MarkInventory(now time.Time) ledger.Mark { return p.ledger.Mark(now) }
+func (p *Planner) MarkInventory(now time.Time) ledger.Mark {
+	if p.started.IsZero() {
+		p.started = now
+	}
+	return p.ledger.Mark(now)
+}
 
 // Inventory takes over what the engine holds.
 func (p *Planner) Inventory(now time.Time, mark ledger.Mark, inv platform.Inventory) []Action {
 	p.observe(now)
 	p.ledger.Settle(mark, inv)
 	p.inventoried = true
+	// An order that an earlier process sent just before it died may arrive
+	// until then: no load is ordered and no release confirmed before.
+	p.settled = p.settled || mark.At().Sub(p.started) >= ledger.SettleDelay
 	clear(p.cached)
 	for _, c := range inv.Cached {
 		p.cached[c.Checkpoint] = c.Tier
@@ -22,9 +30,58 @@
 	for key := range p.ledger.Entries() {
 		p.takeOver(now, key)
 	}
+	p.abortAnswered(mark, inv)
 	return p.flush(now)
 }
 
+// answerGrace is how long after its start an order's answer is waited for
+// although the inventory shows its effect.
+const answerGrace = time.Second
+
+// abortAnswered ends the wait for answers that were lost without an error: the
+// inventory shows the effect, or the engine has restarted.
+func (p *Planner) abortAnswered(mark ledger.Mark, inv platform.Inventory) {
+	restarted := p.engineBootID != inv.BootID
+	p.engineBootID = inv.BootID
+	for id, o := range p.orders {
+		if o.begun.IsZero() || mark.At().Before(o.begun) {
+			continue
+		}
+		late := mark.At().Sub(o.begun) >= answerGrace
+		if restarted || (late && effective(o, inv)) {
+			p.emit(AbortOrder{Order: id})
+		}
+	}
+}
+
+// effective reports whether an inventory shows what the order asked for.
+func effective(o *order, inv platform.Inventory) bool {
+	ready, present := shownState(o.key, inv)
+	switch o.body.Kind {
+	case platform.OrderLoad, platform.OrderLoadAdapter:
+		return ready
+	default:
+		return !present
+	}
+}
+
+func shownState(key ledger.Key, inv platform.Inventory) (ready, present bool) {
+	for _, model := range inv.Models {
+		if model.Model != key.Model {
+			continue
+		}
+		if key.Adapter == "" {
+			return model.State == platform.ModelReady, true
+		}
+		for _, a := range model.Adapters {
+			if a.Adapter == key.Adapter {
+				return a.State == platform.ModelReady, true
+			}
+		}
+	}
+	return false, false
+}
+
 // takeOver adds a holder that the planner did not order.
 func (p *Planner) takeOver(now time.Time, key ledger.Key) {
 	r := p.replicas[key.Model]
@@ -41,6 +98,9 @@
 // Unsettled reports whether the outcome of an order is open, so that the
 // inventory should be read soon.
 func (p *Planner) Unsettled() bool {
+	if !p.settled {
+		return true
+	}
 	for _, entry := range p.ledger.Entries() {
 		if entry.State == ledger.Unsettled {
 			return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,9 @@
 	// reports and the end of pauses give none.
 	dispatchPeriod = 20 * time.Millisecond
 	drainPoll      = 10 * time.Millisecond
+
+	// claimFlushTimeout bounds the wait for outcomes of claimed calls at a stop.
+	claimFlushTimeout = 10 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -92,6 +95,7 @@
 	budget   *retryBudget
 	hosts    *hostHealth
 	services *serviceIndex
+	stalls   stalls
 	draining atomic.Bool
 
 	models sync.Map // name -> *model
@@ -121,10 +125,11 @@
 // Handler serves callers over HTTP.
 func (r *Router) Handler() http.Handler { return http.HandlerFunc(r.serveHTTP) }
 
-// Run moves the queues until ctx is done.
+// Run moves the queues and probes silent hosts until ctx is done.
 func (r *Router) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.runDispatch(ctx) })
+	group.Go(func() error { return r.runStalls(ctx) })
 	return group.Wait()
 }
 
@@ -144,17 +149,35 @@
 // Drain refuses new work; running requests go on.
 func (r *Router) Drain() { r.draining.Store(true) }
 
-// Wait returns when no request runs, or with an error when ctx is done.
+// Wait returns when no request runs, or with an error when ctx is done. It gives
+// the outcomes of claimed calls some time to be stored: those that are not leave
+// their claims open, and repeats are answered as unknown.
 func (r *Router) Wait(ctx context.Context) error {
+	if err := pollUntil(ctx, func() bool { return r.counters.inFlight() == 0 }); err != nil {
+		return err
+	}
+	r.cleanup.Wait() // bounded by cancelTimeout
+	if r.opts.Claims == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimFlushTimeout)
+	defer cancel()
+	if err := pollUntil(ctx, func() bool { return r.opts.Claims.Pending() == 0 }); err != nil {
+		r.opts.Log.Warn("outcomes of claimed calls are not stored", "count", r.opts.Claims.Pending())
+	}
+	return nil
+}
+
+// pollUntil returns when done reports true, or with an error when ctx is done.
+func pollUntil(ctx context.Context, done func() bool) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for r.counters.inFlight() > 0 {
+	for !done() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
-	r.cleanup.Wait() // bounded by cancelTimeout
 	return nil
 }
