agent tests: tokens name the request that they belong to

Cause: the fake engine gave equal text to all requests, so a sidecar that took events of other requests passed TestAStreamEndsWholeOrRefused and TestAgentKeepsItsPromises (mutation 'case false' in batch.take; only the process test failed). The change: the text of a token holds the request id. With the mutation TestAStreamEndsWholeOrRefused/other_request fails now; without it all pass.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -96,7 +96,7 @@
 
 func TestAStreamEndsWholeOrRefused(t *testing.T) {
 	token := func(id string, offset int) platform.TokenEvent {
-		return platform.TokenEvent{RequestID: id, Offset: offset, Text: fmt.Sprint("t", offset)}
+		return platform.TokenEvent{RequestID: id, Offset: offset, Text: tokenText(id, offset)}
 	}
 	end := func(offset int) platform.TokenEvent {
 		return platform.TokenEvent{RequestID: "r", Offset: offset, Done: true}
@@ -129,7 +129,7 @@
 				is.Equal(got.ends, 1)
 				is.True(!got.gap)
 				for i, text := range got.text {
-					is.Equal(text, fmt.Sprint("t", i))
+					is.Equal(text, tokenText("r", i))
 				}
 				is.Equal(got.end != nil, tc.whole)
 				if tc.whole {
--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -308,10 +308,13 @@
 	return &fakeTokens{ctx: ctx, engine: e, model: m, events: events}, nil
 }
 
+// tokenText is token i of the answer to a request; no other answer has it.
+func tokenText(id string, i int) string { return fmt.Sprint(id, "/", i) }
+
 func wholeAnswer(id string, from, tokens int) []platform.TokenEvent {
 	var events []platform.TokenEvent
 	for i := from; i < tokens; i++ {
-		events = append(events, platform.TokenEvent{RequestID: id, Offset: i, Text: fmt.Sprint("t", i)})
+		events = append(events, platform.TokenEvent{RequestID: id, Offset: i, Text: tokenText(id, i)})
 	}
 	return append(events, platform.TokenEvent{RequestID: id, Offset: tokens, Done: true, FinishReason: "stop"})
 }
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -310,7 +310,7 @@
 		t.Fatalf("stream of %s: %d ends, gap %v", o.generations[s].GetRequestId(), got.ends, got.gap)
 	}
 	for i, text := range got.text {
-		if text != fmt.Sprint("t", i) {
+		if text != tokenText(o.generations[s].GetRequestId(), i) {
 			t.Fatalf("stream of %s: token %d is %s", o.generations[s].GetRequestId(), i, text)
 		}
 	}
