planner: phases for the back-off and for the turn without permit

Cause: a request that waited for the back-off of a failed load, or for another load without permit, showed no phase for that time. Change: RETRY and QUEUE phases with their causes. Conclusion: two tests read them.

--- a/internal/agent/planner/load.go
+++ b/internal/agent/planner/load.go
@@ -24,6 +24,7 @@
 	tier platform.Tier
 	// notBefore delays the attempt after a failed one.
 	notBefore time.Time
+	delay     span
 	reserved  bool
 	// blocked is true while there is no room and nothing idle to unload.
 	blocked bool
@@ -34,6 +35,9 @@
 	behind     uint32
 	fallbackAt time.Time
 
+	// turn is the wait for an earlier load without permit.
+	turn span
+
 	order uint64 // 0 while pending
 	run   span
 }
@@ -51,6 +55,9 @@
 	}
 	if r.load == nil {
 		r.load = &load{id: p.NewID(), tier: p.tierOf(r.spec.GetCheckpoint()), notBefore: r.retryAt}
+		if now.Before(r.retryAt) {
+			r.load.delay = span{begin: now, end: r.retryAt, cause: "back-off after a failed load"}
+		}
 	}
 	if r.load.pending() {
 		r.load.spec = r.spec
@@ -163,6 +170,7 @@
 	switch l.permit {
 	case permitFallback:
 		p.unpermitted = l.id
+		l.turn = span{begin: l.asked.end, end: now, cause: "one load without permit at a time"}
 		p.stats.UnpermittedLoads++
 	case permitGranted:
 		p.stats.PermittedLoads++
--- a/internal/agent/planner/memory_test.go
+++ b/internal/agent/planner/memory_test.go
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	r := newRig(t, keep, onDisk("d"))
 	r.assign(spec("m", 1), spec("n", 1))
-	r.admit("m", nil)
+	last := r.admit("m", nil)
 	r.admit("n", func(in *Request) { in.Priority = 5 })
 	is.Equal(len(r.sent), 0) // both checkpoints are remote
 	is.Equal(len(r.asked), 2)
@@ -98,6 +98,9 @@
 	is.Equal(len(r.sent), 1)
 	is.Equal(r.engine(time.Second, nil).Model, "m")
 	is.Equal(r.p.Stats().UnpermittedLoads, uint64(2))
+	turn := r.granted[last].Phases[0]
+	is.Equal(turn.GetCause(), "one load without permit at a time")
+	is.Equal(turn.GetLengthMs(), uint32(2000))
 }
 
 func TestPermitNamesTheLoadsAhead(t *testing.T) {
--- a/internal/agent/planner/phases.go
+++ b/internal/agent/planner/phases.go
@@ -13,8 +13,10 @@
 	cold := false
 	w.add(apiv1.PhaseKind_PHASE_KIND_EVICT, r.unload)
 	if l := r.last; l != nil {
+		w.add(apiv1.PhaseKind_PHASE_KIND_RETRY, l.delay)
 		w.add(apiv1.PhaseKind_PHASE_KIND_EVICT, l.memory)
 		w.add(apiv1.PhaseKind_PHASE_KIND_PERMIT, l.permitSpan())
+		w.add(apiv1.PhaseKind_PHASE_KIND_QUEUE, l.turn)
 		cold = w.add(apiv1.PhaseKind_PHASE_KIND_LOAD, l.run)
 	}
 	if a := r.adapters[q.Adapter.Name]; a != nil {
--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -160,8 +160,8 @@
 	is.Equal(len(r.sent), 0) // within the back-off
 	r.pass(time.Second)
 	r.engine(time.Second, nil)
-	_, ok := r.granted[second]
-	is.True(ok)
+	is.Equal(r.granted[second].Phases[0].GetCause(), "back-off after a failed load")
+	is.Equal(r.granted[second].Phases[1].GetCause(), "from local disk")
 }
 
 func TestDeadlineIsRefusedAtOnceAndTheAdviceHolds(t *testing.T) {
