standin: a crashed engine answers no order

Cause: after an overcommit the order's end and the boot's end were both ready, and the handler took either one at random, so the crash was sometimes answered with 'no memory'. The handler now hangs up whenever the boot has ended.

--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -69,6 +69,9 @@
 	case <-r.Context().Done():
 		hangUp()
 	}
+	if b.ctx.Err() != nil {
+		hangUp() // an engine that crashed answers nothing
+	}
 	if run.err != nil {
 		writeError(w, run.err.kind, run.err.message)
 		return
