A shard's holder watches the hosts of the replicas that it decides about

Cause: above 600 hosts a router watches its own failure domain only, so a holder would have decided without the load of replicas in other domains and added none. Change: watchesHost also takes hosts with slots of held shards; links to hosts that need no watch any more end. Not measured at full size.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -189,13 +190,23 @@
 	return names
 }
 
-// watches reports whether this router keeps a session to a host: to all hosts
-// of a small deployment, to those of its own failure domain in a large one.
 func (r *Router) watches(h platform.Host) bool {
-	if len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts {
+	return watchesHost(r.store.Load(), h, r.cfg.GetFailureDomain(), func(shard uint32) bool {
+		_, held := r.leases.Guard(platform.ShardLease(shard))
+		return held
+	})
+}
+
+// watchesHost reports whether a router keeps a session to a host. In a small
+// deployment it watches all hosts. In a large one it watches those of its own
+// failure domain, and those that hold replicas it decides about.
+func watchesHost(snap *view.Snapshot, h platform.Host, domain string, decides func(shard uint32) bool) bool {
+	if len(snap.Hosts.Hosts) <= maxWatchedHosts || h.FailureDomain == domain {
 		return true
 	}
-	return h.FailureDomain == r.cfg.GetFailureDomain()
+	return slices.ContainsFunc(snap.SlotsOn(h.ID), func(slot view.Slot) bool {
+		return decides(slot.Row.GetShard())
+	})
 }
 
 func (r *Router) liveRouters() []string {
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -102,14 +102,14 @@
 		!maps.Equal(next.Drains, last.Drains)
 }
 
-// reconcile opens links to new hosts, ends those of hosts that are gone, and
-// lets the others look at the new snapshot.
+// reconcile opens links to the hosts to be watched, ends the others, and lets
+// those that stay look at the new snapshot.
 func (m *Manager) reconcile(ctx context.Context, snap *view.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, l := range m.links {
 		h, listed := snap.ByHost[id]
-		if !listed || h.Address != l.host.Address {
+		if !listed || h.Address != l.host.Address || !m.opts.Watches(h) {
 			l.cancel()
 			delete(m.links, id)
 		}
