A router that starts while the host list is down takes the list of its peers

Cause: with the whole platform down, host list included, a restarted router took slots and configuration from its peers but no hosts, so it was ready and routed nothing: requests waited until their deadline. Ruled out: routing by the hosts of slot rows; they have no addresses. The change: the state of a peer holds its host list; it is adopted while the router has none, and does not count as a read, so that nothing is decided by it. TestRouterStartsFromPeersWhilePlatformIsDown with the list down as well: before 'not within 30s: the restarted router answers', after 3.4 s. TestAdoptedHostsAreNoRead.

--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -17,9 +17,9 @@
 )
 
 // bootstrap takes the state of peers over while the platform can't be read. It
-// ends once the router has read the table or a peer had a configuration. The
-// state is only routed by: a restarted sidecar still gets its slots from a read
-// of the table.
+// ends once the router has a configuration and a host list. The state is only
+// routed by: a restarted sidecar still gets its slots from a read of the table,
+// and nothing is decided by the list of a peer.
 func (r *Router) bootstrap(ctx context.Context) error {
 	ticker := time.NewTicker(bootstrapPeriod)
 	defer ticker.Stop()
@@ -29,7 +29,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if r.store.Load().Config != nil {
+		if snap := r.store.Load(); snap.Config != nil && snap.Hosts.Hosts != nil {
 			return nil
 		}
 		for _, address := range r.peerOperators() {
@@ -78,6 +78,7 @@
 		r.log.Warn("state of a peer refused", "peer", address, "err", err)
 		return
 	}
+	r.store.AdoptHosts(state.Hosts)
 	r.store.ApplyRows(state.Changes)
 	if index != nil && r.store.SetConfig(index) {
 		r.log.Info("configuration in force", "revision", index.Revision, "from_peer", address)
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -371,6 +371,7 @@
 	down := standin.Faults{Down: true}
 	d.cluster.Table.Faults.Set(down)
 	d.cluster.Objects.Faults.Set(down)
+	d.cluster.Hosts.Faults.Set(down)
 	d.restartRouter(0)
 	d.waitReady(0)
 	d.eventually("the restarted router answers", func() bool { return d.chat(0, "model-0", "again", 5).whole })
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -157,14 +157,28 @@
 		if next.Hosts.Hosts != nil && listing.Revision == next.Hosts.Revision {
 			return
 		}
-		next.Hosts = listing
-		next.ByHost = make(map[string]platform.Host, len(listing.Hosts))
-		for _, h := range listing.Hosts {
-			next.ByHost[h.ID] = h
+		next.setHosts(listing)
+	})
+}
+
+// AdoptHosts takes over the host list of a peer while this router has none. It
+// is no read of the list, so that nothing is decided by it.
+func (s *Store) AdoptHosts(listing platform.HostListing) {
+	s.update(func(next *Snapshot) {
+		if next.Hosts.Hosts == nil && listing.Hosts != nil {
+			next.setHosts(listing)
 		}
 	})
 }
 
+func (s *Snapshot) setHosts(listing platform.HostListing) {
+	s.Hosts = listing
+	s.ByHost = make(map[string]platform.Host, len(listing.Hosts))
+	for _, h := range listing.Hosts {
+		s.ByHost[h.ID] = h
+	}
+}
+
 // SetConfig puts a configuration in force, unless a higher or equal revision
 // already is. It reports whether it did.
 func (s *Store) SetConfig(index *config.Index) bool {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -102,6 +102,27 @@
 	is.Equal(store.Load().Config.Revision, uint64(2))
 }
 
+func TestAdoptedHostsAreNoRead(t *testing.T) {
+	is := is.New(t)
+	listing := func(revision int64, hosts ...string) platform.HostListing {
+		l := platform.HostListing{Revision: revision, Hosts: []platform.Host{}}
+		for _, id := range hosts {
+			l.Hosts = append(l.Hosts, platform.Host{ID: id})
+		}
+		return l
+	}
+	store := NewStore()
+	store.AdoptHosts(platform.HostListing{}) // of a peer that has none
+	is.True(store.Load().Hosts.Hosts == nil)
+	store.AdoptHosts(listing(3, "a"))
+	store.AdoptHosts(listing(4, "b")) // only the first one is taken
+	is.Equal(len(store.Load().ByHost), 1)
+	is.Equal(store.Load().ByHost["a"].ID, "a")
+	is.Equal(store.Load().HostReads, uint64(0))
+	store.SetHosts(listing(3, "a"))
+	is.Equal(store.Load().HostReads, uint64(1))
+}
+
 func TestUnreadableRowIsReportedAndSkipped(t *testing.T) {
 	is := is.New(t)
 	store := NewStore()
