--- a/internal/daemon/calls_test.go
+++ b/internal/daemon/calls_test.go
@@ -116,6 +116,27 @@
 	}
 }
 
+// A call that ran is not sent to the other host of the service, though its
+// answer is lost.
+func TestLostCallIsNotSentElsewhere(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, deploymentOptions{routers: 1, services: []standin.ServiceKnobs{{}, {}}, set: testSet(0)})
+	for i := range d.cluster.Services {
+		d.eventually("the service answers", func() bool {
+			return d.call(0, "", "probe").status == http.StatusOK && d.cluster.Services[i].Counts().Runs > 0
+		})
+	}
+	for _, service := range d.cluster.Services {
+		service.Faults.Set(standin.Faults{LoseEvery: 1})
+	}
+	for _, key := range []string{"", "booking-5"} {
+		before := d.runs()
+		is.Equal(d.call(0, key, "two pallets").outcome, "unknown")
+		is.Equal(d.runs()-before, 1)
+	}
+}
+
 // A router is killed while it holds a claim. Repeats through another router
 // never run the call again.
 func TestKeyOfAKilledRouterRunsOnce(t *testing.T) {
