--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -30,18 +30,16 @@
 )
 
 const (
-	sessionIdle      = time.Minute
-	idleSweepPeriod  = 10 * time.Second
-	reportPeriod     = 30 * time.Second
-	inFlightDelta    = 2  // requests
-	inFlightPercent  = 25 // of the requests last reported
-	gossipPeriod     = time.Second
-	gossipFanout     = 3 // peers
-	peerMemory       = 10 * time.Minute
-	maxWatchedHosts  = 600
-	recordFlush      = 20 * time.Second
-	tableRetryBudget = 0.1 // retries per call
-	tableRetryFloor  = 1.0 // retries per second
+	sessionIdle     = time.Minute
+	idleSweepPeriod = 10 * time.Second
+	reportPeriod    = 30 * time.Second
+	inFlightDelta   = 2  // requests
+	inFlightPercent = 25 // of the requests last reported
+	gossipPeriod    = time.Second
+	gossipFanout    = 3 // peers
+	peerMemory      = 10 * time.Minute
+	maxWatchedHosts = 600
+	recordFlush     = 20 * time.Second
 )
 
 // Router is the process on an entry host.
@@ -81,13 +79,13 @@
 func newClients(cfg *apiv1.PlatformSettings) clients {
 	share := cfg.GetRetryBudget()
 	if share == 0 {
-		share = tableRetryBudget
+		share = retry.DefaultShare
 	}
 	at := func(url string) platform.ClientOptions {
 		return platform.ClientOptions{
 			BaseURL:     url,
 			CallTimeout: milliseconds(cfg.GetCallTimeoutMs()),
-			Budget:      retry.NewBudget(share, tableRetryFloor),
+			Budget:      retry.NewBudget(share, retry.DefaultFloor),
 		}
 	}
 	return clients{
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/agent"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -60,7 +61,10 @@
 		opts.KeepAlive = policies.KeepAlive()
 	}
 	if cfg.GetEngineUrl() != "" {
-		opts.Engine = platform.NewEngineClient(platform.ClientOptions{BaseURL: cfg.GetEngineUrl()})
+		opts.Engine = platform.NewEngineClient(platform.ClientOptions{
+			BaseURL: cfg.GetEngineUrl(),
+			Budget:  retry.NewBudget(retry.DefaultShare, retry.DefaultFloor),
+		})
 	}
 	if cfg.GetServiceUrl() != "" {
 		opts.ServiceName = cfg.GetServiceName()
