--- a/internal/daemon/idle_bench_test.go
+++ b/internal/daemon/idle_bench_test.go
@@ -76,12 +76,17 @@
 	}
 }
 
-// BenchmarkIdleSidecar measures a sidecar process that three routers watch.
+// BenchmarkIdleSidecar measures a sidecar process against the number of routers
+// that watch it.
 func BenchmarkIdleSidecar(b *testing.B) {
-	d := deploy(b, deploymentOptions{routers: 3, engines: []standin.EngineKnobs{testKnobs()}, set: testSet(maxTestModels)})
-	time.Sleep(idleSettle)
-	for b.Loop() {
-		measureIdle(b, d.sidecars[0], "sidecar")
+	for _, routers := range []int{1, 14} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			d := deploy(b, deploymentOptions{routers: routers, engines: []standin.EngineKnobs{testKnobs()}, set: testSet(maxTestModels)})
+			time.Sleep(idleSettle)
+			for b.Loop() {
+				measureIdle(b, d.sidecars[0], "sidecar")
+			}
+		})
 	}
 }
 
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -175,6 +175,7 @@
 		Leases:   r.leases,
 		Shards:   r.cfg.GetDecisionShards(),
 		Sidecars: r.sidecars,
+		Silent:   r.sidecars.Silent,
 		Commit:   platform.CommitSettled,
 		Log:      r.log,
 	})
@@ -189,22 +190,14 @@
 }
 
 func (r *Router) watches(h platform.Host) bool {
-	return watchesHost(r.store.Load(), h, r.cfg.GetFailureDomain(), func(shard uint32) bool {
-		_, held := r.leases.Guard(platform.ShardLease(shard))
-		return held
-	})
+	return watchesHost(len(r.store.Load().Hosts.Hosts), h, r.cfg.GetFailureDomain(), r.decider.Hosts())
 }
 
 // watchesHost reports whether a router keeps a session to a host. In a small
 // deployment it watches all hosts. In a large one it watches those of its own
 // failure domain, and those that hold replicas it decides about.
-func watchesHost(snap *view.Snapshot, h platform.Host, domain string, decides func(shard uint32) bool) bool {
-	if len(snap.Hosts.Hosts) <= maxWatchedHosts || h.FailureDomain == domain {
-		return true
-	}
-	return slices.ContainsFunc(snap.SlotsOn(h.ID), func(slot view.Slot) bool {
-		return decides(slot.Row.GetShard())
-	})
+func watchesHost(listed int, h platform.Host, domain string, decided []string) bool {
+	return listed <= maxWatchedHosts || h.FailureDomain == domain || slices.Contains(decided, h.ID)
 }
 
 func (r *Router) liveRouters() []string {
@@ -292,6 +285,8 @@
 	v := &vars{}
 	v.publish("router", func() any { return r.front.Stats() })
 	v.publish("decider", func() any { return r.decider.Stats() })
+	v.publish("leases", func() any { return r.leases.Stats() })
+	v.publish("silent_hosts", func() any { return len(r.sidecars.Silent()) })
 	v.publish("gossip", func() any { return r.gossip.Stats() })
 	v.publish("config", func() any { return r.loader.Stats() })
 	v.publish("records", func() any { return r.records.Stats() })
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -35,8 +35,9 @@
 	wake  chan struct{} // the snapshot may have changed
 	force chan struct{} // the sidecar asked for a newer assignment
 
-	mu    sync.Mutex
-	watch *transport.Stream // nil while the session is down; guarded by mu
+	mu        sync.Mutex
+	watch     *transport.Stream // nil while the session is down; guarded by mu
+	downSince time.Time         // when it went down or the link began; guarded by mu
 
 	// bootID is that of the last Hello; pushed is the last assignment that the
 	// sidecar accepted from this link. Both belong to the run goroutine.
@@ -60,11 +61,12 @@
 
 func newLink(opts Options, h platform.Host, cancel context.CancelFunc) *link {
 	return &link{
-		opts:   opts,
-		host:   h,
-		cancel: cancel,
-		wake:   make(chan struct{}, 1),
-		force:  make(chan struct{}, 1),
+		opts:      opts,
+		host:      h,
+		cancel:    cancel,
+		wake:      make(chan struct{}, 1),
+		force:     make(chan struct{}, 1),
+		downSince: time.Now(),
 	}
 }
 
@@ -217,6 +219,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.watch = stream
+	l.downSince = time.Now()
+}
+
+// downFor returns for how long the session has been down, 0 while it is up.
+func (l *link) downFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.watch != nil {
+		return 0
+	}
+	return now.Sub(l.downSince)
 }
 
 // push hands the sidecar its slots, unless it holds them already.
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -141,6 +141,24 @@
 	return m.links[host]
 }
 
+// silentAfter is how long a session must be down before its host counts as
+// silent; a restart of a sidecar is shorter.
+const silentAfter = 3 * time.Second
+
+// Silent returns the watched hosts that do not answer.
+func (m *Manager) Silent() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	silent := make(map[string]bool)
+	for id, l := range m.links {
+		if l.downFor(now) > silentAfter {
+			silent[id] = true
+		}
+	}
+	return silent
+}
+
 // Refresh reads the table again and hands the host its slots. It does not wait.
 func (m *Manager) Refresh(host string) {
 	if l := m.link(host); l != nil {
