ledger: a model that the engine has lost is not ready while its adapter loads

Ruled out: dropping the model at once; the memory of the adapter order would be given away before its end. Change: the model counts as unsettled and keeps its memory.

--- a/internal/agent/ledger/ledger_test.go
+++ b/internal/agent/ledger/ledger_test.go
@@ -258,6 +258,23 @@
 	is.Equal(w.ledger.Get(key).State, Ready)
 }
 
+func TestModelThatIsGoneIsNotReadyWhileItsAdapterLoads(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	model, adapter := Key{Model: "m"}, Key{Model: "m", Adapter: "x"}
+	w.held[model] = holding{mib: 70, state: platform.ModelReady}
+	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
+	is.NoErr(w.ledger.Reserve(adapter, 10, ""))
+	is.NoErr(w.ledger.BeginLoad(adapter))
+	w.restart(nil)
+	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
+	is.Equal(w.ledger.Get(model).State, Unsettled)
+	is.Equal(w.ledger.ReservedMiB(), uint32(80))
+	w.ledger.EndLoad(adapter, Unknown, w.now)
+	w.ledger.Settle(w.ledger.Mark(w.now.Add(SettleDelay)), w.inventory())
+	is.Equal(w.ledger.ReservedMiB(), uint32(0))
+}
+
 func TestOldInventoryDoesNotBringBackWhatWasUnloaded(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
--- a/internal/agent/ledger/settle.go
+++ b/internal/agent/ledger/settle.go
@@ -110,11 +110,23 @@
 		return
 	}
 	if key.Adapter == "" && l.adapterInFlight(key.Model) {
+		l.doubt(key, entry, mark)
 		return
 	}
 	l.drop(key)
 }
 
+// doubt keeps the memory of a model that is gone while an order for one of its
+// adapters is in flight. Nothing may start on it.
+func (l *Ledger) doubt(key Key, entry Entry, mark Mark) {
+	if entry.State != Ready {
+		return
+	}
+	entry.State = Unsettled
+	entry.since = mark.at
+	l.put(key, entry)
+}
+
 func (l *Ledger) adapterInFlight(model string) bool {
 	for key, entry := range l.entries {
 		inFlight := entry.State == Reserved || entry.State == Loading || entry.State == Unloading
