--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -50,9 +50,6 @@
 		}
 		g.agent.counters.resumes.Add(1)
 	}
-	if platform.KindOf(err) == platform.KindNotFound {
-		g.agent.doubtInventory()
-	}
 	g.cancelAtEngine()
 	return g.refusal(ctx, err)
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -29,18 +30,16 @@
 )
 
 const (
-	sessionIdle      = time.Minute
-	idleSweepPeriod  = 10 * time.Second
-	reportPeriod     = 30 * time.Second
-	inFlightDelta    = 2  // requests
-	inFlightPercent  = 25 // of the requests last reported
-	gossipPeriod     = time.Second
-	gossipFanout     = 3 // peers
-	peerMemory       = 10 * time.Minute
-	maxWatchedHosts  = 600
-	recordFlush      = 20 * time.Second
-	tableRetryBudget = 0.1 // retries per call
-	tableRetryFloor  = 1.0 // retries per second
+	sessionIdle     = time.Minute
+	idleSweepPeriod = 10 * time.Second
+	reportPeriod    = 30 * time.Second
+	inFlightDelta   = 2  // requests
+	inFlightPercent = 25 // of the requests last reported
+	gossipPeriod    = time.Second
+	gossipFanout    = 3 // peers
+	peerMemory      = 10 * time.Minute
+	maxWatchedHosts = 600
+	recordFlush     = 20 * time.Second
 )
 
 // Router is the process on an entry host.
@@ -57,6 +56,7 @@
 	poller   *view.Poller
 	pool     *transport.Pool
 	claims   *claim.Store
+	sweeper  *claim.Sweeper
 	records  *waitlog.Writer
 	loader   *config.Loader
 	leases   *lease.Manager
@@ -79,13 +79,13 @@
 func newClients(cfg *apiv1.PlatformSettings) clients {
 	share := cfg.GetRetryBudget()
 	if share == 0 {
-		share = tableRetryBudget
+		share = retry.DefaultShare
 	}
 	at := func(url string) platform.ClientOptions {
 		return platform.ClientOptions{
 			BaseURL:     url,
 			CallTimeout: milliseconds(cfg.GetCallTimeoutMs()),
-			Budget:      retry.NewBudget(share, tableRetryFloor),
+			Budget:      retry.NewBudget(share, retry.DefaultFloor),
 		}
 	}
 	return clients{
@@ -181,20 +181,30 @@
 }
 
 func leaseNames(shards uint32) []string {
-	names := []string{platform.PermitLease}
+	names := []string{platform.PermitLease, claim.SweepLease}
 	for shard := range shards {
 		names = append(names, platform.ShardLease(shard))
 	}
 	return names
 }
 
-// watches reports whether this router keeps a session to a host: to all hosts
-// of a small deployment, to those of its own failure domain in a large one.
 func (r *Router) watches(h platform.Host) bool {
-	if len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts {
+	return watchesHost(r.store.Load(), h, r.cfg.GetFailureDomain(), func(shard uint32) bool {
+		_, held := r.leases.Guard(platform.ShardLease(shard))
+		return held
+	})
+}
+
+// watchesHost reports whether a router keeps a session to a host. In a small
+// deployment it watches all hosts. In a large one it watches those of its own
+// failure domain, and those that hold replicas it decides about.
+func watchesHost(snap *view.Snapshot, h platform.Host, domain string, decides func(shard uint32) bool) bool {
+	if len(snap.Hosts.Hosts) <= maxWatchedHosts || h.FailureDomain == domain {
 		return true
 	}
-	return h.FailureDomain == r.cfg.GetFailureDomain()
+	return slices.ContainsFunc(snap.SlotsOn(h.ID), func(slot view.Slot) bool {
+		return decides(slot.Row.GetShard())
+	})
 }
 
 func (r *Router) liveRouters() []string {
@@ -221,6 +231,7 @@
 
 func (r *Router) wireFront(c clients) {
 	r.claims = claim.New(claim.Options{Table: c.table, Router: r.cfg.GetHost(), Log: r.log})
+	r.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: c.table, Leases: r.leases, Log: r.log})
 	r.front = router.New(router.Options{
 		Host:          r.cfg.GetHost(),
 		FailureDomain: r.cfg.GetFailureDomain(),
@@ -303,7 +314,7 @@
 	g, work := errgroup.WithContext(work)
 	parts := []func(context.Context) error{
 		r.poller.Run, r.sidecars.Run, r.leases.Run, r.decider.Run, r.permits.run,
-		r.claims.Run, r.writeRecords, r.front.Run, r.gossip.Run,
+		r.claims.Run, r.sweeper.Run, r.writeRecords, r.front.Run, r.gossip.Run,
 		r.callers.run, r.operator.run, r.sweep, r.bootstrap,
 	}
 	for _, run := range parts {
