--- a/internal/daemon/calls_test.go
+++ b/internal/daemon/calls_test.go
@@ -137,6 +137,27 @@
 	}
 }
 
+// A router whose host list is old sends calls to a leaving host. Its sidecar,
+// which another router has told, refuses them.
+func TestLeavingHostRefusesARouterWithAnOldList(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, deploymentOptions{routers: 2, services: []standin.ServiceKnobs{{}, {}}, set: testSet(0)})
+	for router := range d.routers {
+		d.eventually("the service answers", func() bool { return d.call(router, "", "probe").status == http.StatusOK })
+	}
+	d.routers[1].freeze()
+	d.cluster.Hosts.Leave(d.sidecarSettings[0].GetHost())
+	time.Sleep(4 * time.Second) // a read of the list by the other router, and its hand-over
+	d.cluster.Hosts.Faults.Set(standin.Faults{Down: true})
+	before := d.cluster.Services[0].Counts().Runs
+	d.routers[1].thaw()
+	for range 20 {
+		is.Equal(d.call(1, "", "by an old list").status, http.StatusOK)
+	}
+	is.Equal(d.cluster.Services[0].Counts().Runs, before)
+}
+
 // A router is killed while it holds a claim. Repeats through another router
 // never run the call again.
 func TestKeyOfAKilledRouterRunsOnce(t *testing.T) {
