--- a/internal/router/service_test.go
+++ b/internal/router/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -267,3 +268,50 @@
 		})
 	}
 }
+
+// A host that is listed as leaving or that an operator drains gets no new work,
+// also while its sidecar does not refuse it.
+func TestLeavingHostGetsNoWork(t *testing.T) {
+	for _, how := range []string{"leaving", "drained"} {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			a, b := newFakeSidecar(t, "a"), newFakeSidecar(t, "b")
+			for _, s := range []*fakeSidecar{a, b} {
+				s.generate = serveWords
+				s.call = func(stream *transport.Stream, req *apiv1.CallRequest, _ []byte) { book(s, stream, req) }
+			}
+			f := newFixture(t, nil, a, b)
+			f.report("a", 0, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
+			f.report("b", 1, apiv1.ReplicaState_REPLICA_STATE_READY, 0)
+			f.leave(t, how, "a")
+			for range 10 {
+				checkAnswer(t, f.chat(t, true), true, "")
+				is.Equal(f.do(t, http.MethodPost, "/services/bookings/book", "x").status, http.StatusCreated)
+			}
+			is.Equal(a.generations.Load(), int64(0))
+			is.Equal(a.runs.Load(), int64(0))
+		})
+	}
+}
+
+// leave takes a host out of service, in the list or by an operator's drain.
+func (f *fixture) leave(t *testing.T, how, host string) {
+	t.Helper()
+	if how == "drained" {
+		value, err := proto.Marshal(&apiv1.DrainRow{Host: host, Draining: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.view.ApplyRows(platform.Changes{Revision: 20, Rows: []platform.Row{{Key: platform.DrainKey(host), Value: value, Version: 20}}})
+		return
+	}
+	listing := f.view.Load().Hosts
+	listing.Hosts = slices.Clone(listing.Hosts)
+	listing.Revision++
+	for i := range listing.Hosts {
+		if listing.Hosts[i].ID == host {
+			listing.Hosts[i].State = platform.HostLeaving
+		}
+	}
+	f.view.SetHosts(listing)
+}
