--- a/internal/daemon/sampler.go
+++ b/internal/daemon/sampler.go
@@ -8,9 +8,13 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/loadtest"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/router"
 )
 
-const samplePeriod = 20 * time.Millisecond
+const (
+	samplePeriod = 20 * time.Millisecond
+	countLimit   = time.Second
+)
 
 // sampler measures a testbed while load runs.
 type sampler struct {
@@ -78,6 +82,16 @@
 	}
 }
 
+// settledStats waits a moment for the router to count requests whose callers
+// have just read the end of their answer.
+func settledStats(r *Router) router.Stats {
+	deadline := time.Now().Add(countLimit)
+	for r.front.Stats().InFlight > 0 && time.Now().Before(deadline) {
+		time.Sleep(samplePeriod)
+	}
+	return r.front.Stats()
+}
+
 // fill puts the measurements into a result.
 func (s *sampler) fill(r *loadtest.Result) {
 	b := s.bed
@@ -94,7 +108,7 @@
 		r.OvercommitAttempts += int(counts.OvercommitAttempts)
 	}
 	for _, router := range b.routers {
-		stats := router.front.Stats()
+		stats := settledStats(router)
 		r.Retries += int(stats.Retries)
 		r.Accepted += stats.Accepted
 		r.Ended += stats.Served + stats.NotRun + stats.Unknown
