A publication of unknown outcome is settled by its history row

CommitSettled can't tell its own row that was overwritten from one that never was, but the history row of a revision is written once: whoever wrote it has won. Ruled out: a wrong conflict in CommitSettled (it says unknown, which is true in general). Change: an unknown commit looks at the history row and resolves as a conflict does.

--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -188,6 +188,9 @@
 		return nil, err
 	}
 	result, err := p.options.Commit(ctx, p.table, txn)
+	if platform.OutcomeUnknown(err) && p.isTaken(ctx, next.GetRevision()) {
+		return p.resolve(ctx, current.row.GetRevision(), txnID)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("commit revision %d: %w", next.GetRevision(), err)
 	}
@@ -199,6 +202,13 @@
 	return next, nil
 }
 
+// isTaken reports whether a revision is known to have been published. Its history
+// row is written once, so that whoever wrote it has won for good.
+func (p *Publisher) isTaken(ctx context.Context, revision uint64) bool {
+	row, err := p.readRow(ctx, platform.HistoryKey(revision))
+	return err == nil && row.version != 0
+}
+
 func publication(current headState, next *apiv1.HeadRow, txnID string) (platform.Txn, error) {
 	value, err := proto.Marshal(next)
 	if err != nil {
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -80,3 +80,51 @@
 	is.NoErr(err)
 	is.Equal(index.Revision, uint64(4))
 }
+
+// A commit whose outcome is unknown is settled by the history row: it is written
+// once, so that whoever wrote it has won for good.
+func TestUnknownCommitIsSettledByTheHistory(t *testing.T) {
+	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	set := sample.OffcutGiveaway().Set()
+	for _, tc := range []struct {
+		name     string
+		ours     bool // our commit took effect
+		theirs   bool // another one did
+		accepted bool
+		conflict bool
+	}{
+		{name: "ours", ours: true, accepted: true},
+		{name: "another one", theirs: true, conflict: true},
+		{name: "none yet"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			table, objects := newFakeTable(), newFakeObjects()
+			rival := NewPublisher(table, objects, PublisherOptions{})
+			p := NewPublisher(table, objects, PublisherOptions{
+				Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+					if tc.theirs {
+						_, err := rival.Publish(ctx, set, PublishOptions{Author: "batbayar"})
+						is.NoErr(err)
+					}
+					if tc.ours {
+						_, err := table.Commit(ctx, txn)
+						is.NoErr(err)
+					}
+					return platform.TxnResult{}, unknown
+				},
+			})
+			row, err := p.Publish(ctx, set, PublishOptions{Author: "saran"})
+			is.Equal(err == nil, tc.accepted)
+			var conflict *ConflictError
+			is.Equal(errors.As(err, &conflict), tc.conflict)
+			if tc.accepted {
+				is.Equal(row.GetAuthor(), "saran")
+			}
+			if !tc.accepted && !tc.conflict {
+				is.True(platform.OutcomeUnknown(err))
+			}
+		})
+	}
+}
