config: the history row settles a commit whose outcome is unknown

Cause: of two operators who raced while answers of the table were lost, the loser was told 'unavailable, every written row was overwritten since' instead of who had won. CommitSettled can't know that a history row is never written again; the publisher does. Ruled out: trusting the first witness in CommitSettled; slot and lease rows are overwritten. The change: when the outcome is unknown and the revision's history row exists, the publication is resolved by it.

--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -189,7 +189,11 @@
 	}
 	result, err := p.options.Commit(ctx, p.table, txn)
 	if err != nil {
-		return nil, fmt.Errorf("commit revision %d: %w", next.GetRevision(), err)
+		err = fmt.Errorf("commit revision %d: %w", next.GetRevision(), err)
+		if !platform.OutcomeUnknown(err) || !p.decided(ctx, next.GetRevision()) {
+			return nil, err
+		}
+		return p.resolve(ctx, current.row.GetRevision(), txnID)
 	}
 	if !result.Committed {
 		return p.resolve(ctx, current.row.GetRevision(), txnID)
@@ -199,6 +203,12 @@
 	return next, nil
 }
 
+// decided reports whether a revision is known to be published, by whomever.
+func (p *Publisher) decided(ctx context.Context, revision uint64) bool {
+	row, err := p.readRow(ctx, platform.HistoryKey(revision))
+	return err == nil && row.version != 0
+}
+
 func publication(current headState, next *apiv1.HeadRow, txnID string) (platform.Txn, error) {
 	value, err := proto.Marshal(next)
 	if err != nil {
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -60,6 +60,49 @@
 	is.Equal(conflict.Winner.GetRevision(), uint64(1))
 }
 
+// The history row is written once, so it tells what became of a commit whose
+// outcome the table service could not tell.
+func TestHistorySettlesAnUnknownCommit(t *testing.T) {
+	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	set := sample.OffcutGiveaway().Set()
+	ctx := context.Background()
+	publish := func(before func(table platform.TableService, objects platform.ObjectStore, txn platform.Txn)) (*apiv1.HeadRow, error) {
+		table, objects := newFakeTable(), newFakeObjects()
+		p := NewPublisher(table, objects, PublisherOptions{
+			Commit: func(_ context.Context, _ platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+				before(table, objects, txn)
+				return platform.TxnResult{}, unknown
+			},
+		})
+		return p.Publish(ctx, set, PublishOptions{Author: "saran"})
+	}
+
+	t.Run("it took effect", func(t *testing.T) {
+		is := is.New(t)
+		row, err := publish(func(table platform.TableService, _ platform.ObjectStore, txn platform.Txn) {
+			_, err := table.Commit(ctx, txn)
+			is.NoErr(err)
+		})
+		is.NoErr(err)
+		is.Equal(row.GetRevision(), uint64(1))
+	})
+	t.Run("another came first", func(t *testing.T) {
+		is := is.New(t)
+		_, err := publish(func(table platform.TableService, objects platform.ObjectStore, _ platform.Txn) {
+			_, err := NewPublisher(table, objects, PublisherOptions{}).Publish(ctx, set, PublishOptions{Author: "batbayar"})
+			is.NoErr(err)
+		})
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Winner.GetAuthor(), "batbayar")
+	})
+	t.Run("it may come yet", func(t *testing.T) {
+		is := is.New(t)
+		_, err := publish(func(platform.TableService, platform.ObjectStore, platform.Txn) {})
+		is.True(platform.OutcomeUnknown(err))
+	})
+}
+
 func TestLoadBodyVerifiesHash(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
