shared: a permit takes the priority of requests that join its load

Cause: a load asked for its weight-store permit with the priority of the request that began it. An urgent draft for a model that a routine one had asked for before waited at the routine place.

Change: when a more urgent request joins a load that waits for its permit, the sidecar asks again with the higher priority; the keeper keeps the place in the queue and takes the higher priority. The keeper's state machine repeats requests with other priorities; a test of the planner covers the joining.

--- a/internal/agent/permit.go
+++ b/internal/agent/permit.go
@@ -32,14 +32,28 @@
 // askPermit sends a permit request on every watch. The lock must be held, as
 // for the other functions of this file that say nothing else.
 func (a *Agent) askPermit(action planner.AskPermit) []planner.Action {
-	ask := &permitAsk{
-		request: &apiv1.PermitRequest{Id: action.Load, Model: action.Model, Priority: action.Priority},
-		silent:  make(map[*watcher]struct{}),
+	request := &apiv1.PermitRequest{Id: action.Load, Model: action.Model, Priority: action.Priority}
+	if open := a.permits[action.Load]; open != nil {
+		a.raisePermit(open, request)
+		return nil
 	}
+	ask := &permitAsk{request: request, silent: make(map[*watcher]struct{})}
 	a.permits[action.Load] = ask
 	return a.askAll(a.opts.Clock.Now(), ask)
 }
 
+// raisePermit sends an open request once more, with a higher priority.
+func (a *Agent) raisePermit(ask *permitAsk, request *apiv1.PermitRequest) {
+	ask.request = request
+	if ask.queued {
+		ask.keeper.ask(request) // does nothing when its watch has ended
+		return
+	}
+	for w := range ask.silent {
+		w.ask(request)
+	}
+}
+
 // askAll sends a request on every watch and waits for the answers.
 func (a *Agent) askAll(now time.Time, ask *permitAsk) []planner.Action {
 	for w := range a.watchers {
--- a/internal/agent/planner/load.go
+++ b/internal/agent/planner/load.go
@@ -29,10 +29,12 @@
 	blocked bool
 	memory  span
 
-	permit     permitState
-	asked      span
-	behind     uint32
-	fallbackAt time.Time
+	permit permitState
+	asked  span
+	// askedPriority is the priority of the last AskPermit.
+	askedPriority uint32
+	behind        uint32
+	fallbackAt    time.Time
 
 	order uint64 // 0 while pending
 	run   span
--- a/internal/agent/planner/permit.go
+++ b/internal/agent/planner/permit.go
@@ -20,14 +20,21 @@
 	permitFallback
 )
 
+// askPermit asks for a permit, and again when a more urgent request has joined
+// the load since.
 func (p *Planner) askPermit(now time.Time, r *replica) {
 	l := r.load
-	if l.tier != platform.TierRemote || l.permit != permitNone {
+	switch {
+	case l.tier != platform.TierRemote:
+		return
+	case l.permit == permitNone:
+		l.permit = permitAsked
+		l.asked.begin = now
+	case l.permit != permitAsked || r.urgency() <= l.askedPriority:
 		return
 	}
-	l.permit = permitAsked
-	l.asked.begin = now
-	p.emit(AskPermit{Load: l.id, Model: r.model, Priority: r.urgency()})
+	l.askedPriority = r.urgency()
+	p.emit(AskPermit{Load: l.id, Model: r.model, Priority: l.askedPriority})
 }
 
 func (p *Planner) permitted(now time.Time, l *load) bool {
--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -270,6 +270,19 @@
 	is.Equal(r.p.Stats().UnpermittedLoads, uint64(2))
 }
 
+func TestPermitTakesThePriorityOfThoseThatJoin(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, keep, platform.Inventory{})
+	r.assign(spec("m", 1))
+	priority := func(p uint32) func(*Request) { return func(in *Request) { in.Priority = p } }
+	r.admit("m", priority(10))
+	r.admit("m", priority(5))
+	is.Equal(len(r.asked), 1)
+	r.admit("m", priority(30))
+	is.Equal(len(r.asked), 2)
+	is.Equal(r.asked[1], AskPermit{Load: r.asked[0].Load, Model: "m", Priority: 30})
+}
+
 func TestPermitNamesTheLoadsAhead(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, keep, platform.Inventory{})
--- a/internal/permit/keeper.go
+++ b/internal/permit/keeper.go
@@ -127,16 +127,19 @@
 	k.limiter.SetLimitAt(now, startRate(limits))
 }
 
-// Request queues a request. A repeated one that waits is ignored; the permit of
-// a repeated one that runs is sent again.
+// Request queues a request. A repeated one that waits keeps its place and takes
+// the higher of its priorities; the permit of a repeated one that runs is sent
+// again.
 func (k *Keeper) Request(now time.Time, r Request) {
 	key := requestKey{r.Host, r.ID}
 	if _, ok := k.running[key]; ok {
 		k.repeats = append(k.repeats, key)
 		return
 	}
-	for _, w := range k.queue {
-		if w.request.Host == r.Host && w.request.ID == r.ID {
+	for i := range k.queue {
+		w := &k.queue[i].request
+		if w.Host == r.Host && w.ID == r.ID {
+			w.Priority = max(w.Priority, r.Priority)
 			return
 		}
 	}
--- a/internal/permit/machine_test.go
+++ b/internal/permit/machine_test.go
@@ -62,7 +62,10 @@
 	m.waiting = append(m.waiting, asked{r, m.now})
 	m.keeper.Request(m.now, r)
 	if rapid.Bool().Draw(m.t, "repeat") {
+		r.Priority = uint32(rapid.IntRange(0, 5).Draw(m.t, "new priority"))
 		m.keeper.Request(m.now, r)
+		last := &m.waiting[len(m.waiting)-1]
+		last.Priority = max(last.Priority, r.Priority)
 	}
 }
 
