A sidecar heeds only the newest host list, and drains apart from it

Ruled out: the table's revision as a guard (the list has its own). Change: AssignSlots carries the list's revision and the sidecar ignores older ones; an operator's drain, which is a row of the table, is a flag of its own.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,7 +70,10 @@
 	wake       *time.Timer // next Wake of the planner, or nil
 	wakeAt     time.Time
 	draining   bool
-	leaving    bool
+	leaving    bool // by the platform's list
+	drained    bool // by an operator
+	// hostListRevision is the newest list of which a router told.
+	hostListRevision int64
 	// active counts requests and calls; idle is closed when it falls to 0.
 	active int
 	calls  int
@@ -129,18 +132,38 @@
 	a.apply(event(a.opts.Clock.Now()))
 }
 
-// SetLeaving tells whether the platform's list says that this host is leaving.
-// A leaving host takes no new work.
-func (a *Agent) SetLeaving(leaving bool) {
+// closed reports whether the host takes no new work. The lock must be held.
+func (a *Agent) closed() bool { return a.draining || a.leaving || a.drained }
+
+// heedHostList learns what the platform's list says of this host, unless it
+// knows a newer list: a router that was paused may hand over an old one. A
+// leaving host takes no new work.
+func (a *Agent) heedHostList(leaving bool, revision int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if revision < a.hostListRevision {
+		return
+	}
+	a.hostListRevision = revision
 	if a.leaving != leaving {
-		a.opts.Log.Info("host list", "host", a.opts.Host, "leaving", leaving)
+		a.opts.Log.Info("host list", "host", a.opts.Host, "leaving", leaving, "revision", revision)
 	}
 	a.leaving = leaving
 	a.notify()
 }
 
+// heedDrain learns whether an operator drains this host. Accepted assignments
+// never come from an older read of the table, so the last one holds.
+func (a *Agent) heedDrain(drained bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.drained != drained {
+		a.opts.Log.Info("operators", "host", a.opts.Host, "drained", drained)
+	}
+	a.drained = drained
+	a.notify()
+}
+
 // Drain stops new work for good; running requests go on.
 func (a *Agent) Drain() {
 	a.mu.Lock()
@@ -172,7 +195,7 @@
 func (a *Agent) begin() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.draining || a.leaving {
+	if a.closed() {
 		a.counters.drained.Add(1)
 		return false
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -182,9 +182,9 @@
 		b := newBench(newFakeEngine(), nil)
 		defer b.close()
 		b.assign(slot("m", 1))
-		b.agent.SetLeaving(true)
+		b.agent.heedHostList(true, 2)
 		is.Equal(result(b.generate(request("r1", "m", 1))).refusal.GetKind(), apiv1.RefusalKind_REFUSAL_KIND_DRAINING)
-		b.agent.SetLeaving(false)
+		b.agent.heedHostList(false, 3)
 		is.True(result(b.generate(request("r2", "m", 1))).end != nil)
 	})
 }
--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -99,7 +99,8 @@
 		return actions
 	})
 	if reply.GetAccepted() {
-		a.SetLeaving(in.GetLeaving())
+		a.heedHostList(in.GetLeaving(), in.GetHostListRevision())
+		a.heedDrain(in.GetDraining())
 	}
 	a.opts.Log.Info("slots", "host", a.opts.Host, "accepted", reply.GetAccepted(), "reason", reply.GetReason(),
 		"slots", len(in.GetSlots()), "config", in.GetConfigRevision(), "table", in.GetTableRevision())
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -30,6 +30,28 @@
 	}
 }
 
+// A router that was paused hands over an old host list; it does not reopen a host.
+func TestOldHostListDoesNotReopenAHost(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		heed  func(a *Agent)
+		wants bool // closed to new work
+	}{
+		{"leaving", func(a *Agent) { a.heedHostList(true, 5) }, true},
+		{"old list after it", func(a *Agent) { a.heedHostList(true, 5); a.heedHostList(false, 4) }, true},
+		{"newer list after it", func(a *Agent) { a.heedHostList(true, 5); a.heedHostList(false, 6) }, false},
+		{"drained", func(a *Agent) { a.heedDrain(true); a.heedHostList(false, 6) }, true},
+		{"drain taken back", func(a *Agent) { a.heedDrain(true); a.heedDrain(false) }, false},
+		{"stopping", func(a *Agent) { a.Drain(); a.heedDrain(false); a.heedHostList(false, 9) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := New(Options{Host: "h"})
+			tc.heed(a)
+			is.New(t).Equal(a.closed(), tc.wants)
+		})
+	}
+}
+
 // BenchmarkReportFilter counts the reports of an hour of one replica that gets
 // 1.36 requests a second of 13 s each, and how far off the router's number is.
 func BenchmarkReportFilter(b *testing.B) {
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -181,7 +181,7 @@
 func (a *Agent) sharedReport() *apiv1.LoadReport {
 	if a.lastReport == nil {
 		a.lastReport = a.planner.Report(a.opts.Clock.Now())
-		a.lastReport.Draining = a.draining || a.leaving
+		a.lastReport.Draining = a.closed()
 		a.lastReport.CallsInFlight = uint32(a.calls)
 	}
 	return a.lastReport
--- a/internal/upstream/assignment.go
+++ b/internal/upstream/assignment.go
@@ -17,7 +17,10 @@
 		ConfigRevision: snap.Config.Revision,
 		TableRevision:  uint64(snap.TableRevision),
 		Deployment:     snap.Config.Set.GetDeployment(),
-		Leaving:        leaving(snap, host),
+		Leaving:        snap.ByHost[host].State == platform.HostLeaving,
+		Draining:       snap.Drains[host],
+
+		HostListRevision: snap.Hosts.Revision,
 	}
 	for _, slot := range snap.SlotsOn(host) {
 		if spec := slotSpec(snap, slot.Row); spec != nil {
@@ -30,8 +33,8 @@
 	return out
 }
 
-// leaving reports whether a host takes no new work.
-func leaving(snap *view.Snapshot, host string) bool {
+// closed reports whether a host takes no new work.
+func closed(snap *view.Snapshot, host string) bool {
 	return snap.ByHost[host].State == platform.HostLeaving || snap.Drains[host]
 }
 
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -47,16 +47,16 @@
 
 // revisions tell how new an assignment is.
 type revisions struct {
-	bootID  string
-	config  uint64
-	table   int64
-	leaving bool
+	bootID string
+	config uint64
+	table  int64
+	closed bool // to new work
 }
 
 // covers reports whether an assignment of these revisions holds all that the
 // snapshot says about a host.
 func (r revisions) covers(snap *view.Snapshot, host string) bool {
-	return r.config >= snap.Config.Revision && r.table >= snap.SlotsRevision && r.leaving == leaving(snap, host)
+	return r.config >= snap.Config.Revision && r.table >= snap.SlotsRevision && r.closed == closed(snap, host)
 }
 
 func newLink(opts Options, h platform.Host, cancel context.CancelFunc) *link {
@@ -280,9 +280,9 @@
 		return true
 	}
 	held := revisions{
-		config:  report.GetConfigRevision(),
-		table:   int64(report.GetTableRevision()),
-		leaving: report.GetDraining(),
+		config: report.GetConfigRevision(),
+		table:  int64(report.GetTableRevision()),
+		closed: report.GetDraining(),
 	}
 	return held.covers(snap, l.host.ID)
 }
@@ -324,7 +324,12 @@
 		l.bootID = "" // learn the boot id and read the table again
 		return fmt.Errorf("sidecar refused the assignment: %s", reply.GetAssign().GetReason())
 	}
-	l.pushed = revisions{bootID: l.bootID, config: next.GetConfigRevision(), table: snap.TableRevision, leaving: next.GetLeaving()}
+	l.pushed = revisions{
+		bootID: l.bootID,
+		config: next.GetConfigRevision(),
+		table:  snap.TableRevision,
+		closed: closed(snap, l.host.ID),
+	}
 	l.opts.Log.Debug("assignment handed over", "host", l.host.ID, "slots", len(next.GetSlots()),
 		"config_revision", next.GetConfigRevision(), "table_revision", next.GetTableRevision())
 	return nil
