--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -96,7 +96,7 @@
 
 func TestAStreamEndsWholeOrRefused(t *testing.T) {
 	token := func(id string, offset int) platform.TokenEvent {
-		return platform.TokenEvent{RequestID: id, Offset: offset, Text: fmt.Sprint("t", offset)}
+		return platform.TokenEvent{RequestID: id, Offset: offset, Text: tokenText(id, offset)}
 	}
 	end := func(offset int) platform.TokenEvent {
 		return platform.TokenEvent{RequestID: "r", Offset: offset, Done: true}
@@ -129,7 +129,7 @@
 				is.Equal(got.ends, 1)
 				is.True(!got.gap)
 				for i, text := range got.text {
-					is.Equal(text, fmt.Sprint("t", i))
+					is.Equal(text, tokenText("r", i))
 				}
 				is.Equal(got.end != nil, tc.whole)
 				if tc.whole {
@@ -211,11 +211,9 @@
 				<-released.closed
 				is.True(!released.frames()[0].GetRelease().GetReleased()) // not known yet
 				b.assign(slot("m", 2), slot("n", 1), slot("o", 1))
-				streams := []*fakeStream{
-					b.generate(request("r2", "m", 2)),
-					b.generate(request("r3", "n", 1)),
-					b.generate(request("r4", "o", 1)),
-				}
+				streams := []*fakeStream{b.generate(request("r2", "m", 2))}
+				synctest.Wait() // the load of m is planned before it turns out to run
+				streams = append(streams, b.generate(request("r3", "n", 1)), b.generate(request("r4", "o", 1)))
 				for _, s := range streams {
 					is.True(result(s).end != nil)
 				}
@@ -225,3 +223,68 @@
 		})
 	}
 }
+
+func TestOrderFaultsDelayButDoNotFailTheRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault fault
+		loads int
+	}{
+		{"answer lost", faultLostAnswer, 1},
+		{"no answer", faultNoAnswer, 1},
+		{"order late", faultLateOrder, 1},
+		{"order lost", faultLostOrder, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := newFakeEngine()
+				engine.faults = []fault{tc.fault}
+				b := newBench(engine, nil)
+				defer b.close()
+				b.assign(slot("m", 1))
+				is.True(result(b.generate(request("r", "m", 1))).end != nil)
+				is.Equal(engine.loads["m"], tc.loads)
+				engine.faults = []fault{tc.fault}
+				released := b.release("m", 1)
+				<-released.closed
+				is.True(released.frames()[0].GetRelease().GetReleased())
+				is.Equal(len(engine.models), 0)
+				is.Equal(engine.breaches, nil)
+			})
+		})
+	}
+}
+
+func TestRequestSurvivesAnEngineRestart(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		after time.Duration // of the restart
+	}{{"before the request", 0}, {"in the middle of the answer", 25 * time.Millisecond}} {
+		t.Run(tc.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(newFakeEngine(), nil)
+				defer b.close()
+				b.assign(slot("m", 1))
+				result(b.generate(request("r1", "m", 1)))
+				if tc.after == 0 {
+					b.engine.restart()
+				}
+				s := b.generate(request("r2", "m", 1))
+				time.Sleep(tc.after)
+				if tc.after > 0 {
+					is.True(len(read(s).text) > 0)
+					b.engine.restart()
+				}
+				got := result(s)
+				for i, text := range got.text {
+					is.Equal(text, tokenText("r2", i))
+				}
+				is.Equal(len(got.text), 5)
+				is.True(got.end != nil && !got.gap)
+				is.Equal(b.engine.loads["m"], 2)
+			})
+		})
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -92,8 +92,34 @@
 	return inventoryPeriod
 }
 
+// inventorySince makes sure that an inventory was asked for after since.
+func (a *Agent) inventorySince(ctx context.Context, since time.Time) {
+	a.inventoryMu.Lock()
+	defer a.inventoryMu.Unlock()
+	if !a.inventoryAt.After(since) {
+		a.readInventoryLocked(ctx)
+	}
+}
+
+// doubtInventory has the inventory read at once: the engine does not hold what
+// it was believed to hold.
+func (a *Agent) doubtInventory() {
+	select {
+	case a.readInventory <- struct{}{}:
+	default: // a read is already due
+	}
+}
+
 // inventory reads the engine's inventory once and reports whether it came.
 func (a *Agent) inventory(ctx context.Context) bool {
+	a.inventoryMu.Lock()
+	defer a.inventoryMu.Unlock()
+	return a.readInventoryLocked(ctx)
+}
+
+// readInventoryLocked is called under inventoryMu, since the ledger takes
+// inventories in the order in which they were asked for.
+func (a *Agent) readInventoryLocked(ctx context.Context) bool {
 	a.mu.Lock()
 	mark := a.planner.MarkInventory(a.opts.Clock.Now())
 	a.mu.Unlock()
@@ -105,6 +131,7 @@
 		a.opts.Log.Warn("inventory failed: check the engine", "host", a.opts.Host, "err", err)
 		return false
 	}
+	a.inventoryAt = mark.At()
 	a.do(func(now time.Time) []planner.Action { return a.planner.Inventory(now, mark, inv) })
 	return true
 }
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -60,6 +60,49 @@
 	is.Equal(conflict.Winner.GetRevision(), uint64(1))
 }
 
+// The history row is written once, so it tells what became of a commit whose
+// outcome the table service could not tell.
+func TestHistorySettlesAnUnknownCommit(t *testing.T) {
+	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	set := sample.OffcutGiveaway().Set()
+	ctx := context.Background()
+	publish := func(before func(table platform.TableService, objects platform.ObjectStore, txn platform.Txn)) (*apiv1.HeadRow, error) {
+		table, objects := newFakeTable(), newFakeObjects()
+		p := NewPublisher(table, objects, PublisherOptions{
+			Commit: func(_ context.Context, _ platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+				before(table, objects, txn)
+				return platform.TxnResult{}, unknown
+			},
+		})
+		return p.Publish(ctx, set, PublishOptions{Author: "saran"})
+	}
+
+	t.Run("it took effect", func(t *testing.T) {
+		is := is.New(t)
+		row, err := publish(func(table platform.TableService, _ platform.ObjectStore, txn platform.Txn) {
+			_, err := table.Commit(ctx, txn)
+			is.NoErr(err)
+		})
+		is.NoErr(err)
+		is.Equal(row.GetRevision(), uint64(1))
+	})
+	t.Run("another came first", func(t *testing.T) {
+		is := is.New(t)
+		_, err := publish(func(table platform.TableService, objects platform.ObjectStore, _ platform.Txn) {
+			_, err := NewPublisher(table, objects, PublisherOptions{}).Publish(ctx, set, PublishOptions{Author: "batbayar"})
+			is.NoErr(err)
+		})
+		var conflict *ConflictError
+		is.True(errors.As(err, &conflict))
+		is.Equal(conflict.Winner.GetAuthor(), "batbayar")
+	})
+	t.Run("it may come yet", func(t *testing.T) {
+		is := is.New(t)
+		_, err := publish(func(platform.TableService, platform.ObjectStore, platform.Txn) {})
+		is.True(platform.OutcomeUnknown(err))
+	})
+}
+
 func TestLoadBodyVerifiesHash(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
@@ -80,3 +123,51 @@
 	is.NoErr(err)
 	is.Equal(index.Revision, uint64(4))
 }
+
+// A commit whose outcome is unknown is settled by the history row: it is written
+// once, so that whoever wrote it has won for good.
+func TestUnknownCommitIsSettledByTheHistory(t *testing.T) {
+	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	set := sample.OffcutGiveaway().Set()
+	for _, tc := range []struct {
+		name     string
+		ours     bool // our commit took effect
+		theirs   bool // another one did
+		accepted bool
+		conflict bool
+	}{
+		{name: "ours", ours: true, accepted: true},
+		{name: "another one", theirs: true, conflict: true},
+		{name: "none yet"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			table, objects := newFakeTable(), newFakeObjects()
+			rival := NewPublisher(table, objects, PublisherOptions{})
+			p := NewPublisher(table, objects, PublisherOptions{
+				Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+					if tc.theirs {
+						_, err := rival.Publish(ctx, set, PublishOptions{Author: "batbayar"})
+						is.NoErr(err)
+					}
+					if tc.ours {
+						_, err := table.Commit(ctx, txn)
+						is.NoErr(err)
+					}
+					return platform.TxnResult{}, unknown
+				},
+			})
+			row, err := p.Publish(ctx, set, PublishOptions{Author: "saran"})
+			is.Equal(err == nil, tc.accepted)
+			var conflict *ConflictError
+			is.Equal(errors.As(err, &conflict), tc.conflict)
+			if tc.accepted {
+				is.Equal(row.GetAuthor(), "saran")
+			}
+			if !tc.accepted && !tc.conflict {
+				is.True(platform.OutcomeUnknown(err))
+			}
+		})
+	}
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -29,17 +30,16 @@
 )
 
 const (
-	sessionIdle      = time.Minute
-	idleSweepPeriod  = 10 * time.Second
-	reportPeriod     = 5 * time.Second
-	inFlightDelta    = 2 // requests
-	gossipPeriod     = time.Second
-	gossipFanout     = 3 // peers
-	peerMemory       = 10 * time.Minute
-	maxWatchedHosts  = 600
-	recordFlush      = 20 * time.Second
-	tableRetryBudget = 0.1 // retries per call
-	tableRetryFloor  = 1.0 // retries per second
+	sessionIdle     = time.Minute
+	idleSweepPeriod = 10 * time.Second
+	reportPeriod    = 30 * time.Second
+	inFlightDelta   = 2  // requests
+	inFlightPercent = 25 // of the requests last reported
+	gossipPeriod    = time.Second
+	gossipFanout    = 3 // peers
+	peerMemory      = 10 * time.Minute
+	maxWatchedHosts = 600
+	recordFlush     = 20 * time.Second
 )
 
 // Router is the process on an entry host.
@@ -56,6 +56,7 @@
 	poller   *view.Poller
 	pool     *transport.Pool
 	claims   *claim.Store
+	sweeper  *claim.Sweeper
 	records  *waitlog.Writer
 	loader   *config.Loader
 	leases   *lease.Manager
@@ -78,13 +79,13 @@
 func newClients(cfg *apiv1.PlatformSettings) clients {
 	share := cfg.GetRetryBudget()
 	if share == 0 {
-		share = tableRetryBudget
+		share = retry.DefaultShare
 	}
 	at := func(url string) platform.ClientOptions {
 		return platform.ClientOptions{
 			BaseURL:     url,
 			CallTimeout: milliseconds(cfg.GetCallTimeoutMs()),
-			Budget:      retry.NewBudget(share, tableRetryFloor),
+			Budget:      retry.NewBudget(share, retry.DefaultFloor),
 		}
 	}
 	return clients{
@@ -155,15 +156,17 @@
 		wake:   make(chan struct{}, 1),
 	}
 	r.sidecars = upstream.NewManager(upstream.Options{
-		Router:        r.cfg.GetHost(),
-		View:          r.store,
-		Pool:          r.pool,
-		Refresh:       r.poller.Refresh,
-		Watches:       r.watches,
-		InFlightDelta: r.policies.InFlightDelta,
-		ReportPeriod:  r.policies.ReportPeriod,
-		Permits:       r.permits,
-		Log:           r.log,
+		Router:          r.cfg.GetHost(),
+		View:            r.store,
+		Pool:            r.pool,
+		Refresh:         r.poller.Refresh,
+		Watches:         r.watches,
+		Peers:           r.watchers,
+		InFlightDelta:   r.policies.InFlightDelta,
+		InFlightPercent: inFlightPercent,
+		ReportPeriod:    r.policies.ReportPeriod,
+		Permits:         r.permits,
+		Log:             r.log,
 	})
 	r.permits.grant = r.sidecars.Grant
 	r.decider = decider.New(decider.Options{
@@ -172,32 +175,47 @@
 		Leases:   r.leases,
 		Shards:   r.cfg.GetDecisionShards(),
 		Sidecars: r.sidecars,
+		Silent:   r.sidecars.Silent,
 		Commit:   platform.CommitSettled,
 		Log:      r.log,
 	})
 }
 
 func leaseNames(shards uint32) []string {
-	names := []string{platform.PermitLease}
+	names := []string{platform.PermitLease, claim.SweepLease}
 	for shard := range shards {
 		names = append(names, platform.ShardLease(shard))
 	}
 	return names
 }
 
-// watches reports whether this router keeps a session to a host: to all hosts
-// of a small deployment, to those of its own failure domain in a large one.
 func (r *Router) watches(h platform.Host) bool {
-	if len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts {
-		return true
-	}
-	return h.FailureDomain == r.cfg.GetFailureDomain()
+	return watchesHost(len(r.store.Load().Hosts.Hosts), h, r.cfg.GetFailureDomain(), r.decider.Hosts())
+}
+
+// watchesHost reports whether a router keeps a session to a host. In a small
+// deployment it watches all hosts. In a large one it watches those of its own
+// failure domain, and those that hold replicas it decides about.
+func watchesHost(listed int, h platform.Host, domain string, decided []string) bool {
+	return listed <= maxWatchedHosts || h.FailureDomain == domain || slices.Contains(decided, h.ID)
 }
 
 func (r *Router) liveRouters() []string {
+	return r.routersWhere(func(platform.Host) bool { return true })
+}
+
+// watchers lists the live routers that watch the same hosts as this one.
+func (r *Router) watchers() []string {
+	all := len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts
+	return r.routersWhere(func(h platform.Host) bool {
+		return all || h.FailureDomain == r.cfg.GetFailureDomain()
+	})
+}
+
+func (r *Router) routersWhere(matches func(platform.Host) bool) []string {
 	var ids []string
 	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter && h.State == platform.HostLive {
+		if h.Role == platform.RoleRouter && h.State == platform.HostLive && matches(h) {
 			ids = append(ids, h.ID)
 		}
 	}
@@ -206,6 +224,7 @@
 
 func (r *Router) wireFront(c clients) {
 	r.claims = claim.New(claim.Options{Table: c.table, Router: r.cfg.GetHost(), Log: r.log})
+	r.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: c.table, Leases: r.leases, Log: r.log})
 	r.front = router.New(router.Options{
 		Host:          r.cfg.GetHost(),
 		FailureDomain: r.cfg.GetFailureDomain(),
@@ -266,6 +285,8 @@
 	v := &vars{}
 	v.publish("router", func() any { return r.front.Stats() })
 	v.publish("decider", func() any { return r.decider.Stats() })
+	v.publish("leases", func() any { return r.leases.Stats() })
+	v.publish("silent_hosts", func() any { return len(r.sidecars.Silent()) })
 	v.publish("gossip", func() any { return r.gossip.Stats() })
 	v.publish("config", func() any { return r.loader.Stats() })
 	v.publish("records", func() any { return r.records.Stats() })
@@ -288,7 +309,7 @@
 	g, work := errgroup.WithContext(work)
 	parts := []func(context.Context) error{
 		r.poller.Run, r.sidecars.Run, r.leases.Run, r.decider.Run, r.permits.run,
-		r.claims.Run, r.writeRecords, r.front.Run, r.gossip.Run,
+		r.claims.Run, r.sweeper.Run, r.writeRecords, r.front.Run, r.gossip.Run,
 		r.callers.run, r.operator.run, r.sweep, r.bootstrap,
 	}
 	for _, run := range parts {
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -38,8 +38,13 @@
 	Refresh func(ctx context.Context) error
 	// Watches reports whether this router keeps a session to a host.
 	Watches func(platform.Host) bool
-	// InFlightDelta is the change of requests in flight that is worth a report.
-	InFlightDelta uint32
+	// Peers lists the live routers that watch the same hosts, this one included;
+	// nil means that it is alone.
+	Peers func() []string
+	// InFlightDelta and InFlightPercent are the change of requests in flight that
+	// is worth a report: the larger of the two.
+	InFlightDelta   uint32
+	InFlightPercent uint32
 	// ReportPeriod is the longest time between two reports.
 	ReportPeriod time.Duration
 	Permits      Permits
@@ -97,14 +102,14 @@
 		!maps.Equal(next.Drains, last.Drains)
 }
 
-// reconcile opens links to new hosts, ends those of hosts that are gone, and
-// lets the others look at the new snapshot.
+// reconcile opens links to the hosts to be watched, ends the others, and lets
+// those that stay look at the new snapshot.
 func (m *Manager) reconcile(ctx context.Context, snap *view.Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, l := range m.links {
 		h, listed := snap.ByHost[id]
-		if !listed || h.Address != l.host.Address {
+		if !listed || h.Address != l.host.Address || !m.opts.Watches(h) {
 			l.cancel()
 			delete(m.links, id)
 		}
@@ -136,6 +141,24 @@
 	return m.links[host]
 }
 
+// silentAfter is how long a session must be down before its host counts as
+// silent; a restart of a sidecar is shorter.
+const silentAfter = 3 * time.Second
+
+// Silent returns the watched hosts that do not answer.
+func (m *Manager) Silent() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	silent := make(map[string]bool)
+	for id, l := range m.links {
+		if l.downFor(now) > silentAfter {
+			silent[id] = true
+		}
+	}
+	return silent
+}
+
 // Refresh reads the table again and hands the host its slots. It does not wait.
 func (m *Manager) Refresh(host string) {
 	if l := m.link(host); l != nil {
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -57,7 +57,8 @@
 	// was only kept.
 	HostReads uint64
 
-	slotIndex *slotIndex // replaced whenever Slots is
+	slotIndex     *slotIndex       // replaced whenever Slots is
+	drainVersions map[string]int64 // table versions of the rows behind Drains
 }
 
 // slotIndex finds the assigned slots of a host. It is built by the first
@@ -86,7 +87,8 @@
 		Drains: make(map[string]bool),
 		ByHost: make(map[string]platform.Host),
 
-		slotIndex: &slotIndex{},
+		slotIndex:     &slotIndex{},
+		drainVersions: make(map[string]int64),
 	}
 }
 
@@ -157,14 +159,28 @@
 		if next.Hosts.Hosts != nil && listing.Revision == next.Hosts.Revision {
 			return
 		}
-		next.Hosts = listing
-		next.ByHost = make(map[string]platform.Host, len(listing.Hosts))
-		for _, h := range listing.Hosts {
-			next.ByHost[h.ID] = h
+		next.setHosts(listing)
+	})
+}
+
+// AdoptHosts takes over the host list of a peer while this router has none. It
+// is no read of the list, so that nothing is decided by it.
+func (s *Store) AdoptHosts(listing platform.HostListing) {
+	s.update(func(next *Snapshot) {
+		if next.Hosts.Hosts == nil && listing.Hosts != nil {
+			next.setHosts(listing)
 		}
 	})
 }
 
+func (s *Snapshot) setHosts(listing platform.HostListing) {
+	s.Hosts = listing
+	s.ByHost = make(map[string]platform.Host, len(listing.Hosts))
+	for _, h := range listing.Hosts {
+		s.ByHost[h.ID] = h
+	}
+}
+
 // SetConfig puts a configuration in force, unless a higher or equal revision
 // already is. It reports whether it did.
 func (s *Store) SetConfig(index *config.Index) bool {
@@ -285,8 +301,12 @@
 	}
 	if !f.drains {
 		f.next.Drains = maps.Clone(f.next.Drains)
+		f.next.drainVersions = maps.Clone(f.next.drainVersions)
 		f.drains = true
 	}
-	f.next.Drains[drain.GetHost()] = drain.GetDraining()
+	if row.Version > f.next.drainVersions[drain.GetHost()] {
+		f.next.Drains[drain.GetHost()] = drain.GetDraining()
+		f.next.drainVersions[drain.GetHost()] = row.Version
+	}
 	return true
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -102,6 +102,53 @@
 	is.Equal(store.Load().Config.Revision, uint64(2))
 }
 
+func drainRow(t *testing.T, draining bool, version int64) platform.Row {
+	t.Helper()
+	value, err := proto.Marshal(&apiv1.DrainRow{Host: "h", Draining: draining})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Row{Key: platform.DrainKey("h"), Value: value, Version: version}
+}
+
+// A router that takes over a peer's rows knows its drains, and an older peer
+// does not bring a drain back that was taken back.
+func TestDrainsAreTakenOver(t *testing.T) {
+	is := is.New(t)
+	peer := NewStore()
+	peer.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, true, 1)}, Revision: 1})
+	old, err := peer.Load().Rows()
+	is.NoErr(err)
+	store := NewStore()
+	store.ApplyRows(old)
+	is.True(store.Load().Drains["h"])
+
+	store.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, false, 2)}, Revision: 2})
+	store.ApplyRows(old)
+	is.True(!store.Load().Drains["h"])
+}
+
+func TestAdoptedHostsAreNoRead(t *testing.T) {
+	is := is.New(t)
+	listing := func(revision int64, hosts ...string) platform.HostListing {
+		l := platform.HostListing{Revision: revision, Hosts: []platform.Host{}}
+		for _, id := range hosts {
+			l.Hosts = append(l.Hosts, platform.Host{ID: id})
+		}
+		return l
+	}
+	store := NewStore()
+	store.AdoptHosts(platform.HostListing{}) // of a peer that has none
+	is.True(store.Load().Hosts.Hosts == nil)
+	store.AdoptHosts(listing(3, "a"))
+	store.AdoptHosts(listing(4, "b")) // only the first one is taken
+	is.Equal(len(store.Load().ByHost), 1)
+	is.Equal(store.Load().ByHost["a"].ID, "a")
+	is.Equal(store.Load().HostReads, uint64(0))
+	store.SetHosts(listing(3, "a"))
+	is.Equal(store.Load().HostReads, uint64(1))
+}
+
 func TestUnreadableRowIsReportedAndSkipped(t *testing.T) {
 	is := is.New(t)
 	store := NewStore()
