permit: Keeper becomes Allocator, the daemon's part permitServer

"Keeper" is not a term of the field. No change of behaviour; the protocol's field no_keeper becomes no_allocator.

--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -222,7 +222,7 @@
 	answer := &apiv1.LoadPermit{Id: asked[len(asked)-1].GetId()}
 	switch rapid.IntRange(0, 2).Draw(t, "answer") {
 	case 0:
-		answer.NoKeeper = true
+		answer.NoAllocator = true
 	case 1:
 		answer.Queued = true
 	}
--- a/internal/agent/oracle_test.go
+++ b/internal/agent/oracle_test.go
@@ -86,7 +86,7 @@
 // recovers checks that every model is served as soon as the faults end.
 func (o *oracle) recovers(t *rapid.T) {
 	for _, w := range o.watchers {
-		_ = w.Close() // a keeper may have queued a load for ever
+		_ = w.Close() // an allocator may have queued a load for ever
 	}
 	o.b.engine.mu.Lock()
 	o.b.engine.faults, o.b.engine.script = nil, nil
--- a/internal/agent/permit.go
+++ b/internal/agent/permit.go
@@ -11,8 +11,8 @@
 // not answered after others said that they hold no permits.
 const permitPatience = 10
 
-// permitRepeat is the period at which a queued load asks its keeper again. A
-// router that lost the keeper's lease has lost the queue as well.
+// permitRepeat is the period at which a queued load asks its allocator again. A
+// router that lost the allocator's lease has lost the queue as well.
 const permitRepeat = 2 * time.Second
 
 // permitAsk is one load that waits for a permit.
@@ -22,11 +22,11 @@
 	silent map[*watcher]struct{}
 	// answered is true once a router said that it keeps no permits.
 	answered bool
-	// queued is true once the keeper has said that the load is in its queue.
+	// queued is true once the allocator has said that the load is in its queue.
 	queued bool
-	// keeper is the watcher that said so.
-	keeper *watcher
-	timer  *time.Timer
+	// allocator is the watcher that said so.
+	allocator *watcher
+	timer     *time.Timer
 }
 
 // askPermit sends a permit request on every watch. The lock must be held, as
@@ -46,7 +46,7 @@
 func (a *Agent) raisePermit(ask *permitAsk, request *apiv1.PermitRequest) {
 	ask.request = request
 	if ask.queued {
-		ask.keeper.ask(request) // does nothing when its watch has ended
+		ask.allocator.ask(request) // does nothing when its watch has ended
 		return
 	}
 	for w := range ask.silent {
@@ -67,18 +67,18 @@
 	return nil
 }
 
-// askAgain looks for another keeper than the one that queued the load.
+// askAgain looks for another allocator than the one that queued the load.
 func (a *Agent) askAgain(now time.Time, ask *permitAsk) []planner.Action {
 	ask.timer.Stop()
 	ask.queued = false
-	ask.keeper = nil
+	ask.allocator = nil
 	ask.answered = false
 	clear(ask.silent)
 	return a.askAll(now, ask)
 }
 
-// armRepeat asks the keeper of a queued load from time to time whether it still
-// keeps it. A keeper ignores the repeats of a load that waits.
+// armRepeat asks the allocator of a queued load from time to time whether it still
+// keeps it. An allocator ignores the repeats of a load that waits.
 func (a *Agent) armRepeat(ask *permitAsk) {
 	ask.timer.Stop()
 	ask.timer = time.AfterFunc(permitRepeat, func() {
@@ -90,10 +90,10 @@
 	if a.permits[ask.request.GetId()] != ask || a.runCtx == nil || !ask.queued {
 		return nil
 	}
-	if _, watches := a.watchers[ask.keeper]; !watches {
+	if _, watches := a.watchers[ask.allocator]; !watches {
 		return a.askAgain(now, ask)
 	}
-	ask.keeper.ask(ask.request)
+	ask.allocator.ask(ask.request)
 	a.armRepeat(ask)
 	return nil
 }
@@ -121,7 +121,7 @@
 	}
 	delete(a.permits, ask.request.GetId())
 	a.opts.Log.Info("load without permit", "host", a.opts.Host, "model", ask.request.GetModel(),
-		"reason", "no permit keeper answered")
+		"reason", "no permit allocator answered")
 	return a.planner.NoPermit(now, ask.request.GetId())
 }
 
@@ -132,14 +132,14 @@
 		switch {
 		case ask == nil:
 			return nil
-		case answer.GetNoKeeper() && ask.queued && ask.keeper == w:
+		case answer.GetNoAllocator() && ask.queued && ask.allocator == w:
 			return a.askAgain(now, ask)
-		case answer.GetNoKeeper():
+		case answer.GetNoAllocator():
 			ask.answered = true
 			return a.permitSilent(now, ask, w)
 		case answer.GetQueued():
 			ask.queued = true
-			ask.keeper = w
+			ask.allocator = w
 			a.armRepeat(ask)
 			return nil
 		default:
--- a/internal/agent/planner/action.go
+++ b/internal/agent/planner/action.go
@@ -20,7 +20,7 @@
 // the order with an unknown outcome.
 type AbortOrder struct{ Order uint64 }
 
-// AskPermit asks the permit keeper for a load from the weight store. Answer
+// AskPermit asks the permit allocator for a load from the weight store. Answer
 // with Permit or NoPermit.
 type AskPermit struct {
 	Load     uint64
@@ -28,7 +28,7 @@
 	Priority uint32
 }
 
-// DropPermit tells the keeper that a load has ended or is no longer wanted.
+// DropPermit tells the allocator that a load has ended or is no longer wanted.
 type DropPermit struct {
 	Load  uint64
 	Model string
--- a/internal/agent/planner/permit.go
+++ b/internal/agent/planner/permit.go
@@ -6,17 +6,17 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
-// fallbackJitter spreads the loads of hosts that lost the permit keeper.
+// fallbackJitter spreads the loads of hosts that lost the permit allocator.
 const fallbackJitter = 200 * time.Millisecond
 
-// permitState is where a load stands with the keeper of the weight store.
+// permitState is where a load stands with the allocator of the weight store.
 type permitState int
 
 const (
 	permitNone permitState = iota
 	permitAsked
 	permitGranted
-	// permitFallback means that no keeper answered: one such load runs at a time.
+	// permitFallback means that no allocator answered: one such load runs at a time.
 	permitFallback
 )
 
@@ -63,13 +63,13 @@
 	return p.flush(now)
 }
 
-// NoPermit tells that no keeper answers for a load.
+// NoPermit tells that no allocator answers for a load.
 func (p *Planner) NoPermit(now time.Time, id uint64) []Action {
 	p.observe(now)
 	if l := p.asking(id); l != nil {
 		l.permit = permitFallback
 		l.asked.end = now
-		l.asked.cause = "no permit keeper answered"
+		l.asked.cause = "no permit allocator answered"
 		l.fallbackAt = now.Add(time.Duration(p.opts.Rand.Int64N(int64(fallbackJitter))))
 	}
 	return p.flush(now)
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// dropPermit tells the keeper that a load needs its permit no longer.
+// dropPermit tells the allocator that a load needs its permit no longer.
 func (p *Planner) dropPermit(model string, l *load) {
 	if p.unpermitted == l.id {
 		p.unpermitted = 0
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -107,36 +107,36 @@
 		{"granted", func(a, _ *fakeStream, id uint64) {
 			answerPermit(a, &apiv1.LoadPermit{Id: id})
 		}, 0, false},
-		{"no keeper anywhere", func(a, b *fakeStream, id uint64) {
-			answerPermit(a, &apiv1.LoadPermit{Id: id, NoKeeper: true})
-			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+		{"no allocator anywhere", func(a, b *fakeStream, id uint64) {
+			answerPermit(a, &apiv1.LoadPermit{Id: id, NoAllocator: true})
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 		}, 0, true},
 		{"silence", func(*fakeStream, *fakeStream, uint64) {}, 500, true},
 		{"queued, then granted", func(a, b *fakeStream, id uint64) {
 			answerPermit(a, &apiv1.LoadPermit{Id: id, Queued: true})
-			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 			time.Sleep(10 * time.Second)
 			answerPermit(a, &apiv1.LoadPermit{Id: id, Behind: 3})
 		}, 10 * second, false},
-		{"queued, then the keeper's lease moves", func(a, b *fakeStream, id uint64) {
+		{"queued, then the allocator's lease moves", func(a, b *fakeStream, id uint64) {
 			answerPermit(a, &apiv1.LoadPermit{Id: id, Queued: true})
-			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 			time.Sleep(permitRepeat + time.Second)
 			if len(permitRequests(a)) > 1 { // asked again
-				answerPermit(a, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+				answerPermit(a, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 			}
 			synctest.Wait()
 			if len(permitRequests(b)) > 1 {
 				answerPermit(b, &apiv1.LoadPermit{Id: id})
 			}
 		}, 3 * second, false},
-		{"other says no, keeper grants late", func(a, b *fakeStream, id uint64) {
-			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+		{"other says no, allocator grants late", func(a, b *fakeStream, id uint64) {
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 			time.Sleep(2 * time.Second)
 			answerPermit(a, &apiv1.LoadPermit{Id: id})
 		}, 2 * second, false},
-		{"other says no, keeper cut", func(a, b *fakeStream, id uint64) {
-			answerPermit(b, &apiv1.LoadPermit{Id: id, NoKeeper: true})
+		{"other says no, allocator cut", func(a, b *fakeStream, id uint64) {
+			answerPermit(b, &apiv1.LoadPermit{Id: id, NoAllocator: true})
 			time.Sleep(time.Second)
 			_ = a.Close()
 		}, second, true},
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -26,9 +26,9 @@
 	defaultLoadsPerSecond = 2.0
 )
 
-// permitDesk runs the weight store's permit keeper while this router holds its
+// permitServer runs the weight store's permit allocator while this router holds its
 // lease. It implements upstream.Permits.
-type permitDesk struct {
+type permitServer struct {
 	leases *lease.Manager
 	view   *view.Store
 	// limits replaces those of the deployment unless nil.
@@ -37,58 +37,58 @@
 	log    *log.Logger
 	wake   chan struct{} // a request came or a load ended
 
-	mu     sync.Mutex
-	keeper *permit.Keeper // nil while another router keeps; guarded by mu
+	mu        sync.Mutex
+	allocator *permit.Allocator // nil while another router allocates; guarded by mu
 }
 
 // Request implements upstream.Permits.
-func (d *permitDesk) Request(host string, req *apiv1.PermitRequest) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.keeper == nil {
+func (s *permitServer) Request(host string, req *apiv1.PermitRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.allocator == nil {
 		return false
 	}
-	defer d.wakeUp()
+	defer s.wakeUp()
 	now := time.Now()
 	if req.GetDone() {
-		d.keeper.Done(host, req.GetId())
+		s.allocator.Done(host, req.GetId())
 		return true
 	}
-	d.keeper.Request(now, permit.Request{Host: host, ID: req.GetId(), Model: req.GetModel(), Priority: req.GetPriority()})
+	s.allocator.Request(now, permit.Request{Host: host, ID: req.GetId(), Model: req.GetModel(), Priority: req.GetPriority()})
 	return true
 }
 
 // Lost implements upstream.Permits.
-func (d *permitDesk) Lost(host string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.keeper != nil {
-		d.keeper.Lost(time.Now(), host)
+func (s *permitServer) Lost(host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.allocator != nil {
+		s.allocator.Lost(time.Now(), host)
 	}
 }
 
-func (d *permitDesk) wakeUp() {
+func (s *permitServer) wakeUp() {
 	select {
-	case d.wake <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
 // run grants permits until ctx is done.
-func (d *permitDesk) run(ctx context.Context) error {
+func (s *permitServer) run(ctx context.Context) error {
 	timer := time.NewTimer(permitIdleTick)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-d.wake:
+		case <-s.wake:
 		case <-timer.C:
 		}
-		grants, waiting := d.tick(time.Now())
+		grants, waiting := s.tick(time.Now())
 		for _, g := range grants {
-			d.log.Info("weight-store permit granted", "host", g.Host, "id", g.ID, "behind", g.Behind)
-			d.grant(g.Host, &apiv1.LoadPermit{Id: g.ID, Behind: g.Behind})
+			s.log.Info("weight-store permit granted", "host", g.Host, "id", g.ID, "behind", g.Behind)
+			s.grant(g.Host, &apiv1.LoadPermit{Id: g.ID, Behind: g.Behind})
 		}
 		timer.Reset(nextTick(waiting))
 	}
@@ -101,22 +101,22 @@
 	return permitIdleTick
 }
 
-// tick starts or stops keeping with the lease. It returns the grants that are
+// tick starts or stops allocating with the lease. It returns the grants that are
 // due and whether further requests wait.
-func (d *permitDesk) tick(now time.Time) (grants []permit.Grant, waiting bool) {
-	_, held := d.leases.Guard(platform.PermitLease)
-	limits := permitLimits(d.view.Load())
-	if d.limits != nil {
-		limits = *d.limits
+func (s *permitServer) tick(now time.Time) (grants []permit.Grant, waiting bool) {
+	_, held := s.leases.Guard(platform.PermitLease)
+	limits := permitLimits(s.view.Load())
+	if s.limits != nil {
+		limits = *s.limits
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !held {
-		d.keeper = nil
+		s.allocator = nil
 		return nil, false
 	}
-	if d.keeper == nil {
-		d.keeper = permit.NewKeeper(now, permit.Options{
+	if s.allocator == nil {
+		s.allocator = permit.NewAllocator(now, permit.Options{
 			Limits:     limits,
 			AgeStep:    permitAgeStep,
 			Expiry:     permitExpiry,
@@ -124,9 +124,9 @@
 			Handover:   permitHandover,
 		})
 	}
-	d.keeper.SetLimits(now, limits)
-	grants = d.keeper.Tick(now)
-	return grants, d.keeper.Waiting() > 0
+	s.allocator.SetLimits(now, limits)
+	grants = s.allocator.Tick(now)
+	return grants, s.allocator.Waiting() > 0
 }
 
 func permitLimits(snap *view.Snapshot) permit.Limits {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -61,7 +61,7 @@
 	loader   *config.Loader
 	leases   *lease.Manager
 	decider  *decider.Decider
-	permits  *permitDesk
+	permits  *permitServer
 	sidecars *upstream.Manager
 	gossip   *gossip.Node
 	front    *router.Router
@@ -148,7 +148,7 @@
 		Peers:   r.liveRouters,
 		Commit:  platform.CommitSettled,
 	})
-	r.permits = &permitDesk{
+	r.permits = &permitServer{
 		leases: r.leases,
 		view:   r.store,
 		limits: r.policies.PermitLimits,
--- a/internal/daemon/testbed.go
+++ b/internal/daemon/testbed.go
@@ -23,7 +23,7 @@
 	settlePoll      = 50 * time.Millisecond
 	settleLimit     = 30 * time.Second
 	// settledFor is how long the slots must be complete before the load starts.
-	// A new permit keeper reaches its full limit within it.
+	// A new permit allocator reaches its full limit within it.
 	settledFor = permitHandover + time.Second
 )
 
--- a/internal/loadtest/adapters.go
+++ b/internal/loadtest/adapters.go
@@ -45,13 +45,13 @@
 func (s *staticShare) start(host int)                   { s.inFlight[host]++ }
 func (s *staticShare) finish(host int, _, _ time.Time)  { s.inFlight[host]-- }
 
-// keeper grants up to the limit over all hosts; its round trip is part of each
+// allocator grants up to the limit over all hosts; its round trip is part of each
 // load.
-type keeper struct{ limit, inFlight int }
+type allocator struct{ limit, inFlight int }
 
-func (k *keeper) allow(time.Time, int) bool        { return k.inFlight < k.limit }
-func (k *keeper) start(int)                        { k.inFlight++ }
-func (k *keeper) finish(int, time.Time, time.Time) { k.inFlight-- }
+func (k *allocator) allow(time.Time, int) bool        { return k.inFlight < k.limit }
+func (k *allocator) start(int)                        { k.inFlight++ }
+func (k *allocator) finish(int, time.Time, time.Time) { k.inFlight-- }
 
 // adapterJob is one adapter load.
 type adapterJob struct {
@@ -179,16 +179,16 @@
 	extra time.Duration
 }
 
-// keeperRoundTrip is the time of asking a keeper in another failure domain.
-const keeperRoundTrip = 2 * time.Millisecond
+// allocatorRoundTrip is the time of asking an allocator in another failure domain.
+const allocatorRoundTrip = 2 * time.Millisecond
 
 func adapterPolicies(hosts int) []adapterPolicy {
 	return []adapterPolicy{
 		{"adaptive window, new hosts", newWindows(hosts), 0},
 		{"adaptive window, hosts in use", usedWindows(hosts), 0},
 		{"static share", &staticShare{share: max(1, adapterFullSpeed/hosts), inFlight: make([]int, hosts)}, 0},
-		{"keeper, 2 ms round trip", &keeper{limit: adapterFullSpeed}, keeperRoundTrip},
-		{"no limit", &keeper{limit: 1 << 20}, 0},
+		{"allocator, 2 ms round trip", &allocator{limit: adapterFullSpeed}, allocatorRoundTrip},
+		{"no limit", &allocator{limit: 1 << 20}, 0},
 	}
 }
 
--- a/internal/permit/keeper.go
+++ b/internal/permit/allocator.go
@@ -15,7 +15,7 @@
 	PerSecond float64
 }
 
-// Options configure a Keeper.
+// Options configure an Allocator.
 type Options struct {
 	Limits Limits
 	// AgeStep is the waiting time that raises a request by one priority step;
@@ -25,8 +25,8 @@
 	Expiry time.Duration
 	// LostExpiry bounds how long a permit counts after its host was lost.
 	LostExpiry time.Duration
-	// Handover is how long a new keeper allows for permits that an earlier
-	// keeper granted.
+	// Handover is how long a new allocator allows for permits that an earlier
+	// allocator granted.
 	Handover time.Duration
 }
 
@@ -67,7 +67,7 @@
 type waiting struct {
 	request Request
 	since   time.Time
-	// grantedBefore is the keeper's grant count when the request came.
+	// grantedBefore is the allocator's grant count when the request came.
 	grantedBefore uint64
 }
 
@@ -77,14 +77,14 @@
 	behind  uint32
 }
 
-// Keeper grants permits. It is pure and not safe for concurrent use.
-type Keeper struct {
+// Allocator grants permits. It is pure and not safe for concurrent use.
+type Allocator struct {
 	opts    Options
 	limiter *rate.Limiter
 	queue   []waiting
 	running map[requestKey]running
 	// orphans are the expiry times of permits whose host was lost, or that an
-	// earlier keeper may have granted.
+	// earlier allocator may have granted.
 	orphans []time.Time
 	// repeats are running requests whose permit must be sent again.
 	repeats []requestKey
@@ -94,21 +94,21 @@
 // burst is the number of starts that may happen at one moment.
 const burst = 1
 
-// NewKeeper makes a keeper that starts at now. It counts as many permits as an
-// earlier keeper may have left, and drops them one by one over opts.Handover.
-func NewKeeper(now time.Time, opts Options) *Keeper {
-	k := &Keeper{
+// NewAllocator makes an allocator that starts at now. It counts as many permits as an
+// earlier allocator may have left, and drops them one by one over opts.Handover.
+func NewAllocator(now time.Time, opts Options) *Allocator {
+	a := &Allocator{
 		opts:    opts,
 		limiter: rate.NewLimiter(startRate(opts.Limits), burst),
 		running: make(map[requestKey]running),
 	}
-	k.limiter.AllowN(now, burst)
+	a.limiter.AllowN(now, burst)
 	parallel := opts.Limits.Parallel
 	for i := range parallel {
 		share := opts.Handover * time.Duration(i+1) / time.Duration(parallel)
-		k.orphans = append(k.orphans, now.Add(share))
+		a.orphans = append(a.orphans, now.Add(share))
 	}
-	return k
+	return a
 }
 
 func startRate(limits Limits) rate.Limit {
@@ -119,113 +119,113 @@
 }
 
 // SetLimits changes the limits; loads that run are not affected.
-func (k *Keeper) SetLimits(now time.Time, limits Limits) {
-	if limits == k.opts.Limits {
+func (a *Allocator) SetLimits(now time.Time, limits Limits) {
+	if limits == a.opts.Limits {
 		return
 	}
-	k.opts.Limits = limits
-	k.limiter.SetLimitAt(now, startRate(limits))
+	a.opts.Limits = limits
+	a.limiter.SetLimitAt(now, startRate(limits))
 }
 
 // Request queues a request. A repeated one that waits keeps its place and takes
 // the higher of its priorities; the permit of a repeated one that runs is sent
 // again.
-func (k *Keeper) Request(now time.Time, r Request) {
+func (a *Allocator) Request(now time.Time, r Request) {
 	key := requestKey{r.Host, r.ID}
-	if _, ok := k.running[key]; ok {
-		k.repeats = append(k.repeats, key)
+	if _, ok := a.running[key]; ok {
+		a.repeats = append(a.repeats, key)
 		return
 	}
-	for i := range k.queue {
-		w := &k.queue[i].request
+	for i := range a.queue {
+		w := &a.queue[i].request
 		if w.Host == r.Host && w.ID == r.ID {
 			w.Priority = max(w.Priority, r.Priority)
 			return
 		}
 	}
-	k.queue = append(k.queue, waiting{request: r, since: now, grantedBefore: k.granted})
+	a.queue = append(a.queue, waiting{request: r, since: now, grantedBefore: a.granted})
 }
 
 // Done ends a load or withdraws a request; unknown ones are ignored.
-func (k *Keeper) Done(host string, id uint64) {
-	delete(k.running, requestKey{host, id})
-	k.unqueue(func(r Request) bool { return r.Host == host && r.ID == id })
+func (a *Allocator) Done(host string, id uint64) {
+	delete(a.running, requestKey{host, id})
+	a.unqueue(func(r Request) bool { return r.Host == host && r.ID == id })
 }
 
 // Lost forgets the waiting requests of a host whose session has ended. Its
 // permits count until LostExpiry, as the loads may still run.
-func (k *Keeper) Lost(now time.Time, host string) {
-	k.unqueue(func(r Request) bool { return r.Host == host })
-	for key, run := range k.running {
+func (a *Allocator) Lost(now time.Time, host string) {
+	a.unqueue(func(r Request) bool { return r.Host == host })
+	for key, run := range a.running {
 		if key.host != host {
 			continue
 		}
-		delete(k.running, key)
-		expires := now.Add(k.opts.LostExpiry)
+		delete(a.running, key)
+		expires := now.Add(a.opts.LostExpiry)
 		if run.expires.Before(expires) {
 			expires = run.expires
 		}
-		k.orphans = append(k.orphans, expires)
+		a.orphans = append(a.orphans, expires)
 	}
 }
 
-func (k *Keeper) unqueue(drop func(Request) bool) {
-	kept := k.queue[:0]
-	for _, w := range k.queue {
+func (a *Allocator) unqueue(drop func(Request) bool) {
+	kept := a.queue[:0]
+	for _, w := range a.queue {
 		if !drop(w.request) {
 			kept = append(kept, w)
 		}
 	}
-	clear(k.queue[len(kept):])
-	k.queue = kept
+	clear(a.queue[len(kept):])
+	a.queue = kept
 }
 
 // Tick expires old permits and returns those that can be granted at now.
-func (k *Keeper) Tick(now time.Time) []Grant {
-	k.expire(now)
-	grants := k.takeRepeats()
-	for len(k.queue) > 0 && k.hasRoom() && k.limiter.AllowN(now, 1) {
-		grants = append(grants, k.grant(now, k.next(now)))
+func (a *Allocator) Tick(now time.Time) []Grant {
+	a.expire(now)
+	grants := a.takeRepeats()
+	for len(a.queue) > 0 && a.hasRoom() && a.limiter.AllowN(now, 1) {
+		grants = append(grants, a.grant(now, a.next(now)))
 	}
 	return grants
 }
 
-func (k *Keeper) expire(now time.Time) {
-	for key, run := range k.running {
+func (a *Allocator) expire(now time.Time) {
+	for key, run := range a.running {
 		if !now.Before(run.expires) {
-			delete(k.running, key)
+			delete(a.running, key)
 		}
 	}
-	kept := k.orphans[:0]
-	for _, expires := range k.orphans {
+	kept := a.orphans[:0]
+	for _, expires := range a.orphans {
 		if now.Before(expires) {
 			kept = append(kept, expires)
 		}
 	}
-	k.orphans = kept
+	a.orphans = kept
 }
 
-func (k *Keeper) takeRepeats() []Grant {
+func (a *Allocator) takeRepeats() []Grant {
 	var grants []Grant
-	for _, key := range k.repeats {
-		if run, ok := k.running[key]; ok {
+	for _, key := range a.repeats {
+		if run, ok := a.running[key]; ok {
 			grants = append(grants, Grant{Host: key.host, ID: key.id, Behind: run.behind})
 		}
 	}
-	k.repeats = k.repeats[:0]
+	a.repeats = a.repeats[:0]
 	return grants
 }
 
-func (k *Keeper) hasRoom() bool {
-	return k.opts.Limits.Parallel <= 0 || k.Running() < k.opts.Limits.Parallel
+func (a *Allocator) hasRoom() bool {
+	return a.opts.Limits.Parallel <= 0 || a.Running() < a.opts.Limits.Parallel
 }
 
 // next returns the index of the waiting request with the highest priority;
 // among equals the oldest.
-func (k *Keeper) next(now time.Time) int {
+func (a *Allocator) next(now time.Time) int {
 	best := 0
-	for i := 1; i < len(k.queue); i++ {
-		if k.priority(now, k.queue[i]) > k.priority(now, k.queue[best]) {
+	for i := 1; i < len(a.queue); i++ {
+		if a.priority(now, a.queue[i]) > a.priority(now, a.queue[best]) {
 			best = i
 		}
 	}
@@ -233,26 +233,26 @@
 }
 
 // priority is the request's own priority plus one for each AgeStep waited.
-func (k *Keeper) priority(now time.Time, w waiting) int64 {
+func (a *Allocator) priority(now time.Time, w waiting) int64 {
 	p := int64(w.request.Priority)
-	if k.opts.AgeStep > 0 {
-		p += int64(now.Sub(w.since) / k.opts.AgeStep)
+	if a.opts.AgeStep > 0 {
+		p += int64(now.Sub(w.since) / a.opts.AgeStep)
 	}
 	return p
 }
 
-func (k *Keeper) grant(now time.Time, i int) Grant {
-	w := k.queue[i]
-	k.queue = append(k.queue[:i], k.queue[i+1:]...)
-	behind := uint32(k.granted - w.grantedBefore)
-	k.granted++
+func (a *Allocator) grant(now time.Time, i int) Grant {
+	w := a.queue[i]
+	a.queue = append(a.queue[:i], a.queue[i+1:]...)
+	behind := uint32(a.granted - w.grantedBefore)
+	a.granted++
 	key := requestKey{w.request.Host, w.request.ID}
-	k.running[key] = running{expires: now.Add(k.opts.Expiry), behind: behind}
+	a.running[key] = running{expires: now.Add(a.opts.Expiry), behind: behind}
 	return Grant{Host: key.host, ID: key.id, Behind: behind}
 }
 
 // Running returns the number of permits that count against the limit.
-func (k *Keeper) Running() int { return len(k.running) + len(k.orphans) }
+func (a *Allocator) Running() int { return len(a.running) + len(a.orphans) }
 
 // Waiting returns the number of queued requests.
-func (k *Keeper) Waiting() int { return len(k.queue) }
+func (a *Allocator) Waiting() int { return len(a.queue) }
--- a/internal/permit/machine_test.go
+++ b/internal/permit/machine_test.go
@@ -31,20 +31,20 @@
 	until time.Time
 }
 
-// machine drives a keeper and its oracle: plain lists that are searched whole.
+// machine drives an allocator and its oracle: plain lists that are searched whole.
 type machine struct {
-	t       *rapid.T
-	now     time.Time
-	keeper  *Keeper
-	waiting []asked
-	running []permitted
-	starts  []time.Time
-	lastID  uint64
+	t         *rapid.T
+	now       time.Time
+	allocator *Allocator
+	waiting   []asked
+	running   []permitted
+	starts    []time.Time
+	lastID    uint64
 }
 
 func newMachine(t *rapid.T) *machine {
 	m := &machine{t: t, now: time.Unix(1_800_000_000, 0)}
-	m.keeper = NewKeeper(m.now, testOptions)
+	m.allocator = NewAllocator(m.now, testOptions)
 	for i := range testOptions.Limits.Parallel {
 		share := testOptions.Handover * time.Duration(i+1) / time.Duration(testOptions.Limits.Parallel)
 		m.running = append(m.running, permitted{until: m.now.Add(share)})
@@ -60,10 +60,10 @@
 	m.lastID++
 	r := Request{Host: m.drawHost(), ID: m.lastID, Priority: uint32(rapid.IntRange(0, 5).Draw(m.t, "priority"))}
 	m.waiting = append(m.waiting, asked{r, m.now})
-	m.keeper.Request(m.now, r)
+	m.allocator.Request(m.now, r)
 	if rapid.Bool().Draw(m.t, "repeat") {
 		r.Priority = uint32(rapid.IntRange(0, 5).Draw(m.t, "new priority"))
-		m.keeper.Request(m.now, r)
+		m.allocator.Request(m.now, r)
 		last := &m.waiting[len(m.waiting)-1]
 		last.Priority = max(last.Priority, r.Priority)
 	}
@@ -72,14 +72,14 @@
 // done ends a load, withdraws a request, or names an unknown one.
 func (m *machine) done() {
 	host, id := m.drawHost(), uint64(rapid.IntRange(0, int(m.lastID)).Draw(m.t, "id"))
-	m.keeper.Done(host, id)
+	m.allocator.Done(host, id)
 	m.waiting = slices.DeleteFunc(m.waiting, func(w asked) bool { return w.Host == host && w.ID == id })
 	m.running = slices.DeleteFunc(m.running, func(p permitted) bool { return p.host == host && p.id == id && host != "" })
 }
 
 func (m *machine) lost() {
 	host := m.drawHost()
-	m.keeper.Lost(m.now, host)
+	m.allocator.Lost(m.now, host)
 	m.waiting = slices.DeleteFunc(m.waiting, func(w asked) bool { return w.Host == host })
 	limit := m.now.Add(testOptions.LostExpiry)
 	for i := range m.running {
@@ -95,7 +95,7 @@
 func (m *machine) tick() {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(m.t, "ms")) * time.Millisecond)
 	m.running = slices.DeleteFunc(m.running, func(p permitted) bool { return !m.now.Before(p.until) })
-	for _, g := range m.keeper.Tick(m.now) {
+	for _, g := range m.allocator.Tick(m.now) {
 		m.granted(g)
 	}
 	if len(m.waiting) > 0 && m.mayStart() {
@@ -150,7 +150,7 @@
 	return int64(w.Priority) + int64(m.now.Sub(w.since)/testOptions.AgeStep)
 }
 
-func TestKeeperMachine(t *testing.T) {
+func TestAllocatorMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		act := func(f func()) func(*rapid.T) {
@@ -162,19 +162,19 @@
 			"lost":    act(m.lost),
 			"tick":    act(m.tick),
 			"": act(func() {
-				if m.keeper.Waiting() != len(m.waiting) {
-					m.t.Fatalf("%d wait, want %d", m.keeper.Waiting(), len(m.waiting))
+				if m.allocator.Waiting() != len(m.waiting) {
+					m.t.Fatalf("%d wait, want %d", m.allocator.Waiting(), len(m.waiting))
 				}
 			}),
 		})
 	})
 }
 
-// A keeper that follows another one lets the earlier permits run out first.
-func TestNewKeeperStartsSlowly(t *testing.T) {
+// An allocator that follows another one lets the earlier permits run out first.
+func TestNewAllocatorStartsSlowly(t *testing.T) {
 	is := is.New(t)
 	start := time.Unix(1_800_000_000, 0)
-	k := NewKeeper(start, Options{Limits: Limits{Parallel: 4, PerSecond: 100}, Expiry: time.Hour, Handover: 4 * time.Second})
+	k := NewAllocator(start, Options{Limits: Limits{Parallel: 4, PerSecond: 100}, Expiry: time.Hour, Handover: 4 * time.Second})
 	for id := range uint64(8) {
 		k.Request(start, Request{Host: "host", ID: id})
 	}
@@ -189,7 +189,7 @@
 func TestRepeatedRequestIsGrantedAgain(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	k := NewKeeper(now, Options{Limits: Limits{Parallel: 1, PerSecond: 100}, Expiry: time.Hour})
+	k := NewAllocator(now, Options{Limits: Limits{Parallel: 1, PerSecond: 100}, Expiry: time.Hour})
 	request := Request{Host: "host", ID: 7}
 	k.Request(now, request)
 	now = now.Add(time.Second)
@@ -203,7 +203,7 @@
 func TestAgeingEndsStarvation(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	k := NewKeeper(now, Options{Limits: Limits{Parallel: 1}, AgeStep: time.Second, Expiry: time.Hour})
+	k := NewAllocator(now, Options{Limits: Limits{Parallel: 1}, AgeStep: time.Second, Expiry: time.Hour})
 	k.Request(now, Request{Host: "routine", ID: 1, Priority: 0})
 	for id := range uint64(20) {
 		now = now.Add(time.Second)
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -27,7 +27,7 @@
 	return fmt.Sprintf("shard-%d", shard)
 }
 
-// PermitLease is the name of the lease of the weight store's permit keeper.
+// PermitLease is the name of the lease of the weight store's permit allocator.
 const PermitLease = "permits"
 
 // LeaseKey is the key of the row of a lease.
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -203,7 +203,7 @@
 	if req.GetDone() {
 		return
 	}
-	l.grant(&apiv1.LoadPermit{Id: req.GetId(), NoKeeper: !kept, Queued: kept})
+	l.grant(&apiv1.LoadPermit{Id: req.GetId(), NoAllocator: !kept, Queued: kept})
 }
 
 func (l *link) grant(permit *apiv1.LoadPermit) {
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -22,7 +22,7 @@
 // Permits answers the permit requests of sidecars.
 type Permits interface {
 	// Request asks for a load. It reports false when this router is not the
-	// keeper. The grant is sent later through Manager.Grant.
+	// allocator. The grant is sent later through Manager.Grant.
 	Request(host string, req *apiv1.PermitRequest) bool
 	// Lost tells that a host's session has ended.
 	Lost(host string)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -188,7 +188,7 @@
 	is.Equal(len(got.GetSlots()), 1)
 }
 
-func TestPermitWithoutKeeperFallsBack(t *testing.T) {
+func TestPermitWithoutAllocatorFallsBack(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
 	<-b.sidecar.assigned
@@ -197,7 +197,7 @@
 	b.sidecar.mu.Unlock()
 	is.NoErr(watch.Send(&apiv1.SidecarFrame{Body: &apiv1.SidecarFrame_Permit{Permit: &apiv1.PermitRequest{Id: 4}}}))
 	permit := <-b.sidecar.permits
-	is.True(permit.GetNoKeeper())
+	is.True(permit.GetNoAllocator())
 	is.Equal(permit.GetId(), uint64(4))
 }
 
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -31,7 +31,7 @@
 		decider TestDeciderMachine
 		gossip TestPeerRevisionNeverReverts
 		lease TestLeaseMachine
-		permit TestKeeperMachine
+		permit TestAllocatorMachine
 		platform TestCommitSettledIsExactlyOnceUnderLostAnswers
 		retry TestBudgetAgainstOracle
 		route TestQueueAgainstOracle
