One Sleep and one rendezvous weight in place of six and two

retry.Sleep replaces the copies in claim, upstream, agent, loadtest and standin; placement takes rendezvous.Weight.

--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -10,6 +10,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 const (
@@ -38,7 +39,7 @@
 	started := g.agent.opts.Clock.Now()
 	var err error
 	for try := 0; try <= maxResumes; try++ {
-		if try > 0 && !g.pause(ctx) {
+		if try > 0 && !retry.Sleep(ctx, resumePause) {
 			break
 		}
 		if err = g.attempt(ctx, started); err == nil {
@@ -54,17 +55,6 @@
 	return g.refusal(ctx, err)
 }
 
-func (g *generation) pause(ctx context.Context) bool {
-	timer := time.NewTimer(resumePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // resumable reports whether another try can mend the failure.
 func resumable(err error) bool {
 	if errors.Is(err, errCut) {
--- a/internal/claim/await.go
+++ b/internal/claim/await.go
@@ -9,6 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 const (
@@ -28,7 +29,7 @@
 		if running := s.runningClaim(tableKey); running != nil {
 			return s.awaitHere(ctx, running)
 		}
-		if !sleep(ctx, pause.NextBackOff()) || s.reads.Wait(ctx) != nil {
+		if !retry.Sleep(ctx, pause.NextBackOff()) || s.reads.Wait(ctx) != nil {
 			return row
 		}
 		row = s.read(ctx, tableKey, row)
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -12,6 +12,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // SweepLease is the name of the lease of the router that deletes old claims.
@@ -108,7 +109,7 @@
 		if err != nil {
 			return deleted, err
 		}
-		if !sleep(ctx, sweepPause) {
+		if !retry.Sleep(ctx, sweepPause) {
 			return deleted, ctx.Err()
 		}
 	}
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 const (
@@ -144,7 +145,7 @@
 		}
 		for w.len() > 0 {
 			w.flush(ctx)
-			if !sleep(ctx, w.gap()) {
+			if !retry.Sleep(ctx, w.gap()) {
 				return nil
 			}
 		}
@@ -158,17 +159,6 @@
 	return max(w.opts.FlushEvery, w.resume.Sub(w.opts.Now()))
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // flush writes one batch: the ops whose checks fail are settled, and the rest
 // is written again without them.
 func (w *writer) flush(ctx context.Context) {
--- a/internal/loadtest/runner.go
+++ b/internal/loadtest/runner.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // Answer is what a caller got for one try of a request.
@@ -57,7 +59,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, request := range requests {
-		if !sleep(ctx, time.Until(start.Add(request.At))) {
+		if !retry.Sleep(ctx, time.Until(start.Add(request.At))) {
 			break
 		}
 		wg.Go(func() { r.run(ctx, i, request) })
@@ -71,7 +73,7 @@
 func (r *Runner) run(ctx context.Context, i int, request Request) {
 	first := r.Send(ctx, r.Routers[i%len(r.Routers)], request)
 	r.keep(first)
-	if first.Outcome != OutcomeNotRun || first.RetryAfter == 0 || !sleep(ctx, first.RetryAfter) {
+	if first.Outcome != OutcomeNotRun || first.RetryAfter == 0 || !retry.Sleep(ctx, first.RetryAfter) {
 		return
 	}
 	again := r.Send(ctx, r.Routers[(i+1)%len(r.Routers)], request)
@@ -205,18 +207,3 @@
 		}
 	}
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/placement/hosts.go
+++ b/internal/placement/hosts.go
@@ -4,10 +4,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 )
 
 // maxAlternatives bounds the next best hosts that an order names.
@@ -138,7 +137,7 @@
 		domainUse: q.domainUse[host.FailureDomain],
 		tier:      apiv1.CheckpointTier_CHECKPOINT_TIER_REMOTE,
 		slots:     f.slots[host.ID],
-		tie:       pairHash(q.model, host.ID),
+		tie:       rendezvous.Weight(q.model, host.ID),
 	}
 	if host.MemoryMiB > 0 {
 		taken := max(f.assignedMiB[host.ID], uint64(report.GetMemoryReservedMib()))
@@ -150,16 +149,6 @@
 	return c
 }
 
-// pairHash spreads equal hosts over the models.
-func pairHash(model, host string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(model)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(host)
-	return d.Sum64()
-}
-
 // cachedTier returns the nearest place from which a host can load a checkpoint.
 func cachedTier(report *apiv1.LoadReport, checkpoint string) apiv1.CheckpointTier {
 	for _, cached := range report.GetCached() {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -15,17 +15,18 @@
 	if !slices.Contains(members, self) {
 		return len(members)
 	}
-	own := weight(key, self)
+	own := Weight(key, self)
 	rank := 0
 	for _, member := range members {
-		if member != self && weight(key, member) > own {
+		if member != self && Weight(key, member) > own {
 			rank++
 		}
 	}
 	return rank
 }
 
-func weight(key, member string) uint64 {
+// Weight is the hash by which a key orders its members, the highest first.
+func Weight(key, member string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(key)
--- a/internal/retry/do.go
+++ b/internal/retry/do.go
@@ -72,7 +72,7 @@
 		if !budget.Retry() {
 			return &BudgetError{Tries: tries, Err: err}
 		}
-		if !sleep(ctx, wait) {
+		if !Sleep(ctx, wait) {
 			return err
 		}
 	}
@@ -83,8 +83,12 @@
 	return ok && time.Until(deadline) <= wait
 }
 
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
+// Sleep waits and reports false when ctx ended first. Without a wait it reports
+// whether ctx goes on.
+func Sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // heldModel is a model that takes memory. Engine.mu guards it.
@@ -182,7 +183,7 @@
 }
 
 // sleepIn waits within a boot. It reports false when the boot ended first.
-func sleepIn(b *boot, ms int) bool { return sleep(b.ctx, milliseconds(ms)) }
+func sleepIn(b *boot, ms int) bool { return retry.Sleep(b.ctx, milliseconds(ms)) }
 
 func bootEnded() *orderError { return refuse(platform.KindUnavailable, "the engine restarted") }
 
@@ -194,14 +195,14 @@
 	e.mu.Unlock()
 	switch tier {
 	case platform.TierMemory:
-		sleep(ctx, milliseconds(knobs.MemoryLoadMS))
+		retry.Sleep(ctx, milliseconds(knobs.MemoryLoadMS))
 	case platform.TierDisk:
-		sleep(ctx, milliseconds(knobs.DiskLoadMS))
+		retry.Sleep(ctx, milliseconds(knobs.DiskLoadMS))
 	default:
 		if err := e.weights.read(ctx, checkpoint); err != nil {
 			return err
 		}
-		sleep(ctx, milliseconds(knobs.MemoryLoadMS))
+		retry.Sleep(ctx, milliseconds(knobs.MemoryLoadMS))
 	}
 	return ctx.Err()
 }
--- a/internal/standin/engine_tokens.go
+++ b/internal/standin/engine_tokens.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // strayID is the request id of events that belong to no request.
@@ -29,7 +30,7 @@
 // when the stream was cut.
 func (e *Engine) produce(out *eventWriter, s *stream) bool {
 	knobs := e.Knobs()
-	if !sleep(s.ctx, milliseconds(firstTokenMS(knobs, s))) {
+	if !retry.Sleep(s.ctx, milliseconds(firstTokenMS(knobs, s))) {
 		return false
 	}
 	if s.stray && !out.send(platform.TokenEvent{RequestID: strayID, Offset: s.gen.Offset, Text: "stray "}) {
@@ -40,7 +41,7 @@
 			e.countCut()
 			return false
 		}
-		if i > s.gen.Offset && !sleep(s.ctx, milliseconds(knobs.TokenMS)) {
+		if i > s.gen.Offset && !retry.Sleep(s.ctx, milliseconds(knobs.TokenMS)) {
 			return false
 		}
 		if s.ctx.Err() != nil || !out.send(s.token(i)) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // Faults are the failures that a stand-in shows. The zero value shows none.
@@ -102,7 +103,7 @@
 		if faults.Down {
 			hangUp()
 		}
-		if !bufferBody(r) || !sleep(r.Context(), milliseconds(faults.DelayMS)) {
+		if !bufferBody(r) || !retry.Sleep(r.Context(), milliseconds(faults.DelayMS)) {
 			hangUp()
 		}
 		if faults.Refuse {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // HeaderIdempotencyKey carries a caller's key of a call that may not be
@@ -139,7 +140,7 @@
 	answer.Run, cut = s.beginRun(answer.RequestID, r.Header.Get(HeaderIdempotencyKey))
 	defer s.endRun()
 	// The run goes on when the caller goes away.
-	if !sleep(s.ctx, milliseconds(s.Knobs().RunMS)) {
+	if !retry.Sleep(s.ctx, milliseconds(s.Knobs().RunMS)) {
 		hangUp()
 	}
 	if cut {
--- a/internal/standin/shared.go
+++ b/internal/standin/shared.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 const (
@@ -29,7 +31,7 @@
 	for left := length; left > 0; {
 		start := time.Now()
 		rest := time.Duration(float64(left)*s.slowdown(slower)) + 1
-		if !sleep(ctx, min(progressTick, rest)) {
+		if !retry.Sleep(ctx, min(progressTick, rest)) {
 			return false
 		}
 		left -= time.Duration(float64(time.Since(start)) / s.slowdown(slower))
@@ -52,19 +54,4 @@
 	}
 }
 
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -11,6 +11,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -95,16 +96,7 @@
 		}
 		l.opts.View.DropReport(l.host.ID)
 		l.opts.Permits.Lost(l.host.ID)
-		sleep(ctx, delays.NextBackOff())
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		retry.Sleep(ctx, delays.NextBackOff())
 	}
 }
 
