--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -66,56 +66,94 @@
 func (e *usageError) Unwrap() error { return e.err }
 
 func command() *cli.Command {
-	settingsFlag := &cli.StringFlag{Name: flagSettings, Usage: "settings `FILE`, JSON", Required: true}
-	return &cli.Command{
+	root := &cli.Command{
 		Name:  "ragwortdoord",
 		Usage: "serve rarely used language models",
 		Description: "Exit codes: 0 after a planned stop, 1 on a failure, 2 on wrong flags or settings.\n" +
 			"SIGTERM and SIGINT stop a process after its running requests have ended.",
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &usageError{err}
-		},
+		Action:         unknownCommand,
+		OnUsageError:   wrongUsage,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands: []*cli.Command{
-			{
-				Name:   "router",
-				Usage:  "run the router of an entry host",
-				Flags:  []cli.Flag{settingsFlag},
-				Action: runRouter,
-			},
-			{
-				Name:   "sidecar",
-				Usage:  "run the sidecar of an upstream host",
-				Flags:  []cli.Flag{settingsFlag},
-				Action: runSidecar,
-			},
-			{
-				Name:  "dev",
-				Usage: "run a router, sidecars and stand-ins for the platform on loopback",
-				Flags: []cli.Flag{
-					&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment: " + deploymentNames(), Value: sample.OffcutGiveaway().Name},
-					&cli.BoolFlag{Name: flagPlatformOnly, Usage: "run the stand-ins alone"},
-					&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "info"},
-				},
-				Action: runDev,
-			},
-			{
-				Name:  "loadtest",
-				Usage: "run load against a deployment of stand-ins in this process and print tables",
-				Flags: []cli.Flag{
-					&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment, or all: " + deploymentNames(), Value: allDeployments},
-					&cli.StringFlag{Name: flagSuite, Usage: "`NAME` of the comparison: " + suiteNames(), Value: suiteScenarios},
-					&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the load", Value: 1},
-					&cli.DurationFlag{Name: flagDuration, Usage: "length of one run", Value: 20 * time.Second},
-					&cli.FloatFlag{Name: flagRate, Usage: "chat requests a second", Value: 10},
-					&cli.StringFlag{Name: flagOnly, Usage: "run the trials whose scenario or policy contains `TEXT`"},
-					&cli.IntFlag{Name: flagSlowest, Usage: "wait records to print for each run: failed requests, then the slowest"},
-					&cli.IntFlag{Name: flagRuns, Usage: "runs of each policy, with consecutive seeds", Value: 1},
-					&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "error"},
-				},
-				Action: runLoadTest,
-			},
+		Commands:       []*cli.Command{routerCommand(), sidecarCommand(), devCommand(), loadTestCommand()},
+	}
+	for _, sub := range root.Commands {
+		sub.OnUsageError = wrongUsage
+	}
+	return root
+}
+
+func wrongUsage(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return &usageError{err}
+}
+
+// unknownCommand runs when no command was named, or one that does not exist.
+func unknownCommand(_ context.Context, cmd *cli.Command) error {
+	if name := cmd.Args().First(); name != "" {
+		return &usageError{fmt.Errorf("no command %q: see \"ragwortdoord --help\"", name)}
+	}
+	return cli.ShowRootCommandHelp(cmd)
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: flagSettings, Usage: "settings `FILE`, JSON; must be given"}
+}
+
+// settingsPath returns the file that the command line names.
+func settingsPath(cmd *cli.Command) (string, error) {
+	path := cmd.String(flagSettings)
+	if path == "" {
+		return "", &usageError{errors.New("no settings: pass --settings FILE, see docs/operators/settings.md")}
+	}
+	return path, nil
+}
+
+func routerCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "router",
+		Usage:  "run the router of an entry host",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: runRouter,
+	}
+}
+
+func sidecarCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "sidecar",
+		Usage:  "run the sidecar of an upstream host",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: runSidecar,
+	}
+}
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run a router, sidecars and stand-ins for the platform on loopback",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment: " + deploymentNames(), Value: sample.OffcutGiveaway().Name},
+			&cli.BoolFlag{Name: flagPlatformOnly, Usage: "run the stand-ins alone"},
+			&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "info"},
+		},
+		Action: runDev,
+	}
+}
+
+func loadTestCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "loadtest",
+		Usage: "run load against a deployment of stand-ins in this process and print tables",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment, or all: " + deploymentNames(), Value: allDeployments},
+			&cli.StringFlag{Name: flagSuite, Usage: "`NAME` of the comparison: " + suiteNames(), Value: suiteScenarios},
+			&cli.Uint64Flag{Name: flagSeed, Usage: "seed of the load", Value: 1},
+			&cli.DurationFlag{Name: flagDuration, Usage: "length of one run", Value: 20 * time.Second},
+			&cli.FloatFlag{Name: flagRate, Usage: "chat requests a second", Value: 10},
+			&cli.StringFlag{Name: flagOnly, Usage: "run the trials whose scenario or policy contains `TEXT`"},
+			&cli.IntFlag{Name: flagSlowest, Usage: "wait records to print for each run: failed requests, then the slowest"},
+			&cli.IntFlag{Name: flagRuns, Usage: "runs of each policy, with consecutive seeds", Value: 1},
+			&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "error"},
 		},
+		Action: runLoadTest,
 	}
 }
 
@@ -128,7 +166,11 @@
 }
 
 func runRouter(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := settings.LoadRouter(cmd.String(flagSettings))
+	path, err := settingsPath(cmd)
+	if err != nil {
+		return err
+	}
+	cfg, err := settings.LoadRouter(path)
 	if err != nil {
 		return err
 	}
@@ -144,7 +186,11 @@
 }
 
 func runSidecar(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := settings.LoadSidecar(cmd.String(flagSettings))
+	path, err := settingsPath(cmd)
+	if err != nil {
+		return err
+	}
+	cfg, err := settings.LoadSidecar(path)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/daemon/command_test.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestExitCodesOfWrongCommandLines(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	is.New(t).NoErr(os.WriteFile(bad, []byte(`{"bogus": 1}`), 0o600))
+	for _, tc := range []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"help", []string{"--help"}, ExitOK},
+		{"no settings", []string{"router"}, ExitSettings},
+		{"wrong settings", []string{"sidecar", "--settings", bad}, ExitSettings},
+		{"settings that can't be read", []string{"router", "--settings", bad + ".none"}, ExitSettings},
+		{"unknown flag", []string{"router", "--frob"}, ExitSettings},
+		{"unknown command", []string{"frob"}, ExitSettings},
+		{"unknown deployment", []string{"dev", "--deployment", "none"}, ExitSettings},
+		{"unknown log level", []string{"dev", "--log-level", "loud"}, ExitSettings},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Main(context.Background(), append([]string{"ragwortdoord"}, tc.args...))
+			is.New(t).Equal(got, tc.want)
+		})
+	}
+}
