--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -27,6 +27,7 @@
 	flagSettings     = "settings"
 	flagDeployment   = "deployment"
 	flagPlatformOnly = "platform-only"
+	flagPortOffset   = "port-offset"
 	flagLogLevel     = "log-level"
 	flagSuite        = "suite"
 	flagSeed         = "seed"
@@ -132,6 +133,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: flagDeployment, Usage: "`NAME` of the sample deployment: " + deploymentNames(), Value: sample.OffcutGiveaway().Name},
 			&cli.BoolFlag{Name: flagPlatformOnly, Usage: "run the stand-ins alone"},
+			&cli.IntFlag{Name: flagPortOffset, Usage: "`NUMBER` added to each port, 8080 to 8320 without it"},
 			&cli.StringFlag{Name: flagLogLevel, Usage: "`LEVEL` of logs: debug, info, warn or error", Value: "info"},
 		},
 		Action: runDev,
@@ -214,7 +216,7 @@
 	if err != nil {
 		return err
 	}
-	return RunDev(ctx, DevOptions{Shape: shape, PlatformOnly: cmd.Bool(flagPlatformOnly), Log: logger})
+	return RunDev(ctx, DevOptions{Shape: shape, PlatformOnly: cmd.Bool(flagPlatformOnly), PortOffset: cmd.Int(flagPortOffset), Log: logger})
 }
 
 func runLoadTest(ctx context.Context, cmd *cli.Command) error {
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -35,6 +35,11 @@
 	devHostListLag = 500 * time.Millisecond
 )
 
+// devPorts is added to each port of dev mode, so that several can run.
+type devPorts int
+
+func (p devPorts) at(port int) string { return loopback(port + int(p)) }
+
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // DevOptions configure RunDev.
@@ -42,19 +47,22 @@
 	Shape sample.Shape
 	// PlatformOnly runs the stand-ins alone.
 	PlatformOnly bool
-	Log          *log.Logger
+	// PortOffset is added to each port.
+	PortOffset int
+	Log        *log.Logger
 }
 
 // RunDev runs a deployment with stand-ins for the platform until ctx is done.
 func RunDev(ctx context.Context, opts DevOptions) error {
+	ports := devPorts(opts.PortOffset)
 	standins, stopStandins := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopStandins()
-	cluster, err := standin.Start(standins, clusterOptions(opts.Shape))
+	cluster, err := standin.Start(standins, clusterOptions(opts.Shape, ports))
 	if err != nil {
 		return err
 	}
 	defer cluster.Close()
-	hosts := devHosts(opts.Shape)
+	hosts := devHosts(opts.Shape, ports)
 	for _, h := range hosts {
 		cluster.Hosts.Add(h)
 	}
@@ -67,16 +75,16 @@
 		<-ctx.Done()
 		return nil
 	}
-	return runDevProcesses(ctx, cluster, hosts, opts.Log)
+	return runDevProcesses(ctx, cluster, hosts, ports, opts.Log)
 }
 
 // clusterOptions describes the stand-ins of a deployment.
-func clusterOptions(shape sample.Shape) standin.ClusterOptions {
+func clusterOptions(shape sample.Shape, ports devPorts) standin.ClusterOptions {
 	o := standin.ClusterOptions{
-		TableAddress:    loopback(devTable),
-		ObjectAddress:   loopback(devObjects),
-		WeightAddress:   loopback(devWeights),
-		HostListAddress: loopback(devHostList),
+		TableAddress:    ports.at(devTable),
+		ObjectAddress:   ports.at(devObjects),
+		WeightAddress:   ports.at(devWeights),
+		HostListAddress: ports.at(devHostList),
 		Weights:         standin.WeightKnobs{LoadsPerSecond: shape.LoadsPerSecond},
 		HostList:        standin.HostKnobs{LagMS: int(devHostListLag.Milliseconds())},
 	}
@@ -86,7 +94,7 @@
 	for i := range shape.Engines {
 		o.Engines = append(o.Engines, standin.EngineOptions{
 			Host:      engineHost(shape, i),
-			Address:   loopback(devEngines + i),
+			Address:   ports.at(devEngines + i),
 			MemoryMiB: sample.EngineMemoryMiB,
 			Knobs:     devEngineKnobs(i),
 		})
@@ -95,7 +103,7 @@
 		o.Services = append(o.Services, standin.ServiceOptions{
 			Host:    serviceHost(shape, i),
 			Name:    shape.ServicePool,
-			Address: loopback(devServices + i),
+			Address: ports.at(devServices + i),
 		})
 	}
 	return o
@@ -128,21 +136,21 @@
 
 // devHosts is the host list of a deployment: one router, then the engine hosts,
 // then the service hosts.
-func devHosts(shape sample.Shape) []platform.Host {
+func devHosts(shape sample.Shape, ports devPorts) []platform.Host {
 	domain := func(i int) string { return shape.FailureDomains[i%len(shape.FailureDomains)] }
 	hosts := []platform.Host{{
 		ID:              devRouterHost,
 		Role:            platform.RoleRouter,
-		Address:         loopback(devGossip),
-		OperatorAddress: loopback(devOperators),
+		Address:         ports.at(devGossip),
+		OperatorAddress: ports.at(devOperators),
 		FailureDomain:   domain(0),
 	}}
 	for i := range shape.Engines {
 		hosts = append(hosts, platform.Host{
 			ID:              engineHost(shape, i),
 			Role:            platform.RoleUpstream,
-			Address:         loopback(devSidecars + i),
-			OperatorAddress: loopback(devSidecarOps + i),
+			Address:         ports.at(devSidecars + i),
+			OperatorAddress: ports.at(devSidecarOps + i),
 			Pool:            shape.EnginePool,
 			FailureDomain:   domain(i),
 			MemoryMiB:       sample.EngineMemoryMiB,
@@ -152,8 +160,8 @@
 		hosts = append(hosts, platform.Host{
 			ID:              serviceHost(shape, i),
 			Role:            platform.RoleUpstream,
-			Address:         loopback(devSidecars + shape.Engines + i),
-			OperatorAddress: loopback(devSidecarOps + shape.Engines + i),
+			Address:         ports.at(devSidecars + shape.Engines + i),
+			OperatorAddress: ports.at(devSidecarOps + shape.Engines + i),
 			Pool:            shape.ServicePool,
 			FailureDomain:   domain(i),
 			Service:         shape.ServicePool,
@@ -176,8 +184,8 @@
 
 // runDevProcesses runs the router and the sidecars. The sidecars outlive the
 // router, so that its running requests can end.
-func runDevProcesses(ctx context.Context, cluster *standin.Cluster, hosts []platform.Host, logger *log.Logger) error {
-	router, err := newDevRouter(cluster, hosts[0], logger)
+func runDevProcesses(ctx context.Context, cluster *standin.Cluster, hosts []platform.Host, ports devPorts, logger *log.Logger) error {
+	router, err := newDevRouter(cluster, hosts[0], ports.at(devCallers), logger)
 	if err != nil {
 		return err
 	}
@@ -199,8 +207,8 @@
 	return g.Wait()
 }
 
-func newDevRouter(cluster *standin.Cluster, h platform.Host, logger *log.Logger) (*Router, error) {
-	cfg, err := devRouterSettings(cluster, h, loopback(devCallers))
+func newDevRouter(cluster *standin.Cluster, h platform.Host, callers string, logger *log.Logger) (*Router, error) {
+	cfg, err := devRouterSettings(cluster, h, callers)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -29,8 +29,8 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
-// binary is the daemon that the tests start, built by TestMain.
-var binary string
+// binary and client are the programs that the tests start, built by TestMain.
+var binary, client string
 
 func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
@@ -50,7 +50,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binary = filepath.Join(dir, "ragwortdoord")
-	args := []string{"build", "-race", "-o", binary, "../../cmd/ragwortdoord"}
+	client = filepath.Join(dir, "ragwortdoor")
+	args := []string{"build", "-race", "-o", dir, "../../cmd/ragwortdoord", "../../cmd/ragwortdoor"}
 	if benchmarking() {
 		args = slices.Delete(args, 1, 2) // the race detector spoils figures
 	}
--- a/internal/daemon/testbed.go
+++ b/internal/daemon/testbed.go
@@ -78,7 +78,7 @@
 }
 
 func (b *testbed) startStandins(knobs standin.EngineKnobs) error {
-	opts := clusterOptions(b.shape)
+	opts := clusterOptions(b.shape, 0)
 	opts.TableAddress, opts.ObjectAddress, opts.WeightAddress, opts.HostListAddress = "", "", "", ""
 	for i := range opts.Engines {
 		opts.Engines[i].Address = ""
@@ -113,7 +113,7 @@
 
 // startProcesses adds the hosts to the list and runs their processes.
 func (b *testbed) startProcesses(ctx context.Context) error {
-	b.hosts = devHosts(b.shape)
+	b.hosts = devHosts(b.shape, 0)
 	for i := 1; i < loadTestRouters; i++ {
 		router := b.hosts[0]
 		router.ID = fmt.Sprintf("router-%d", i+1)
