--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -189,39 +188,6 @@
 	return names
 }
 
-func (r *Router) watches(h platform.Host) bool {
-	return watchesHost(len(r.store.Load().Hosts.Hosts), h, r.cfg.GetFailureDomain(), r.decider.Hosts())
-}
-
-// watchesHost reports whether a router keeps a session to a host. In a small
-// deployment it watches all hosts. In a large one it watches those of its own
-// failure domain, and those that hold replicas it decides about.
-func watchesHost(listed int, h platform.Host, domain string, decided []string) bool {
-	return listed <= maxWatchedHosts || h.FailureDomain == domain || slices.Contains(decided, h.ID)
-}
-
-func (r *Router) liveRouters() []string {
-	return r.routersWhere(func(platform.Host) bool { return true })
-}
-
-// watchers lists the live routers that watch the same hosts as this one.
-func (r *Router) watchers() []string {
-	all := len(r.store.Load().Hosts.Hosts) <= maxWatchedHosts
-	return r.routersWhere(func(h platform.Host) bool {
-		return all || h.FailureDomain == r.cfg.GetFailureDomain()
-	})
-}
-
-func (r *Router) routersWhere(matches func(platform.Host) bool) []string {
-	var ids []string
-	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter && h.State == platform.HostLive && matches(h) {
-			ids = append(ids, h.ID)
-		}
-	}
-	return ids
-}
-
 func (r *Router) wireFront(c clients) {
 	r.claims = claim.New(claim.Options{Table: c.table, Router: r.cfg.GetHost(), Log: r.log})
 	r.sweeper = claim.NewSweeper(claim.SweeperOptions{Table: c.table, Leases: r.leases, Log: r.log})
