Dead and doubled work found in a last reading

- view.Store.Changed was signalled at each update and read by nobody: gone.
- The lowest revision of the sidecars was computed over the whole host list each second for a gossip field that nobody read: gone, with the field.
- permit.DefaultOptions was unused and differed from the daemon's constants: it now holds the values in force, and the daemon calls it.
- transport.Session.Closed was unused.
Behaviour is the same; tests of view, upstream, gossip, permit, transport pass.

--- a/internal/capacity/router_test.go
+++ b/internal/capacity/router_test.go
@@ -207,7 +207,7 @@
 
 // BenchmarkGossip measures the sealing and merging of a message.
 func BenchmarkGossip(b *testing.B) {
-	m := &apiv1.Gossip{Router: "router-00042", BootId: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Sequence: 100_000, ConfigRevision: 90_000, OperatorAddress: "10.0.1.2:9001", SentUnixMs: 1_790_000_000_000, SidecarRevision: 90_000}
+	m := &apiv1.Gossip{Router: "router-00042", BootId: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Sequence: 100_000, ConfigRevision: 90_000, OperatorAddress: "10.0.1.2:9001", SentUnixMs: 1_790_000_000_000}
 	for b.Loop() {
 		data, err := proto.Marshal(m)
 		if err != nil {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -29,7 +29,6 @@
 		BootId:          r.bootID,
 		ConfigRevision:  r.configRevision(),
 		OperatorAddress: r.OperatorAddress(),
-		SidecarRevision: r.sidecarRevision(),
 	}
 }
 
@@ -40,18 +39,6 @@
 	return 0
 }
 
-// sidecarRevision is the lowest configuration revision among the sidecars that
-// this router hears of.
-func (r *Router) sidecarRevision() uint64 {
-	lowest := r.configRevision()
-	for _, h := range r.store.Load().Hosts.Hosts {
-		if report := r.store.Report(h.ID); report != nil {
-			lowest = min(lowest, report.GetConfigRevision())
-		}
-	}
-	return lowest
-}
-
 // heard reads the table at once when a peer has a newer configuration.
 func (r *Router) heard(m *apiv1.Gossip) {
 	if m.GetConfigRevision() <= r.configRevision() {
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -15,12 +15,8 @@
 )
 
 const (
-	permitTick       = 20 * time.Millisecond  // while requests wait
-	permitIdleTick   = 500 * time.Millisecond // to notice that the lease came or went
-	permitAgeStep    = 2 * time.Second
-	permitExpiry     = 2 * time.Minute
-	permitLostExpiry = 30 * time.Second
-	permitHandover   = 5 * time.Second
+	permitTick     = 20 * time.Millisecond  // while requests wait
+	permitIdleTick = 500 * time.Millisecond // to notice that the lease came or went
 
 	defaultParallelLoads  = 4
 	defaultLoadsPerSecond = 2.0
@@ -116,13 +112,7 @@
 		return nil, false
 	}
 	if s.allocator == nil {
-		s.allocator = permit.NewAllocator(now, permit.Options{
-			Limits:     limits,
-			AgeStep:    permitAgeStep,
-			Expiry:     permitExpiry,
-			LostExpiry: permitLostExpiry,
-			Handover:   permitHandover,
-		})
+		s.allocator = permit.NewAllocator(now, permit.DefaultOptions(limits))
 	}
 	s.allocator.SetLimits(now, limits)
 	grants = s.allocator.Tick(now)
--- a/internal/daemon/testbed.go
+++ b/internal/daemon/testbed.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/permit"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
@@ -24,7 +25,7 @@
 	settleLimit     = 30 * time.Second
 	// settledFor is how long the slots must be complete before the load starts.
 	// A new permit allocator reaches its full limit within it.
-	settledFor = permitHandover + time.Second
+	settledFor = permit.DefaultHandover + time.Second
 )
 
 // testbed is a deployment with several routers in one process, on free ports of
--- a/internal/gossip/peers.go
+++ b/internal/gossip/peers.go
@@ -11,7 +11,6 @@
 type Peer struct {
 	Router          string
 	ConfigRevision  uint64
-	SidecarRevision uint64
 	OperatorAddress string
 	SeenAt          time.Time
 
@@ -46,7 +45,6 @@
 	p.all[m.GetRouter()] = Peer{
 		Router:          m.GetRouter(),
 		ConfigRevision:  max(m.GetConfigRevision(), old.ConfigRevision),
-		SidecarRevision: m.GetSidecarRevision(),
 		OperatorAddress: m.GetOperatorAddress(),
 		SeenAt:          now,
 		bootID:          m.GetBootId(),
--- a/internal/permit/allocator.go
+++ b/internal/permit/allocator.go
@@ -30,13 +30,17 @@
 	Handover time.Duration
 }
 
-// DefaultOptions returns the options used in production, without limits.
-func DefaultOptions() Options {
+// DefaultHandover is the Handover of DefaultOptions.
+const DefaultHandover = 5 * time.Second
+
+// DefaultOptions returns the options that routers use.
+func DefaultOptions(limits Limits) Options {
 	return Options{
+		Limits:     limits,
 		AgeStep:    2 * time.Second,
-		Expiry:     5 * time.Minute,
-		LostExpiry: 20 * time.Second,
-		Handover:   2 * time.Second,
+		Expiry:     2 * time.Minute,
+		LostExpiry: 30 * time.Second,
+		Handover:   DefaultHandover,
 	}
 }
 
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -85,9 +85,6 @@
 	return newStream(conn), nil
 }
 
-// Closed is closed when the session has ended.
-func (s *Session) Closed() <-chan struct{} { return s.mux.CloseChan() }
-
 // Streams returns the number of open streams.
 func (s *Session) Streams() int { return s.mux.NumStreams() }
 
--- a/internal/upstream/handover.go
+++ b/internal/upstream/handover.go
@@ -6,7 +6,6 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -61,11 +60,7 @@
 // Its assignment then shows in the sidecar's report, and this router need not
 // hand over the same.
 func (l *link) pushDelay() time.Duration {
-	if l.opts.Peers == nil {
-		return 0
-	}
-	rank := rendezvous.Rank(l.host.ID, l.opts.Router, l.opts.Peers())
-	return min(time.Duration(rank)*pushStagger, maxPushDelay)
+	return min(time.Duration(l.rank(l.host.ID))*pushStagger, maxPushDelay)
 }
 
 // holds reports whether the sidecar has an assignment as new as the snapshot,
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -23,6 +23,7 @@
 type link struct {
 	opts   Options
 	host   platform.Host
+	rank   func(host string) int // of this router for a host, 0 for the first
 	cancel context.CancelFunc
 
 	wake  chan struct{} // the snapshot may have changed
@@ -38,10 +39,11 @@
 	pushed revisions
 }
 
-func newLink(opts Options, h platform.Host, cancel context.CancelFunc) *link {
+func newLink(opts Options, h platform.Host, rank func(host string) int, cancel context.CancelFunc) *link {
 	return &link{
 		opts:      opts,
 		host:      h,
+		rank:      rank,
 		cancel:    cancel,
 		wake:      make(chan struct{}, 1),
 		force:     make(chan struct{}, 1),
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -9,12 +9,14 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -58,6 +60,10 @@
 	mu    sync.Mutex
 	links map[string]*link // by host id; guarded by mu
 	wg    sync.WaitGroup
+
+	// peers is what opts.Peers returned at the last reconcile: links rank
+	// themselves by it without a walk over the host list each.
+	peers atomic.Pointer[[]string]
 }
 
 // NewManager makes a manager without links; Run opens them.
@@ -105,6 +111,7 @@
 // reconcile opens links to the hosts to be watched, ends the others, and lets
 // those that stay look at the new snapshot.
 func (m *Manager) reconcile(ctx context.Context, snap *view.Snapshot) {
+	m.learnPeers()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, l := range m.links {
@@ -126,10 +133,26 @@
 	}
 }
 
+func (m *Manager) learnPeers() {
+	if m.opts.Peers != nil {
+		peers := m.opts.Peers()
+		m.peers.Store(&peers)
+	}
+}
+
+// rank counts the routers that go before this one for a host.
+func (m *Manager) rank(host string) int {
+	peers := m.peers.Load()
+	if peers == nil {
+		return 0
+	}
+	return rendezvous.Rank(host, m.opts.Router, *peers)
+}
+
 // startLink runs a link; the caller holds mu.
 func (m *Manager) startLink(ctx context.Context, h platform.Host) *link {
 	ctx, cancel := context.WithCancel(ctx)
-	l := newLink(m.opts, h, cancel)
+	l := newLink(m.opts, h, m.rank, cancel)
 	m.links[h.ID] = l
 	m.wg.Go(func() { l.run(ctx) })
 	return l
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -99,12 +99,11 @@
 	write   sync.Mutex // serializes writers; readers never take it
 
 	reports sync.Map // host id -> *apiv1.LoadReport
-	changed chan struct{}
 }
 
 // NewStore makes a store with an empty snapshot.
 func NewStore() *Store {
-	s := &Store{changed: make(chan struct{}, 1)}
+	s := &Store{}
 	s.current.Store(emptySnapshot())
 	return s
 }
@@ -112,10 +111,6 @@
 // Load returns the current snapshot.
 func (s *Store) Load() *Snapshot { return s.current.Load() }
 
-// Changed receives a value after the snapshot was replaced; several
-// replacements may be merged into one value. It serves one reader.
-func (s *Store) Changed() <-chan struct{} { return s.changed }
-
 // Report returns the latest load report of a host, or nil.
 func (s *Store) Report(host string) *apiv1.LoadReport {
 	v, ok := s.reports.Load(host)
@@ -138,10 +133,6 @@
 	next := *s.current.Load()
 	change(&next)
 	s.current.Store(&next)
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
 }
 
 // SetHosts stores a host list, unless the present one is as new.
