--- a/cmd/ragwortdoord/main.go
+++ b/cmd/ragwortdoord/main.go
@@ -1,5 +1,5 @@
-// Command ragwortdoord runs the processes of ragwortdoor: routers, sidecars and
-// the dev mode.
+// Command ragwortdoord runs the processes of ragwortdoor: routers, sidecars, the
+// dev mode, and the entry hosts of the users' platform.
 package main
 
 import (
@@ -13,7 +13,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := daemon.Main(ctx, os.Args)
+	code := daemon.Main(ctx, os.Args, entryCommand())
 	stop()
 	os.Exit(code)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,8 +15,8 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 const defaultPermitTimeout = 500 * time.Millisecond
@@ -26,9 +26,9 @@
 	// Host is the id of this host in the platform's list.
 	Host string
 	// Engine is nil when the host runs no model engine.
-	Engine platform.Engine
+	Engine external.Engine
 	// Service is nil when the host runs no plain service.
-	Service platform.Service
+	Service external.Service
 	// ServiceName is the name under which callers reach Service.
 	ServiceName string
 	// EngineFences is true when the engine refuses orders with an old fencing
@@ -40,7 +40,7 @@
 	// KeepAlive decides how long idle models stay loaded; nil learns it.
 	KeepAlive keepalive.Policy
 	// Clock tells the time; nil selects the system's clock.
-	Clock platform.Clock
+	Clock external.Clock
 	// Log receives one line for each placement decision; nil discards them.
 	Log *log.Logger
 	// Seed starts the random source of jitter; 0 selects a random seed.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestBurstOfFirstRequestsLoadsOnce(t *testing.T) {
@@ -65,18 +65,18 @@
 func TestPhasesNameTheSourceOfALoad(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		tier  platform.Tier
+		tier  external.Tier
 		cause string
 	}{
-		{"remote", platform.TierRemote, "from remote storage"},
-		{"disk", platform.TierDisk, "from local disk"},
-		{"memory", platform.TierMemory, "from host memory"},
+		{"remote", external.TierRemote, "from remote storage"},
+		{"disk", external.TierDisk, "from local disk"},
+		{"memory", external.TierMemory, "from host memory"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
 				is := is.New(t)
 				engine := newFakeEngine()
-				engine.cached = []platform.CachedCheckpoint{{Checkpoint: "m-v1.ckpt", Tier: tc.tier}}
+				engine.cached = []external.CachedCheckpoint{{Checkpoint: "m-v1.ckpt", Tier: tc.tier}}
 				b := newBench(engine, nil)
 				defer b.close()
 				b.assign(slot("m", 1))
@@ -95,28 +95,28 @@
 }
 
 func TestAStreamEndsWholeOrRefused(t *testing.T) {
-	token := func(id string, offset int) platform.TokenEvent {
-		return platform.TokenEvent{RequestID: id, Offset: offset, Text: tokenText(id, offset)}
+	token := func(id string, offset int) external.TokenEvent {
+		return external.TokenEvent{RequestID: id, Offset: offset, Text: tokenText(id, offset)}
 	}
-	end := func(offset int) platform.TokenEvent {
-		return platform.TokenEvent{RequestID: "r", Offset: offset, Done: true}
+	end := func(offset int) external.TokenEvent {
+		return external.TokenEvent{RequestID: "r", Offset: offset, Done: true}
 	}
 	for _, tc := range []struct {
 		name   string
-		script [][]platform.TokenEvent
+		script [][]external.TokenEvent
 		whole  bool
 	}{
-		{"cut once", [][]platform.TokenEvent{{token("r", 0), token("r", 1)}}, true},
-		{"cut twice", [][]platform.TokenEvent{{token("r", 0)}, {token("r", 1)}}, true},
-		{"cut at once, three times", [][]platform.TokenEvent{{}, {}, {}}, false},
-		{"other request", [][]platform.TokenEvent{{token("x", 0), token("r", 0), token("r", 1), end(2)}}, true},
-		{"other request's end", [][]platform.TokenEvent{{{RequestID: "x", Done: true}, token("r", 0), end(1)}}, true},
-		{"duplicate", [][]platform.TokenEvent{{token("r", 0), token("r", 0), token("r", 1), end(2)}}, true},
-		{"gap", [][]platform.TokenEvent{{token("r", 0), token("r", 2), end(3)}}, true},
-		{"gap each time", [][]platform.TokenEvent{{token("r", 1)}, {token("r", 1)}, {token("r", 1)}}, false},
-		{"end too early", [][]platform.TokenEvent{{token("r", 0), end(0)}, {end(0)}, {end(0)}}, false},
-		{"end too late", [][]platform.TokenEvent{{token("r", 0), end(3)}, {end(3)}, {end(3)}}, false},
-		{"error event", [][]platform.TokenEvent{{{RequestID: "r", Error: "out of memory"}}}, true},
+		{"cut once", [][]external.TokenEvent{{token("r", 0), token("r", 1)}}, true},
+		{"cut twice", [][]external.TokenEvent{{token("r", 0)}, {token("r", 1)}}, true},
+		{"cut at once, three times", [][]external.TokenEvent{{}, {}, {}}, false},
+		{"other request", [][]external.TokenEvent{{token("x", 0), token("r", 0), token("r", 1), end(2)}}, true},
+		{"other request's end", [][]external.TokenEvent{{{RequestID: "x", Done: true}, token("r", 0), end(1)}}, true},
+		{"duplicate", [][]external.TokenEvent{{token("r", 0), token("r", 0), token("r", 1), end(2)}}, true},
+		{"gap", [][]external.TokenEvent{{token("r", 0), token("r", 2), end(3)}}, true},
+		{"gap each time", [][]external.TokenEvent{{token("r", 1)}, {token("r", 1)}, {token("r", 1)}}, false},
+		{"end too early", [][]external.TokenEvent{{token("r", 0), end(0)}, {end(0)}, {end(0)}}, false},
+		{"end too late", [][]external.TokenEvent{{token("r", 0), end(3)}, {end(3)}, {end(3)}}, false},
+		{"error event", [][]external.TokenEvent{{{RequestID: "r", Error: "out of memory"}}}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			bubble(t, func(t *testing.T) {
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -10,7 +10,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // chunkBytes bounds the data of one frame of a body.
@@ -63,7 +63,7 @@
 		return callRefusal(ctx, err, false)
 	}
 	a.opts.Log.Info("call", "host", a.opts.Host, "request", in.GetRequestId(), "service", in.GetService(), "method", in.GetMethod())
-	response, err := a.opts.Service.Call(ctx, platform.ServiceCall{
+	response, err := a.opts.Service.Call(ctx, external.ServiceCall{
 		RequestID: in.GetRequestId(),
 		Method:    in.GetMethod(),
 		Path:      in.GetPath(),
@@ -71,7 +71,7 @@
 		Body:      reader,
 	})
 	if err != nil {
-		return callRefusal(ctx, err, platform.OutcomeUnknown(err))
+		return callRefusal(ctx, err, external.OutcomeUnknown(err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	head := &apiv1.CallResponse{RequestId: in.GetRequestId(), Status: uint32(response.Status), Headers: fromHeader(response.Header)}
@@ -95,7 +95,7 @@
 
 // sendBody streams the body of an answer. The last chunk is sent only after the
 // whole body was read.
-func sendBody(s frameStream, method string, response platform.ServiceResponse) error {
+func sendBody(s frameStream, method string, response external.ServiceResponse) error {
 	buffer := make([]byte, chunkBytes)
 	var sent int64
 	for {
@@ -125,7 +125,7 @@
 }
 
 // shortOf reports whether a body has fewer bytes than its header announced.
-func shortOf(method string, response platform.ServiceResponse, sent int64) bool {
+func shortOf(method string, response external.ServiceResponse, sent int64) bool {
 	noBody := method == http.MethodHead || response.Status == http.StatusNoContent || response.Status == http.StatusNotModified
 	announced, err := strconv.ParseInt(response.Header.Get("Content-Length"), 10, 64)
 	return err == nil && !noBody && sent < announced
--- a/internal/agent/call_test.go
+++ b/internal/agent/call_test.go
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // fakeService answers with a body; it counts the calls that it ran whole.
@@ -27,24 +27,24 @@
 	took   time.Duration
 }
 
-func (f *fakeService) Call(ctx context.Context, call platform.ServiceCall) (platform.ServiceResponse, error) {
+func (f *fakeService) Call(ctx context.Context, call external.ServiceCall) (external.ServiceResponse, error) {
 	if f.err != nil {
-		return platform.ServiceResponse{}, f.err
+		return external.ServiceResponse{}, f.err
 	}
 	sent, err := io.ReadAll(call.Body)
 	if err != nil {
-		return platform.ServiceResponse{}, &platform.Error{Kind: platform.KindUnavailable, Op: "call", OutcomeUnknown: true, Err: err}
+		return external.ServiceResponse{}, &external.Error{Kind: external.KindUnavailable, Op: "call", OutcomeUnknown: true, Err: err}
 	}
 	f.runs++
 	select {
 	case <-time.After(f.took):
 	case <-ctx.Done():
-		return platform.ServiceResponse{}, ctx.Err()
+		return external.ServiceResponse{}, ctx.Err()
 	}
 	if f.body == nil {
 		f.body = bytes.NewReader(sent)
 	}
-	return platform.ServiceResponse{Status: http.StatusCreated, Header: f.header, Body: io.NopCloser(f.body)}, nil
+	return external.ServiceResponse{Status: http.StatusCreated, Header: f.header, Body: io.NopCloser(f.body)}, nil
 }
 
 func chunk(data string, last bool) *apiv1.RouterFrame {
@@ -98,8 +98,8 @@
 		{name: "draining", service: &fakeService{}, drain: true, chunks: whole},
 		{name: "body never comes", service: &fakeService{}},
 		{name: "body cut", service: &fakeService{}, chunks: whole[:1], unknown: true},
-		{name: "not sent", service: &fakeService{err: &platform.Error{Kind: platform.KindUnavailable, Err: cut}}, chunks: whole},
-		{name: "sent, no answer", service: &fakeService{err: &platform.Error{OutcomeUnknown: true, Err: cut}}, chunks: whole, unknown: true},
+		{name: "not sent", service: &fakeService{err: &external.Error{Kind: external.KindUnavailable, Err: cut}}, chunks: whole},
+		{name: "sent, no answer", service: &fakeService{err: &external.Error{OutcomeUnknown: true, Err: cut}}, chunks: whole, unknown: true},
 		{name: "untyped error", service: &fakeService{err: cut}, chunks: whole, unknown: true},
 		{name: "answer after the deadline", service: &fakeService{took: time.Minute}, chunks: whole, unknown: true, runs: 1},
 		{
--- a/internal/agent/engine_streams_test.go
+++ b/internal/agent/engine_streams_test.go
@@ -7,15 +7,15 @@
 	"sync"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
-func (e *fakeEngine) Generate(ctx context.Context, gen platform.Generation) (platform.TokenStream, error) {
+func (e *fakeEngine) Generate(ctx context.Context, gen external.Generation) (external.TokenStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.models[gen.Model]
-	if m == nil || m.State != platform.ModelReady {
-		return nil, engineError(platform.KindNotFound, false)
+	if m == nil || m.State != external.ModelReady {
+		return nil, engineError(external.KindNotFound, false)
 	}
 	events := wholeAnswer(gen.RequestID, gen.Offset, gen.MaxTokens)
 	if len(e.script) > 0 {
@@ -29,35 +29,35 @@
 // tokenText is token i of the answer to a request; no other answer has it.
 func tokenText(id string, i int) string { return fmt.Sprint(id, "/", i) }
 
-func wholeAnswer(id string, from, tokens int) []platform.TokenEvent {
-	var events []platform.TokenEvent
+func wholeAnswer(id string, from, tokens int) []external.TokenEvent {
+	var events []external.TokenEvent
 	for i := from; i < tokens; i++ {
-		events = append(events, platform.TokenEvent{RequestID: id, Offset: i, Text: tokenText(id, i)})
+		events = append(events, external.TokenEvent{RequestID: id, Offset: i, Text: tokenText(id, i)})
 	}
-	return append(events, platform.TokenEvent{RequestID: id, Offset: tokens, Done: true, FinishReason: "stop"})
+	return append(events, external.TokenEvent{RequestID: id, Offset: tokens, Done: true, FinishReason: "stop"})
 }
 
 type fakeTokens struct {
 	ctx    context.Context
 	engine *fakeEngine
 	model  *fakeModel
-	events []platform.TokenEvent
+	events []external.TokenEvent
 	once   sync.Once
 }
 
-func (t *fakeTokens) Next() (platform.TokenEvent, error) {
+func (t *fakeTokens) Next() (external.TokenEvent, error) {
 	timer := time.NewTimer(t.engine.tokenTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-t.ctx.Done():
-		return platform.TokenEvent{}, t.ctx.Err()
+		return external.TokenEvent{}, t.ctx.Err()
 	}
 	t.engine.mu.Lock()
 	cut := t.engine.models[t.model.Model] != t.model // the engine has restarted
 	t.engine.mu.Unlock()
 	if len(t.events) == 0 || cut {
-		return platform.TokenEvent{}, io.ErrUnexpectedEOF
+		return external.TokenEvent{}, io.ErrUnexpectedEOF
 	}
 	event := t.events[0]
 	t.events = t.events[1:]
--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // fault is what goes wrong with one order.
@@ -27,7 +27,7 @@
 )
 
 type fakeModel struct {
-	platform.EngineModel
+	external.EngineModel
 	running int
 }
 
@@ -38,7 +38,7 @@
 	boot     int
 	totalMiB uint32
 	models   map[string]*fakeModel
-	cached   []platform.CachedCheckpoint
+	cached   []external.CachedCheckpoint
 	faults   []fault // of the next orders
 	breaches []string
 	loads    map[string]int
@@ -46,10 +46,10 @@
 	// loadTime and tokenTime are the duration of a load and of a token.
 	loadTime, tokenTime time.Duration
 	// script replaces the events of the next streams, first one first.
-	script [][]platform.TokenEvent
+	script [][]external.TokenEvent
 	// onOrder is told each load order that is given, onApply each that takes
 	// effect; both return a breach or "".
-	onOrder, onApply func(platform.Order) string
+	onOrder, onApply func(external.Order) string
 	// paused is closed when the sidecar is paused.
 	paused chan struct{}
 	// fences is the highest fencing number of each model; nil ignores them.
@@ -82,8 +82,8 @@
 	return used
 }
 
-func engineError(kind platform.Kind, unknown bool) error {
-	return &platform.Error{Kind: kind, Op: "engine order", OutcomeUnknown: unknown}
+func engineError(kind external.Kind, unknown bool) error {
+	return &external.Error{Kind: kind, Op: "engine order", OutcomeUnknown: unknown}
 }
 
 func (e *fakeEngine) nextFault() fault {
@@ -95,29 +95,29 @@
 	return f
 }
 
-func (e *fakeEngine) Do(ctx context.Context, order platform.Order) error {
+func (e *fakeEngine) Do(ctx context.Context, order external.Order) error {
 	e.mu.Lock()
 	f := e.nextFault()
-	if order.Kind == platform.OrderLoad {
+	if order.Kind == external.OrderLoad {
 		e.consult(e.onOrder, order)
 	}
 	e.mu.Unlock()
 	done := make(chan error, 1)
 	switch f {
 	case faultRefused:
-		return engineError(platform.KindInvalid, false)
+		return engineError(external.KindInvalid, false)
 	case faultLostOrder:
-		return engineError(platform.KindUnavailable, true)
+		return engineError(external.KindUnavailable, true)
 	case faultLateOrder:
 		go func() {
 			e.delay()
 			done <- e.apply(order)
 		}()
-		return engineError(platform.KindUnavailable, true)
+		return engineError(external.KindUnavailable, true)
 	}
 	go func() { done <- e.apply(order) }()
 	if f == faultLostAnswer {
-		return engineError(platform.KindUnavailable, true)
+		return engineError(external.KindUnavailable, true)
 	}
 	select {
 	case err := <-done:
@@ -152,11 +152,11 @@
 	e.paused = make(chan struct{})
 }
 
-func (e *fakeEngine) apply(order platform.Order) error {
+func (e *fakeEngine) apply(order external.Order) error {
 	e.mu.Lock()
 	if e.fences != nil && order.Epoch < e.fences[order.Model] {
 		e.mu.Unlock()
-		return engineError(platform.KindFenced, false)
+		return engineError(external.KindFenced, false)
 	}
 	if e.fences != nil {
 		e.fences[order.Model] = order.Epoch
@@ -168,58 +168,58 @@
 	if err != nil {
 		return err
 	}
-	if order.Kind != platform.OrderLoad {
+	if order.Kind != external.OrderLoad {
 		took = 10 * time.Millisecond
 	}
 	time.Sleep(took)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.boot != boot {
-		return engineError(platform.KindUnavailable, true)
+		return engineError(external.KindUnavailable, true)
 	}
 	e.complete(order)
 	return nil
 }
 
 // start applies the first half of an order.
-func (e *fakeEngine) start(order platform.Order) error {
+func (e *fakeEngine) start(order external.Order) error {
 	m := e.models[order.Model]
 	switch order.Kind {
-	case platform.OrderLoad:
+	case external.OrderLoad:
 		return e.startLoad(order)
-	case platform.OrderUnload:
+	case external.OrderUnload:
 		if m == nil {
-			return engineError(platform.KindNotFound, false)
+			return engineError(external.KindNotFound, false)
 		}
 		if m.running > 0 {
 			e.breach("unload of %s with %d requests running", order.Model, m.running)
 		}
-		m.State = platform.ModelUnloading
-	case platform.OrderLoadAdapter:
+		m.State = external.ModelUnloading
+	case external.OrderLoadAdapter:
 		if m == nil {
-			return engineError(platform.KindNotFound, false)
+			return engineError(external.KindNotFound, false)
 		}
-		m.Adapters = append(m.Adapters, platform.EngineAdapter{Adapter: order.Adapter, MemoryMiB: order.MemoryMiB, State: platform.ModelLoading})
+		m.Adapters = append(m.Adapters, external.EngineAdapter{Adapter: order.Adapter, MemoryMiB: order.MemoryMiB, State: external.ModelLoading})
 		e.checkMemory(order)
 	}
 	return nil
 }
 
-func (e *fakeEngine) startLoad(order platform.Order) error {
+func (e *fakeEngine) startLoad(order external.Order) error {
 	if e.models[order.Model] != nil {
 		e.breach("second load of %s", order.Model)
-		return engineError(platform.KindInvalid, false)
+		return engineError(external.KindInvalid, false)
 	}
 	e.consult(e.onApply, order)
 	e.loads[order.Model]++
-	e.models[order.Model] = &fakeModel{EngineModel: platform.EngineModel{
-		Model: order.Model, Version: order.Version, MemoryMiB: order.MemoryMiB, State: platform.ModelLoading,
+	e.models[order.Model] = &fakeModel{EngineModel: external.EngineModel{
+		Model: order.Model, Version: order.Version, MemoryMiB: order.MemoryMiB, State: external.ModelLoading,
 	}}
 	e.checkMemory(order)
 	return nil
 }
 
-func (e *fakeEngine) consult(check func(platform.Order) string, order platform.Order) {
+func (e *fakeEngine) consult(check func(external.Order) string, order external.Order) {
 	if check == nil {
 		return
 	}
@@ -228,34 +228,34 @@
 	}
 }
 
-func (e *fakeEngine) checkMemory(order platform.Order) {
+func (e *fakeEngine) checkMemory(order external.Order) {
 	if used := e.usedMiB(); used > e.totalMiB {
 		e.breach("%s of %s: %d MiB used of %d", order.Kind, order.Model, used, e.totalMiB)
 	}
 }
 
-func (e *fakeEngine) complete(order platform.Order) {
+func (e *fakeEngine) complete(order external.Order) {
 	m := e.models[order.Model]
 	if m == nil {
 		return
 	}
 	switch order.Kind {
-	case platform.OrderLoad:
-		m.State = platform.ModelReady
-	case platform.OrderUnload:
+	case external.OrderLoad:
+		m.State = external.ModelReady
+	case external.OrderUnload:
 		delete(e.models, order.Model)
 	default:
 		e.completeAdapter(m, order)
 	}
 }
 
-func (e *fakeEngine) completeAdapter(m *fakeModel, order platform.Order) {
-	var rest []platform.EngineAdapter
+func (e *fakeEngine) completeAdapter(m *fakeModel, order external.Order) {
+	var rest []external.EngineAdapter
 	for _, a := range m.Adapters {
 		if a.Adapter != order.Adapter {
 			rest = append(rest, a)
-		} else if order.Kind == platform.OrderLoadAdapter {
-			a.State = platform.ModelReady
+		} else if order.Kind == external.OrderLoadAdapter {
+			a.State = external.ModelReady
 			rest = append(rest, a)
 		}
 	}
@@ -270,23 +270,23 @@
 	e.models = make(map[string]*fakeModel)
 }
 
-func (e *fakeEngine) Inventory(context.Context) (platform.Inventory, error) {
+func (e *fakeEngine) Inventory(context.Context) (external.Inventory, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	inv := platform.Inventory{BootID: fmt.Sprint(e.boot), MemoryTotalMiB: e.totalMiB, Cached: e.cached}
+	inv := external.Inventory{BootID: fmt.Sprint(e.boot), MemoryTotalMiB: e.totalMiB, Cached: e.cached}
 	for _, m := range e.models {
 		copied := m.EngineModel
-		copied.Adapters = append([]platform.EngineAdapter(nil), m.Adapters...)
+		copied.Adapters = append([]external.EngineAdapter(nil), m.Adapters...)
 		inv.Models = append(inv.Models, copied)
 	}
 	return inv, nil
 }
 
-func (e *fakeEngine) Load(context.Context) (platform.EngineLoad, error) {
-	return platform.EngineLoad{}, nil
+func (e *fakeEngine) Load(context.Context) (external.EngineLoad, error) {
+	return external.EngineLoad{}, nil
 }
 
-func (e *fakeEngine) CacheEvents(context.Context, int64) ([]platform.CacheEvent, error) {
+func (e *fakeEngine) CacheEvents(context.Context, int64) ([]external.CacheEvent, error) {
 	return nil, nil
 }
 
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestMain(m *testing.M) {
@@ -241,4 +241,4 @@
 	synctest.Test(t, test)
 }
 
-var _ platform.Engine = (*fakeEngine)(nil)
+var _ external.Engine = (*fakeEngine)(nil)
--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -9,7 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -60,15 +60,15 @@
 	if errors.Is(err, errCut) {
 		return true
 	}
-	kind := platform.KindOf(err)
-	return kind == platform.KindUnavailable || kind == platform.KindOverloaded
+	kind := external.KindOf(err)
+	return kind == external.KindUnavailable || kind == external.KindOverloaded
 }
 
 // attempt runs one stream of the engine from the next offset to its end.
 func (g *generation) attempt(ctx context.Context, started time.Time) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	tokens, err := g.agent.opts.Engine.Generate(ctx, platform.Generation{
+	tokens, err := g.agent.opts.Engine.Generate(ctx, external.Generation{
 		RequestID: g.request.GetRequestId(),
 		Model:     g.request.GetModel(),
 		Adapter:   g.request.GetAdapter(),
@@ -78,8 +78,8 @@
 		Priority:  int(g.request.GetPriority()),
 	})
 	if err != nil {
-		g.sent = g.sent || platform.OutcomeUnknown(err)
-		g.modelGone = platform.KindOf(err) == platform.KindNotFound
+		g.sent = g.sent || external.OutcomeUnknown(err)
+		g.modelGone = external.KindOf(err) == external.KindNotFound
 		return err
 	}
 	g.sent = true
@@ -91,13 +91,13 @@
 
 // item is one result of TokenStream.Next.
 type item struct {
-	event platform.TokenEvent
+	event external.TokenEvent
 	err   error
 }
 
 // pump reads a token stream ahead of its consumer, so that tokens that are
 // there at once go into one frame. The channel is closed after an error.
-func pump(ctx context.Context, tokens platform.TokenStream) (events <-chan item, wait func()) {
+func pump(ctx context.Context, tokens external.TokenStream) (events <-chan item, wait func()) {
 	ch := make(chan item, maxBatch)
 	done := make(chan struct{})
 	go func() {
@@ -169,7 +169,7 @@
 	return it, nil
 }
 
-func (g *generation) sendEnd(event platform.TokenEvent) error {
+func (g *generation) sendEnd(event external.TokenEvent) error {
 	end := &apiv1.StreamEnd{
 		RequestId:    g.request.GetRequestId(),
 		TotalTokens:  g.next,
@@ -269,7 +269,7 @@
 		r.Message = fmt.Sprintf("deadline passed at token %d: ask for fewer tokens or a later deadline", g.next)
 	case ctx.Err() != nil:
 		r.Message = "the router cancelled the request"
-	case g.request.GetOffset() > 0 && platform.KindOf(err) == platform.KindNotFound:
+	case g.request.GetOffset() > 0 && external.KindOf(err) == external.KindNotFound:
 		r.Kind = apiv1.RefusalKind_REFUSAL_KIND_NO_STREAM
 	}
 	return r
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 var fuzzModels = []string{"a", "b", "c", "d"}
@@ -58,14 +58,14 @@
 	return spec
 }
 
-func generationOf(order platform.Order) uint64 {
+func generationOf(order external.Order) uint64 {
 	var generation uint64
 	_, _ = fmt.Sscan(order.Checkpoint, &generation)
 	return generation
 }
 
 // checkOrder runs when the sidecar gives a load order.
-func (o *oracle) checkOrder(order platform.Order) string {
+func (o *oracle) checkOrder(order external.Order) string {
 	generation := generationOf(order)
 	o.heldUnder[order.Model] = generation
 	switch {
@@ -80,7 +80,7 @@
 }
 
 // checkApply runs when a load order takes effect.
-func (o *oracle) checkApply(order platform.Order) string {
+func (o *oracle) checkApply(order external.Order) string {
 	if generation := o.heldUnder[order.Model]; generation <= o.confirmed[order.Model] {
 		return fmt.Sprintf("load of %s generation %d after its release was confirmed", order.Model, generation)
 	}
@@ -275,7 +275,7 @@
 	}
 	o.b.engine.mu.Lock()
 	defer o.b.engine.mu.Unlock()
-	o.b.engine.script = [][]platform.TokenEvent{events}
+	o.b.engine.script = [][]external.TokenEvent{events}
 }
 
 // TestAgentKeepsItsPromises drives a whole agent beside an engine that loses
--- a/internal/agent/ledger/ledger_test.go
+++ b/internal/agent/ledger/ledger_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestMain(m *testing.M) {
@@ -34,13 +34,13 @@
 	late []effect
 	// answers are inventories on their way to the ledger.
 	mark *Mark
-	inv  platform.Inventory
+	inv  external.Inventory
 	boot int
 }
 
 type holding struct {
 	mib   uint32
-	state platform.ModelState
+	state external.ModelState
 }
 
 type effect struct {
@@ -55,16 +55,16 @@
 	return w
 }
 
-func (w *world) inventory() platform.Inventory {
-	inv := platform.Inventory{BootID: fmt.Sprint(w.boot), MemoryTotalMiB: totalMiB}
+func (w *world) inventory() external.Inventory {
+	inv := external.Inventory{BootID: fmt.Sprint(w.boot), MemoryTotalMiB: totalMiB}
 	for key, h := range w.held {
 		if key.Adapter != "" {
 			continue
 		}
-		model := platform.EngineModel{Model: key.Model, MemoryMiB: h.mib, State: h.state}
+		model := external.EngineModel{Model: key.Model, MemoryMiB: h.mib, State: h.state}
 		for other, a := range w.held {
 			if other.Model == key.Model && other.Adapter != "" {
-				model.Adapters = append(model.Adapters, platform.EngineAdapter{Adapter: other.Adapter, MemoryMiB: a.mib, State: a.state})
+				model.Adapters = append(model.Adapters, external.EngineAdapter{Adapter: other.Adapter, MemoryMiB: a.mib, State: a.state})
 			}
 		}
 		inv.Models = append(inv.Models, model)
@@ -80,7 +80,7 @@
 }
 
 // load is applied by the engine unless the model of an adapter is gone.
-func (w *world) load(key Key, mib uint32, state platform.ModelState) {
+func (w *world) load(key Key, mib uint32, state external.ModelState) {
 	if _, ok := w.held[Key{Model: key.Model}]; key.Adapter == "" || ok {
 		w.held[key] = holding{mib: mib, state: state}
 	}
@@ -124,7 +124,7 @@
 	var finish func(Key, Outcome, time.Time)
 	switch entry.State {
 	case Loading:
-		apply = func() { w.load(key, entry.MiB, platform.ModelReady) }
+		apply = func() { w.load(key, entry.MiB, external.ModelReady) }
 		finish = w.ledger.EndLoad
 	case Unloading:
 		apply = func() { w.unload(key) }
@@ -253,7 +253,7 @@
 	is := is.New(t)
 	w := newWorld()
 	key := Key{Model: "m"}
-	w.held[key] = holding{mib: 70, state: platform.ModelReady}
+	w.held[key] = holding{mib: 70, state: external.ModelReady}
 	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
 	is.NoErr(w.ledger.BeginUnload(key))
 	w.ledger.EndUnload(key, Unknown, w.now)
@@ -267,7 +267,7 @@
 	is := is.New(t)
 	w := newWorld()
 	model, adapter := Key{Model: "m"}, Key{Model: "m", Adapter: "x"}
-	w.held[model] = holding{mib: 70, state: platform.ModelReady}
+	w.held[model] = holding{mib: 70, state: external.ModelReady}
 	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
 	is.NoErr(w.ledger.Reserve(adapter, 10, ""))
 	is.NoErr(w.ledger.BeginLoad(adapter))
@@ -284,7 +284,7 @@
 	is := is.New(t)
 	w := newWorld()
 	key := Key{Model: "m"}
-	w.held[key] = holding{mib: 70, state: platform.ModelReady}
+	w.held[key] = holding{mib: 70, state: external.ModelReady}
 	w.ledger.Settle(w.ledger.Mark(w.now), w.inventory())
 	is.NoErr(w.ledger.BeginUnload(key))
 	mark, old := w.ledger.Mark(w.now), w.inventory()
@@ -295,12 +295,12 @@
 
 func TestInventoryAtStartSeedsTheLedger(t *testing.T) {
 	for _, tc := range []struct {
-		state platform.ModelState
+		state external.ModelState
 		want  State
 	}{
-		{platform.ModelReady, Ready},
-		{platform.ModelLoading, Unsettled},
-		{platform.ModelUnloading, Unsettled},
+		{external.ModelReady, Ready},
+		{external.ModelLoading, Unsettled},
+		{external.ModelUnloading, Unsettled},
 	} {
 		t.Run(string(tc.state), func(t *testing.T) {
 			is := is.New(t)
--- a/internal/agent/ledger/settle.go
+++ b/internal/agent/ledger/settle.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // SettleDelay is how long an order whose answer was lost may still reach the
@@ -26,7 +26,7 @@
 // Settle takes over an inventory that was asked for after mark. Holders with an
 // order in flight, or changed since mark, stay as they are, and so do the
 // adapters of such a model.
-func (l *Ledger) Settle(mark Mark, inv platform.Inventory) {
+func (l *Ledger) Settle(mark Mark, inv external.Inventory) {
 	l.totalMiB = inv.MemoryTotalMiB
 	shown := shownEntries(inv, mark)
 	for key, seen := range l.settleable(shown, mark) {
@@ -43,7 +43,7 @@
 	maps.DeleteFunc(l.dropped, func(_ Key, at uint64) bool { return at <= mark.sequence })
 }
 
-func shownEntries(inv platform.Inventory, mark Mark) map[Key]Entry {
+func shownEntries(inv external.Inventory, mark Mark) map[Key]Entry {
 	shown := make(map[Key]Entry)
 	for _, model := range inv.Models {
 		key := Key{Model: model.Model}
@@ -56,9 +56,9 @@
 	return shown
 }
 
-func shownEntry(mib uint32, version string, state platform.ModelState, mark Mark) Entry {
+func shownEntry(mib uint32, version string, state external.ModelState, mark Mark) Entry {
 	entry := Entry{MiB: mib, Version: version, State: Ready}
-	if state != platform.ModelReady {
+	if state != external.ModelReady {
 		entry.State = Unsettled
 		entry.since = mark.at
 	}
--- a/internal/agent/planner/adapter.go
+++ b/internal/agent/planner/adapter.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // adapter is one adapter of a replica, loaded or not.
@@ -124,14 +124,14 @@
 	a.spec = q.Adapter
 	a.load = span{begin: now, cause: fmt.Sprintf("adapter %s behind %d adapter loads", key.Adapter, p.adapters.InFlight())}
 	p.adapters.Start()
-	p.send(r, p.adapterOrder(r, a, platform.OrderLoadAdapter), "adapter wanted")
+	p.send(r, p.adapterOrder(r, a, external.OrderLoadAdapter), "adapter wanted")
 }
 
-func (p *Planner) adapterOrder(r *replica, a *adapter, kind platform.OrderKind) *order {
+func (p *Planner) adapterOrder(r *replica, a *adapter, kind external.OrderKind) *order {
 	return &order{
 		key:     ledger.Key{Model: r.model, Adapter: a.spec.Name},
 		adapter: a,
-		body: platform.Order{
+		body: external.Order{
 			Kind:       kind,
 			Epoch:      r.epoch,
 			Model:      r.model,
@@ -150,7 +150,7 @@
 	}
 	a := r.adapter(name)
 	a.spec.Name = name
-	p.send(r, p.adapterOrder(r, a, platform.OrderUnloadAdapter), reason)
+	p.send(r, p.adapterOrder(r, a, external.OrderUnloadAdapter), reason)
 	return true
 }
 
--- a/internal/agent/planner/estimate.go
+++ b/internal/agent/planner/estimate.go
@@ -5,7 +5,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // newShare is the weight of the newest value in a moving average.
@@ -32,7 +32,7 @@
 // source is a model read from one tier.
 type source struct {
 	model string
-	tier  platform.Tier
+	tier  external.Tier
 }
 
 // estimates are learned from the host's own orders.
@@ -41,7 +41,7 @@
 	loads map[source]*average
 	// perMiB holds the load time for each MiB from each tier, for models that
 	// were not loaded from it yet.
-	perMiB  map[platform.Tier]*average
+	perMiB  map[external.Tier]*average
 	adapter average
 	permit  average
 	unload  average
@@ -51,11 +51,11 @@
 func newEstimates() estimates {
 	return estimates{
 		loads:  make(map[source]*average),
-		perMiB: make(map[platform.Tier]*average),
+		perMiB: make(map[external.Tier]*average),
 	}
 }
 
-func (e *estimates) addLoad(model string, tier platform.Tier, mib uint32, took time.Duration) {
+func (e *estimates) addLoad(model string, tier external.Tier, mib uint32, took time.Duration) {
 	from := source{model: model, tier: tier}
 	if e.loads[from] == nil {
 		e.loads[from] = &average{}
@@ -71,7 +71,7 @@
 }
 
 // load returns 0 while nothing was loaded from the tier.
-func (e *estimates) load(model string, tier platform.Tier, mib uint32) time.Duration {
+func (e *estimates) load(model string, tier external.Tier, mib uint32) time.Duration {
 	if known := e.loads[source{model: model, tier: tier}]; known != nil {
 		return known.get()
 	}
@@ -81,11 +81,11 @@
 	return 0
 }
 
-func (p *Planner) tierOf(checkpoint string) platform.Tier {
+func (p *Planner) tierOf(checkpoint string) external.Tier {
 	if tier, ok := p.cached[checkpoint]; ok {
 		return tier
 	}
-	return platform.TierRemote
+	return external.TierRemote
 }
 
 // loadTime estimates a load of the replica's slot; 0 when nothing is known.
@@ -140,7 +140,7 @@
 func (p *Planner) pendingLoad(now time.Time, r *replica) time.Duration {
 	wait := p.loadTime(r) + max(0, r.retryAt.Sub(now))
 	spec := p.specToLoad(r)
-	remote := spec != nil && p.tierOf(spec.GetCheckpoint()) == platform.TierRemote
+	remote := spec != nil && p.tierOf(spec.GetCheckpoint()) == external.TierRemote
 	if remote && (r.load == nil || r.load.permit != permitGranted) {
 		wait += p.estimates.permit.get()
 	}
--- a/internal/agent/planner/inventory.go
+++ b/internal/agent/planner/inventory.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // MarkInventory is called right before the engine is asked for its inventory.
@@ -16,7 +16,7 @@
 }
 
 // Inventory takes over what the engine holds.
-func (p *Planner) Inventory(now time.Time, mark ledger.Mark, inv platform.Inventory) []Action {
+func (p *Planner) Inventory(now time.Time, mark ledger.Mark, inv external.Inventory) []Action {
 	p.observe(now)
 	p.ledger.Settle(mark, inv)
 	p.inventoried = true
@@ -40,7 +40,7 @@
 
 // abortAnswered ends the wait for answers that were lost without an error: the
 // inventory shows the effect, or the engine has restarted.
-func (p *Planner) abortAnswered(mark ledger.Mark, inv platform.Inventory) {
+func (p *Planner) abortAnswered(mark ledger.Mark, inv external.Inventory) {
 	restarted := p.engineBootID != inv.BootID
 	p.engineBootID = inv.BootID
 	for id, o := range p.orders {
@@ -55,27 +55,27 @@
 }
 
 // effective reports whether an inventory shows what the order asked for.
-func effective(o *order, inv platform.Inventory) bool {
+func effective(o *order, inv external.Inventory) bool {
 	ready, present := shownState(o.key, inv)
 	switch o.body.Kind {
-	case platform.OrderLoad, platform.OrderLoadAdapter:
+	case external.OrderLoad, external.OrderLoadAdapter:
 		return ready
 	default:
 		return !present
 	}
 }
 
-func shownState(key ledger.Key, inv platform.Inventory) (ready, present bool) {
+func shownState(key ledger.Key, inv external.Inventory) (ready, present bool) {
 	for _, model := range inv.Models {
 		if model.Model != key.Model {
 			continue
 		}
 		if key.Adapter == "" {
-			return model.State == platform.ModelReady, true
+			return model.State == external.ModelReady, true
 		}
 		for _, a := range model.Adapters {
 			if a.Adapter == key.Adapter {
-				return a.State == platform.ModelReady, true
+				return a.State == external.ModelReady, true
 			}
 		}
 	}
--- a/internal/agent/planner/load.go
+++ b/internal/agent/planner/load.go
@@ -9,7 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 const (
@@ -21,7 +21,7 @@
 type load struct {
 	id   uint64
 	spec *apiv1.SlotSpec
-	tier platform.Tier
+	tier external.Tier
 	// notBefore delays the attempt after a failed one.
 	notBefore time.Time
 	delay     span
@@ -180,8 +180,8 @@
 	r.bind(l.spec)
 	l.run.begin = now
 	l.run.cause = l.source()
-	l.order = p.send(r, &order{key: r.key(), load: l, body: platform.Order{
-		Kind:       platform.OrderLoad,
+	l.order = p.send(r, &order{key: r.key(), load: l, body: external.Order{
+		Kind:       external.OrderLoad,
 		Epoch:      r.epoch,
 		Model:      r.model,
 		Version:    l.spec.GetVersion(),
@@ -193,9 +193,9 @@
 // source names the place that a load reads from.
 func (l *load) source() string {
 	switch {
-	case l.tier == platform.TierMemory:
+	case l.tier == external.TierMemory:
 		return "from host memory"
-	case l.tier == platform.TierDisk:
+	case l.tier == external.TierDisk:
 		return "from local disk"
 	case l.behind > 0:
 		return fmt.Sprintf("from remote storage behind %d loads", l.behind)
@@ -263,10 +263,10 @@
 }
 
 func refusalKind(err error) apiv1.RefusalKind {
-	switch platform.KindOf(err) {
-	case platform.KindFenced:
+	switch external.KindOf(err) {
+	case external.KindFenced:
 		return apiv1.RefusalKind_REFUSAL_KIND_STALE
-	case platform.KindNoMemory:
+	case external.KindNoMemory:
 		return apiv1.RefusalKind_REFUSAL_KIND_NO_MEMORY
 	default:
 		return apiv1.RefusalKind_REFUSAL_KIND_UPSTREAM
--- a/internal/agent/planner/memory_test.go
+++ b/internal/agent/planner/memory_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 func TestModelsThatFillTheMemoryDoNotWaitForEachOther(t *testing.T) {
@@ -73,7 +73,7 @@
 				return
 			}
 			order := r.engine(time.Millisecond, nil)
-			is.Equal(order.Kind, platform.OrderUnload)
+			is.Equal(order.Kind, external.OrderUnload)
 			is.Equal(order.Model, tc.evict)
 			is.Equal(r.engine(time.Second, nil).Model, "c")
 			is.Equal(len(r.sent), 0)
@@ -105,7 +105,7 @@
 
 func TestPermitTakesThePriorityOfThoseThatJoin(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t, keep, platform.Inventory{})
+	r := newRig(t, keep, external.Inventory{})
 	r.assign(spec("m", 1))
 	priority := func(p uint32) func(*Request) { return func(in *Request) { in.Priority = p } }
 	r.admit("m", priority(10))
@@ -118,7 +118,7 @@
 
 func TestPermitNamesTheLoadsAhead(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t, keep, platform.Inventory{})
+	r := newRig(t, keep, external.Inventory{})
 	r.assign(spec("m", 1))
 	id := r.admit("m", nil)
 	r.pass(2 * time.Second)
@@ -147,7 +147,7 @@
 			r.pass(tc.want - time.Second)
 			is.Equal(len(r.sent), 0)
 			r.pass(2 * time.Second)
-			is.Equal(r.engine(time.Millisecond, nil).Kind, platform.OrderUnload)
+			is.Equal(r.engine(time.Millisecond, nil).Kind, external.OrderUnload)
 		})
 	}
 }
@@ -172,7 +172,7 @@
 	want("z") // needs room; x2 still runs, y was used last
 	r.pass(time.Second)
 	order := r.engine(time.Millisecond, nil)
-	is.Equal(order.Kind, platform.OrderUnloadAdapter)
+	is.Equal(order.Kind, external.OrderUnloadAdapter)
 	is.Equal(order.Adapter, "y")
 	is.Equal(r.engine(time.Millisecond, nil).Adapter, "z")
 	r.take(r.p.Finish(r.now, x2))
--- a/internal/agent/planner/order.go
+++ b/internal/agent/planner/order.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // unloadPause delays the next try of an unload that the engine refused.
@@ -15,7 +15,7 @@
 type order struct {
 	replica *replica
 	key     ledger.Key
-	body    platform.Order
+	body    external.Order
 	load    *load
 	adapter *adapter
 	begun   time.Time
@@ -32,8 +32,8 @@
 }
 
 func (p *Planner) sendUnload(r *replica, reason string) {
-	p.send(r, &order{key: r.key(), body: platform.Order{
-		Kind:      platform.OrderUnload,
+	p.send(r, &order{key: r.key(), body: external.Order{
+		Kind:      external.OrderUnload,
 		Epoch:     r.epoch,
 		Model:     r.model,
 		Version:   p.ledger.Get(r.key()).Version,
@@ -49,15 +49,15 @@
 // stopped. An engine that checks fencing numbers refuses it. At any other
 // engine the slot has moved only if the platform's list dropped the host, since
 // silence frees no slot.
-func (p *Planner) Begin(now time.Time, id uint64) (platform.Order, bool, []Action) {
+func (p *Planner) Begin(now time.Time, id uint64) (external.Order, bool, []Action) {
 	p.observe(now)
 	o := p.orders[id]
 	if o == nil {
-		return platform.Order{}, false, p.flush(now)
+		return external.Order{}, false, p.flush(now)
 	}
 	if !p.allowed(o) {
 		p.abandon(now, id, o)
-		return platform.Order{}, false, p.flush(now)
+		return external.Order{}, false, p.flush(now)
 	}
 	o.begun = now
 	return o.body, true, p.flush(now)
@@ -66,11 +66,11 @@
 // allowed reports whether the slot still permits the order. Unloads always are.
 func (p *Planner) allowed(o *order) bool {
 	switch o.body.Kind {
-	case platform.OrderLoad:
+	case external.OrderLoad:
 		held := o.replica.heldAs
 		spec := p.gate.Spec(held.key, held.generation)
 		return spec != nil && sameReplica(spec, o.load.spec)
-	case platform.OrderLoadAdapter:
+	case external.OrderLoadAdapter:
 		return p.gate.Open() && o.replica.spec != nil
 	default:
 		return true
@@ -98,13 +98,13 @@
 	}
 	delete(p.orders, id)
 	switch o.body.Kind {
-	case platform.OrderLoad:
+	case external.OrderLoad:
 		p.endLoad(now, o, err)
-	case platform.OrderUnload:
+	case external.OrderUnload:
 		p.endUnload(now, o, err)
-	case platform.OrderLoadAdapter:
+	case external.OrderLoadAdapter:
 		p.endAdapterLoad(now, o, err)
-	case platform.OrderUnloadAdapter:
+	case external.OrderUnloadAdapter:
 		p.endAdapterUnload(now, o, err)
 	}
 	return p.flush(now)
@@ -114,7 +114,7 @@
 	switch {
 	case err == nil:
 		return ledger.Done
-	case platform.OutcomeUnknown(err):
+	case external.OutcomeUnknown(err):
 		return ledger.Unknown
 	default:
 		return ledger.NotDone
@@ -125,7 +125,7 @@
 // done.
 func unloadOutcome(err error) ledger.Outcome {
 	outcome := outcomeOf(err)
-	if outcome == ledger.NotDone && platform.KindOf(err) == platform.KindNotFound {
+	if outcome == ledger.NotDone && external.KindOf(err) == external.KindNotFound {
 		return ledger.Done
 	}
 	return outcome
@@ -154,7 +154,7 @@
 // the one that it holds.
 func (p *Planner) failUnload(now time.Time, r *replica, err error) {
 	r.unloadAt = now.Add(unloadPause)
-	if platform.KindOf(err) == platform.KindFenced {
+	if external.KindOf(err) == external.KindFenced {
 		p.stats.FencedOrders++
 		if p.opts.EngineFences && r.spec == nil && !r.doomed {
 			r.epoch++
--- a/internal/agent/planner/permit.go
+++ b/internal/agent/planner/permit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // fallbackJitter spreads the loads of hosts that lost the permit allocator.
@@ -25,7 +25,7 @@
 func (p *Planner) askPermit(now time.Time, r *replica) {
 	l := r.load
 	switch {
-	case l.tier != platform.TierRemote:
+	case l.tier != external.TierRemote:
 		return
 	case l.permit == permitNone:
 		l.permit = permitAsked
@@ -39,7 +39,7 @@
 
 func (p *Planner) permitted(now time.Time, l *load) bool {
 	switch {
-	case l.tier != platform.TierRemote || l.permit == permitGranted:
+	case l.tier != external.TierRemote || l.permit == permitGranted:
 		return true
 	case l.permit != permitFallback || p.unpermitted != 0:
 		return false
--- a/internal/agent/planner/planner.go
+++ b/internal/agent/planner/planner.go
@@ -12,8 +12,8 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/adapterload"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 const (
@@ -50,7 +50,7 @@
 	requests   map[uint64]*request
 	orders     map[uint64]*order
 	releases   map[uint64]*replica
-	cached     map[string]platform.Tier
+	cached     map[string]external.Tier
 	deployment *apiv1.Deployment
 	estimates  estimates
 	stats      Stats
@@ -103,7 +103,7 @@
 		requests:  make(map[uint64]*request),
 		orders:    make(map[uint64]*order),
 		releases:  make(map[uint64]*replica),
-		cached:    make(map[string]platform.Tier),
+		cached:    make(map[string]external.Tier),
 		estimates: newEstimates(),
 	}
 }
--- a/internal/agent/planner/planner_test.go
+++ b/internal/agent/planner/planner_test.go
@@ -9,8 +9,8 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 const keep = keepalive.Fixed(time.Hour)
@@ -74,7 +74,7 @@
 
 func TestModelsOutsideTheSlotsAreUnloadedOnceIdle(t *testing.T) {
 	is := is.New(t)
-	inv := platform.Inventory{Models: []platform.EngineModel{{Model: "old", Version: "v1", MemoryMiB: 60, State: platform.ModelReady}}}
+	inv := external.Inventory{Models: []external.EngineModel{{Model: "old", Version: "v1", MemoryMiB: 60, State: external.ModelReady}}}
 	r := newRig(t, keep, inv)
 	r.pass(time.Minute)
 	is.Equal(len(r.sent), 0) // nothing before the first slots
@@ -107,7 +107,7 @@
 	_, answered := r.answers[release]
 	is.True(!answered) // the engine has not confirmed
 	r.pass(3 * time.Second)
-	r.take(r.p.Inventory(r.now, r.p.MarkInventory(r.now), platform.Inventory{MemoryTotalMiB: 100}))
+	r.take(r.p.Inventory(r.now, r.p.MarkInventory(r.now), external.Inventory{MemoryTotalMiB: 100}))
 	is.True(r.answers[release].Done)
 	r.assign(spec("m", 1)) // a late push
 	refused = r.admit("m", nil)
@@ -142,7 +142,7 @@
 	waiting := r.admit("m", nil)
 	is.Equal(len(r.sent), 0)
 	r.take(r.p.Finish(r.now, running))
-	is.Equal(r.engine(time.Second, nil).Kind, platform.OrderUnload)
+	is.Equal(r.engine(time.Second, nil).Kind, external.OrderUnload)
 	is.Equal(r.engine(time.Second, nil).Version, "v2")
 	is.True(r.granted[waiting].Cold)
 }
--- a/internal/agent/planner/report.go
+++ b/internal/agent/planner/report.go
@@ -7,7 +7,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // Report describes the engine. The caller fills in what concerns the process.
@@ -99,16 +99,16 @@
 	return names
 }
 
-var wireTiers = map[platform.Tier]apiv1.CheckpointTier{
-	platform.TierMemory: apiv1.CheckpointTier_CHECKPOINT_TIER_MEMORY,
-	platform.TierDisk:   apiv1.CheckpointTier_CHECKPOINT_TIER_DISK,
-	platform.TierRemote: apiv1.CheckpointTier_CHECKPOINT_TIER_REMOTE,
+var wireTiers = map[external.Tier]apiv1.CheckpointTier{
+	external.TierMemory: apiv1.CheckpointTier_CHECKPOINT_TIER_MEMORY,
+	external.TierDisk:   apiv1.CheckpointTier_CHECKPOINT_TIER_DISK,
+	external.TierRemote: apiv1.CheckpointTier_CHECKPOINT_TIER_REMOTE,
 }
 
 func (p *Planner) cachedReport() []*apiv1.CachedCheckpoint {
 	var all []*apiv1.CachedCheckpoint
 	for checkpoint, tier := range p.cached {
-		if tier != platform.TierRemote {
+		if tier != external.TierRemote {
 			all = append(all, &apiv1.CachedCheckpoint{Checkpoint: checkpoint, Tier: wireTiers[tier]})
 		}
 	}
--- a/internal/agent/planner/rig_test.go
+++ b/internal/agent/planner/rig_test.go
@@ -9,8 +9,8 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/ledger"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 // rig plays the agent and the engine around one planner.
@@ -27,7 +27,7 @@
 }
 
 // newRig makes a planner whose engine holds inv.
-func newRig(t *testing.T, policy keepalive.Policy, inv platform.Inventory) *rig {
+func newRig(t *testing.T, policy keepalive.Policy, inv external.Inventory) *rig {
 	boots := 0
 	r := &rig{
 		T: t, now: time.Unix(1000, 0),
@@ -69,10 +69,10 @@
 	return &apiv1.SlotSpec{Model: model, Generation: generation, Epoch: 7, Version: "v1", Checkpoint: model + ".ckpt", MemoryMib: 40}
 }
 
-func onDisk(models ...string) platform.Inventory {
-	var inv platform.Inventory
+func onDisk(models ...string) external.Inventory {
+	var inv external.Inventory
 	for _, model := range models {
-		inv.Cached = append(inv.Cached, platform.CachedCheckpoint{Checkpoint: model + ".ckpt", Tier: platform.TierDisk})
+		inv.Cached = append(inv.Cached, external.CachedCheckpoint{Checkpoint: model + ".ckpt", Tier: external.TierDisk})
 	}
 	return inv
 }
@@ -101,7 +101,7 @@
 }
 
 // engine begins the oldest order that was sent, and ends it after took.
-func (r *rig) engine(took time.Duration, err error) platform.Order {
+func (r *rig) engine(took time.Duration, err error) external.Order {
 	r.Helper()
 	if len(r.sent) == 0 {
 		r.Fatal("no order was sent")
@@ -135,7 +135,7 @@
 }
 
 var (
-	errRefused = &platform.Error{Kind: platform.KindInvalid, Op: "order"}
-	errFenced  = &platform.Error{Kind: platform.KindFenced, Op: "order"}
-	errUnknown = &platform.Error{Kind: platform.KindUnavailable, Op: "order", OutcomeUnknown: true}
+	errRefused = &external.Error{Kind: external.KindInvalid, Op: "order"}
+	errFenced  = &external.Error{Kind: external.KindFenced, Op: "order"}
+	errUnknown = &external.Error{Kind: external.KindUnavailable, Op: "order", OutcomeUnknown: true}
 )
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/planner"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 const (
@@ -64,7 +64,7 @@
 func (a *Agent) inventories(ctx context.Context) {
 	if a.opts.Engine == nil {
 		a.do(func(now time.Time) []planner.Action {
-			return a.planner.Inventory(now, a.planner.MarkInventory(now), platform.Inventory{})
+			return a.planner.Inventory(now, a.planner.MarkInventory(now), external.Inventory{})
 		})
 		return
 	}
--- a/internal/capacity/claims_test.go
+++ b/internal/capacity/claims_test.go
@@ -12,7 +12,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/claim"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -30,7 +30,7 @@
 			defer cluster.Close()
 			cluster.Table.Faults.Set(standin.Faults{DelayMS: 5})
 			store := claim.New(claim.Options{
-				Table:  platform.NewTableClient(platform.ClientOptions{BaseURL: cluster.TableURL}),
+				Table:  external.NewTableClient(external.ClientOptions{BaseURL: cluster.TableURL}),
 				Router: "router", Log: log.New(io.Discard),
 			})
 			var running sync.WaitGroup
--- a/internal/capacity/fixture_test.go
+++ b/internal/capacity/fixture_test.go
@@ -9,7 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/capacity"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
@@ -30,11 +30,11 @@
 }
 
 // fullHosts is a host list of the size that the design is for.
-func fullHosts() platform.HostListing {
-	listing := platform.HostListing{Revision: 1}
-	add := func(role platform.HostRole, n int, name string) {
+func fullHosts() external.HostListing {
+	listing := external.HostListing{Revision: 1}
+	add := func(role external.HostRole, n int, name string) {
 		for i := range n {
-			listing.Hosts = append(listing.Hosts, platform.Host{
+			listing.Hosts = append(listing.Hosts, external.Host{
 				ID:              fmt.Sprintf("%s-%05d", name, i),
 				Role:            role,
 				Address:         fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255),
@@ -42,21 +42,21 @@
 				Pool:            "lm-pool",
 				FailureDomain:   fmt.Sprintf("domain-%02d", i%capacity.FailureDomains),
 				Region:          fmt.Sprintf("region-%02d", i%capacity.Regions),
-				State:           platform.HostLive,
+				State:           external.HostLive,
 				MemoryMiB:       160 << 10,
 			})
 		}
 	}
-	add(platform.RoleRouter, capacity.Routers, "router")
-	add(platform.RoleUpstream, capacity.Sidecars, "server")
+	add(external.RoleRouter, capacity.Routers, "router")
+	add(external.RoleUpstream, capacity.Sidecars, "server")
 	return listing
 }
 
 const slotsPerModel = 2
 
 // fullSlots are the slot rows of the size that the design is for.
-func fullSlots() platform.Changes {
-	var changes platform.Changes
+func fullSlots() external.Changes {
+	var changes external.Changes
 	for m := range capacity.Models {
 		for n := range slotsPerModel {
 			changes.Revision++
@@ -66,7 +66,7 @@
 	return changes
 }
 
-func slotRow(model, n int, version int64) platform.Row {
+func slotRow(model, n int, version int64) external.Row {
 	name := fmt.Sprintf("model-%03d", model)
 	value, err := proto.Marshal(&apiv1.SlotRow{
 		Model: name, Slot: uint32(n), Host: fmt.Sprintf("server-%05d", model*slotsPerModel+n),
@@ -75,7 +75,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return platform.Row{Key: platform.SlotKey(name, uint32(n)), Value: value, Version: version, TxnID: "0123456789abcdef"}
+	return external.Row{Key: external.SlotKey(name, uint32(n)), Value: value, Version: version, TxnID: "0123456789abcdef"}
 }
 
 // report is a load report of a host with one replica, four adapters and twenty
--- a/internal/capacity/router_test.go
+++ b/internal/capacity/router_test.go
@@ -15,7 +15,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/capacity"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -101,7 +101,7 @@
 	b.ReportAllocs()
 	var size int
 	for b.Loop() {
-		var changes platform.Changes
+		var changes external.Changes
 		for i := range 10 {
 			revision++
 			changes.Rows = append(changes.Rows, slotRow(i, 0, revision))
@@ -112,7 +112,7 @@
 			b.Fatal(err)
 		}
 		size = len(data)
-		var read platform.Changes
+		var read external.Changes
 		if err := json.Unmarshal(data, &read); err != nil {
 			b.Fatal(err)
 		}
@@ -155,7 +155,7 @@
 	store := view.NewStore()
 	before := heapInUse()
 	for b.Loop() {
-		var listing platform.HostListing
+		var listing external.HostListing
 		if err := json.Unmarshal(data, &listing); err != nil {
 			b.Fatal(err)
 		}
--- /dev/null
+++ b/internal/cell/election.go
@@ -0,0 +1,349 @@
+// Package cell runs the scheduler of the engines on one router of the fleet and
+// connects all routers with it. The router that schedules is the holder of a
+// lease in the platform's store; the version of the row at its takeover is the
+// fencing number of its orders.
+package cell
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
+)
+
+const (
+	// leaseKey is the row of the lease, TABLE/KEY.
+	leaseKey = "ragwortdoor-lease/scheduler"
+
+	electionTick = 100 * time.Millisecond
+	// renewEvery is the pace of renewals, renewRetry that after a failure.
+	renewEvery   = 500 * time.Millisecond
+	renewRetry   = 150 * time.Millisecond
+	leaseTimeout = 600 * time.Millisecond // of one call to the store
+	// readEvery is the pace at which a router without a scheduler reads the row.
+	readEvery = 300 * time.Millisecond
+	// contendJitter spreads the routers that find the lease vacant.
+	contendJitter = 150 * time.Millisecond
+	// fencedPatience is how long a row must be unchanged before it is taken over
+	// where engines refuse orders of former holders: three renewals.
+	fencedPatience = 3 * renewEvery
+	// takeoverMargin is added to the lease time where they don't.
+	takeoverMargin = 500 * time.Millisecond
+	// pauseGap is the time between two ticks that shows that the process was
+	// stopped meanwhile.
+	pauseGap = 700 * time.Millisecond
+)
+
+// Tenure is the time in which this router schedules.
+type Tenure struct {
+	// Fence is the fencing number.
+	Fence int64
+	// OrdersFrom is when the former holder's orders are out of the way.
+	OrdersFrom time.Time
+}
+
+// ElectionOptions configure an Election.
+type ElectionOptions struct {
+	Table   external.TableService
+	Host    string
+	BootID  string
+	Address string
+	// LeaseTime is how long two holders must not order within, where engines
+	// don't check fences.
+	LeaseTime         time.Duration
+	EnginesCheckFence bool
+	// IsServed reports whether a scheduler that renews its lease is connected.
+	IsServed func() bool
+	// OnElected and OnLost tell the beginning and the end of a tenure; OnHolder
+	// tells the address of another holder.
+	OnElected func(Tenure)
+	OnLost    func(reason string)
+	OnHolder  func(host, address string)
+	Observer  Observer
+}
+
+// Observer is told what an election learns, for logs.
+type Observer interface {
+	LeaseRead(holder string, version int64)
+	LeaseFailed(op string, err error)
+}
+
+// Election competes for the lease. Its fields belong to the goroutine of Run
+// but for the atomic ones.
+type Election struct {
+	opts ElectionOptions
+
+	fence   int64 // 0 while another router schedules
+	row     *apiv1.SchedulerLease
+	version int64
+	// watchedSince is when the present version was first seen.
+	watchedSince time.Time
+	nextRead     time.Time
+	nextRenewal  time.Time
+	nextTake     time.Time
+	lastTick     time.Time
+	// storeFails is set while the last call to the store failed.
+	storeFails atomic.Bool
+	// renewed is when the last successful renewal was sent, in nanoseconds of
+	// the monotonic clock since began.
+	renewed atomic.Int64
+	began   time.Time
+	// resumed is set after a pause until the next renewal.
+	resumed atomic.Bool
+}
+
+// NewElection makes an election; call Run.
+func NewElection(opts ElectionOptions) *Election {
+	return &Election{opts: opts, row: &apiv1.SchedulerLease{}, began: time.Now()}
+}
+
+// Run competes until ctx ends, then releases a held lease.
+func (e *Election) Run(ctx context.Context) {
+	ticker := time.NewTicker(electionTick)
+	defer ticker.Stop()
+	e.lastTick = time.Now()
+	e.step(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			e.release(context.WithoutCancel(ctx))
+			return
+		case <-ticker.C:
+			e.step(ctx)
+		}
+	}
+}
+
+func (e *Election) step(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(e.lastTick) > pauseGap {
+		e.resumed.Store(true)
+		e.nextRenewal = now
+		e.watchedSince = now
+	}
+	e.lastTick = now
+	if e.fence != 0 {
+		e.renew(ctx, now)
+	} else {
+		e.follow(ctx, now)
+	}
+	// A call to the store may take long; that is no pause of the process.
+	e.lastTick = time.Now()
+}
+
+// RenewedAgo is the time since the last renewal that succeeded was sent.
+func (e *Election) RenewedAgo() time.Duration {
+	return time.Since(e.began) - time.Duration(e.renewed.Load())
+}
+
+// MayOrder reports whether the holder may send an order now. After a pause it
+// must renew first. Where engines check fences it goes on while the store can't
+// be reached, since a successor's orders have a higher fence.
+func (e *Election) MayOrder() bool {
+	if e.resumed.Load() {
+		return false
+	}
+	if e.RenewedAgo() < e.opts.LeaseTime-takeoverMargin {
+		return true
+	}
+	return e.opts.EnginesCheckFence && e.storeFails.Load()
+}
+
+func (e *Election) setRenewed(sent time.Time) {
+	e.renewed.Store(int64(sent.Sub(e.began)))
+	e.resumed.Store(false)
+}
+
+func (e *Election) renew(ctx context.Context, now time.Time) {
+	if now.Before(e.nextRenewal) {
+		return
+	}
+	row := proto.CloneOf(e.row)
+	row.Renewals++
+	result, err := e.commit(ctx, row)
+	if err != nil {
+		e.opts.Observer.LeaseFailed("renew", err)
+		e.nextRenewal = time.Now().Add(renewRetry)
+		return
+	}
+	if result.Committed {
+		e.row = row
+		e.version = result.Version
+		e.setRenewed(now)
+		e.nextRenewal = now.Add(renewEvery)
+		return
+	}
+	present, version := e.conflict(result)
+	if present.GetBootId() != e.opts.BootID || present.GetHolder() == "" {
+		e.see(present, version)
+		e.lose("lease taken over by " + present.GetHolder())
+		return
+	}
+	// An own renewal whose answer was lost came through.
+	e.row = present
+	e.version = version
+	e.nextRenewal = now
+}
+
+func (e *Election) lose(reason string) {
+	e.fence = 0
+	e.opts.OnLost(reason)
+	e.announce()
+}
+
+// follow watches the lease of another router while no scheduler is connected.
+func (e *Election) follow(ctx context.Context, now time.Time) {
+	if e.opts.IsServed() || now.Before(e.nextRead) {
+		return
+	}
+	e.nextRead = now.Add(readEvery/2 + rand.N(readEvery))
+	callCtx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	row, err := e.opts.Table.Get(callCtx, leaseKey)
+	e.storeFails.Store(err != nil)
+	if err != nil {
+		e.opts.Observer.LeaseFailed("read", err)
+		// The holder could not renew either.
+		e.watchedSince = time.Now()
+		return
+	}
+	lease, err := decodeLease(row)
+	if err != nil {
+		e.opts.Observer.LeaseFailed("decode", err)
+		return
+	}
+	e.see(lease, row.Version)
+	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" {
+		// An own takeover whose answer was lost came through.
+		e.elected(row.Version, now)
+		return
+	}
+	if e.mayTake(time.Now()) {
+		e.take(ctx)
+	}
+}
+
+func decodeLease(row external.Row) (*apiv1.SchedulerLease, error) {
+	lease := &apiv1.SchedulerLease{}
+	if row.Version == 0 {
+		return lease, nil
+	}
+	return lease, proto.Unmarshal(row.Value, lease)
+}
+
+// see takes over the present row.
+func (e *Election) see(row *apiv1.SchedulerLease, version int64) {
+	if version == e.version && !e.watchedSince.IsZero() {
+		return
+	}
+	e.row = row
+	e.version = version
+	e.watchedSince = time.Now()
+	e.nextTake = e.watchedSince.Add(rand.N(contendJitter))
+	e.opts.Observer.LeaseRead(row.GetHolder(), version)
+	e.announce()
+}
+
+func (e *Election) announce() {
+	if e.row.GetHolder() != "" && e.row.GetBootId() != e.opts.BootID {
+		e.opts.OnHolder(e.row.GetHolder(), e.row.GetAddress())
+	}
+}
+
+func (e *Election) mayTake(now time.Time) bool {
+	if now.Before(e.nextTake) {
+		return false
+	}
+	if e.row.GetHolder() == "" {
+		return true
+	}
+	if e.row.GetHolder() == e.opts.Host && e.row.GetBootId() != e.opts.BootID {
+		return true // this host's own former process has ended
+	}
+	return now.Sub(e.watchedSince) >= e.patience()
+}
+
+func (e *Election) patience() time.Duration {
+	if e.opts.EnginesCheckFence {
+		return fencedPatience
+	}
+	return e.opts.LeaseTime + takeoverMargin
+}
+
+func (e *Election) take(ctx context.Context) {
+	now := time.Now()
+	row := &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
+	result, err := e.commit(ctx, row)
+	if err != nil {
+		e.opts.Observer.LeaseFailed("take", err)
+		e.watchedSince = time.Now()
+		return
+	}
+	if !result.Committed {
+		e.see(e.conflict(result))
+		return
+	}
+	e.row = row
+	e.elected(result.Version, now)
+}
+
+func (e *Election) elected(version int64, sent time.Time) {
+	e.version = version
+	e.fence = version
+	e.setRenewed(sent)
+	e.nextRenewal = sent.Add(renewEvery)
+	tenure := Tenure{Fence: version, OrdersFrom: time.Now()}
+	if !e.opts.EnginesCheckFence {
+		tenure.OrdersFrom = tenure.OrdersFrom.Add(e.opts.LeaseTime)
+	}
+	e.opts.OnElected(tenure)
+}
+
+// release gives a held lease up.
+func (e *Election) release(ctx context.Context) {
+	if e.fence == 0 {
+		return
+	}
+	e.fence = 0
+	e.opts.OnLost("stopping")
+	result, err := e.commit(ctx, &apiv1.SchedulerLease{})
+	if err != nil {
+		e.opts.Observer.LeaseFailed("release", err)
+		return
+	}
+	if result.Committed {
+		e.version = result.Version
+	}
+}
+
+func (e *Election) commit(ctx context.Context, row *apiv1.SchedulerLease) (external.TxnResult, error) {
+	value, err := proto.Marshal(row)
+	if err != nil {
+		return external.TxnResult{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	result, err := e.opts.Table.Commit(ctx, external.Txn{
+		Checks: []external.Check{{Key: leaseKey, Version: e.version}},
+		Puts:   []external.Put{{Key: leaseKey, Value: value}},
+	})
+	e.storeFails.Store(err != nil)
+	return result, err
+}
+
+// conflict returns the row that a failed commit met.
+func (e *Election) conflict(result external.TxnResult) (*apiv1.SchedulerLease, int64) {
+	for _, row := range result.Conflicts {
+		lease, err := decodeLease(row)
+		if err != nil {
+			e.opts.Observer.LeaseFailed("decode", err)
+		}
+		return lease, row.Version
+	}
+	return &apiv1.SchedulerLease{}, 0
+}
--- /dev/null
+++ b/internal/cell/link.go
@@ -0,0 +1,388 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+const (
+	// beatEvery is the pace of the scheduler's signs of life.
+	beatEvery = 250 * time.Millisecond
+	// silenceLimit is the time without one after which a link is given up.
+	silenceLimit = 800 * time.Millisecond
+	// staleLease is the age of the last renewal after which routers look at the
+	// lease themselves.
+	staleLease  = 1500 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+	redialPause = 150 * time.Millisecond
+)
+
+// ErrNoScheduler means that no scheduler is connected.
+var ErrNoScheduler = errors.New("no scheduler is connected: another router takes over within seconds")
+
+// RefusedError means that the scheduler can't serve a request in time.
+type RefusedError struct {
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s (come back in %s)", e.Reason, e.RetryAfter)
+}
+
+// Placement is a place on an engine.
+type Placement struct {
+	// Number names the placement in Report.
+	Number     uint64
+	UpstreamID string
+	Address    string
+	Expected   time.Duration
+	Reason     string
+}
+
+// sender takes calls to the scheduler.
+type sender interface {
+	send(call *apiv1.SchedulerCall) error
+	close()
+}
+
+// Client asks the scheduler, wherever it runs.
+type Client struct {
+	host   string
+	bootID string
+	creds  transport.Credentials
+	local  *Scheduler
+	events ClientObserver
+
+	numbers atomic.Uint64
+
+	mu      sync.Mutex
+	target  string // address of the holder; empty for none, "local" for this process
+	link    sender
+	waiting map[uint64]chan *apiv1.SchedulerReply
+	running map[uint64]*apiv1.RunningRequest
+	// lastBeat and renewedAt belong to the present link.
+	lastBeat  time.Time
+	renewedAt time.Time
+	changed   chan struct{} // closed when a link comes up
+}
+
+// ClientObserver is told about links, for logs.
+type ClientObserver interface {
+	SchedulerLinked(address string)
+	SchedulerLost(address string, err error)
+}
+
+const localTarget = "local"
+
+// NewClient makes a client without a scheduler; call Run.
+func NewClient(host, bootID string, local *Scheduler, events ClientObserver) *Client {
+	return &Client{
+		host:    host,
+		bootID:  bootID,
+		local:   local,
+		events:  events,
+		waiting: make(map[uint64]chan *apiv1.SchedulerReply),
+		running: make(map[uint64]*apiv1.RunningRequest),
+		changed: make(chan struct{}),
+	}
+}
+
+// Follow sends asks to the scheduler at address from now on.
+func (c *Client) Follow(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target == address {
+		return
+	}
+	c.target = address
+	c.dropLinkLocked(errors.New("another router schedules"))
+}
+
+// FollowLocal sends asks to the scheduler of this process.
+func (c *Client) FollowLocal() { c.Follow(localTarget) }
+
+// Unfollow drops the scheduler of this process.
+func (c *Client) Unfollow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target == localTarget {
+		c.target = ""
+		c.dropLinkLocked(errors.New("this router no longer schedules"))
+	}
+}
+
+// IsServed reports whether a scheduler that renews its lease is connected.
+func (c *Client) IsServed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.link != nil && now.Sub(c.lastBeat) < silenceLimit && now.Sub(c.renewedAt) < staleLease
+}
+
+// Run keeps a link to the scheduler until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		target := c.target
+		linked := c.link != nil
+		silent := linked && time.Since(c.lastBeat) > silenceLimit
+		if silent {
+			c.dropLinkLocked(errors.New("the scheduler is silent"))
+			linked = false
+		}
+		c.mu.Unlock()
+		if !linked && target != "" {
+			c.connect(ctx, target)
+		}
+		sleep(ctx, redialPause)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropLinkLocked(ctx.Err())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Client) connect(ctx context.Context, target string) {
+	if target == localTarget {
+		c.connectLocal()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	session, err := transport.Dial(ctx, target, c.creds)
+	if err != nil {
+		return
+	}
+	stream, err := session.Open()
+	if err != nil {
+		_ = session.Close() // it failed already
+		return
+	}
+	link := &remoteLink{session: session, stream: stream, out: make(chan *apiv1.SchedulerCall, sendQueue), done: make(chan struct{})}
+	go link.write()
+	if !c.install(target, link) {
+		link.close()
+		return
+	}
+	go c.receive(link)
+}
+
+// install makes link the present one and sends the hello through it.
+func (c *Client) install(target string, link sender) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target != target || c.link != nil {
+		return false
+	}
+	hello := &apiv1.SchedulerHello{Router: c.host, BootId: c.bootID}
+	for _, r := range c.running {
+		hello.Running = append(hello.Running, r)
+	}
+	if link.send(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Hello{Hello: hello}}) != nil {
+		return false
+	}
+	c.link = link
+	c.lastBeat = time.Now()
+	c.renewedAt = c.lastBeat
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.events.SchedulerLinked(target)
+	return true
+}
+
+func (c *Client) connectLocal() {
+	link := &localLink{}
+	link.session = c.local.attach(
+		func(reply *apiv1.SchedulerReply) { c.deliver(link, reply) },
+		func() { c.lost(link, errors.New("this router no longer schedules")) },
+	)
+	// Replies come only after the hello that install sends.
+	if link.session != nil && !c.install(localTarget, link) {
+		link.close()
+	}
+}
+
+func (c *Client) receive(link *remoteLink) {
+	for {
+		reply := &apiv1.SchedulerReply{}
+		if err := link.stream.Recv(reply); err != nil {
+			c.lost(link, err)
+			return
+		}
+		c.deliver(link, reply)
+	}
+}
+
+func (c *Client) lost(link sender, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link == link {
+		c.dropLinkLocked(err)
+	}
+}
+
+// dropLinkLocked ends the link. Asks without an answer get none.
+func (c *Client) dropLinkLocked(err error) {
+	if c.link == nil {
+		return
+	}
+	link := c.link
+	c.link = nil
+	go link.close() // may wait for the peer
+	for number, answer := range c.waiting {
+		close(answer)
+		delete(c.waiting, number)
+	}
+	c.events.SchedulerLost(c.target, err)
+}
+
+func (c *Client) deliver(link sender, reply *apiv1.SchedulerReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != link {
+		return
+	}
+	c.lastBeat = time.Now()
+	var number uint64
+	switch body := reply.GetBody().(type) {
+	case *apiv1.SchedulerReply_Beat:
+		c.renewedAt = c.lastBeat.Add(-time.Duration(body.Beat.GetRenewedAgoUs()) * time.Microsecond)
+		return
+	case *apiv1.SchedulerReply_Grant:
+		number = body.Grant.GetNumber()
+	case *apiv1.SchedulerReply_Refusal:
+		number = body.Refusal.GetNumber()
+	}
+	if answer := c.waiting[number]; answer != nil {
+		delete(c.waiting, number)
+		answer <- reply
+		return
+	}
+	if reply.GetGrant() != nil {
+		// The asker has left meanwhile.
+		c.sendLocked(progress(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED))
+	}
+}
+
+func (c *Client) sendLocked(call *apiv1.SchedulerCall) {
+	if c.link == nil {
+		return
+	}
+	if err := c.link.send(call); err != nil {
+		c.dropLinkLocked(err)
+	}
+}
+
+// Place asks for a place and waits for it. The error is ErrNoScheduler, a
+// *RefusedError or that of ctx.
+func (c *Client) Place(ctx context.Context, ask *apiv1.PlacementAsk) (Placement, error) {
+	ask.Number = c.numbers.Add(1)
+	answer := make(chan *apiv1.SchedulerReply, 1)
+	c.mu.Lock()
+	if c.link == nil {
+		c.mu.Unlock()
+		return Placement{}, ErrNoScheduler
+	}
+	c.waiting[ask.GetNumber()] = answer
+	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Ask{Ask: ask}})
+	c.mu.Unlock()
+	select {
+	case reply, ok := <-answer:
+		if !ok {
+			return Placement{}, ErrNoScheduler
+		}
+		return c.decide(ask, reply)
+	case <-ctx.Done():
+		c.withdraw(ask.GetNumber())
+		return Placement{}, ctx.Err()
+	}
+}
+
+func (c *Client) decide(ask *apiv1.PlacementAsk, reply *apiv1.SchedulerReply) (Placement, error) {
+	if refusal := reply.GetRefusal(); refusal != nil {
+		return Placement{}, &RefusedError{RetryAfter: microseconds(refusal.GetRetryAfterUs()), Reason: refusal.GetReason()}
+	}
+	grant := reply.GetGrant()
+	c.mu.Lock()
+	c.running[ask.GetNumber()] = &apiv1.RunningRequest{Ask: ask, UpstreamId: grant.GetUpstreamId()}
+	c.mu.Unlock()
+	return Placement{
+		Number:     ask.GetNumber(),
+		UpstreamID: grant.GetUpstreamId(),
+		Address:    grant.GetAddress(),
+		Expected:   microseconds(grant.GetExpectedUs()),
+		Reason:     grant.GetReason(),
+	}, nil
+}
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func (c *Client) withdraw(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, number)
+	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Withdrawal{Withdrawal: &apiv1.PlacementWithdrawal{Number: number}}})
+}
+
+// Adopt notes a request that this router placed by itself and returns its
+// number for Report.
+func (c *Client) Adopt(ask *apiv1.PlacementAsk, upstreamID string) uint64 {
+	ask.Number = c.numbers.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[ask.GetNumber()] = &apiv1.RunningRequest{Ask: ask, UpstreamId: upstreamID}
+	return ask.GetNumber()
+}
+
+// Report tells how a placed request went on.
+func (c *Client) Report(number uint64, outcome apiv1.PlacementOutcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if outcome == apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED {
+		if r := c.running[number]; r != nil {
+			r.Started = true
+		}
+	} else {
+		delete(c.running, number)
+	}
+	c.sendLocked(progress(number, outcome))
+}
+
+func progress(number uint64, outcome apiv1.PlacementOutcome) *apiv1.SchedulerCall {
+	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Progress{Progress: &apiv1.PlacementProgress{Number: number, Outcome: outcome}}}
+}
+
+// WaitLinked waits until a scheduler is connected.
+func (c *Client) WaitLinked(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		linked := c.link != nil
+		changed := c.changed
+		c.mu.Unlock()
+		if linked {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/scheduler.go
@@ -0,0 +1,434 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+const (
+	tickEvery = 50 * time.Millisecond
+	// engineTimeout bounds an order or the reading of a report.
+	engineTimeout = 500 * time.Millisecond
+	// eventQueue bounds the events that wait for the scheduler's goroutine.
+	eventQueue = 16384
+	// sessionShift leaves the lower bits of a key to the router's own numbers.
+	sessionShift = 40
+)
+
+// SchedulerOptions configure a Scheduler.
+type SchedulerOptions struct {
+	Directory *fleet.Directory
+	Engines   fleet.Engines
+	Host      string
+	// LoadWindow and LoadWindowFactor bound loads from the weight store.
+	LoadWindow       time.Duration
+	LoadWindowFactor float64
+	// MayOrder is asked right before each order; RenewedAgo is told to routers.
+	MayOrder   func() bool
+	RenewedAgo func() time.Duration
+	// OnFenced is called when an engine has seen a higher fence.
+	OnFenced func()
+	Log      DecisionLog
+}
+
+// DecisionLog takes a line for each decision. Calls must not block.
+type DecisionLog interface {
+	Granted(service string, grant scheduler.Grant)
+	Refused(service string, refusal scheduler.Refusal)
+	Ordered(service string, call scheduler.OrderCall, result fleet.OrderResult, took time.Duration, err error)
+	Inspected(upstreamID string, inventory fleet.Inventory, err error)
+}
+
+// Scheduler runs the cells on the router that holds the lease. All its state
+// belongs to one goroutine, which runs the events.
+type Scheduler struct {
+	opts   SchedulerOptions
+	events chan func()
+	ctx    context.Context
+
+	tenure   Tenure
+	active   bool
+	cells    map[string]*scheduler.Cell
+	sessions map[uint64]*session
+	serial   uint64
+	lastBeat time.Time
+}
+
+// session is one router's connection.
+type session struct {
+	owner  *Scheduler
+	number uint64
+	router string
+	reply  func(*apiv1.SchedulerReply)
+	ended  func()
+	// services tells the service of each open key; it belongs to the
+	// scheduler's goroutine.
+	services map[uint64]string
+}
+
+// NewScheduler makes an inactive scheduler; call Run.
+func NewScheduler(opts SchedulerOptions) *Scheduler {
+	return &Scheduler{
+		opts:     opts,
+		events:   make(chan func(), eventQueue),
+		cells:    make(map[string]*scheduler.Cell),
+		sessions: make(map[uint64]*session),
+	}
+}
+
+// Run runs events until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	s.ctx = ctx
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-s.events:
+			event()
+		case <-ticker.C:
+			s.tick()
+		}
+	}
+}
+
+// post queues an event. It never blocks: events beyond the bound are dropped,
+// and their senders are timed out.
+func (s *Scheduler) post(event func()) bool {
+	select {
+	case s.events <- event:
+		return true
+	default:
+		return false
+	}
+}
+
+// Start begins a tenure.
+func (s *Scheduler) Start(tenure Tenure) {
+	s.post(func() {
+		s.tenure = tenure
+		s.active = true
+		s.cells = make(map[string]*scheduler.Cell)
+		s.refresh()
+	})
+}
+
+// Stop ends a tenure: all routers are disconnected.
+func (s *Scheduler) Stop() {
+	s.post(func() {
+		s.active = false
+		s.cells = make(map[string]*scheduler.Cell)
+		for _, session := range s.sessions {
+			session.ended()
+		}
+		clear(s.sessions)
+	})
+}
+
+// Refresh takes over the directory after a change.
+func (s *Scheduler) Refresh() { s.post(s.refresh) }
+
+func (s *Scheduler) refresh() {
+	snapshot := s.opts.Directory.Load()
+	if !s.active || snapshot.Config == nil || !snapshot.Listed {
+		return
+	}
+	now := time.Now()
+	for name, service := range snapshot.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		cell := s.cells[name]
+		if cell == nil {
+			cell = scheduler.New(scheduler.Options{
+				Holder:           s.opts.Host,
+				Fence:            s.tenure.Fence,
+				LoadWindow:       s.opts.LoadWindow,
+				LoadWindowFactor: s.opts.LoadWindowFactor,
+			})
+			s.cells[name] = cell
+		}
+		s.carryOut(name, cell.Update(now, service.Engine, snapshot.ByService[name]))
+	}
+}
+
+func (s *Scheduler) tick() {
+	if !s.active {
+		return
+	}
+	now := time.Now()
+	for name, cell := range s.cells {
+		if !now.Before(s.tenure.OrdersFrom) {
+			s.carryOut(name, cell.AllowOrders(now))
+		}
+		s.carryOut(name, cell.Tick(now))
+	}
+	if now.Sub(s.lastBeat) >= beatEvery {
+		s.lastBeat = now
+		s.beat()
+	}
+}
+
+func (s *Scheduler) beat() {
+	beat := &apiv1.SchedulerBeat{Fence: s.tenure.Fence, RenewedAgoUs: s.opts.RenewedAgo().Microseconds()}
+	for _, session := range s.sessions {
+		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Beat{Beat: beat}})
+	}
+}
+
+func (s *Scheduler) carryOut(service string, actions scheduler.Actions) {
+	for _, grant := range actions.Grants {
+		s.opts.Log.Granted(service, grant)
+		s.answer(grant.Key, &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Grant{Grant: &apiv1.PlacementGrant{
+			Number:     grant.Key & (1<<sessionShift - 1),
+			UpstreamId: grant.Upstream.ID,
+			Address:    grant.Upstream.Addr,
+			ExpectedUs: grant.Expected.Microseconds(),
+			Reason:     grant.Reason,
+		}}})
+	}
+	for _, refusal := range actions.Refusals {
+		s.opts.Log.Refused(service, refusal)
+		s.answer(refusal.Key, &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Refusal{Refusal: &apiv1.PlacementRefusal{
+			Number:       refusal.Key & (1<<sessionShift - 1),
+			RetryAfterUs: refusal.RetryAfter.Microseconds(),
+			Reason:       refusal.Reason,
+		}}})
+	}
+	for _, call := range actions.Orders {
+		go s.order(service, s.tenure, call)
+	}
+	for _, call := range actions.Inspects {
+		go s.inspect(service, s.tenure, call)
+	}
+}
+
+func (s *Scheduler) answer(key uint64, reply *apiv1.SchedulerReply) {
+	if session := s.sessions[key>>sessionShift]; session != nil {
+		session.reply(reply)
+	}
+}
+
+// order sends an order and feeds its answer back.
+func (s *Scheduler) order(service string, tenure Tenure, call scheduler.OrderCall) {
+	sleep(s.ctx, call.After)
+	result := fleet.OrderConflict
+	var err error
+	began := time.Now()
+	if s.opts.MayOrder() {
+		ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
+		result, err = s.opts.Engines.Order(ctx, call.Upstream, call.Order)
+		cancel()
+	} else {
+		err = errors.New("order held back: the lease was not renewed in time")
+	}
+	s.opts.Log.Ordered(service, call, result, time.Since(began), err)
+	if result == fleet.OrderFenced {
+		s.opts.OnFenced()
+	}
+	s.post(func() {
+		if cell := s.cellOf(service, tenure); cell != nil {
+			s.carryOut(service, cell.OrderAnswered(time.Now(), call.Upstream.ID, call.Order, result))
+		}
+	})
+}
+
+func (s *Scheduler) inspect(service string, tenure Tenure, call scheduler.InspectCall) {
+	sleep(s.ctx, call.After)
+	ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
+	defer cancel()
+	inventory, err := s.opts.Engines.Inspect(ctx, call.Upstream)
+	s.opts.Log.Inspected(call.Upstream.ID, inventory, err)
+	s.post(func() {
+		if cell := s.cellOf(service, tenure); cell != nil {
+			s.carryOut(service, cell.Inspected(time.Now(), call.Upstream.ID, inventory, err))
+		}
+	})
+}
+
+func (s *Scheduler) cellOf(service string, tenure Tenure) *scheduler.Cell {
+	if !s.active || s.tenure.Fence != tenure.Fence {
+		return nil
+	}
+	return s.cells[service]
+}
+
+// attach connects a router; nil if the event queue is full. reply and ended are
+// called on the scheduler's goroutine and must not block.
+func (s *Scheduler) attach(reply func(*apiv1.SchedulerReply), ended func()) *session {
+	session := &session{owner: s, reply: reply, ended: ended, services: make(map[uint64]string)}
+	attached := s.post(func() {
+		if !s.active {
+			session.ended()
+			return
+		}
+		s.serial++
+		session.number = s.serial
+		s.sessions[session.number] = session
+	})
+	if !attached {
+		return nil
+	}
+	return session
+}
+
+// post queues a call of the router.
+func (s *session) post(call *apiv1.SchedulerCall) {
+	s.owner.post(func() { s.owner.handle(s, call) })
+}
+
+func (s *session) detach() {
+	s.owner.post(func() { s.owner.detached(s) })
+}
+
+func (s *Scheduler) detached(from *session) {
+	if s.sessions[from.number] != from {
+		return
+	}
+	delete(s.sessions, from.number)
+	now := time.Now()
+	for key, service := range from.services {
+		if cell := s.cells[service]; cell != nil {
+			s.carryOut(service, cell.Withdraw(now, key))
+		}
+	}
+}
+
+func (s *Scheduler) handle(from *session, call *apiv1.SchedulerCall) {
+	if s.sessions[from.number] != from || from.number == 0 {
+		return
+	}
+	now := time.Now()
+	switch body := call.GetBody().(type) {
+	case *apiv1.SchedulerCall_Hello:
+		s.hello(now, from, body.Hello)
+	case *apiv1.SchedulerCall_Ask:
+		s.ask(now, from, body.Ask)
+	case *apiv1.SchedulerCall_Progress:
+		s.progress(now, from, body.Progress)
+	case *apiv1.SchedulerCall_Withdrawal:
+		key := from.key(body.Withdrawal.GetNumber())
+		if cell := s.cells[from.services[key]]; cell != nil {
+			service := from.services[key]
+			delete(from.services, key)
+			s.carryOut(service, cell.Withdraw(now, key))
+		}
+	}
+}
+
+func (s *session) key(number uint64) uint64 { return s.number<<sessionShift | number }
+
+func (s *Scheduler) hello(now time.Time, from *session, hello *apiv1.SchedulerHello) {
+	from.router = hello.GetRouter()
+	for _, r := range hello.GetRunning() {
+		service := r.GetAsk().GetService()
+		cell := s.cells[service]
+		if cell == nil {
+			continue
+		}
+		ask := decodeAsk(now, from, r.GetAsk())
+		from.services[ask.Key] = service
+		cell.Adopt(now, ask, r.GetUpstreamId(), r.GetStarted())
+	}
+	s.beat()
+}
+
+func (s *Scheduler) ask(now time.Time, from *session, ask *apiv1.PlacementAsk) {
+	cell := s.cells[ask.GetService()]
+	if cell == nil {
+		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Refusal{Refusal: &apiv1.PlacementRefusal{
+			Number:       ask.GetNumber(),
+			RetryAfterUs: beatEvery.Microseconds(),
+			Reason:       "the scheduler does not know the service yet",
+		}}})
+		return
+	}
+	decoded := decodeAsk(now, from, ask)
+	from.services[decoded.Key] = ask.GetService()
+	s.carryOut(ask.GetService(), cell.Submit(now, decoded))
+}
+
+func decodeAsk(now time.Time, from *session, ask *apiv1.PlacementAsk) *scheduler.Ask {
+	out := &scheduler.Ask{
+		Key:           from.key(ask.GetNumber()),
+		RequestID:     ask.GetRequestId(),
+		Model:         ask.GetModel(),
+		Adapter:       ask.GetAdapter(),
+		PromptTokens:  ask.GetPromptTokens(),
+		OutputTokens:  ask.GetOutputTokens(),
+		Priority:      int(ask.GetPriority()),
+		Objective:     now.Add(microseconds(ask.GetObjectiveUs())),
+		GiveUp:        now.Add(microseconds(ask.GetGiveUpUs())),
+		FailureDomain: ask.GetFailureDomain(),
+		Tried:         ask.GetTried(),
+		MayMove:       ask.GetMayMove(),
+	}
+	for _, p := range ask.GetParts() {
+		out.Parts = append(out.Parts, scheduler.Part{ID: p.GetId(), Tokens: p.GetTokens()})
+	}
+	return out
+}
+
+func (s *Scheduler) progress(now time.Time, from *session, progress *apiv1.PlacementProgress) {
+	key := from.key(progress.GetNumber())
+	service := from.services[key]
+	cell := s.cells[service]
+	if cell == nil {
+		return
+	}
+	outcome := scheduler.Outcome(progress.GetOutcome())
+	if outcome != scheduler.Started {
+		delete(from.services, key)
+	}
+	s.carryOut(service, cell.Progress(now, key, outcome))
+}
+
+// Serve handles a stream of another router until it ends. It is a
+// transport.Handler.
+func (s *Scheduler) Serve(ctx context.Context, stream *transport.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() }) // unblocks Recv
+	defer stop()
+	out := make(chan *apiv1.SchedulerReply, sendQueue)
+	session := s.attach(func(reply *apiv1.SchedulerReply) {
+		select {
+		case out <- reply:
+		default:
+			cancel() // the router does not read
+		}
+	}, cancel)
+	if session == nil {
+		return
+	}
+	defer session.detach()
+	go writeReplies(ctx, cancel, stream, out)
+	for {
+		call := &apiv1.SchedulerCall{}
+		if err := stream.Recv(call); err != nil {
+			return
+		}
+		session.post(call)
+	}
+}
+
+func writeReplies(ctx context.Context, cancel func(), stream *transport.Stream, out <-chan *apiv1.SchedulerReply) {
+	for {
+		select {
+		case reply := <-out:
+			if stream.Send(reply) != nil {
+				cancel()
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/wire.go
@@ -0,0 +1,64 @@
+package cell
+
+import (
+	"errors"
+	"sync"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+// sendQueue bounds the frames that wait for a slow peer.
+const sendQueue = 4096
+
+var errQueueFull = errors.New("the peer does not read: its host is overloaded or cut off")
+
+// remoteLink sends calls over a session. A peer that does not read never blocks
+// the caller.
+type remoteLink struct {
+	session *transport.Session
+	stream  *transport.Stream
+	out     chan *apiv1.SchedulerCall
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (l *remoteLink) send(call *apiv1.SchedulerCall) error {
+	select {
+	case l.out <- call:
+		return nil
+	default:
+		return errQueueFull
+	}
+}
+
+func (l *remoteLink) write() {
+	for {
+		select {
+		case call := <-l.out:
+			if l.stream.Send(call) != nil {
+				l.close() // the receiver sees the end and reports it
+				return
+			}
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *remoteLink) close() {
+	l.once.Do(func() {
+		close(l.done)
+		_ = l.session.Close() // nothing is left to be sent
+	})
+}
+
+// localLink hands calls to the scheduler of this process.
+type localLink struct{ session *session }
+
+func (l *localLink) send(call *apiv1.SchedulerCall) error {
+	l.session.post(call)
+	return nil
+}
+
+func (l *localLink) close() { l.session.detach() }
--- a/internal/claim/await.go
+++ b/internal/claim/await.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -21,7 +21,7 @@
 // returns the row as last seen: its state is still CLAIMED when ctx is done or
 // when the row is older than Timeout, and the outcome is then unknown.
 func (s *Store) Await(ctx context.Context, service, key string, row *apiv1.ClaimRow) *apiv1.ClaimRow {
-	tableKey := platform.ClaimKey(service, key)
+	tableKey := external.ClaimKey(service, key)
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = awaitMin
 	pause.MaxInterval = awaitMax
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -20,7 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 const (
@@ -41,7 +41,7 @@
 
 // Options configure a Store.
 type Options struct {
-	Table platform.TableService
+	Table external.TableService
 	// Router is the host id of this router.
 	Router string
 	// Now tells the time; nil takes time.Now.
@@ -125,7 +125,7 @@
 // call of Claim. After an error the call must not be sent; the key is freed in
 // the background. Errors are of type *Error.
 func (s *Store) Claim(ctx context.Context, service, key, requestID string, fingerprint uint64) (Result, error) {
-	tableKey := platform.ClaimKey(service, key)
+	tableKey := external.ClaimKey(service, key)
 	if row := s.known(tableKey); row != nil {
 		return Result{Existing: row}, nil
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
@@ -112,7 +112,7 @@
 	ctx := context.Background()
 	table := tabletest.New()
 	s := New(Options{Table: table, Router: "a", Log: quietLog()})
-	o := newOp(platform.ClaimKey(testService, "k"), 0, &apiv1.ClaimRow{RequestId: "q1", Router: "a", State: apiv1.ClaimState_CLAIM_STATE_CLAIMED})
+	o := newOp(external.ClaimKey(testService, "k"), 0, &apiv1.ClaimRow{RequestId: "q1", Router: "a", State: apiv1.ClaimState_CLAIM_STATE_CLAIMED})
 	is.True(s.writer.submitClaim(o) == nil)
 	table.SetFault(tabletest.LostAnswer)
 	s.writer.flush(ctx)
@@ -131,7 +131,7 @@
 	ctx := context.Background()
 	table := tabletest.New()
 	s := New(Options{Table: table, Router: "a", Log: quietLog()})
-	key := platform.ClaimKey(testService, "k")
+	key := external.ClaimKey(testService, "k")
 	o := newOp(key, 0, &apiv1.ClaimRow{RequestId: "q1", Router: "a", State: apiv1.ClaimState_CLAIM_STATE_CLAIMED})
 	is.True(s.writer.submitClaim(o) == nil)
 	table.SetFault(tabletest.LostAnswer)
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
@@ -78,7 +78,7 @@
 // claim starts a request for a claim.
 func (m *machine) claim(t *rapid.T) {
 	router := rapid.IntRange(0, testRouters-1).Draw(t, "router")
-	key := platform.ClaimKey(testService, fmt.Sprintf("k%d", rapid.IntRange(0, testKeys-1).Draw(t, "key")))
+	key := external.ClaimKey(testService, fmt.Sprintf("k%d", rapid.IntRange(0, testKeys-1).Draw(t, "key")))
 	m.serial++
 	a := &attempt{id: fmt.Sprintf("q%d", m.serial), key: key, router: router}
 	a.op = newOp(key, m.reclaimVersion(key), &apiv1.ClaimRow{
@@ -102,7 +102,7 @@
 	return 0
 }
 
-func (m *machine) row(key string) platform.Row {
+func (m *machine) row(key string) external.Row {
 	m.table.SetFault(tabletest.None)
 	row, err := m.table.Get(context.Background(), key)
 	if err != nil {
@@ -111,7 +111,7 @@
 	return row
 }
 
-func decode(row platform.Row) *apiv1.ClaimRow {
+func decode(row external.Row) *apiv1.ClaimRow {
 	out := &apiv1.ClaimRow{}
 	if err := proto.Unmarshal(row.Value, out); err != nil {
 		panic(err)
@@ -232,7 +232,7 @@
 // an outcome never changes.
 func (m *machine) check(t *rapid.T) {
 	for i := range testKeys {
-		key := platform.ClaimKey(testService, fmt.Sprintf("k%d", i))
+		key := external.ClaimKey(testService, fmt.Sprintf("k%d", i))
 		claimed := decode(m.row(key))
 		if m.runs[key] > 1 {
 			t.Fatalf("%s ran %d times", key, m.runs[key])
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -4,7 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // op is one conditional write of a claim row. All but done is guarded by the
@@ -80,7 +80,7 @@
 
 // settle decides how an op goes on after its check failed, from the present
 // state of the row. With settleAgain it changes the op's check.
-func settle(o *op, present platform.Row) (settlement, *apiv1.ClaimRow) {
+func settle(o *op, present external.Row) (settlement, *apiv1.ClaimRow) {
 	if present.Version == 0 {
 		o.check = 0
 		return settleAgain, nil
--- a/internal/claim/results.go
+++ b/internal/claim/results.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func (w *writer) succeeded() {
@@ -44,8 +44,8 @@
 
 // conflicted settles the ops whose checks failed and returns those that are to
 // be written again.
-func (w *writer) conflicted(batch []*op, conflicts []platform.Row) []*op {
-	present := make(map[string]platform.Row, len(conflicts))
+func (w *writer) conflicted(batch []*op, conflicts []external.Row) []*op {
+	present := make(map[string]external.Row, len(conflicts))
 	for _, row := range conflicts {
 		present[row.Key] = row
 	}
@@ -75,7 +75,7 @@
 func (w *writer) failed(batch []*op, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if platform.KindOf(err) == platform.KindInvalid {
+	if external.KindOf(err) == external.KindInvalid {
 		w.invalid(batch, err)
 		return
 	}
@@ -112,7 +112,7 @@
 // afterFailure returns the op that goes on after a transaction without an
 // answer, or nil.
 func (w *writer) afterFailure(o *op, err error) *op {
-	o.unsettled = o.unsettled || platform.OutcomeUnknown(err)
+	o.unsettled = o.unsettled || external.OutcomeUnknown(err)
 	o.tries++
 	switch {
 	case o.final():
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -32,7 +32,7 @@
 
 // SweeperOptions configure a Sweeper.
 type SweeperOptions struct {
-	Table platform.TableService
+	Table external.TableService
 	// Leases proves that this router is the one that sweeps.
 	Leases interface {
 		Guard(name string) (lease.Guard, bool)
@@ -117,7 +117,7 @@
 
 // readRows learns the claims that were written since the last sweep.
 func (s *Sweeper) readRows(ctx context.Context) error {
-	changes, err := s.opts.Table.Changes(ctx, platform.ClaimPrefix, s.read)
+	changes, err := s.opts.Table.Changes(ctx, external.ClaimPrefix, s.read)
 	if err != nil {
 		return err
 	}
@@ -152,9 +152,9 @@
 	if !held {
 		return 0, errLeaseLost
 	}
-	txn := platform.Txn{ID: "sweep-" + rand.Text(), Checks: []platform.Check{guard.Check}}
+	txn := external.Txn{ID: "sweep-" + rand.Text(), Checks: []external.Check{guard.Check}}
 	for _, key := range keys {
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: s.rows[key].version})
+		txn.Checks = append(txn.Checks, external.Check{Key: key, Version: s.rows[key].version})
 		txn.Deletes = append(txn.Deletes, key)
 	}
 	result, err := s.opts.Table.Commit(ctx, txn)
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -10,15 +10,15 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
 // heldLease is a lease that a test holds or not.
 type heldLease struct {
 	held  bool
-	check platform.Check
+	check external.Check
 }
 
 func (l *heldLease) Guard(string) (lease.Guard, bool) {
@@ -31,8 +31,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	result, err := table.Commit(context.Background(), platform.Txn{
-		ID: fmt.Sprint(key, version), Checks: []platform.Check{{Key: key, Version: version}}, Puts: []platform.Put{{Key: key, Value: value}},
+	result, err := table.Commit(context.Background(), external.Txn{
+		ID: fmt.Sprint(key, version), Checks: []external.Check{{Key: key, Version: version}}, Puts: []external.Put{{Key: key, Value: value}},
 	})
 	if err != nil || !result.Committed {
 		t.Fatal(result, err)
@@ -42,7 +42,7 @@
 
 func TestSweepDeletesOnlyOldClaims(t *testing.T) {
 	start := time.UnixMilli(1_700_000_000_000)
-	old, young := platform.ClaimKey("s", "old"), platform.ClaimKey("s", "young")
+	old, young := external.ClaimKey("s", "old"), external.ClaimKey("s", "young")
 	for _, tc := range []struct {
 		name      string
 		held      bool
@@ -63,14 +63,14 @@
 			table := tabletest.New()
 			now := start
 			version := putClaim(t, table, old, now, 0)
-			guard := &heldLease{held: tc.held, check: platform.Check{Key: platform.EpochKey(SweepLease)}}
+			guard := &heldLease{held: tc.held, check: external.Check{Key: external.EpochKey(SweepLease)}}
 			s := NewSweeper(SweeperOptions{Table: table, Leases: guard, Now: func() time.Time { return now }})
 			_, err := s.sweep(ctx)
 			is.NoErr(err)
 			now = now.Add(Retention + time.Minute)
 			putClaim(t, table, young, now, 0)
 			if tc.epochGone {
-				putClaim(t, table, platform.EpochKey(SweepLease), now, 0)
+				putClaim(t, table, external.EpochKey(SweepLease), now, 0)
 			}
 			if tc.rewritten {
 				putClaim(t, table, old, now, version)
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -184,7 +184,7 @@
 }
 
 // commit bounds the wait for one transaction, since claims wait behind it.
-func (w *writer) commit(ctx context.Context, batch []*op) (platform.TxnResult, error) {
+func (w *writer) commit(ctx context.Context, batch []*op) (external.TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	return w.opts.Table.Commit(ctx, w.txn(batch))
@@ -236,14 +236,14 @@
 	w.pending = slices.Concat(batch, w.pending)
 }
 
-func (w *writer) txn(batch []*op) platform.Txn {
+func (w *writer) txn(batch []*op) external.Txn {
 	w.mu.Lock()
 	w.serial++
-	txn := platform.Txn{ID: fmt.Sprintf("%s/claim/%s/%d", w.opts.Router, w.boot, w.serial)}
+	txn := external.Txn{ID: fmt.Sprintf("%s/claim/%s/%d", w.opts.Router, w.boot, w.serial)}
 	w.mu.Unlock()
 	for _, o := range batch {
-		txn.Checks = append(txn.Checks, platform.Check{Key: o.key, Version: o.check})
-		txn.Puts = append(txn.Puts, platform.Put{Key: o.key, Value: o.value})
+		txn.Checks = append(txn.Checks, external.Check{Key: o.key, Version: o.check})
+		txn.Puts = append(txn.Puts, external.Put{Key: o.key, Value: o.value})
 	}
 	return txn
 }
--- a/internal/config/check_test.go
+++ b/internal/config/check_test.go
@@ -12,16 +12,16 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
 // fleetOfLM has one host of 48 GiB in each pool of the sample set.
-var fleetOfLM = FleetOf(platform.HostListing{Hosts: []platform.Host{
-	{ID: "r1", Role: platform.RoleRouter},
-	{ID: "e1", Role: platform.RoleUpstream, Pool: "lm-pool", FailureDomain: "songino", MemoryMiB: 1024},
-	{ID: "e2", Role: platform.RoleUpstream, Pool: "lm-pool", FailureDomain: "songino", MemoryMiB: 48 << 10},
-	{ID: "s1", Role: platform.RoleUpstream, Pool: "giveaway-app", FailureDomain: "songino"},
+var fleetOfLM = FleetOf(external.HostListing{Hosts: []external.Host{
+	{ID: "r1", Role: external.RoleRouter},
+	{ID: "e1", Role: external.RoleUpstream, Pool: "lm-pool", FailureDomain: "songino", MemoryMiB: 1024},
+	{ID: "e2", Role: external.RoleUpstream, Pool: "lm-pool", FailureDomain: "songino", MemoryMiB: 48 << 10},
+	{ID: "s1", Role: external.RoleUpstream, Pool: "giveaway-app", FailureDomain: "songino"},
 }})
 
 func TestCheckFaults(t *testing.T) {
--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // BodyPrefix is the prefix of the bodies' keys in the object store. The rest
@@ -89,7 +89,7 @@
 // LoadBody reads the set that a head row names, verifies its hash and indexes
 // it. A body that is damaged gives a *BodyError, any other failure the error of
 // the object store. A Loader reads less when it follows successive revisions.
-func LoadBody(ctx context.Context, objects platform.ObjectStore, head *apiv1.HeadRow) (*Index, error) {
+func LoadBody(ctx context.Context, objects external.ObjectStore, head *apiv1.HeadRow) (*Index, error) {
 	return NewLoader(objects).Load(ctx, head)
 }
 
--- a/internal/config/fakes_test.go
+++ b/internal/config/fakes_test.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestMain(m *testing.M) {
@@ -37,78 +37,78 @@
 	faultDelayed
 )
 
-var errFake = &platform.Error{Kind: platform.KindUnavailable, Op: "fake", OutcomeUnknown: true}
+var errFake = &external.Error{Kind: external.KindUnavailable, Op: "fake", OutcomeUnknown: true}
 
 // fakeTable is a table in memory whose calls fail as next says.
 type fakeTable struct {
-	rows     map[string]platform.Row
+	rows     map[string]external.Row
 	revision int64
-	delayed  []platform.Txn
+	delayed  []external.Txn
 	// next chooses the fault of a call and may run other calls first.
 	next func(call string) fault
 	// applied is called with each transaction that takes effect.
-	applied func(platform.Txn)
+	applied func(external.Txn)
 }
 
 func newFakeTable() *fakeTable {
 	return &fakeTable{
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]external.Row),
 		next:    func(string) fault { return faultNone },
-		applied: func(platform.Txn) {},
+		applied: func(external.Txn) {},
 	}
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (external.Row, error) {
 	if f.next("get") != faultNone {
-		return platform.Row{}, &platform.Error{Kind: platform.KindUnavailable, Op: "fake get"}
+		return external.Row{}, &external.Error{Kind: external.KindUnavailable, Op: "fake get"}
 	}
 	return f.row(key), nil
 }
 
-func (f *fakeTable) row(key string) platform.Row {
+func (f *fakeTable) row(key string) external.Row {
 	row := f.rows[key]
 	row.Key = key
 	return row
 }
 
-func (f *fakeTable) Changes(context.Context, string, int64) (platform.Changes, error) {
+func (f *fakeTable) Changes(context.Context, string, int64) (external.Changes, error) {
 	panic("the publisher lists nothing")
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (f *fakeTable) Commit(_ context.Context, txn external.Txn) (external.TxnResult, error) {
 	switch f.next("commit") {
 	case faultNotSent:
-		return platform.TxnResult{}, errFake
+		return external.TxnResult{}, errFake
 	case faultDelayed:
 		f.delayed = append(f.delayed, txn)
-		return platform.TxnResult{}, errFake
+		return external.TxnResult{}, errFake
 	case faultAnswerLost:
 		f.apply(txn)
-		return platform.TxnResult{}, errFake
+		return external.TxnResult{}, errFake
 	default:
 		return f.apply(txn), nil
 	}
 }
 
-func (f *fakeTable) apply(txn platform.Txn) platform.TxnResult {
-	var conflicts []platform.Row
+func (f *fakeTable) apply(txn external.Txn) external.TxnResult {
+	var conflicts []external.Row
 	for _, check := range txn.Checks {
 		if row := f.row(check.Key); row.Version != check.Version {
 			conflicts = append(conflicts, row)
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.TxnResult{Conflicts: conflicts}
+		return external.TxnResult{Conflicts: conflicts}
 	}
 	f.revision++
 	for _, put := range txn.Puts {
-		f.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: f.revision, TxnID: txn.ID}
+		f.rows[put.Key] = external.Row{Key: put.Key, Value: put.Value, Version: f.revision, TxnID: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(f.rows, key)
 	}
 	f.applied(txn)
-	return platform.TxnResult{Committed: true, Version: f.revision}
+	return external.TxnResult{Committed: true, Version: f.revision}
 }
 
 // fakeObjects is an object store in memory.
@@ -135,7 +135,7 @@
 func (f *fakeObjects) Get(_ context.Context, key string) ([]byte, error) {
 	body, found := f.bodies[key]
 	if !found {
-		return nil, &platform.Error{Kind: platform.KindNotFound, Op: "fake object get"}
+		return nil, &external.Error{Kind: external.KindNotFound, Op: "fake object get"}
 	}
 	return body, nil
 }
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // Pool is what the host list tells about the upstream hosts of one pool.
@@ -19,10 +19,10 @@
 }
 
 // FleetOf sums up the upstream hosts of a host list.
-func FleetOf(listing platform.HostListing) Fleet {
+func FleetOf(listing external.HostListing) Fleet {
 	fleet := Fleet{Pools: make(map[string]Pool)}
 	for _, host := range listing.Hosts {
-		if host.Role != platform.RoleUpstream {
+		if host.Role != external.RoleUpstream {
 			continue
 		}
 		pool := fleet.Pools[host.Pool]
--- a/internal/config/loader.go
+++ b/internal/config/loader.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // LoaderStats count how a Loader came by its bodies.
@@ -23,7 +23,7 @@
 // that it has to read only what differs when the next head follows it directly.
 // It is safe for concurrent use.
 type Loader struct {
-	objects platform.ObjectStore
+	objects external.ObjectStore
 
 	mu    sync.Mutex
 	last  *body // nil before the first load
@@ -38,7 +38,7 @@
 }
 
 // NewLoader makes a loader on the object store.
-func NewLoader(objects platform.ObjectStore) *Loader {
+func NewLoader(objects external.ObjectStore) *Loader {
 	return &Loader{objects: objects}
 }
 
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // KeepRevisions is the number of history rows that are kept. Older ones are
@@ -23,13 +23,13 @@
 const deltaTimeout = time.Second
 
 // CommitFunc commits a transaction and settles a lost answer by repeating it.
-type CommitFunc func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error)
+type CommitFunc func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error)
 
 // PublisherOptions configure a Publisher.
 type PublisherOptions struct {
 	// Fleet returns what sets are checked against; nil skips those checks.
 	Fleet func() Fleet
-	// Commit is platform.CommitSettled by default.
+	// Commit is external.CommitSettled by default.
 	Commit CommitFunc
 	// Now is time.Now by default.
 	Now func() time.Time
@@ -39,18 +39,18 @@
 
 // Publisher puts object sets in force. It is safe for concurrent use.
 type Publisher struct {
-	table   platform.TableService
-	objects platform.ObjectStore
+	table   external.TableService
+	objects external.ObjectStore
 	options PublisherOptions
 }
 
 // NewPublisher makes a publisher on the platform's services.
-func NewPublisher(table platform.TableService, objects platform.ObjectStore, options PublisherOptions) *Publisher {
+func NewPublisher(table external.TableService, objects external.ObjectStore, options PublisherOptions) *Publisher {
 	if options.Fleet == nil {
 		options.Fleet = func() Fleet { return Fleet{} }
 	}
 	if options.Commit == nil {
-		options.Commit = platform.CommitSettled
+		options.Commit = external.CommitSettled
 	}
 	if options.Now == nil {
 		options.Now = time.Now
@@ -76,7 +76,7 @@
 // Publish checks a set and puts it in force as the next revision. A nil error
 // means that the revision is committed. It returns an *InvalidError for a set
 // with faults, a *ConflictError when another publication took the revision,
-// and an error of the platform otherwise; platform.OutcomeUnknown then tells
+// and an error of the platform otherwise; external.OutcomeUnknown then tells
 // whether the set may have been published.
 func (p *Publisher) Publish(ctx context.Context, set *apiv1.ObjectSet, options PublishOptions) (*apiv1.HeadRow, error) {
 	if err := Check(set, p.options.Fleet()).Err(); err != nil {
@@ -115,7 +115,7 @@
 }
 
 func (p *Publisher) readHead(ctx context.Context) (headState, error) {
-	return p.readRow(ctx, platform.HeadKey)
+	return p.readRow(ctx, external.HeadKey)
 }
 
 // readRow reads the head row or a history row.
@@ -188,7 +188,7 @@
 		return nil, err
 	}
 	result, err := p.options.Commit(ctx, p.table, txn)
-	if platform.OutcomeUnknown(err) && p.isTaken(ctx, next.GetRevision()) {
+	if external.OutcomeUnknown(err) && p.isTaken(ctx, next.GetRevision()) {
 		return p.resolve(ctx, current.row.GetRevision(), txnID)
 	}
 	if err != nil {
@@ -205,31 +205,31 @@
 // isTaken reports whether a revision is known to have been published. Its history
 // row is written once, so that whoever wrote it has won for good.
 func (p *Publisher) isTaken(ctx context.Context, revision uint64) bool {
-	row, err := p.readRow(ctx, platform.HistoryKey(revision))
+	row, err := p.readRow(ctx, external.HistoryKey(revision))
 	return err == nil && row.version != 0
 }
 
-func publication(current headState, next *apiv1.HeadRow, txnID string) (platform.Txn, error) {
+func publication(current headState, next *apiv1.HeadRow, txnID string) (external.Txn, error) {
 	value, err := proto.Marshal(next)
 	if err != nil {
-		return platform.Txn{}, fmt.Errorf("encode head row: %w", err)
+		return external.Txn{}, fmt.Errorf("encode head row: %w", err)
 	}
-	historyKey := platform.HistoryKey(next.GetRevision())
-	txn := platform.Txn{
+	historyKey := external.HistoryKey(next.GetRevision())
+	txn := external.Txn{
 		ID: txnID,
-		Checks: []platform.Check{
+		Checks: []external.Check{
 			{Key: historyKey, Version: 0},
-			{Key: platform.HeadKey, Version: current.version},
+			{Key: external.HeadKey, Version: current.version},
 		},
 		// The history row comes first: it is never written again, so its
 		// transaction id settles a lost answer for good.
-		Puts: []platform.Put{
+		Puts: []external.Put{
 			{Key: historyKey, Value: value},
-			{Key: platform.HeadKey, Value: value},
+			{Key: external.HeadKey, Value: value},
 		},
 	}
 	if next.GetRevision() > KeepRevisions {
-		txn.Deletes = []string{platform.HistoryKey(next.GetRevision() - KeepRevisions)}
+		txn.Deletes = []string{external.HistoryKey(next.GetRevision() - KeepRevisions)}
 	}
 	return txn, nil
 }
@@ -237,7 +237,7 @@
 // resolve finds out which publication followed base: this one, in an earlier
 // try, or another, which is then named in a *ConflictError.
 func (p *Publisher) resolve(ctx context.Context, base uint64, txnID string) (*apiv1.HeadRow, error) {
-	winner, err := p.readRow(ctx, platform.HistoryKey(base+1))
+	winner, err := p.readRow(ctx, external.HistoryKey(base+1))
 	if err != nil {
 		return nil, unsettled(base+1, err)
 	}
--- a/internal/config/publisher_errors.go
+++ b/internal/config/publisher_errors.go
@@ -5,7 +5,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // ConflictError means that another publication came first. Nothing of this one
@@ -42,8 +42,8 @@
 
 // notPublished marks a failure before the commit.
 func notPublished(op string, err error) error {
-	return &platform.Error{
-		Kind:   platform.KindOf(err),
+	return &external.Error{
+		Kind:   external.KindOf(err),
 		Op:     op,
 		Remedy: "nothing was published; apply again once the platform answers",
 		Err:    err,
@@ -53,8 +53,8 @@
 // unsettled marks a failure to find out who published a revision. It may have
 // been this publication, in a try whose answer was lost.
 func unsettled(revision uint64, err error) error {
-	return &platform.Error{
-		Kind:           platform.KindOf(err),
+	return &external.Error{
+		Kind:           external.KindOf(err),
 		Op:             fmt.Sprintf("find out who published revision %d", revision),
 		OutcomeUnknown: true,
 		Remedy:         "see \"history\" once the platform answers",
--- a/internal/config/publisher_machine_test.go
+++ b/internal/config/publisher_machine_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
@@ -55,7 +55,7 @@
 		dead:      make(map[string]bool),
 	}
 	m.loader = NewLoader(m.objects)
-	m.table.applied = func(txn platform.Txn) { m.apply(t, txn) }
+	m.table.applied = func(txn external.Txn) { m.apply(t, txn) }
 	m.table.next = func(call string) fault { return m.fault(t, call) }
 	m.objects.next = m.table.next
 	for range 3 {
@@ -83,12 +83,12 @@
 }
 
 // apply checks each transaction that takes effect against the oracle.
-func (m *publisherMachine) apply(t *rapid.T, txn platform.Txn) {
+func (m *publisherMachine) apply(t *rapid.T, txn external.Txn) {
 	if m.dead[txn.ID] {
 		t.Fatalf("%s took effect after it was reported as not published", txn.ID)
 	}
 	row := &apiv1.HeadRow{}
-	if err := proto.Unmarshal(m.table.rows[platform.HeadKey].Value, row); err != nil {
+	if err := proto.Unmarshal(m.table.rows[external.HeadKey].Value, row); err != nil {
 		t.Fatal(err)
 	}
 	if row.GetRevision() != m.head+1 {
@@ -129,7 +129,7 @@
 		m.mustHold(t, row, try)
 	case errors.As(err, &conflict):
 		m.mustHaveLost(t, conflict, try)
-	case platform.OutcomeUnknown(err):
+	case external.OutcomeUnknown(err):
 		m.unknown = append(m.unknown, try)
 	case !m.isUnknown(try):
 		// A failure that names no unknown outcome certainly published nothing.
@@ -229,7 +229,7 @@
 		}
 	}
 	for revision, winner := range m.committed {
-		row := m.table.row(platform.HistoryKey(revision))
+		row := m.table.row(external.HistoryKey(revision))
 		if row.TxnID != winner.options.TxnID {
 			t.Fatalf("revision %d was rewritten by %s", revision, row.TxnID)
 		}
--- a/internal/config/publisher_test.go
+++ b/internal/config/publisher_test.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
@@ -63,15 +63,15 @@
 // The history row is written once, so it tells what became of a commit whose
 // outcome the table service could not tell.
 func TestHistorySettlesAnUnknownCommit(t *testing.T) {
-	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	unknown := &external.Error{Kind: external.KindUnavailable, Op: "commit", OutcomeUnknown: true}
 	set := sample.OffcutGiveaway().Set()
 	ctx := context.Background()
-	publish := func(before func(table platform.TableService, objects platform.ObjectStore, txn platform.Txn)) (*apiv1.HeadRow, error) {
+	publish := func(before func(table external.TableService, objects external.ObjectStore, txn external.Txn)) (*apiv1.HeadRow, error) {
 		table, objects := newFakeTable(), newFakeObjects()
 		p := NewPublisher(table, objects, PublisherOptions{
-			Commit: func(_ context.Context, _ platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+			Commit: func(_ context.Context, _ external.TableService, txn external.Txn) (external.TxnResult, error) {
 				before(table, objects, txn)
-				return platform.TxnResult{}, unknown
+				return external.TxnResult{}, unknown
 			},
 		})
 		return p.Publish(ctx, set, PublishOptions{Author: "saran"})
@@ -79,7 +79,7 @@
 
 	t.Run("it took effect", func(t *testing.T) {
 		is := is.New(t)
-		row, err := publish(func(table platform.TableService, _ platform.ObjectStore, txn platform.Txn) {
+		row, err := publish(func(table external.TableService, _ external.ObjectStore, txn external.Txn) {
 			_, err := table.Commit(ctx, txn)
 			is.NoErr(err)
 		})
@@ -88,7 +88,7 @@
 	})
 	t.Run("another came first", func(t *testing.T) {
 		is := is.New(t)
-		_, err := publish(func(table platform.TableService, objects platform.ObjectStore, _ platform.Txn) {
+		_, err := publish(func(table external.TableService, objects external.ObjectStore, _ external.Txn) {
 			_, err := NewPublisher(table, objects, PublisherOptions{}).Publish(ctx, set, PublishOptions{Author: "batbayar"})
 			is.NoErr(err)
 		})
@@ -98,8 +98,8 @@
 	})
 	t.Run("it may come yet", func(t *testing.T) {
 		is := is.New(t)
-		_, err := publish(func(platform.TableService, platform.ObjectStore, platform.Txn) {})
-		is.True(platform.OutcomeUnknown(err))
+		_, err := publish(func(external.TableService, external.ObjectStore, external.Txn) {})
+		is.True(external.OutcomeUnknown(err))
 	})
 }
 
@@ -111,7 +111,7 @@
 	is.NoErr(err)
 	head := &apiv1.HeadRow{Revision: 4, BodyKey: BodyKey(body)}
 	_, err = LoadBody(ctx, objects, head)
-	is.Equal(platform.KindOf(err), platform.KindNotFound)
+	is.Equal(external.KindOf(err), external.KindNotFound)
 
 	objects.bodies[head.GetBodyKey()] = body[:len(body)-1]
 	_, err = LoadBody(ctx, objects, head)
@@ -127,7 +127,7 @@
 // A commit whose outcome is unknown is settled by the history row: it is written
 // once, so that whoever wrote it has won for good.
 func TestUnknownCommitIsSettledByTheHistory(t *testing.T) {
-	unknown := &platform.Error{Kind: platform.KindUnavailable, Op: "commit", OutcomeUnknown: true}
+	unknown := &external.Error{Kind: external.KindUnavailable, Op: "commit", OutcomeUnknown: true}
 	set := sample.OffcutGiveaway().Set()
 	for _, tc := range []struct {
 		name     string
@@ -146,7 +146,7 @@
 			table, objects := newFakeTable(), newFakeObjects()
 			rival := NewPublisher(table, objects, PublisherOptions{})
 			p := NewPublisher(table, objects, PublisherOptions{
-				Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+				Commit: func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error) {
 					if tc.theirs {
 						_, err := rival.Publish(ctx, set, PublishOptions{Author: "batbayar"})
 						is.NoErr(err)
@@ -155,7 +155,7 @@
 						_, err := table.Commit(ctx, txn)
 						is.NoErr(err)
 					}
-					return platform.TxnResult{}, unknown
+					return external.TxnResult{}, unknown
 				},
 			})
 			row, err := p.Publish(ctx, set, PublishOptions{Author: "saran"})
@@ -166,7 +166,7 @@
 				is.Equal(row.GetAuthor(), "saran")
 			}
 			if !tc.accepted && !tc.conflict {
-				is.True(platform.OutcomeUnknown(err))
+				is.True(external.OutcomeUnknown(err))
 			}
 		})
 	}
--- a/internal/config/revisions.go
+++ b/internal/config/revisions.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // historyReads bounds the history rows that are read at the same time.
@@ -31,7 +31,7 @@
 	group.SetLimit(historyReads)
 	for i := range rows {
 		group.Go(func() error {
-			state, err := p.readRow(ctx, platform.HistoryKey(newest-uint64(i)))
+			state, err := p.readRow(ctx, external.HistoryKey(newest-uint64(i)))
 			if state.version != 0 {
 				rows[i] = state.row
 			}
@@ -71,9 +71,9 @@
 
 // Revision returns the row of a revision; 0 means the one in force.
 func (p *Publisher) Revision(ctx context.Context, revision uint64) (*apiv1.HeadRow, error) {
-	key := platform.HeadKey
+	key := external.HeadKey
 	if revision != 0 {
-		key = platform.HistoryKey(revision)
+		key = external.HistoryKey(revision)
 	}
 	state, err := p.readRow(ctx, key)
 	if err != nil {
--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter {
+		if h.Role == external.RoleRouter {
 			add(h.OperatorAddress)
 		}
 	}
--- a/internal/daemon/calls_test.go
+++ b/internal/daemon/calls_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -24,7 +24,7 @@
 
 // claimed reports whether the table has a claim row for a key.
 func (d *deployment) claimed(key string) bool {
-	return d.cluster.Table.Row(platform.ClaimKey(testService, key)).Version > 0
+	return d.cluster.Table.Row(external.ClaimKey(testService, key)).Version > 0
 }
 
 // TestRefusedCallsAreCounted compares what a caller is told with what the
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -40,10 +40,10 @@
 	allDeployments = "all"
 )
 
-// Main runs the command line and returns the exit code. A cancelled ctx stops
-// the process gracefully.
-func Main(ctx context.Context, args []string) int {
-	err := command().Run(ctx, args)
+// Main runs the command line, with more commands than the package's own, and
+// returns the exit code. A cancelled ctx stops the process gracefully.
+func Main(ctx context.Context, args []string, more ...*cli.Command) int {
+	err := command(more...).Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -66,7 +66,7 @@
 
 func (e *usageError) Unwrap() error { return e.err }
 
-func command() *cli.Command {
+func command(more ...*cli.Command) *cli.Command {
 	root := &cli.Command{
 		Name:  "ragwortdoord",
 		Usage: "serve rarely used language models",
@@ -75,7 +75,7 @@
 		Action:         unknownCommand,
 		OnUsageError:   wrongUsage,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{routerCommand(), sidecarCommand(), devCommand(), loadTestCommand()},
+		Commands:       append([]*cli.Command{routerCommand(), sidecarCommand(), devCommand(), loadTestCommand()}, more...),
 	}
 	for _, sub := range root.Commands {
 		sub.OnUsageError = wrongUsage
--- a/internal/daemon/dev.go
+++ b/internal/daemon/dev.go
@@ -11,7 +11,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
@@ -89,7 +89,7 @@
 		HostList:        standin.HostKnobs{LagMS: int(devHostListLag.Milliseconds())},
 	}
 	for _, v := range shape.Set().GetVersions() {
-		o.Checkpoints = append(o.Checkpoints, platform.CheckpointInfo{Checkpoint: v.GetCheckpoint(), SizeMiB: v.GetMemoryMib()})
+		o.Checkpoints = append(o.Checkpoints, external.CheckpointInfo{Checkpoint: v.GetCheckpoint(), SizeMiB: v.GetMemoryMib()})
 	}
 	for i := range shape.Engines {
 		o.Engines = append(o.Engines, standin.EngineOptions{
@@ -136,19 +136,19 @@
 
 // devHosts is the host list of a deployment: one router, then the engine hosts,
 // then the service hosts.
-func devHosts(shape sample.Shape, ports devPorts) []platform.Host {
+func devHosts(shape sample.Shape, ports devPorts) []external.Host {
 	domain := func(i int) string { return shape.FailureDomains[i%len(shape.FailureDomains)] }
-	hosts := []platform.Host{{
+	hosts := []external.Host{{
 		ID:              devRouterHost,
-		Role:            platform.RoleRouter,
+		Role:            external.RoleRouter,
 		Address:         ports.at(devGossip),
 		OperatorAddress: ports.at(devOperators),
 		FailureDomain:   domain(0),
 	}}
 	for i := range shape.Engines {
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, external.Host{
 			ID:              engineHost(shape, i),
-			Role:            platform.RoleUpstream,
+			Role:            external.RoleUpstream,
 			Address:         ports.at(devSidecars + i),
 			OperatorAddress: ports.at(devSidecarOps + i),
 			Pool:            shape.EnginePool,
@@ -157,9 +157,9 @@
 		})
 	}
 	for i := range shape.ServiceHosts {
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, external.Host{
 			ID:              serviceHost(shape, i),
-			Role:            platform.RoleUpstream,
+			Role:            external.RoleUpstream,
 			Address:         ports.at(devSidecars + shape.Engines + i),
 			OperatorAddress: ports.at(devSidecarOps + shape.Engines + i),
 			Pool:            shape.ServicePool,
@@ -172,9 +172,9 @@
 
 // publishSample puts the sample set in force.
 func publishSample(ctx context.Context, cluster *standin.Cluster, shape sample.Shape) error {
-	table := platform.NewTableClient(platform.ClientOptions{BaseURL: cluster.TableURL})
-	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: cluster.ObjectURL})
-	publisher := config.NewPublisher(table, objects, config.PublisherOptions{Commit: platform.CommitSettled})
+	table := external.NewTableClient(external.ClientOptions{BaseURL: cluster.TableURL})
+	objects := external.NewObjectClient(external.ClientOptions{BaseURL: cluster.ObjectURL})
+	publisher := config.NewPublisher(table, objects, config.PublisherOptions{Commit: external.CommitSettled})
 	_, err := publisher.Publish(ctx, shape.Set(), config.PublishOptions{Author: "dev", Message: "sample of " + shape.Name})
 	if err != nil {
 		return fmt.Errorf("publish sample set: %w", err)
@@ -184,7 +184,7 @@
 
 // runDevProcesses runs the router and the sidecars. The sidecars outlive the
 // router, so that its running requests can end.
-func runDevProcesses(ctx context.Context, cluster *standin.Cluster, hosts []platform.Host, ports devPorts, logger *log.Logger) error {
+func runDevProcesses(ctx context.Context, cluster *standin.Cluster, hosts []external.Host, ports devPorts, logger *log.Logger) error {
 	router, err := newDevRouter(cluster, hosts[0], ports.at(devCallers), logger)
 	if err != nil {
 		return err
@@ -207,7 +207,7 @@
 	return g.Wait()
 }
 
-func newDevRouter(cluster *standin.Cluster, h platform.Host, callers string, logger *log.Logger) (*Router, error) {
+func newDevRouter(cluster *standin.Cluster, h external.Host, callers string, logger *log.Logger) (*Router, error) {
 	cfg, err := devRouterSettings(cluster, h, callers)
 	if err != nil {
 		return nil, err
@@ -215,7 +215,7 @@
 	return NewRouter(cfg, logger.With("process", h.ID))
 }
 
-func devRouterSettings(cluster *standin.Cluster, h platform.Host, listen string) (*apiv1.RouterSettings, error) {
+func devRouterSettings(cluster *standin.Cluster, h external.Host, listen string) (*apiv1.RouterSettings, error) {
 	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(&apiv1.RouterSettings{
 		Host:           h.ID,
 		FailureDomain:  h.FailureDomain,
@@ -236,7 +236,7 @@
 }
 
 // newDevSidecar makes the sidecar of the i-th upstream host.
-func newDevSidecar(cluster *standin.Cluster, h platform.Host, i int, logger *log.Logger) (*Sidecar, error) {
+func newDevSidecar(cluster *standin.Cluster, h external.Host, i int, logger *log.Logger) (*Sidecar, error) {
 	cfg, err := devSidecarSettings(cluster, h, i)
 	if err != nil {
 		return nil, err
@@ -244,7 +244,7 @@
 	return NewSidecar(cfg, logger.With("process", h.ID))
 }
 
-func devSidecarSettings(cluster *standin.Cluster, h platform.Host, i int) (*apiv1.SidecarSettings, error) {
+func devSidecarSettings(cluster *standin.Cluster, h external.Host, i int) (*apiv1.SidecarSettings, error) {
 	wanted := &apiv1.SidecarSettings{
 		Host:           h.ID,
 		FailureDomain:  h.FailureDomain,
--- a/internal/daemon/fault_test.go
+++ b/internal/daemon/fault_test.go
@@ -15,14 +15,14 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
 // slots reads the slots of a model from the table stand-in.
 func (d *deployment) slots(model string) []view.Slot {
-	changes, err := d.table.Changes(context.Background(), platform.LivePrefix, 0)
+	changes, err := d.table.Changes(context.Background(), external.LivePrefix, 0)
 	if err != nil {
 		return nil
 	}
@@ -201,7 +201,7 @@
 }
 
 // hostOf returns the host of a sidecar as the host list has it.
-func (d *deployment) hostOf(sidecar int) platform.Host {
+func (d *deployment) hostOf(sidecar int) external.Host {
 	d.t.Helper()
 	for _, h := range d.cluster.Hosts.Listing().Hosts {
 		if h.ID == d.sidecarSettings[sidecar].GetHost() {
@@ -209,13 +209,13 @@
 		}
 	}
 	d.t.Fatalf("sidecar %d is not listed", sidecar)
-	return platform.Host{}
+	return external.Host{}
 }
 
 // unloading reports whether an engine unloads a model.
 func (d *deployment) unloading(engine int) bool {
-	return slices.ContainsFunc(d.cluster.Engines[engine].Inventory().Models, func(m platform.EngineModel) bool {
-		return m.State == platform.ModelUnloading
+	return slices.ContainsFunc(d.cluster.Engines[engine].Inventory().Models, func(m external.EngineModel) bool {
+		return m.State == external.ModelUnloading
 	})
 }
 
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -25,7 +25,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -134,7 +134,7 @@
 	t       testing.TB
 	dir     string
 	cluster *standin.Cluster
-	table   platform.TableService
+	table   external.TableService
 
 	routers  []*process
 	sidecars []*process
@@ -186,13 +186,13 @@
 		d.addSidecar(fmt.Sprintf("engine-%d", i), &apiv1.SidecarSettings{
 			EngineUrl:    d.cluster.EngineURLs[i],
 			EngineFences: d.cluster.Engines[i].Knobs().Fences,
-		}, platform.Host{MemoryMiB: testMemoryMiB})
+		}, external.Host{MemoryMiB: testMemoryMiB})
 	}
 	for i := range d.cluster.Services {
 		d.addSidecar(fmt.Sprintf("service-%d", i), &apiv1.SidecarSettings{
 			ServiceName: testService,
 			ServiceUrl:  d.cluster.ServiceURLs[i],
-		}, platform.Host{Service: testService})
+		}, external.Host{Service: testService})
 	}
 	d.publish(o.set)
 	for i := range d.routers {
@@ -205,7 +205,7 @@
 	d.t.Helper()
 	options := standin.ClusterOptions{Weights: standin.WeightKnobs{LoadsPerSecond: 50}}
 	for _, v := range testSet(maxTestModels).GetVersions() {
-		options.Checkpoints = append(options.Checkpoints, platform.CheckpointInfo{Checkpoint: v.GetCheckpoint(), SizeMiB: v.GetMemoryMib()})
+		options.Checkpoints = append(options.Checkpoints, external.CheckpointInfo{Checkpoint: v.GetCheckpoint(), SizeMiB: v.GetMemoryMib()})
 	}
 	for i, knobs := range o.engines {
 		options.Engines = append(options.Engines, standin.EngineOptions{Host: fmt.Sprintf("engine-%d", i), MemoryMiB: testMemoryMiB, Knobs: knobs})
@@ -219,11 +219,11 @@
 	}
 	d.t.Cleanup(cluster.Close)
 	d.cluster = cluster
-	d.table = platform.NewTableClient(platform.ClientOptions{BaseURL: cluster.TableURL})
+	d.table = external.NewTableClient(external.ClientOptions{BaseURL: cluster.TableURL})
 }
 
 func (d *deployment) addRouter(i int) {
-	host := platform.Host{ID: fmt.Sprintf("router-%d", i), Role: platform.RoleRouter, Address: freeAddress(d.t), OperatorAddress: freeAddress(d.t), FailureDomain: "a"}
+	host := external.Host{ID: fmt.Sprintf("router-%d", i), Role: external.RoleRouter, Address: freeAddress(d.t), OperatorAddress: freeAddress(d.t), FailureDomain: "a"}
 	d.cluster.Hosts.Add(host)
 	cfg := &apiv1.RouterSettings{
 		Host: host.ID, FailureDomain: "a", Listen: freeAddress(d.t), OperatorListen: host.OperatorAddress, GossipListen: host.Address,
@@ -238,8 +238,8 @@
 	d.routers = append(d.routers, startProcess(d.t, d.dir, "router", host.ID, cfg))
 }
 
-func (d *deployment) addSidecar(name string, cfg *apiv1.SidecarSettings, host platform.Host) {
-	host.ID, host.Role, host.Pool, host.FailureDomain = name, platform.RoleUpstream, testPool, "a"
+func (d *deployment) addSidecar(name string, cfg *apiv1.SidecarSettings, host external.Host) {
+	host.ID, host.Role, host.Pool, host.FailureDomain = name, external.RoleUpstream, testPool, "a"
 	host.Address, host.OperatorAddress = freeAddress(d.t), freeAddress(d.t)
 	d.cluster.Hosts.Add(host)
 	cfg.Host, cfg.FailureDomain, cfg.Listen, cfg.OperatorListen = name, "a", host.Address, host.OperatorAddress
@@ -260,8 +260,8 @@
 
 func (d *deployment) publish(set *apiv1.ObjectSet) *apiv1.HeadRow {
 	d.t.Helper()
-	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: d.cluster.ObjectURL})
-	publisher := config.NewPublisher(d.table, objects, config.PublisherOptions{Commit: platform.CommitSettled})
+	objects := external.NewObjectClient(external.ClientOptions{BaseURL: d.cluster.ObjectURL})
+	publisher := config.NewPublisher(d.table, objects, config.PublisherOptions{Commit: external.CommitSettled})
 	head, err := publisher.Publish(context.Background(), set, config.PublishOptions{Author: "test"})
 	if err != nil {
 		d.t.Fatal(err)
--- a/internal/daemon/idle_bench_test.go
+++ b/internal/daemon/idle_bench_test.go
@@ -15,7 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -114,7 +114,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		d.cluster.Hosts.Add(platform.Host{ID: cfg.GetHost(), Role: platform.RoleUpstream, Address: s.Address(), FailureDomain: "a"})
+		d.cluster.Hosts.Add(external.Host{ID: cfg.GetHost(), Role: external.RoleUpstream, Address: s.Address(), FailureDomain: "a"})
 		running.Go(func() { _ = s.Run(ctx) })
 	}
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -5,8 +5,8 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 )
 
 // gossipTargets lists the other live routers.
@@ -16,7 +16,7 @@
 	}
 	var targets []string
 	for _, h := range r.store.Load().Hosts.Hosts {
-		if h.Role == platform.RoleRouter && h.ID != r.cfg.GetHost() {
+		if h.Role == external.RoleRouter && h.ID != r.cfg.GetHost() {
 			targets = append(targets, h.Address)
 		}
 	}
@@ -63,9 +63,9 @@
 			Role:          string(h.Role),
 			FailureDomain: h.FailureDomain,
 			Address:       h.Address,
-			Draining:      h.State == platform.HostLeaving || snap.Drains[h.ID],
+			Draining:      h.State == external.HostLeaving || snap.Drains[h.ID],
 		}
-		if h.Role == platform.RoleRouter {
+		if h.Role == external.RoleRouter {
 			r.routerStatus(&node)
 		} else {
 			r.sidecarStatus(&node)
--- a/internal/daemon/permits.go
+++ b/internal/daemon/permits.go
@@ -8,9 +8,9 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/permit"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -100,7 +100,7 @@
 // tick starts or stops allocating with the lease. It returns the grants that are
 // due and whether further requests wait.
 func (s *permitServer) tick(now time.Time) (grants []permit.Grant, waiting bool) {
-	_, held := s.leases.Guard(platform.PermitLease)
+	_, held := s.leases.Guard(external.PermitLease)
 	limits := permitLimits(s.view.Load())
 	if s.limits != nil {
 		limits = *s.limits
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -10,9 +10,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/keepalive"
 	"github.com/ragwortdoor/ragwortdoor/internal/loadtest"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
@@ -158,20 +158,20 @@
 }
 
 // keepWarm holds a model loaded by a long stream and finds its engine.
-func (p *probe) keepWarm(ctx context.Context, model string) (platform.Engine, int) {
+func (p *probe) keepWarm(ctx context.Context, model string) (external.Engine, int) {
 	go p.runner.Send(ctx, p.runner.Routers[0], p.request(model, "hold", 2000))
 	for ctx.Err() == nil {
 		time.Sleep(settlePoll)
 		for i, e := range p.bed.cluster.Engines {
 			if e.Use().Streams > 0 {
-				return platform.NewEngineClient(platform.ClientOptions{BaseURL: p.bed.cluster.EngineURLs[i]}), i
+				return external.NewEngineClient(external.ClientOptions{BaseURL: p.bed.cluster.EngineURLs[i]}), i
 			}
 		}
 	}
-	return platform.NewEngineClient(platform.ClientOptions{BaseURL: p.bed.cluster.EngineURLs[0]}), 0
+	return external.NewEngineClient(external.ClientOptions{BaseURL: p.bed.cluster.EngineURLs[0]}), 0
 }
 
-func (p *probe) compareStreams(ctx context.Context, engine platform.Engine, model, label string) {
+func (p *probe) compareStreams(ctx context.Context, engine external.Engine, model, label string) {
 	first := [2]*hdrhistogram.Histogram{newProbeHistogram(), newProbeHistogram()}
 	gap := [2]*hdrhistogram.Histogram{newProbeHistogram(), newProbeHistogram()}
 	record := func(way int, firstToken, total time.Duration) {
@@ -183,7 +183,7 @@
 		if a.Outcome == loadtest.OutcomeServed {
 			record(1, a.FirstToken, a.Total)
 		}
-		firstToken, total, err := direct(ctx, engine, platform.Generation{
+		firstToken, total, err := direct(ctx, engine, external.Generation{
 			RequestID: fmt.Sprintf("direct-%s-%d", label, i), Model: model, Prompt: "user: warm", MaxTokens: probeTokens,
 		})
 		if err == nil {
@@ -197,7 +197,7 @@
 }
 
 // direct reads one stream from an engine.
-func direct(ctx context.Context, engine platform.Engine, gen platform.Generation) (first, total time.Duration, err error) {
+func direct(ctx context.Context, engine external.Engine, gen external.Generation) (first, total time.Duration, err error) {
 	start := time.Now()
 	stream, err := engine.Generate(ctx, gen)
 	if err != nil {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -15,10 +15,10 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/claim"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/decider"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/gossip"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/router"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
@@ -70,9 +70,9 @@
 
 // clients are the router's clients of the platform.
 type clients struct {
-	table   platform.TableService
-	objects platform.ObjectStore
-	hosts   platform.HostList
+	table   external.TableService
+	objects external.ObjectStore
+	hosts   external.HostList
 }
 
 func newClients(cfg *apiv1.PlatformSettings) clients {
@@ -80,17 +80,17 @@
 	if share == 0 {
 		share = retry.DefaultShare
 	}
-	at := func(url string) platform.ClientOptions {
-		return platform.ClientOptions{
+	at := func(url string) external.ClientOptions {
+		return external.ClientOptions{
 			BaseURL:     url,
 			CallTimeout: milliseconds(cfg.GetCallTimeoutMs()),
 			Budget:      retry.NewBudget(share, retry.DefaultFloor),
 		}
 	}
 	return clients{
-		table:   platform.NewTableClient(at(cfg.GetTableUrl())),
-		objects: platform.NewObjectClient(at(cfg.GetObjectUrl())),
-		hosts:   platform.NewHostListClient(at(cfg.GetHostListUrl())),
+		table:   external.NewTableClient(at(cfg.GetTableUrl())),
+		objects: external.NewObjectClient(at(cfg.GetObjectUrl())),
+		hosts:   external.NewHostListClient(at(cfg.GetHostListUrl())),
 	}
 }
 
@@ -145,7 +145,7 @@
 		TTL:     milliseconds(r.cfg.GetLeaseTtlMs()),
 		Log:     r.log,
 		Peers:   r.liveRouters,
-		Commit:  platform.CommitSettled,
+		Commit:  external.CommitSettled,
 	})
 	r.permits = &permitServer{
 		leases: r.leases,
@@ -175,15 +175,15 @@
 		Shards:   r.cfg.GetDecisionShards(),
 		Sidecars: r.sidecars,
 		Silent:   r.sidecars.Silent,
-		Commit:   platform.CommitSettled,
+		Commit:   external.CommitSettled,
 		Log:      r.log,
 	})
 }
 
 func leaseNames(shards uint32) []string {
-	names := []string{platform.PermitLease, claim.SweepLease}
+	names := []string{external.PermitLease, claim.SweepLease}
 	for shard := range shards {
-		names = append(names, platform.ShardLease(shard))
+		names = append(names, external.ShardLease(shard))
 	}
 	return names
 }
@@ -233,7 +233,7 @@
 	return operator.NewServer(operator.ServerOptions{
 		Publisher: config.NewPublisher(c.table, c.objects, config.PublisherOptions{
 			Fleet:  func() config.Fleet { return config.FleetOf(r.store.Load().Hosts) },
-			Commit: platform.CommitSettled,
+			Commit: external.CommitSettled,
 			Log:    r.log,
 		}),
 		Reader: waitlog.NewReader(c.objects),
--- a/internal/daemon/sampler.go
+++ b/internal/daemon/sampler.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/loadtest"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/router"
 )
 
@@ -62,7 +62,7 @@
 // takeReports compares what routers believe with what sidecars know.
 func (s *sampler) takeReports() {
 	for _, h := range s.bed.hosts {
-		if h.Role != platform.RoleUpstream || h.Service != "" {
+		if h.Role != external.RoleUpstream || h.Service != "" {
 			continue
 		}
 		active := s.bed.sidecars[h.ID].agent.Stats().Active
--- a/internal/daemon/separate_test.go
+++ b/internal/daemon/separate_test.go
@@ -14,7 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 )
 
@@ -35,8 +35,8 @@
 	}()
 	t.Cleanup(p.kill)
 	hostList := "http://" + devPorts(portOffset).at(devHostList)
-	hosts := platform.NewHostListClient(platform.ClientOptions{BaseURL: hostList})
-	var listing platform.HostListing
+	hosts := external.NewHostListClient(external.ClientOptions{BaseURL: hostList})
+	var listing external.HostListing
 	d.eventually("the stand-ins run", func() bool {
 		var err error
 		listing, err = hosts.Hosts(context.Background())
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -10,8 +10,8 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
@@ -61,14 +61,14 @@
 		opts.KeepAlive = policies.KeepAlive()
 	}
 	if cfg.GetEngineUrl() != "" {
-		opts.Engine = platform.NewEngineClient(platform.ClientOptions{
+		opts.Engine = external.NewEngineClient(external.ClientOptions{
 			BaseURL: cfg.GetEngineUrl(),
 			Budget:  retry.NewBudget(retry.DefaultShare, retry.DefaultFloor),
 		})
 	}
 	if cfg.GetServiceUrl() != "" {
 		opts.ServiceName = cfg.GetServiceName()
-		opts.Service = platform.NewServiceClient(platform.ClientOptions{BaseURL: cfg.GetServiceUrl()})
+		opts.Service = external.NewServiceClient(external.ClientOptions{BaseURL: cfg.GetServiceUrl()})
 	}
 	return agent.New(opts)
 }
--- a/internal/daemon/testbed.go
+++ b/internal/daemon/testbed.go
@@ -12,8 +12,8 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/permit"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
@@ -35,7 +35,7 @@
 	policies Policies
 	log      *log.Logger
 	cluster  *standin.Cluster
-	hosts    []platform.Host
+	hosts    []external.Host
 	routers  []*Router
 	sidecars map[string]*Sidecar // by host
 	running  sync.WaitGroup
@@ -96,17 +96,17 @@
 
 // cachedAt gives a third of the models a checkpoint in the memory of one host,
 // a third one on its disk, and leaves the others to the weight store.
-func cachedAt(shape sample.Shape, engine int) []platform.CachedCheckpoint {
-	var cached []platform.CachedCheckpoint
+func cachedAt(shape sample.Shape, engine int) []external.CachedCheckpoint {
+	var cached []external.CachedCheckpoint
 	for i, v := range shape.Set().GetVersions() {
 		if i%shape.Engines != engine {
 			continue
 		}
 		switch i % 3 {
 		case 1:
-			cached = append(cached, platform.CachedCheckpoint{Checkpoint: v.GetCheckpoint(), Tier: platform.TierDisk})
+			cached = append(cached, external.CachedCheckpoint{Checkpoint: v.GetCheckpoint(), Tier: external.TierDisk})
 		case 2:
-			cached = append(cached, platform.CachedCheckpoint{Checkpoint: v.GetCheckpoint(), Tier: platform.TierMemory})
+			cached = append(cached, external.CachedCheckpoint{Checkpoint: v.GetCheckpoint(), Tier: external.TierMemory})
 		}
 	}
 	return cached
@@ -131,7 +131,7 @@
 	}
 	upstreams := 0
 	for _, h := range b.hosts {
-		if h.Role == platform.RoleRouter {
+		if h.Role == external.RoleRouter {
 			err = b.startRouter(h)
 		} else {
 			err = b.startSidecar(h, upstreams)
@@ -144,7 +144,7 @@
 	return nil
 }
 
-func (b *testbed) startRouter(h platform.Host) error {
+func (b *testbed) startRouter(h external.Host) error {
 	callers, err := freePorts(1)
 	if err != nil {
 		return err
@@ -162,7 +162,7 @@
 	return nil
 }
 
-func (b *testbed) startSidecar(h platform.Host, i int) error {
+func (b *testbed) startSidecar(h external.Host, i int) error {
 	cfg, err := devSidecarSettings(b.cluster, h, i)
 	if err != nil {
 		return err
@@ -214,7 +214,7 @@
 func (b *testbed) reported() bool {
 	for _, r := range b.routers {
 		for _, h := range b.hosts {
-			if h.Role == platform.RoleUpstream && r.store.Report(h.ID) == nil {
+			if h.Role == external.RoleUpstream && r.store.Report(h.ID) == nil {
 				return false
 			}
 		}
--- a/internal/daemon/watch_test.go
+++ b/internal/daemon/watch_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestWatchesHost(t *testing.T) {
@@ -14,13 +14,13 @@
 	for _, tc := range []struct {
 		name  string
 		hosts int
-		host  platform.Host
+		host  external.Host
 		want  bool
 	}{
-		{"small deployment", maxWatchedHosts, platform.Host{ID: "host-0", FailureDomain: other}, true},
-		{"own failure domain", maxWatchedHosts + 1, platform.Host{ID: "host-0", FailureDomain: own}, true},
-		{"other failure domain", maxWatchedHosts + 1, platform.Host{ID: "host-0", FailureDomain: other}, false},
-		{"holds a replica that it decides about", maxWatchedHosts + 1, platform.Host{ID: "host-1", FailureDomain: other}, true},
+		{"small deployment", maxWatchedHosts, external.Host{ID: "host-0", FailureDomain: other}, true},
+		{"own failure domain", maxWatchedHosts + 1, external.Host{ID: "host-0", FailureDomain: own}, true},
+		{"other failure domain", maxWatchedHosts + 1, external.Host{ID: "host-0", FailureDomain: other}, false},
+		{"holds a replica that it decides about", maxWatchedHosts + 1, external.Host{ID: "host-1", FailureDomain: other}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is.New(t).Equal(watchesHost(tc.hosts, tc.host, own, decided), tc.want)
--- a/internal/decider/commit.go
+++ b/internal/decider/commit.go
@@ -9,9 +9,9 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -76,13 +76,13 @@
 	if err != nil {
 		return outcomeUnknown, fmt.Errorf("encode slot %s/%d: %w", order.Model, order.Slot, err)
 	}
-	key := platform.SlotKey(order.Model, order.Slot)
+	key := external.SlotKey(order.Model, order.Slot)
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	result, err := d.opts.Commit(ctx, d.opts.Table, platform.Txn{
+	result, err := d.opts.Commit(ctx, d.opts.Table, external.Txn{
 		ID:     d.nextTxnID(),
 		Checks: append(modelChecks(order.Model, slots), guard.Check),
-		Puts:   []platform.Put{{Key: key, Value: value}},
+		Puts:   []external.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return outcomeUnknown, err
@@ -91,18 +91,18 @@
 		d.learn(result.Conflicts)
 		return outcomeConflict, nil
 	}
-	d.learn([]platform.Row{{Key: key, Value: value, Version: result.Version}})
+	d.learn([]external.Row{{Key: key, Value: value, Version: result.Version}})
 	return outcomeCommitted, nil
 }
 
 // modelChecks demands that a model's rows are as known, and that there are no
 // others: rows are numbered without gaps and never deleted.
-func modelChecks(model string, slots []view.Slot) []platform.Check {
+func modelChecks(model string, slots []view.Slot) []external.Check {
 	next := placement.NextSlot(slots)
-	checks := make([]platform.Check, 0, next+2)
+	checks := make([]external.Check, 0, next+2)
 	for number := range next + 1 {
-		checks = append(checks, platform.Check{
-			Key:     platform.SlotKey(model, number),
+		checks = append(checks, external.Check{
+			Key:     external.SlotKey(model, number),
 			Version: versionOf(slots, number),
 		})
 	}
@@ -146,14 +146,14 @@
 }
 
 // learn folds rows into the view before the next poll brings them.
-func (d *Decider) learn(rows []platform.Row) {
-	var present []platform.Row
+func (d *Decider) learn(rows []external.Row) {
+	var present []external.Row
 	for _, row := range rows {
-		if row.Version > 0 && strings.HasPrefix(row.Key, platform.SlotPrefix) {
+		if row.Version > 0 && strings.HasPrefix(row.Key, external.SlotPrefix) {
 			present = append(present, row)
 		}
 	}
-	d.opts.View.ApplyRows(platform.Changes{Rows: present})
+	d.opts.View.ApplyRows(external.Changes{Rows: present})
 }
 
 func (d *Decider) nextTxnID() string {
--- a/internal/decider/decider.go
+++ b/internal/decider/decider.go
@@ -12,9 +12,9 @@
 	"golang.org/x/time/rate"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -32,7 +32,7 @@
 
 // Options configure a Decider.
 type Options struct {
-	Table platform.TableService
+	Table external.TableService
 	View  *view.Store
 	// Leases proves which shards this router decides.
 	Leases Leases
@@ -124,7 +124,7 @@
 		readEpochs: make(map[uint32]uint64),
 	}
 	for shard := range opts.Shards {
-		d.shardLeases = append(d.shardLeases, platform.ShardLease(shard))
+		d.shardLeases = append(d.shardLeases, external.ShardLease(shard))
 	}
 	d.releases = newReleaser(opts.Sidecars, &d.stats, opts.Now)
 	return d
@@ -150,7 +150,7 @@
 		opts.Seed = rand.Uint64()
 	}
 	if opts.Commit == nil {
-		opts.Commit = func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+		opts.Commit = func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error) {
 			return table.Commit(ctx, txn)
 		}
 	}
--- a/internal/decider/fleet_test.go
+++ b/internal/decider/fleet_test.go
@@ -10,9 +10,9 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -38,7 +38,7 @@
 	table    *tabletest.Table
 	view     *view.Store
 	deciders []*Decider
-	listing  platform.HostListing
+	listing  external.HostListing
 	// busiest is the greatest number of writes in a second of the last run.
 	busiest int
 }
@@ -53,14 +53,14 @@
 	}
 	f.view.SetConfig(config.NewIndex(1, set))
 	for i := range hosts {
-		f.listing.Hosts = append(f.listing.Hosts, platform.Host{
-			ID: fmt.Sprintf("host-%d", i), Role: platform.RoleUpstream, Pool: "pool", State: platform.HostLive,
+		f.listing.Hosts = append(f.listing.Hosts, external.Host{
+			ID: fmt.Sprintf("host-%d", i), Role: external.RoleUpstream, Pool: "pool", State: external.HostLive,
 			FailureDomain: fmt.Sprintf("domain-%d", i%domains), MemoryMiB: 80_000,
 		})
 	}
 	for shard := range uint32(shards) {
 		d := New(Options{
-			Table: f.table, View: f.view, Leases: oneLease{name: platform.ShardLease(shard)}, Shards: uint32(shards),
+			Table: f.table, View: f.view, Leases: oneLease{name: external.ShardLease(shard)}, Shards: uint32(shards),
 			Sidecars: obedient{}, Seed: uint64(shard) + 1, Now: func() time.Time { return f.now },
 		})
 		d.releases.spawn = func(call func()) { call() }
@@ -71,13 +71,13 @@
 
 // loseDomain drops the hosts of a failure domain from the list.
 func (f *fleet) loseDomain(domain string) {
-	var kept []platform.Host
+	var kept []external.Host
 	for _, host := range f.listing.Hosts {
 		if host.FailureDomain != domain {
 			kept = append(kept, host)
 		}
 	}
-	f.listing = platform.HostListing{Hosts: kept, Revision: f.listing.Revision + 1}
+	f.listing = external.HostListing{Hosts: kept, Revision: f.listing.Revision + 1}
 }
 
 // runUntilPlaced runs rounds until every model has its slots on listed hosts,
@@ -153,7 +153,7 @@
 func TestRunEnds(t *testing.T) {
 	is := is.New(t)
 	d := New(Options{
-		Table: tabletest.New(), View: view.NewStore(), Leases: oneLease{name: platform.ShardLease(0)},
+		Table: tabletest.New(), View: view.NewStore(), Leases: oneLease{name: external.ShardLease(0)},
 		Sidecars: obedient{}, Round: time.Millisecond, Timing: placement.DefaultTiming(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -182,7 +182,7 @@
 	now := time.Unix(1_800_000_000, 0)
 	sidecars := frozen{make(chan string, 8)}
 	r := newReleaser(sidecars, &counters{}, func() time.Time { return now })
-	hosts := map[string]platform.Host{"host": {}}
+	hosts := map[string]external.Host{"host": {}}
 	var releasing []view.Slot
 	for slot := range uint32(3) {
 		row := &apiv1.SlotRow{Model: "m", Slot: slot, Host: "host", Generation: 1, State: apiv1.SlotState_SLOT_STATE_RELEASING}
--- a/internal/decider/machine_test.go
+++ b/internal/decider/machine_test.go
@@ -11,8 +11,8 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
@@ -171,9 +171,9 @@
 }
 
 // applied is the oracle of the table: which writes may take effect.
-func (m *machine) applied(txn platform.Txn, _ int64) {
+func (m *machine) applied(txn external.Txn, _ int64) {
 	for _, put := range txn.Puts {
-		if name, ok := strings.CutPrefix(put.Key, platform.EpochPrefix); ok {
+		if name, ok := strings.CutPrefix(put.Key, external.EpochPrefix); ok {
 			m.epochs[name]++
 			continue
 		}
--- a/internal/decider/oracle_test.go
+++ b/internal/decider/oracle_test.go
@@ -3,8 +3,8 @@
 import (
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
@@ -17,7 +17,7 @@
 // checkWrite demands that a row changes only as its life allows, under the
 // epoch in force.
 func (m *machine) checkWrite(sent sentTxn, next *apiv1.SlotRow) {
-	name := platform.ShardLease(placement.ShardOf(next.GetModel(), testShards))
+	name := external.ShardLease(placement.ShardOf(next.GetModel(), testShards))
 	if sent.guards[name].Epoch != m.epochs[name] {
 		m.t.Fatalf("%v written under epoch %d in epoch %d", next, sent.guards[name].Epoch, m.epochs[name])
 	}
--- a/internal/decider/releases.go
+++ b/internal/decider/releases.go
@@ -8,8 +8,8 @@
 	"github.com/cenkalti/backoff/v5"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -72,13 +72,13 @@
 
 // ask starts the calls that are due for the releasing slots and forgets all
 // others. Hosts that are not listed are not asked.
-func (r *releaser) ask(ctx context.Context, releasing []view.Slot, hosts map[string]platform.Host) {
+func (r *releaser) ask(ctx context.Context, releasing []view.Slot, hosts map[string]external.Host) {
 	for _, slot := range r.due(releasing, hosts) {
 		r.spawn(func() { r.call(ctx, slot) })
 	}
 }
 
-func (r *releaser) due(releasing []view.Slot, hosts map[string]platform.Host) []view.Slot {
+func (r *releaser) due(releasing []view.Slot, hosts map[string]external.Host) []view.Slot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.prune(releasing, hosts)
@@ -115,7 +115,7 @@
 }
 
 // prune forgets releases that have ended and hosts that have none left.
-func (r *releaser) prune(releasing []view.Slot, hosts map[string]platform.Host) {
+func (r *releaser) prune(releasing []view.Slot, hosts map[string]external.Host) {
 	kept := make(map[placement.SlotID]bool, len(releasing))
 	asked := make(map[string]bool, len(releasing))
 	for _, slot := range releasing {
--- a/internal/decider/round.go
+++ b/internal/decider/round.go
@@ -10,9 +10,9 @@
 	"golang.org/x/time/rate"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
 	"github.com/ragwortdoor/ragwortdoor/internal/placement"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -67,7 +67,7 @@
 func (d *Decider) readAfresh(ctx context.Context, held guards) bool {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	changes, err := d.opts.Table.Changes(ctx, platform.SlotPrefix, 0)
+	changes, err := d.opts.Table.Changes(ctx, external.SlotPrefix, 0)
 	if err != nil {
 		d.failures++
 		d.warn("slots not read after a takeover: check the table service", "err", err)
@@ -75,7 +75,7 @@
 	}
 	d.failures = 0
 	// The revision is left out: rows under other prefixes were not read.
-	d.opts.View.ApplyRows(platform.Changes{Rows: changes.Rows})
+	d.opts.View.ApplyRows(external.Changes{Rows: changes.Rows})
 	for shard, guard := range held {
 		d.readEpochs[shard] = guard.Epoch
 	}
--- a/internal/decider/routers_test.go
+++ b/internal/decider/routers_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/lease"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -44,7 +44,7 @@
 	r.decider = New(Options{
 		Table: m.table, View: r.view, Leases: r, Shards: testShards, Sidecars: m, Seed: uint64(i + 1),
 		Now: func() time.Time { return m.now },
-		Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+		Commit: func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error) {
 			m.sent[txn.ID] = sentTxn{r.view.Load().Config, map[string]lease.Guard{}}
 			for name, guard := range r.guards {
 				m.sent[txn.ID].guards[name] = guard
@@ -90,17 +90,17 @@
 // as a paused process would.
 func (m *machine) takeover() {
 	r := m.drawRouter()
-	name := platform.ShardLease(uint32(rapid.IntRange(0, testShards-1).Draw(m.t, "shard")))
+	name := external.ShardLease(uint32(rapid.IntRange(0, testShards-1).Draw(m.t, "shard")))
 	m.give(r, name)
 }
 
 func (m *machine) give(r *router, name string) {
-	row, err := m.table.Get(context.Background(), platform.EpochKey(name))
+	row, err := m.table.Get(context.Background(), external.EpochKey(name))
 	if err != nil {
 		return
 	}
-	check := platform.Check{Key: row.Key, Version: row.Version}
-	result, err := m.table.Commit(context.Background(), platform.Txn{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: row.Key}}})
+	check := external.Check{Key: row.Key, Version: row.Version}
+	result, err := m.table.Commit(context.Background(), external.Txn{Checks: []external.Check{check}, Puts: []external.Put{{Key: row.Key}}})
 	if err != nil {
 		return
 	}
@@ -111,7 +111,7 @@
 // giveAll shares the shards among the routers.
 func (m *machine) giveAll() {
 	for shard := range uint32(testShards) {
-		m.give(m.routers[shard%2], platform.ShardLease(shard))
+		m.give(m.routers[shard%2], external.ShardLease(shard))
 	}
 }
 
--- a/internal/decider/world_test.go
+++ b/internal/decider/world_test.go
@@ -10,7 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/agent/slots"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // listLag is the greatest lag of the host list.
@@ -99,23 +99,23 @@
 // listed is the host list from some time on.
 type listed struct {
 	at      time.Time
-	listing platform.HostListing
+	listing external.HostListing
 }
 
 // relist records the present hosts as a new revision of the list.
 func (m *machine) relist() {
-	listing := platform.HostListing{Revision: int64(len(m.lists) + 1)}
+	listing := external.HostListing{Revision: int64(len(m.lists) + 1)}
 	for _, host := range hostNames {
 		s := m.sidecars[host]
 		if !s.alive {
 			continue
 		}
-		state := platform.HostLive
+		state := external.HostLive
 		if s.draining {
-			state = platform.HostLeaving
+			state = external.HostLeaving
 		}
-		listing.Hosts = append(listing.Hosts, platform.Host{
-			ID: host, Role: platform.RoleUpstream, Pool: "pool", State: state,
+		listing.Hosts = append(listing.Hosts, external.Host{
+			ID: host, Role: external.RoleUpstream, Pool: "pool", State: state,
 			FailureDomain: host[:1], MemoryMiB: 1000,
 		})
 	}
@@ -123,7 +123,7 @@
 }
 
 // readList returns the list as it was some time ago.
-func (m *machine) readList() platform.HostListing {
+func (m *machine) readList() external.HostListing {
 	ago := time.Duration(rapid.IntRange(0, int(listLag/time.Millisecond)).Draw(m.t, "list lag")) * time.Millisecond
 	if m.calm {
 		ago = 0
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,115 @@
+// Package entry is the process on an entry host: it takes callers' requests,
+// sends each to an upstream and returns the answer whole, or refuses it with
+// the truth about whether it ran.
+package entry
+
+import (
+	"net/http"
+	"time"
+)
+
+// Settings of an entry process.
+type Settings struct {
+	// Host and FailureDomain say where the process runs.
+	Host          string
+	FailureDomain string
+	// CallerAddr takes callers' requests, ReadyAddr answers the balancer's
+	// question whether it should send more, PeerAddr serves other routers; each
+	// is "IP:PORT".
+	CallerAddr string
+	ReadyAddr  string
+	PeerAddr   string
+	// StopGrace is the time from the signal to stop to the kill.
+	StopGrace time.Duration
+	// LeaseTime is how long two holders of the scheduler's lease must not order
+	// within. EnginesCheckFence is set where engines refuse former holders.
+	LeaseTime         time.Duration
+	EnginesCheckFence bool
+	// RetryShare is the part of a service's requests that all routers may send
+	// once more within RetryWindow, beside RetrySlack.
+	RetryShare  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// LoadWindow and LoadWindowFactor bound loads from the weight store: in any
+	// window no more than the configured rate times the factor may begin.
+	LoadWindow       time.Duration
+	LoadWindowFactor float64
+	// HeartbeatPeriod is how often upstreams describe themselves.
+	HeartbeatPeriod time.Duration
+}
+
+// PromptPart is a piece of a prompt that requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int64
+}
+
+// Call is what a caller says of a request.
+type Call struct {
+	ID      string
+	Model   string // empty for a plain service
+	Adapter string
+	Parts   []PromptPart
+	// PromptTokens and MaxOutputTokens are the size of a generation.
+	PromptTokens    int64
+	MaxOutputTokens int64
+	// Patience is how long the caller waits; 0 if it does not say.
+	Patience time.Duration
+	// ResumeAfter is the id of the last event that the caller has.
+	ResumeAfter string
+}
+
+// Attempt is one sending of a request.
+type Attempt struct {
+	UpstreamID string
+	// TimeLeft is how long the upstream may work; 0 leaves it open.
+	TimeLeft time.Duration
+	// Priority is the rank at the upstream, 0 first; negative leaves it open.
+	Priority    int
+	ResumeAfter string
+}
+
+// Load is what an upstream says of its load.
+type Load struct{ Running, Waiting, Slots int64 }
+
+// Answer is what the head of an upstream's answer says beside its status.
+type Answer struct {
+	// Signed is set when the upstream vouches for the answer.
+	Signed bool
+	// NotRun is set when the request did not run and will not run.
+	NotRun bool
+	// WrongUpstream is set when another upstream has the address, or the model
+	// is not there.
+	WrongUpstream bool
+	Load          *Load
+}
+
+// Dialect translates the headers of requests and answers.
+type Dialect interface {
+	// ReadyPath is where the balancer asks.
+	ReadyPath() string
+	// IDHeader is the header that carries a request's id both ways.
+	IDHeader() string
+	// ReadCall reads a caller's headers.
+	ReadCall(h http.Header) Call
+	// Prepare turns a caller's headers into those for an upstream.
+	Prepare(h http.Header, attempt Attempt)
+	// ReadAnswer reads the head of an upstream's answer.
+	ReadAnswer(status int, h http.Header) Answer
+}
+
+// Outcome is how a request ended, for logs and metrics.
+type Outcome string
+
+// Outcomes of requests.
+const (
+	OutcomeServed    Outcome = "served"
+	OutcomeRelayed   Outcome = "relayed_failure" // the upstream's own failure
+	OutcomeRefused   Outcome = "refused"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeTimeout   Outcome = "timeout"
+	OutcomeBroken    Outcome = "broken_off"
+	OutcomeCallerEnd Outcome = "caller_left"
+	OutcomeNoRoute   Outcome = "no_route"
+	OutcomeTooLarge  Outcome = "too_large"
+)
--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/cell"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
+)
+
+const (
+	// defaultPatience is used for callers that name no deadline.
+	defaultPatience = 60 * time.Second
+	// defaultBodyBytes bounds bodies until a configuration does.
+	defaultBodyBytes = 4 << 20
+	// startPause is the Retry-After while the router knows no configuration.
+	startPause = 300 * time.Millisecond
+	// againPause is the Retry-After after an upstream's own refusal.
+	againPause = 50 * time.Millisecond
+	// retryMargin leaves a part of the retry budget to what can't be foreseen.
+	retryMargin = 0.75
+	retryFloor  = 0.3 // retries a second of one router
+)
+
+// Front takes callers' requests.
+type Front struct {
+	settings  Settings
+	dialect   Dialect
+	directory *fleet.Directory
+	pool      *exchange.Pool
+	scheduler *cell.Client
+	balancer  *balancer
+	budget    *retry.Budget
+	log       *Log
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+}
+
+// FrontOptions configure a Front.
+type FrontOptions struct {
+	Settings  Settings
+	Dialect   Dialect
+	Directory *fleet.Directory
+	Pool      *exchange.Pool
+	Scheduler *cell.Client
+	Log       *Log
+}
+
+// NewFront makes a front.
+func NewFront(opts FrontOptions) *Front {
+	return &Front{
+		settings:  opts.Settings,
+		dialect:   opts.Dialect,
+		directory: opts.Directory,
+		pool:      opts.Pool,
+		scheduler: opts.Scheduler,
+		balancer:  newBalancer(opts.Settings.FailureDomain),
+		budget:    retry.NewBudget(opts.Settings.RetryShare*retryMargin, retryFloor),
+		log:       opts.Log,
+	}
+}
+
+// job is one request of a caller.
+type job struct {
+	front   *Front
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	call    Call
+	route   *fleet.Route
+	service fleet.Service
+	body    []byte
+	arrived time.Time
+	// objective is when the first byte is expected, giveUp when the answer must
+	// be whole.
+	objective time.Time
+	giveUp    time.Time
+
+	// sends counts the sendings, tried the upstreams that got the request.
+	sends int
+	tried []string
+	// begun is set once a byte of the answer was written to the caller.
+	begun bool
+	// lastEvent is the id of the last whole event that the caller has.
+	lastEvent string
+	record    Record
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{front: f, w: w, r: r, arrived: time.Now()}
+	j.call = f.dialect.ReadCall(r.Header)
+	j.record = Record{ID: j.call.ID, Model: j.call.Model, Adapter: j.call.Adapter}
+	if j.call.ID != "" {
+		w.Header().Set(f.dialect.IDHeader(), j.call.ID)
+	}
+	defer func() { f.log.Request(&j.record, time.Since(j.arrived)) }()
+	if j.prepare() {
+		j.serve()
+	}
+}
+
+// prepare finds the route and reads the body; it answers the request and
+// reports false if that fails.
+func (j *job) prepare() bool {
+	snapshot := j.front.directory.Load()
+	if snapshot.Config == nil {
+		j.refuse(startPause, "no configuration yet")
+		return false
+	}
+	j.record.ConfigVersion = snapshot.Config.Version
+	path, _, _ := strings.Cut(j.r.RequestURI, "?")
+	j.route = snapshot.Config.Match(j.r.Host, path)
+	if j.route == nil {
+		j.record.Outcome = OutcomeNoRoute
+		j.answer(http.StatusNotFound, "no route for this host and path: publish one or correct the address")
+		return false
+	}
+	j.record.Route = j.route.Name
+	service, known := snapshot.Config.Services[j.route.PickTarget(rand.Float64())]
+	if !known {
+		j.refuse(startPause, "the route names no known service")
+		return false
+	}
+	j.service = service
+	j.record.Service = service.Name
+	j.setTimes()
+	return j.readBody(snapshot.Config.Limits.BodyBytes)
+}
+
+func (j *job) setTimes() {
+	patience := j.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if j.route.Timeout > 0 {
+		patience = min(patience, j.route.Timeout)
+	}
+	j.giveUp = j.arrived.Add(patience)
+	j.objective = j.giveUp
+	if j.route.Objective > 0 {
+		j.objective = j.arrived.Add(j.route.Objective)
+	}
+}
+
+// readBody reads the whole body, so that it can be sent more than once.
+func (j *job) readBody(limit int64) bool {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		j.record.Outcome = OutcomeTooLarge
+		j.answer(http.StatusRequestEntityTooLarge, "the body is larger than the configured limit")
+		return false
+	}
+	if err != nil {
+		j.record.Outcome = OutcomeCallerEnd
+		j.record.Reason = err.Error()
+		panic(http.ErrAbortHandler) // the request did not arrive whole
+	}
+	j.body = body
+	return true
+}
+
+func (j *job) serve() {
+	ctx, cancel := context.WithDeadline(j.r.Context(), j.giveUp)
+	defer cancel()
+	j.ctx = ctx
+	j.front.budget.Call()
+	if j.call.Model != "" && j.service.Engine != nil {
+		j.serveModel()
+		return
+	}
+	j.servePlain()
+}
+
+// refuse answers that the request did not run, and when to come back.
+func (j *job) refuse(retryAfter time.Duration, reason string) {
+	j.record.Outcome = OutcomeRefused
+	j.record.Reason = reason
+	j.record.RetryAfter = retryAfter
+	j.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	j.answer(http.StatusServiceUnavailable, reason)
+}
+
+// fail answers that it is unknown whether the request ran, or that it ran out
+// of time.
+func (j *job) fail(reason string) {
+	j.record.Reason = reason
+	if j.begun {
+		j.record.Outcome = OutcomeBroken
+		panic(http.ErrAbortHandler) // an answer that is not whole must not look so
+	}
+	if j.callerLeft() {
+		j.record.Outcome = OutcomeCallerEnd
+		panic(http.ErrAbortHandler) // nobody reads the answer
+	}
+	if !time.Now().Before(j.giveUp) {
+		j.record.Outcome = OutcomeTimeout
+		j.answer(http.StatusGatewayTimeout, reason)
+		return
+	}
+	j.record.Outcome = OutcomeFailed
+	j.answer(http.StatusBadGateway, reason)
+}
+
+func (j *job) callerLeft() bool { return j.r.Context().Err() != nil }
+
+// answer writes an answer of the router's own.
+func (j *job) answer(status int, text string) {
+	j.record.Status = status
+	h := j.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)+1))
+	j.w.WriteHeader(status)
+	_, _ = io.WriteString(j.w, text+"\n") // a caller that left gets nothing
+}
+
+// timeLeft is the time until the request is given up.
+func (j *job) timeLeft() time.Duration { return time.Until(j.giveUp) }
+
+// request builds what goes on the wire to an upstream.
+func (j *job) request(upstreamID string, priority int) *exchange.Request {
+	header := endToEnd(j.r.Header)
+	j.front.dialect.Prepare(header, Attempt{UpstreamID: upstreamID, TimeLeft: j.timeLeft(), Priority: priority, ResumeAfter: j.resumeAfter()})
+	return &exchange.Request{
+		ID:     j.call.ID,
+		Method: j.r.Method,
+		URI:    requestTarget(j.r),
+		Host:   j.r.Host,
+		Header: header,
+		Body:   j.body,
+	}
+}
+
+func (j *job) resumeAfter() string {
+	if j.lastEvent != "" {
+		return j.lastEvent
+	}
+	if j.route.Resumable {
+		return j.call.ResumeAfter
+	}
+	return ""
+}
+
+// requestTarget returns the target in the form that upstreams expect.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+// endToEnd copies the headers that are not for one connection only.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// histogramMax bounds the recorded times.
+	histogramMax    = 2 * time.Minute
+	histogramDigits = 2
+)
+
+// Metrics are the counters and histograms of an entry process.
+type Metrics struct {
+	outcomes    *expvar.Map
+	sends       expvar.Int
+	orders      expvar.Int
+	inspections expvar.Int
+	listChanges expvar.Int
+	upstreams   expvar.Int
+
+	mu    sync.Mutex
+	times map[string]*hdrhistogram.Histogram // microseconds
+}
+
+// NewMetrics makes empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{outcomes: new(expvar.Map).Init(), times: make(map[string]*hdrhistogram.Histogram)}
+}
+
+func (m *Metrics) request(r *Record, took time.Duration) {
+	m.outcomes.Add(string(r.Outcome), 1)
+	m.sends.Add(int64(r.Sends))
+	m.observe("request_seconds", took)
+	if r.Model == "" {
+		return
+	}
+	m.observe("place_wait_seconds", r.Waited)
+	if r.FirstEvent > 0 {
+		m.observe("first_event_seconds", r.FirstEvent)
+	}
+}
+
+func (m *Metrics) observe(name string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h := m.times[name]
+	if h == nil {
+		h = hdrhistogram.New(1, histogramMax.Microseconds(), histogramDigits)
+		m.times[name] = h
+	}
+	// A time above the bound is recorded as the bound.
+	_ = h.RecordValue(min(max(1, d.Microseconds()), histogramMax.Microseconds()))
+}
+
+// ServeHTTP writes the metrics as text, one "name value" a line.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	m.outcomes.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "requests_total{outcome=%q} %s\n", kv.Key, kv.Value)
+	})
+	for _, counter := range []struct {
+		name  string
+		value *expvar.Int
+	}{
+		{"sends_total", &m.sends}, {"orders_total", &m.orders}, {"reports_total", &m.inspections},
+		{"upstream_changes_total", &m.listChanges}, {"upstreams", &m.upstreams},
+	} {
+		fmt.Fprintf(w, "%s %s\n", counter.name, counter.value)
+	}
+	m.writeTimes(w)
+}
+
+func (m *Metrics) writeTimes(w http.ResponseWriter) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.times))
+	for name := range m.times {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		h := m.times[name]
+		for _, q := range []float64{50, 90, 99} {
+			fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, q/100, float64(h.ValueAtQuantile(q))/1e6)
+		}
+		fmt.Fprintf(w, "%s_count %d\n", name, h.TotalCount())
+	}
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/cell"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+)
+
+const (
+	// maxSameSends bounds the sendings to one upstream that refuses a request
+	// because an adapter is not there yet.
+	maxSameSends = 3
+	// maxPlacements bounds the places that one request asks for.
+	maxPlacements = 6
+)
+
+// serveModel serves a request to a model engine.
+func (j *job) serveModel() {
+	for range maxPlacements {
+		place, err := j.place()
+		if err != nil {
+			j.failPlacement(err)
+			return
+		}
+		if up, known := j.upstream(place.UpstreamID); known && up.Draining {
+			// The scheduler has not heard yet that the upstream leaves.
+			j.front.scheduler.Report(place.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+			j.tried = append(j.tried, place.UpstreamID)
+			continue
+		}
+		if j.sendTo(place) {
+			return
+		}
+	}
+	j.giveUpModel()
+}
+
+func (j *job) upstream(id string) (*fleet.Upstream, bool) {
+	up := j.front.directory.Load().Upstreams[id]
+	return up, up != nil
+}
+
+func (j *job) giveUpModel() {
+	if j.begun || j.record.Unknown {
+		j.fail("no upstream answered")
+		return
+	}
+	j.refuse(againPause, "upstreams refused the request")
+}
+
+func (j *job) failPlacement(err error) {
+	var refused *cell.RefusedError
+	if errors.As(err, &refused) && !j.begun && !j.record.Unknown {
+		j.refuse(refused.RetryAfter, refused.Reason)
+		return
+	}
+	if j.begun || j.record.Unknown || j.callerLeft() {
+		j.fail("no place: " + err.Error())
+		return
+	}
+	// Nothing was sent.
+	j.refuse(againPause, "no place: "+err.Error())
+}
+
+// place asks the scheduler, or chooses alone while there is none.
+func (j *job) place() (cell.Placement, error) {
+	began := time.Now()
+	defer func() { j.record.Waited += time.Since(began) }()
+	for {
+		place, err := j.front.scheduler.Place(j.ctx, j.ask())
+		if !errors.Is(err, cell.ErrNoScheduler) {
+			j.record.WaitedFor = place.Reason
+			return place, err
+		}
+		j.record.Alone = true
+		if place, ok := j.placeAlone(); ok {
+			return place, nil
+		}
+		if err := j.front.scheduler.WaitLinked(j.ctx); err != nil {
+			return cell.Placement{}, err
+		}
+	}
+}
+
+func (j *job) ask() *apiv1.PlacementAsk {
+	ask := &apiv1.PlacementAsk{
+		RequestId:     j.call.ID,
+		Service:       j.service.Name,
+		Model:         j.call.Model,
+		Adapter:       j.call.Adapter,
+		PromptTokens:  j.call.PromptTokens,
+		OutputTokens:  j.call.MaxOutputTokens,
+		Priority:      int32(min(math.MaxInt32, j.route.Priority)),
+		ObjectiveUs:   time.Until(j.objective).Microseconds(),
+		GiveUpUs:      j.timeLeft().Microseconds(),
+		FailureDomain: j.front.settings.FailureDomain,
+		Tried:         slices.Clone(j.tried),
+		MayMove:       j.mayMove(),
+	}
+	for _, p := range j.call.Parts {
+		ask.Parts = append(ask.Parts, &apiv1.PromptPart{Id: p.ID, Tokens: p.Tokens})
+	}
+	return ask
+}
+
+// mayMove reports whether one more upstream may get the request.
+func (j *job) mayMove() bool { return j.sends == 0 || len(j.tried) < j.route.Attempts }
+
+// placeAlone chooses an upstream that holds the model by what this router knows.
+func (j *job) placeAlone() (cell.Placement, bool) {
+	snapshot := j.front.directory.Load()
+	var candidates []*fleet.Upstream
+	for _, up := range snapshot.ByService[j.service.Name] {
+		if !up.Draining && holdsModel(up, j.call) && (j.mayMove() != slices.Contains(j.tried, up.ID)) {
+			candidates = append(candidates, up)
+		}
+	}
+	up := j.front.balancer.pick(candidates)
+	if up == nil {
+		return cell.Placement{}, false
+	}
+	number := j.front.scheduler.Adopt(j.ask(), up.ID)
+	return cell.Placement{Number: number, UpstreamID: up.ID, Address: up.Addr, Reason: "no scheduler"}, true
+}
+
+func holdsModel(up *fleet.Upstream, call Call) bool {
+	for _, held := range up.Models {
+		if held.Name == call.Model {
+			return call.Adapter == "" || slices.Contains(held.Adapters, call.Adapter)
+		}
+	}
+	return false
+}
+
+// sendTo sends the request to a placed engine. It reports false if the request
+// may be placed once more.
+func (j *job) sendTo(place cell.Placement) bool {
+	report := func(outcome apiv1.PlacementOutcome) { j.front.scheduler.Report(place.Number, outcome) }
+	release := j.front.balancer.begin(place.UpstreamID)
+	defer release()
+	j.sends++
+	if !slices.Contains(j.tried, place.UpstreamID) {
+		j.tried = append(j.tried, place.UpstreamID)
+	}
+	j.record.Upstream = place.UpstreamID
+	j.record.Sends = j.sends
+	ctx, cancel := context.WithCancel(j.ctx)
+	defer cancel()
+	sentAt := time.Now()
+	resp, err := j.front.pool.Send(ctx, place.Address, j.request(place.UpstreamID, j.route.Priority))
+	if err != nil {
+		return j.sendFailed(err, report)
+	}
+	defer resp.Close()
+	answer := j.front.dialect.ReadAnswer(resp.Status, resp.Header)
+	switch {
+	case answer.NotRun:
+		drain(resp)
+		return j.notRun(answer, report)
+	case resp.Status < 300 && answer.Signed:
+		return j.stream(resp, sentAt, report)
+	case answer.Signed && !isPromise(resp.Status):
+		return j.relayFailure(resp, report)
+	}
+	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	return j.retryOrFail("the upstream's answer is not valid")
+}
+
+func (j *job) sendFailed(err error, report func(apiv1.PlacementOutcome)) bool {
+	if j.ctx.Err() != nil {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+		j.record.Unknown = true
+		j.fail("no answer in time: " + err.Error())
+		return true
+	}
+	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	var failure *exchange.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		return j.again("upstream not reached")
+	}
+	return j.retryOrFail(err.Error())
+}
+
+// again follows a sending that did not run: the request is placed once more if
+// its route allows it, else the caller is told when to come back.
+func (j *job) again(reason string) bool {
+	j.record.Reason = reason
+	if len(j.tried) < j.route.Attempts && j.front.budget.Retry() {
+		return false
+	}
+	j.giveUpModel()
+	return true
+}
+
+// retryOrFail follows a sending of unknown outcome.
+func (j *job) retryOrFail(reason string) bool {
+	j.record.Unknown = true
+	j.record.Reason = reason
+	if j.route.Repeat == fleet.RunAgain && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry() {
+		return false
+	}
+	j.fail(reason)
+	return true
+}
+
+func (j *job) notRun(answer Answer, report func(apiv1.PlacementOutcome)) bool {
+	if answer.WrongUpstream {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_MODEL_MISSING)
+	} else {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_NOT_RUN)
+	}
+	if j.call.Adapter != "" && j.sends < maxSameSends && j.front.budget.Retry() {
+		return false
+	}
+	return j.again("the upstream refused the request")
+}
+
+// stream passes the answer on.
+func (j *job) stream(resp *exchange.Response, sentAt time.Time, report func(apiv1.PlacementOutcome)) bool {
+	err := j.relayStream(resp, func() {
+		j.record.FirstEvent = time.Since(sentAt)
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED)
+	})
+	if err == nil {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
+		j.record.Outcome = OutcomeServed
+		return true
+	}
+	if j.ctx.Err() != nil {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+		j.record.Unknown = true
+		j.fail("stopped: " + j.ctx.Err().Error())
+		return true
+	}
+	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	if j.begun && (!j.route.Resumable || j.lastEvent == "") {
+		j.fail("the stream broke off: " + err.Error())
+		return true
+	}
+	return j.retryOrFail("the stream broke off: " + err.Error())
+}
+
+// relayFailure passes an upstream's own failure on.
+func (j *job) relayFailure(resp *exchange.Response, report func(apiv1.PlacementOutcome)) bool {
+	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	if j.begun {
+		j.fail("the upstream failed with status " + httpStatus(resp.Status))
+		return true
+	}
+	if j.route.Repeat == fleet.RunAgain && resp.Status >= 500 && len(j.tried) < j.route.Attempts && j.front.budget.Retry() {
+		return false
+	}
+	if err := j.relayPlain(resp); err != nil {
+		return j.retryOrFail(err.Error())
+	}
+	j.record.Outcome = OutcomeRelayed
+	return true
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+)
+
+func httpStatus(status int) string { return strconv.Itoa(status) }
+
+// servePlain serves a request to a plain service.
+func (j *job) servePlain() {
+	for {
+		up := j.pickPlain()
+		if up == nil {
+			j.plainGiveUp("no upstream is known")
+			return
+		}
+		if j.sendPlain(up) {
+			return
+		}
+	}
+}
+
+func (j *job) pickPlain() *fleet.Upstream {
+	var candidates []*fleet.Upstream
+	for _, up := range j.front.directory.Load().ByService[j.service.Name] {
+		if !up.Draining && !slices.Contains(j.tried, up.ID) {
+			candidates = append(candidates, up)
+		}
+	}
+	return j.front.balancer.pick(candidates)
+}
+
+func (j *job) plainGiveUp(reason string) {
+	if j.record.Unknown {
+		j.fail(reason)
+		return
+	}
+	j.refuse(againPause, reason)
+}
+
+// sendPlain sends the request to an upstream; it reports false if another one
+// may get it.
+func (j *job) sendPlain(up *fleet.Upstream) bool {
+	done := j.front.balancer.begin(up.ID)
+	defer done()
+	j.tried = append(j.tried, up.ID)
+	j.sends++
+	j.record.Upstream = up.ID
+	j.record.Sends = j.sends
+	ctx, cancel := j.attemptContext()
+	defer cancel()
+	began := time.Now()
+	resp, err := j.front.pool.Send(ctx, up.Addr, j.request(up.ID, -1))
+	if err != nil {
+		return j.plainFailed(up, err)
+	}
+	defer resp.Close()
+	answer := j.front.dialect.ReadAnswer(resp.Status, resp.Header)
+	j.front.balancer.learnLoad(up.ID, answer.Load)
+	switch {
+	case answer.NotRun:
+		j.front.balancer.refused(up.ID)
+		drain(resp)
+		return j.plainAgain("the upstream refused the request")
+	case !answer.Signed || isPromise(resp.Status):
+		j.front.balancer.failed(up.ID)
+		return j.plainRetry("the upstream's answer is not valid")
+	case resp.Status >= http.StatusInternalServerError && j.mayRepeat():
+		j.front.balancer.failed(up.ID)
+		drain(resp)
+		return false
+	}
+	if err := j.relayPlain(resp); err != nil {
+		j.front.balancer.failed(up.ID)
+		return j.plainRetry("answer broke off: " + err.Error())
+	}
+	j.front.balancer.succeeded(up.ID, time.Since(began))
+	j.record.Outcome = OutcomeServed
+	if resp.Status >= http.StatusBadRequest {
+		j.record.Outcome = OutcomeRelayed
+	}
+	return true
+}
+
+// mayRepeat takes a retry out of the budget if the request may run once more.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeat == fleet.RunAgain && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry()
+}
+
+// attemptContext bounds the first sending of a request that may be sent once
+// more, so that time is left for that.
+func (j *job) attemptContext() (context.Context, context.CancelFunc) {
+	if j.route.Repeat != fleet.RunAgain || len(j.tried) >= j.route.Attempts {
+		return context.WithCancel(j.ctx)
+	}
+	return context.WithTimeout(j.ctx, min(j.timeLeft()/2, j.front.balancer.patience()))
+}
+
+func (j *job) plainFailed(up *fleet.Upstream, err error) bool {
+	if j.callerLeft() {
+		j.record.Unknown = true
+		j.fail("the caller left")
+		return true
+	}
+	j.front.balancer.failed(up.ID)
+	var failure *exchange.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		return j.plainAgain("upstream not reached")
+	}
+	return j.plainRetry(err.Error())
+}
+
+func (j *job) plainAgain(reason string) bool {
+	j.record.Reason = reason
+	if len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry() {
+		return false
+	}
+	j.plainGiveUp(reason)
+	return true
+}
+
+func (j *job) plainRetry(reason string) bool {
+	j.record.Unknown = true
+	j.record.Reason = reason
+	if j.mayRepeat() {
+		return false
+	}
+	j.fail(reason)
+	return true
+}
