--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/cell"
+	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+const (
+	sweepEvery = time.Second
+	// callerIdle is how long a caller's connection may stay unused.
+	callerIdle = 2 * time.Minute
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// stopMargin is what is left of the grace when the process ends by itself.
+	stopMargin = 700 * time.Millisecond
+	// stopQuiet is how long a stopping process goes on without requests, at
+	// least stopLinger after the signal: the balancer asks once a second and
+	// connections may still be on their way.
+	stopQuiet  = 500 * time.Millisecond
+	stopLinger = 3 * time.Second
+)
+
+// Deps are the parts that reach the platform.
+type Deps struct {
+	Dialect Dialect
+	Table   external.TableService
+	Source  fleet.Source
+	Engines fleet.Engines
+	Pool    *exchange.Pool
+	Log     *decisionlog.Logger
+}
+
+// Process is an entry process.
+type Process struct {
+	settings  Settings
+	deps      Deps
+	metrics   *Metrics
+	log       *Log
+	directory *fleet.Directory
+	front     *Front
+	scheduler *cell.Scheduler
+	client    *cell.Client
+	election  *cell.Election
+	follower  *fleet.Follower
+
+	seenMu sync.Mutex
+	seen   map[string]string // upstream states that were logged
+}
+
+// New wires an entry process.
+func New(settings Settings, deps Deps) *Process {
+	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), seen: make(map[string]string)}
+	p.log = NewLog(deps.Log, p.metrics)
+	bootID := rand.Text()
+	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
+		Directory:        p.directory,
+		Engines:          deps.Engines,
+		Host:             settings.Host,
+		LoadWindow:       settings.LoadWindow,
+		LoadWindowFactor: settings.LoadWindowFactor,
+		MayOrder:         func() bool { return p.election.MayOrder() },
+		RenewedAgo:       func() time.Duration { return p.election.RenewedAgo() },
+		OnFenced:         func() { p.log.Tenure(false, 0, "an engine has seen a higher fence") },
+		Log:              p.log,
+	})
+	p.client = cell.NewClient(settings.Host, bootID, p.scheduler, p.log)
+	p.election = cell.NewElection(cell.ElectionOptions{
+		Table:             deps.Table,
+		Host:              settings.Host,
+		BootID:            bootID,
+		Address:           settings.PeerAddr,
+		LeaseTime:         settings.LeaseTime,
+		EnginesCheckFence: settings.EnginesCheckFence,
+		IsServed:          p.client.IsServed,
+		OnElected:         p.elected,
+		OnLost:            p.lost,
+		OnHolder:          func(_, address string) { p.client.Follow(address) },
+		Observer:          p.log,
+	})
+	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.changed, Observer: p.log})
+	p.front = NewFront(FrontOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, Log: p.log})
+	return p
+}
+
+func (p *Process) elected(tenure cell.Tenure) {
+	p.log.Tenure(true, tenure.Fence, "lease taken")
+	p.scheduler.Start(tenure)
+	p.client.FollowLocal()
+}
+
+func (p *Process) lost(reason string) {
+	p.log.Tenure(false, 0, reason)
+	p.scheduler.Stop()
+	p.client.Unfollow()
+}
+
+// changed follows a change of the directory.
+func (p *Process) changed() {
+	p.scheduler.Refresh()
+	p.logUpstreams(p.directory.Load())
+}
+
+// logUpstreams logs the upstreams that came, began to leave or went.
+func (p *Process) logUpstreams(snapshot *fleet.Snapshot) {
+	p.seenMu.Lock()
+	defer p.seenMu.Unlock()
+	for id, up := range snapshot.Upstreams {
+		state := "ready"
+		if up.Draining {
+			state = "leaving"
+		}
+		if p.seen[id] != state {
+			p.seen[id] = state
+			p.log.UpstreamState(up, state)
+		}
+	}
+	for id := range p.seen {
+		if snapshot.Upstreams[id] == nil {
+			delete(p.seen, id)
+			p.log.UpstreamState(&fleet.Upstream{ID: id}, "gone")
+		}
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	p.deps.Log.Info("start", "host", p.settings.Host, "domain", p.settings.FailureDomain, "callers", p.settings.CallerAddr, "peers", p.settings.PeerAddr)
+	callers, err := listen(p.settings.CallerAddr)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(p.settings.ReadyAddr)
+	if err != nil {
+		return err
+	}
+	peers, err := transport.Listen(p.settings.PeerAddr, transport.Credentials{}, p.scheduler.Serve)
+	if err != nil {
+		return err
+	}
+	// Background work outlives ctx: requests under way still need it.
+	background, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, background := errgroup.WithContext(background)
+	callerServer := &http.Server{Handler: p.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	readyServer := &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return serveHTTP(callerServer, callers) })
+	group.Go(func() error { return serveHTTP(readyServer, ready) })
+	group.Go(func() error { return peers.Serve(background) })
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.sweep} {
+		group.Go(func() error { run(background); return nil })
+	}
+	electionCtx, endElection := context.WithCancel(background)
+	electionDone := make(chan struct{})
+	group.Go(func() error { defer close(electionDone); p.election.Run(electionCtx); return nil })
+	select {
+	case <-ctx.Done():
+		p.drain(endElection, electionDone)
+	case <-background.Done():
+		endElection()
+	}
+	err = errors.Join(callerServer.Close(), readyServer.Close())
+	end()
+	err = errors.Join(err, group.Wait())
+	p.deps.Log.Info("stop", "host", p.settings.Host)
+	return err
+}
+
+// drain says that the process is not ready, gives the lease up and waits for
+// the requests under way.
+func (p *Process) drain(endElection func(), electionDone <-chan struct{}) {
+	began := time.Now()
+	p.deps.Log.Info("stopping", "in_flight", p.front.inFlight.Load())
+	p.front.stopping.Store(true)
+	endElection()
+	<-electionDone
+	deadline := began.Add(p.settings.StopGrace - stopMargin)
+	quietSince := time.Now()
+	for time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+		if p.front.inFlight.Load() > 0 {
+			quietSince = time.Now()
+		}
+		if time.Since(began) > stopLinger && time.Since(quietSince) > stopQuiet {
+			return
+		}
+	}
+}
+
+func (p *Process) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.deps.Pool.Sweep()
+			p.front.balancer.forget(p.directory.Load().Upstreams)
+		}
+	}
+}
+
+func (p *Process) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+p.deps.Dialect.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		snapshot := p.directory.Load()
+		if p.front.stopping.Load() || snapshot.Config == nil || !snapshot.Listed {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.Handle("GET /metrics", p.metrics)
+	return mux
+}
+
+func listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w (stop the process that holds the port)", addr, err)
+	}
+	return l, nil
+}
+
+func serveHTTP(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,129 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Options configure a Pool.
+type Options struct {
+	// IDHeader is the header in which upstreams repeat a request's id; empty
+	// switches the check off.
+	IDHeader string
+	// RequireID refuses answers without that header.
+	RequireID bool
+	// MaxIdle bounds the idle connections to one upstream; 0 means no bound.
+	MaxIdle int
+}
+
+// Pool keeps connections to upstreams by address.
+type Pool struct {
+	opts Options
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+
+	stats counters
+}
+
+type counters struct{ dials, reuses, failures atomic.Uint64 }
+
+// Stats counts what a pool did since its start.
+type Stats struct{ Dials, Reuses, DialFailures uint64 }
+
+// NewPool makes an empty pool.
+func NewPool(opts Options) *Pool {
+	return &Pool{opts: opts, idle: make(map[string][]*conn)}
+}
+
+// Stats returns the counters.
+func (p *Pool) Stats() Stats {
+	return Stats{Dials: p.stats.dials.Load(), Reuses: p.stats.reuses.Load(), DialFailures: p.stats.failures.Load()}
+}
+
+// take returns the idle connection that was used last, or a new one.
+func (p *Pool) take(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return p.dial(ctx, addr)
+		}
+		if time.Since(c.idleSince) < c.idleLimit && c.isQuiet() {
+			c.reused = true
+			p.stats.reuses.Add(1)
+			return c, nil
+		}
+		_ = c.Conn.Close() // nothing is expected on it
+	}
+}
+
+func (p *Pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.stats.failures.Add(1)
+		return nil, err
+	}
+	p.stats.dials.Add(1)
+	return newConn(c), nil
+}
+
+func (p *Pool) put(addr string, c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.opts.MaxIdle > 0 && len(p.idle[addr]) >= p.opts.MaxIdle {
+		_ = c.Conn.Close() // over the bound
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// Sweep closes idle connections whose time is over.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if time.Since(c.idleSince) < c.idleLimit {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Conn.Close() // idle
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
+
+// Forget closes the idle connections to an upstream that is gone.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Conn.Close() // idle
+	}
+}
--- a/internal/platform/contract_test.go
+++ b/internal/external/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -17,29 +17,29 @@
 
 	row, err := table.Get(ctx, "live/a b?&")
 	is.NoErr(err)
-	is.Equal(row, platform.Row{Key: "live/a b?&"}) // absent
+	is.Equal(row, external.Row{Key: "live/a b?&"}) // absent
 
 	binary := []byte{0, 0xff, '\n'}
-	first, err := table.Commit(ctx, platform.Txn{
+	first, err := table.Commit(ctx, external.Txn{
 		ID:     "t1",
-		Checks: []platform.Check{{Key: "live/a b?&"}},
-		Puts:   []platform.Put{{Key: "live/a b?&", Value: binary}, {Key: "other/x"}},
+		Checks: []external.Check{{Key: "live/a b?&"}},
+		Puts:   []external.Put{{Key: "live/a b?&", Value: binary}, {Key: "other/x"}},
 	})
 	is.NoErr(err)
 	is.True(first.Committed)
 	row, err = table.Get(ctx, "live/a b?&")
 	is.NoErr(err)
-	is.Equal(row, platform.Row{Key: "live/a b?&", Value: binary, Version: first.Version, TxnID: "t1"})
+	is.Equal(row, external.Row{Key: "live/a b?&", Value: binary, Version: first.Version, TxnID: "t1"})
 
-	conflict, err := table.Commit(ctx, platform.Txn{
+	conflict, err := table.Commit(ctx, external.Txn{
 		ID:     "t2",
-		Checks: []platform.Check{{Key: "live/a b?&"}, {Key: "other/x", Version: first.Version}, {Key: "gone", Version: 7}},
-		Puts:   []platform.Put{{Key: "other/x", Value: binary}},
+		Checks: []external.Check{{Key: "live/a b?&"}, {Key: "other/x", Version: first.Version}, {Key: "gone", Version: 7}},
+		Puts:   []external.Put{{Key: "other/x", Value: binary}},
 	})
 	is.NoErr(err)
-	is.Equal(conflict, platform.TxnResult{Conflicts: []platform.Row{row, {Key: "gone"}}}) // each failed check, nothing written
+	is.Equal(conflict, external.TxnResult{Conflicts: []external.Row{row, {Key: "gone"}}}) // each failed check, nothing written
 
-	second, err := table.Commit(ctx, platform.Txn{ID: "t3", Puts: []platform.Put{{Key: "live/b"}}, Deletes: []string{"other/x"}})
+	second, err := table.Commit(ctx, external.Txn{ID: "t3", Puts: []external.Put{{Key: "live/b"}}, Deletes: []string{"other/x"}})
 	is.NoErr(err)
 	is.True(second.Version > first.Version)
 	row, err = table.Get(ctx, "other/x")
@@ -55,19 +55,19 @@
 	is.Equal(len(later.Rows), 1)
 	is.Equal(later.Rows[0].Key, "live/b")
 
-	_, err = table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "live/c"}}})
-	is.Equal(platform.KindOf(err), platform.KindInvalid) // no id
-	is.Equal(platform.OutcomeUnknown(err), false)
+	_, err = table.Commit(ctx, external.Txn{Puts: []external.Put{{Key: "live/c"}}})
+	is.Equal(external.KindOf(err), external.KindInvalid) // no id
+	is.Equal(external.OutcomeUnknown(err), false)
 }
 
 func TestObjectContract(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	c := startCluster(t, standin.ClusterOptions{})
-	objects := closeIdle(t, platform.NewObjectClient(platform.ClientOptions{BaseURL: c.ObjectURL}))
+	objects := closeIdle(t, external.NewObjectClient(external.ClientOptions{BaseURL: c.ObjectURL}))
 
 	_, err := objects.Get(ctx, "sets/none")
-	is.Equal(platform.KindOf(err), platform.KindNotFound)
+	is.Equal(external.KindOf(err), external.KindNotFound)
 
 	body := []byte{0, 1, 2}
 	is.NoErr(objects.Put(ctx, "sets/a b", body))
@@ -75,7 +75,7 @@
 	is.NoErr(objects.Put(ctx, "sets/empty", nil))
 	is.NoErr(objects.Put(ctx, "waits/1", body))
 	err = objects.Put(ctx, "sets/a b", []byte("other"))
-	is.Equal(platform.KindOf(err), platform.KindInvalid) // immutable
+	is.Equal(external.KindOf(err), external.KindInvalid) // immutable
 
 	got, err := objects.Get(ctx, "sets/a b")
 	is.NoErr(err)
@@ -95,15 +95,15 @@
 	is := is.New(t)
 	ctx := context.Background()
 	c := startCluster(t, standin.ClusterOptions{})
-	hosts := closeIdle(t, platform.NewHostListClient(platform.ClientOptions{BaseURL: c.HostListURL}))
+	hosts := closeIdle(t, external.NewHostListClient(external.ClientOptions{BaseURL: c.HostListURL}))
 
-	c.Hosts.Add(platform.Host{ID: "h1", Role: platform.RoleUpstream, Address: "127.0.0.1:1"})
-	c.Hosts.Add(platform.Host{ID: "h2", Role: platform.RoleRouter})
+	c.Hosts.Add(external.Host{ID: "h1", Role: external.RoleUpstream, Address: "127.0.0.1:1"})
+	c.Hosts.Add(external.Host{ID: "h2", Role: external.RoleRouter})
 	c.Hosts.Leave("h1")
 	before, err := hosts.Hosts(ctx)
 	is.NoErr(err)
 	is.Equal(len(before.Hosts), 2)
-	is.Equal(before.Hosts[0].State, platform.HostLeaving)
+	is.Equal(before.Hosts[0].State, external.HostLeaving)
 
 	c.Hosts.SetKnobs(standin.HostKnobs{LagMS: 60_000})
 	c.Hosts.Drop("h1")
@@ -121,12 +121,12 @@
 func TestWeightContract(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	info := platform.CheckpointInfo{Checkpoint: "a/b v1", SizeMiB: 7}
-	c := startCluster(t, standin.ClusterOptions{Checkpoints: []platform.CheckpointInfo{info}})
-	weights := closeIdle(t, platform.NewWeightClient(platform.ClientOptions{BaseURL: c.WeightURL}))
+	info := external.CheckpointInfo{Checkpoint: "a/b v1", SizeMiB: 7}
+	c := startCluster(t, standin.ClusterOptions{Checkpoints: []external.CheckpointInfo{info}})
+	weights := closeIdle(t, external.NewWeightClient(external.ClientOptions{BaseURL: c.WeightURL}))
 	got, err := weights.Stat(ctx, "a/b v1")
 	is.NoErr(err)
 	is.Equal(got, info)
 	_, err = weights.Stat(ctx, "none")
-	is.Equal(platform.KindOf(err), platform.KindNotFound)
+	is.Equal(external.KindOf(err), external.KindNotFound)
 }
--- a/internal/platform/engine_contract_test.go
+++ b/internal/external/engine_contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -24,48 +24,48 @@
 	modelMiB   = 600
 )
 
-func order(id string, kind platform.OrderKind, epoch uint64) platform.Order {
-	return platform.Order{ID: id, Kind: kind, Epoch: epoch, Model: model, Version: "v1", Checkpoint: checkpoint, MemoryMiB: modelMiB}
+func order(id string, kind external.OrderKind, epoch uint64) external.Order {
+	return external.Order{ID: id, Kind: kind, Epoch: epoch, Model: model, Version: "v1", Checkpoint: checkpoint, MemoryMiB: modelMiB}
 }
 
-func startEngine(t *testing.T, knobs standin.EngineKnobs) (*standin.Engine, platform.Engine) {
+func startEngine(t *testing.T, knobs standin.EngineKnobs) (*standin.Engine, external.Engine) {
 	t.Helper()
 	c := startCluster(t, standin.ClusterOptions{
 		Weights:     standin.WeightKnobs{LoadsPerSecond: 100, MiBPerSecond: 1 << 20},
-		Checkpoints: []platform.CheckpointInfo{{Checkpoint: checkpoint, SizeMiB: modelMiB}},
+		Checkpoints: []external.CheckpointInfo{{Checkpoint: checkpoint, SizeMiB: modelMiB}},
 		Engines:     []standin.EngineOptions{{Host: "e0", MemoryMiB: 1000, Knobs: knobs}},
 	})
-	options := platform.ClientOptions{BaseURL: c.EngineURLs[0], CallTimeout: 300 * time.Millisecond}
-	return c.Engines[0], closeIdle(t, platform.NewEngineClient(options))
+	options := external.ClientOptions{BaseURL: c.EngineURLs[0], CallTimeout: 300 * time.Millisecond}
+	return c.Engines[0], closeIdle(t, external.NewEngineClient(options))
 }
 
 func TestEngineOrders(t *testing.T) {
-	load := order("o1", platform.OrderLoad, 5)
+	load := order("o1", external.OrderLoad, 5)
 	second := load
 	second.Model, second.ID = "other", "o2"
 	for _, tc := range []struct {
 		name    string
 		knobs   standin.EngineKnobs
 		faults  standin.Faults
-		before  []platform.Order
-		order   platform.Order
-		kind    platform.Kind // 0 expects success
+		before  []external.Order
+		order   external.Order
+		kind    external.Kind // 0 expects success
 		unknown bool
 		models  int // held afterwards
 	}{
 		{name: "load", order: load, models: 1},
-		{name: "load twice under one id", before: []platform.Order{load}, order: load, models: 1},
+		{name: "load twice under one id", before: []external.Order{load}, order: load, models: 1},
 		{name: "load slower than the call timeout", knobs: standin.EngineKnobs{MemoryLoadMS: 600}, order: load, models: 1},
-		{name: "answer lost", faults: standin.Faults{LoseAnswers: 1}, order: load, kind: platform.KindUnavailable, unknown: true, models: 1},
-		{name: "closed without an answer", faults: standin.Faults{Down: true}, order: load, kind: platform.KindUnavailable, unknown: true},
-		{name: "refused", faults: standin.Faults{Refuse: true}, order: load, kind: platform.KindOverloaded},
-		{name: "old epoch, checked", knobs: standin.EngineKnobs{Fences: true}, before: []platform.Order{load}, order: order("o2", platform.OrderUnload, 4), kind: platform.KindFenced, models: 1},
-		{name: "old epoch, ignored", before: []platform.Order{load}, order: order("o2", platform.OrderUnload, 4)},
-		{name: "no memory", knobs: standin.EngineKnobs{OvercommitRefused: true}, before: []platform.Order{load}, order: second, kind: platform.KindNoMemory, models: 1},
-		{name: "overcommitted", before: []platform.Order{load}, order: second, kind: platform.KindUnavailable, unknown: true},
-		{name: "unload of nothing", order: order("o1", platform.OrderUnload, 5), kind: platform.KindNotFound},
-		{name: "adapter of nothing", order: order("o1", platform.OrderLoadAdapter, 5), kind: platform.KindNotFound},
-		{name: "no such order", order: order("o1", "dance", 5), kind: platform.KindInvalid},
+		{name: "answer lost", faults: standin.Faults{LoseAnswers: 1}, order: load, kind: external.KindUnavailable, unknown: true, models: 1},
+		{name: "closed without an answer", faults: standin.Faults{Down: true}, order: load, kind: external.KindUnavailable, unknown: true},
+		{name: "refused", faults: standin.Faults{Refuse: true}, order: load, kind: external.KindOverloaded},
+		{name: "old epoch, checked", knobs: standin.EngineKnobs{Fences: true}, before: []external.Order{load}, order: order("o2", external.OrderUnload, 4), kind: external.KindFenced, models: 1},
+		{name: "old epoch, ignored", before: []external.Order{load}, order: order("o2", external.OrderUnload, 4)},
+		{name: "no memory", knobs: standin.EngineKnobs{OvercommitRefused: true}, before: []external.Order{load}, order: second, kind: external.KindNoMemory, models: 1},
+		{name: "overcommitted", before: []external.Order{load}, order: second, kind: external.KindUnavailable, unknown: true},
+		{name: "unload of nothing", order: order("o1", external.OrderUnload, 5), kind: external.KindNotFound},
+		{name: "adapter of nothing", order: order("o1", external.OrderLoadAdapter, 5), kind: external.KindNotFound},
+		{name: "no such order", order: order("o1", "dance", 5), kind: external.KindInvalid},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
@@ -78,10 +78,10 @@
 			err := client.Do(ctx, tc.order)
 			is.Equal(err == nil, tc.kind == 0)
 			if err != nil {
-				is.Equal(platform.KindOf(err), tc.kind)
+				is.Equal(external.KindOf(err), tc.kind)
 				is.True(hasRemedy(err))
 			}
-			is.Equal(platform.OutcomeUnknown(err), tc.unknown)
+			is.Equal(external.OutcomeUnknown(err), tc.unknown)
 			engine.Faults.Set(standin.Faults{})
 			inventory, err := client.Inventory(ctx)
 			is.NoErr(err)
@@ -91,7 +91,7 @@
 }
 
 // read returns the text of a request's own events, and the others' ids.
-func read(stream platform.TokenStream, requestID string) (text string, others []string, err error) {
+func read(stream external.TokenStream, requestID string) (text string, others []string, err error) {
 	defer func() { _ = stream.Close() }()
 	var b strings.Builder
 	for {
@@ -116,14 +116,14 @@
 	for _, tc := range []struct {
 		name   string
 		knobs  standin.EngineKnobs
-		gen    platform.Generation
+		gen    external.Generation
 		text   string
 		others int
 		cut    bool
 	}{
 		{name: "whole", text: whole},
-		{name: "from an offset", gen: platform.Generation{Offset: 5}, text: strings.TrimPrefix(whole, half)},
-		{name: "from the end", gen: platform.Generation{Offset: tokens}},
+		{name: "from an offset", gen: external.Generation{Offset: 5}, text: strings.TrimPrefix(whole, half)},
+		{name: "from the end", gen: external.Generation{Offset: tokens}},
 		{name: "cut", knobs: standin.EngineKnobs{CutStreams: 1, CutAfterTokens: 5}, text: half, cut: true},
 		{name: "cut before the first token", knobs: standin.EngineKnobs{CutStreams: 1}, cut: true},
 		{name: "event of another request", knobs: standin.EngineKnobs{StrayEvents: 1}, text: whole, others: 1},
@@ -133,7 +133,7 @@
 			is := is.New(t)
 			ctx := context.Background()
 			engine, client := startEngine(t, tc.knobs)
-			is.NoErr(client.Do(ctx, order("o1", platform.OrderLoad, 1)))
+			is.NoErr(client.Do(ctx, order("o1", external.OrderLoad, 1)))
 			tc.gen.RequestID, tc.gen.Model, tc.gen.Prompt, tc.gen.MaxTokens = "r1", model, "p", tokens
 			stream, err := client.Generate(ctx, tc.gen)
 			is.NoErr(err)
@@ -162,16 +162,16 @@
 func TestEngineStreamEndsWithAnUnloadOrRestart(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		end  func(platform.Engine, *standin.Engine) error
+		end  func(external.Engine, *standin.Engine) error
 	}{
-		{"unload", func(client platform.Engine, _ *standin.Engine) error {
-			return client.Do(context.Background(), order("o2", platform.OrderUnload, 1))
+		{"unload", func(client external.Engine, _ *standin.Engine) error {
+			return client.Do(context.Background(), order("o2", external.OrderUnload, 1))
 		}},
-		{"restart", func(_ platform.Engine, engine *standin.Engine) error {
+		{"restart", func(_ external.Engine, engine *standin.Engine) error {
 			engine.Restart()
 			return nil
 		}},
-		{"cancel", func(client platform.Engine, _ *standin.Engine) error {
+		{"cancel", func(client external.Engine, _ *standin.Engine) error {
 			return client.Cancel(context.Background(), "r1")
 		}},
 	} {
@@ -179,15 +179,15 @@
 			is := is.New(t)
 			ctx := context.Background()
 			engine, client := startEngine(t, standin.EngineKnobs{TokenMS: 20})
-			is.NoErr(client.Do(ctx, order("o1", platform.OrderLoad, 1)))
+			is.NoErr(client.Do(ctx, order("o1", external.OrderLoad, 1)))
 			boot := engine.BootID()
-			stream, err := client.Generate(ctx, platform.Generation{RequestID: "r1", Model: model, MaxTokens: 10_000})
+			stream, err := client.Generate(ctx, external.Generation{RequestID: "r1", Model: model, MaxTokens: 10_000})
 			is.NoErr(err)
 			_, err = stream.Next()
 			is.NoErr(err)
 			is.NoErr(tc.end(client, engine))
 			_, _, err = read(stream, "r1")
-			is.Equal(platform.KindOf(err), platform.KindUnavailable)
+			is.Equal(external.KindOf(err), external.KindUnavailable)
 			is.True(hasRemedy(err))
 			inventory, err := client.Inventory(ctx)
 			is.NoErr(err)
@@ -201,18 +201,18 @@
 	is := is.New(t)
 	_, client := startEngine(t, standin.EngineKnobs{})
 	is.NoErr(client.Cancel(context.Background(), "no-such-request"))
-	_, err := client.Generate(context.Background(), platform.Generation{RequestID: "r1", Model: model})
-	is.Equal(platform.KindOf(err), platform.KindNotFound)
-	is.Equal(platform.OutcomeUnknown(err), false)
+	_, err := client.Generate(context.Background(), external.Generation{RequestID: "r1", Model: model})
+	is.Equal(external.KindOf(err), external.KindNotFound)
+	is.Equal(external.OutcomeUnknown(err), false)
 }
 
 func TestEngineCacheEventsComeWithGapsAndLate(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	engine, client := startEngine(t, standin.EngineKnobs{EventGapEvery: 2, PrefixCache: 2})
-	is.NoErr(client.Do(ctx, order("o1", platform.OrderLoad, 1)))
+	is.NoErr(client.Do(ctx, order("o1", external.OrderLoad, 1)))
 	for _, prompt := range []string{"a", "b", "c"} {
-		stream, err := client.Generate(ctx, platform.Generation{RequestID: prompt, Model: model, Prompt: prompt, MaxTokens: 1})
+		stream, err := client.Generate(ctx, external.Generation{RequestID: prompt, Model: model, Prompt: prompt, MaxTokens: 1})
 		is.NoErr(err)
 		_, _, err = read(stream, prompt)
 		is.NoErr(err)
@@ -221,7 +221,7 @@
 	events, err := client.CacheEvents(ctx, 0)
 	is.NoErr(err)
 	is.Equal(len(events), 2)
-	is.Equal(events[1], platform.CacheEvent{Sequence: 3, Model: model, PrefixHash: standin.PrefixHash(model, "c"), Stored: true})
+	is.Equal(events[1], external.CacheEvent{Sequence: 3, Model: model, PrefixHash: standin.PrefixHash(model, "c"), Stored: true})
 	events, err = client.CacheEvents(ctx, 3)
 	is.NoErr(err)
 	is.Equal(len(events), 0)
@@ -245,9 +245,9 @@
 	}
 	server.Start()
 	defer server.Close()
-	client := closeIdle(t, platform.NewEngineClient(platform.ClientOptions{BaseURL: server.URL}))
+	client := closeIdle(t, external.NewEngineClient(external.ClientOptions{BaseURL: server.URL}))
 	for range 5 {
-		stream, err := client.Generate(context.Background(), platform.Generation{RequestID: "r1"})
+		stream, err := client.Generate(context.Background(), external.Generation{RequestID: "r1"})
 		is.NoErr(err)
 		_, _, err = read(stream, "r1")
 		is.NoErr(err)
--- a/internal/platform/hostlist_test.go
+++ b/internal/external/hostlist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -18,9 +18,9 @@
 	c, err := standin.Start(ctx, standin.ClusterOptions{})
 	is.NoErr(err)
 	defer c.Close()
-	hosts := closeIdle(t, platform.NewHostListClient(platform.ClientOptions{BaseURL: c.HostListURL}))
+	hosts := closeIdle(t, external.NewHostListClient(external.ClientOptions{BaseURL: c.HostListURL}))
 	for change := range 3 {
-		c.Hosts.Add(platform.Host{ID: string(rune('a' + change))})
+		c.Hosts.Add(external.Host{ID: string(rune('a' + change))})
 		for range 4 {
 			listing, err := hosts.Hosts(ctx)
 			is.NoErr(err)
--- a/internal/platform/linearizable_test.go
+++ b/internal/external/linearizable_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -66,7 +66,7 @@
 }
 
 // swapOnce reads the row and replaces it conditionally.
-func swapOnce(table platform.TableService, h *history, client, round int) error {
+func swapOnce(table external.TableService, h *history, client, round int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	called := h.now()
@@ -77,10 +77,10 @@
 	h.add(client, called, swap{}, swapped{value: string(row.Value)})
 	id := fmt.Sprintf("%d-%d", client, round)
 	called = h.now()
-	result, err := platform.CommitSettled(ctx, table, platform.Txn{
+	result, err := external.CommitSettled(ctx, table, external.Txn{
 		ID:     id,
-		Checks: []platform.Check{{Key: "register", Version: row.Version}},
-		Puts:   []platform.Put{{Key: "register", Value: []byte(id)}},
+		Checks: []external.Check{{Key: "register", Version: row.Version}},
+		Puts:   []external.Put{{Key: "register", Value: []byte(id)}},
 	})
 	out := swapped{done: result.Committed, unknown: err != nil}
 	h.add(client, called, swap{from: string(row.Value), put: id}, out)
--- a/internal/platform/main_test.go
+++ b/internal/external/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"flag"
@@ -6,7 +6,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -36,7 +36,7 @@
 	return client
 }
 
-func newTable(t *testing.T, c *standin.Cluster) platform.TableService {
+func newTable(t *testing.T, c *standin.Cluster) external.TableService {
 	t.Helper()
-	return closeIdle(t, platform.NewTableClient(platform.ClientOptions{BaseURL: c.TableURL}))
+	return closeIdle(t, external.NewTableClient(external.ClientOptions{BaseURL: c.TableURL}))
 }
--- a/internal/platform/outage_test.go
+++ b/internal/external/outage_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
@@ -49,16 +49,16 @@
 // BenchmarkTableOutage prints the calls that a table sees from 50 clients
 // before, during and after an outage of 5 s. Run it with -benchtime=1x.
 func BenchmarkTableOutage(b *testing.B) {
-	get := func(ctx context.Context, table platform.TableService, _, _ int) error {
+	get := func(ctx context.Context, table external.TableService, _, _ int) error {
 		_, err := table.Get(ctx, "k")
 		return err
 	}
-	commit := func(ctx context.Context, table platform.TableService, client, round int) error {
+	commit := func(ctx context.Context, table external.TableService, client, round int) error {
 		key := fmt.Sprintf("%d/%d", client, round)
-		_, err := platform.CommitSettled(ctx, table, platform.Txn{
+		_, err := external.CommitSettled(ctx, table, external.Txn{
 			ID:     key,
-			Checks: []platform.Check{{Key: key}},
-			Puts:   []platform.Put{{Key: key}},
+			Checks: []external.Check{{Key: key}},
+			Puts:   []external.Put{{Key: key}},
 		})
 		return err
 	}
@@ -66,7 +66,7 @@
 	without := func() *retry.Budget { return nil }
 	for _, tc := range []struct {
 		name   string
-		call   func(context.Context, platform.TableService, int, int) error
+		call   func(context.Context, external.TableService, int, int) error
 		budget func() *retry.Budget
 		faults standin.Faults
 	}{
@@ -91,7 +91,7 @@
 
 // runOutage lets each client, with a budget of its own, call at a jittered
 // pace whether or not earlier calls have ended.
-func runOutage(b *testing.B, call func(context.Context, platform.TableService, int, int) error, budget func() *retry.Budget, faults standin.Faults) (*arrivals, int64) {
+func runOutage(b *testing.B, call func(context.Context, external.TableService, int, int) error, budget func() *retry.Budget, faults standin.Faults) (*arrivals, int64) {
 	c, err := standin.Start(b.Context(), standin.ClusterOptions{})
 	if err != nil {
 		b.Fatal(err)
@@ -104,7 +104,7 @@
 	var failed atomic.Int64
 	var wg sync.WaitGroup
 	for client := range outageClients {
-		table := platform.NewTableClient(platform.ClientOptions{BaseURL: c.TableURL, Budget: budget()})
+		table := external.NewTableClient(external.ClientOptions{BaseURL: c.TableURL, Budget: budget()})
 		defer table.(interface{ CloseIdleConnections() }).CloseIdleConnections()
 		wg.Go(func() {
 			for round := 0; time.Since(seen.start) < outagePhases*outagePhase; round++ {
--- a/internal/platform/platform.go
+++ b/internal/external/platform.go
@@ -1,7 +1,7 @@
-// Package platform holds the interfaces to the systems that ragwortdoor does
+// Package external holds the interfaces to the systems that ragwortdoor does
 // not own: the table service, the object store, the weight store, the host
 // list, model engines and plain services.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/platform/read_faults_test.go
+++ b/internal/external/read_faults_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
 // hasRemedy reports whether err is an *Error that says what to do.
 func hasRemedy(err error) bool {
-	var e *platform.Error
+	var e *external.Error
 	return errors.As(err, &e) && e.Remedy != "" && e.Op != ""
 }
 
@@ -23,7 +23,7 @@
 type readCase struct {
 	name   string
 	faults func(*standin.Cluster) *standin.FaultBox
-	call   func(context.Context, *standin.Cluster, platform.ClientOptions) error
+	call   func(context.Context, *standin.Cluster, external.ClientOptions) error
 }
 
 // readCases holds one or more calls of each interface.
@@ -32,48 +32,48 @@
 	objects := func(c *standin.Cluster) *standin.FaultBox { return &c.Objects.Faults }
 	engine := func(c *standin.Cluster) *standin.FaultBox { return &c.Engines[0].Faults }
 	return []readCase{
-		{"table get", table, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"table get", table, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.TableURL
-			_, err := closeIdle(t, platform.NewTableClient(o)).Get(ctx, "k")
+			_, err := closeIdle(t, external.NewTableClient(o)).Get(ctx, "k")
 			return err
 		}},
-		{"table changes", table, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"table changes", table, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.TableURL
-			_, err := closeIdle(t, platform.NewTableClient(o)).Changes(ctx, "live/", 0)
+			_, err := closeIdle(t, external.NewTableClient(o)).Changes(ctx, "live/", 0)
 			return err
 		}},
-		{"object put", objects, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"object put", objects, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.ObjectURL
-			return closeIdle(t, platform.NewObjectClient(o)).Put(ctx, "a/b", []byte("body"))
+			return closeIdle(t, external.NewObjectClient(o)).Put(ctx, "a/b", []byte("body"))
 		}},
-		{"object list", objects, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"object list", objects, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.ObjectURL
-			_, err := closeIdle(t, platform.NewObjectClient(o)).List(ctx, "a/")
+			_, err := closeIdle(t, external.NewObjectClient(o)).List(ctx, "a/")
 			return err
 		}},
-		{"weight stat", func(c *standin.Cluster) *standin.FaultBox { return &c.Weights.Faults }, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"weight stat", func(c *standin.Cluster) *standin.FaultBox { return &c.Weights.Faults }, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.WeightURL
-			_, err := closeIdle(t, platform.NewWeightClient(o)).Stat(ctx, "ckpt")
+			_, err := closeIdle(t, external.NewWeightClient(o)).Stat(ctx, "ckpt")
 			return err
 		}},
-		{"host list", func(c *standin.Cluster) *standin.FaultBox { return &c.Hosts.Faults }, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"host list", func(c *standin.Cluster) *standin.FaultBox { return &c.Hosts.Faults }, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.HostListURL
-			_, err := closeIdle(t, platform.NewHostListClient(o)).Hosts(ctx)
+			_, err := closeIdle(t, external.NewHostListClient(o)).Hosts(ctx)
 			return err
 		}},
-		{"engine inventory", engine, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"engine inventory", engine, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.EngineURLs[0]
-			_, err := closeIdle(t, platform.NewEngineClient(o)).Inventory(ctx)
+			_, err := closeIdle(t, external.NewEngineClient(o)).Inventory(ctx)
 			return err
 		}},
-		{"engine load", engine, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"engine load", engine, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.EngineURLs[0]
-			_, err := closeIdle(t, platform.NewEngineClient(o)).Load(ctx)
+			_, err := closeIdle(t, external.NewEngineClient(o)).Load(ctx)
 			return err
 		}},
-		{"engine cancel", engine, func(ctx context.Context, c *standin.Cluster, o platform.ClientOptions) error {
+		{"engine cancel", engine, func(ctx context.Context, c *standin.Cluster, o external.ClientOptions) error {
 			o.BaseURL = c.EngineURLs[0]
-			return closeIdle(t, platform.NewEngineClient(o)).Cancel(ctx, "r1")
+			return closeIdle(t, external.NewEngineClient(o)).Cancel(ctx, "r1")
 		}},
 	}
 }
@@ -81,7 +81,7 @@
 func readCluster(t *testing.T) *standin.Cluster {
 	t.Helper()
 	return startCluster(t, standin.ClusterOptions{
-		Checkpoints: []platform.CheckpointInfo{{Checkpoint: "ckpt", SizeMiB: 1}},
+		Checkpoints: []external.CheckpointInfo{{Checkpoint: "ckpt", SizeMiB: 1}},
 		Engines:     []standin.EngineOptions{{Host: "e0", MemoryMiB: 100}},
 	})
 }
@@ -101,7 +101,7 @@
 						box.Set(standin.Faults{})
 					}
 				})
-				is.NoErr(tc.call(context.Background(), c, platform.ClientOptions{}))
+				is.NoErr(tc.call(context.Background(), c, external.ClientOptions{}))
 				is.True(tries >= 2)
 			})
 		}
@@ -118,11 +118,11 @@
 			box.Set(standin.Faults{Refuse: true})
 			tries := 0
 			box.OnCall(func() { tries++ })
-			err := tc.call(context.Background(), c, platform.ClientOptions{Budget: retry.NewBudget(0, 0)})
+			err := tc.call(context.Background(), c, external.ClientOptions{Budget: retry.NewBudget(0, 0)})
 			var spent *retry.BudgetError
 			is.True(errors.As(err, &spent))
-			is.Equal(platform.KindOf(err), platform.KindOverloaded)
-			is.Equal(platform.OutcomeUnknown(err), false)
+			is.Equal(external.KindOf(err), external.KindOverloaded)
+			is.Equal(external.OutcomeUnknown(err), false)
 			is.True(hasRemedy(err))
 			is.Equal(tries, 1)
 		})
@@ -138,8 +138,8 @@
 			tc.faults(c).Set(standin.Faults{DelayMS: 60_000})
 			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
 			defer cancel()
-			err := tc.call(ctx, c, platform.ClientOptions{CallTimeout: 50 * time.Millisecond})
-			is.Equal(platform.KindOf(err), platform.KindUnavailable)
+			err := tc.call(ctx, c, external.ClientOptions{CallTimeout: 50 * time.Millisecond})
+			is.Equal(external.KindOf(err), external.KindUnavailable)
 			is.True(hasRemedy(err))
 			is.True(errors.Is(err, context.DeadlineExceeded))
 		})
--- a/internal/platform/service_faults_test.go
+++ b/internal/external/service_faults_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"bufio"
@@ -16,14 +16,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
 var errBody = errors.New("the caller went away")
 
-func serviceCall(method string, body io.Reader) platform.ServiceCall {
-	return platform.ServiceCall{
+func serviceCall(method string, body io.Reader) external.ServiceCall {
+	return external.ServiceCall{
 		RequestID: "r1",
 		Method:    method,
 		Path:      "/bookings?day=1",
@@ -41,7 +41,7 @@
 		knobs   standin.ServiceKnobs
 		baseURL string
 		ctx     context.Context
-		call    platform.ServiceCall
+		call    external.ServiceCall
 		reused  bool
 		status  int // 0 expects an error
 		unknown bool
@@ -85,9 +85,9 @@
 			if tc.ctx == nil {
 				tc.ctx = context.Background()
 			}
-			service := closeIdle(t, platform.NewServiceClient(platform.ClientOptions{BaseURL: url}))
+			service := closeIdle(t, external.NewServiceClient(external.ClientOptions{BaseURL: url}))
 			if tc.reused {
-				discard(service.Call(context.Background(), platform.ServiceCall{RequestID: "warm", Method: http.MethodGet, Path: "/"}))
+				discard(service.Call(context.Background(), external.ServiceCall{RequestID: "warm", Method: http.MethodGet, Path: "/"}))
 			}
 			c.Services[0].Faults.Set(tc.faults)
 			c.Services[0].SetKnobs(tc.knobs)
@@ -95,7 +95,7 @@
 			is.Equal(resp.Status, tc.status)
 			is.Equal(err == nil, tc.status != 0)
 			discard(resp, err)
-			is.Equal(platform.OutcomeUnknown(err), tc.unknown)
+			is.Equal(external.OutcomeUnknown(err), tc.unknown)
 			is.True(err == nil || hasRemedy(err))
 			is.Equal(c.Services[0].Counts().ByRequestID["r1"], tc.runs)
 			is.Equal(c.Services[0].Counts().ByKey["key-1"], tc.runs)
@@ -104,7 +104,7 @@
 }
 
 // discard reads an answer to its end, so that its connection can be reused.
-func discard(resp platform.ServiceResponse, err error) {
+func discard(resp external.ServiceResponse, err error) {
 	if err == nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
@@ -114,7 +114,7 @@
 func TestServiceAnswerCutHalfWay(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, standin.ClusterOptions{Services: []standin.ServiceOptions{{Knobs: standin.ServiceKnobs{CutBodies: 1}}}})
-	service := closeIdle(t, platform.NewServiceClient(platform.ClientOptions{BaseURL: c.ServiceURLs[0]}))
+	service := closeIdle(t, external.NewServiceClient(external.ClientOptions{BaseURL: c.ServiceURLs[0]}))
 	resp, err := service.Call(context.Background(), serviceCall(http.MethodPost, nil))
 	is.NoErr(err)
 	defer func() { _ = resp.Body.Close() }()
@@ -164,7 +164,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.runs[req.Header.Get(platform.HeaderRequestID)]++
+	s.runs[req.Header.Get(external.HeaderRequestID)]++
 	s.mu.Unlock()
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 }
@@ -178,7 +178,7 @@
 func TestServiceClosesReusedConnections(t *testing.T) {
 	const calls = 500
 	s := startClosingServer(t)
-	service := closeIdle(t, platform.NewServiceClient(platform.ClientOptions{BaseURL: "http://" + s.listener.Addr().String()}))
+	service := closeIdle(t, external.NewServiceClient(external.ClientOptions{BaseURL: "http://" + s.listener.Addr().String()}))
 	unsent, unknown := 0, 0
 	for i := range calls {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -191,11 +191,11 @@
 		switch {
 		case err == nil && runs != 1:
 			t.Fatalf("call %d was answered and ran %d times", i, runs)
-		case err != nil && !platform.OutcomeUnknown(err) && runs != 0:
+		case err != nil && !external.OutcomeUnknown(err) && runs != 0:
 			t.Fatalf("call %d was reported as not sent and ran %d times: %v", i, runs, err)
 		case runs > 1:
 			t.Fatalf("call %d ran %d times", i, runs)
-		case err != nil && platform.OutcomeUnknown(err):
+		case err != nil && external.OutcomeUnknown(err):
 			unknown++
 		case err != nil:
 			unsent++
--- a/internal/platform/settle_test.go
+++ b/internal/external/settle_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package external_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -31,17 +31,17 @@
 type settleMachine struct {
 	t        *rapid.T
 	table    *standin.Table
-	rows     map[string]platform.Row
+	rows     map[string]external.Row
 	revision int64
 	times    map[string]int
 	verdicts map[string]verdict
 	// onTheWay are sends that the caller gave up and that still arrive.
-	onTheWay []platform.Txn
+	onTheWay []external.Txn
 	serial   int
 }
 
 // apply applies a transaction to the table and to the oracle.
-func (m *settleMachine) apply(txn platform.Txn) platform.TxnResult {
+func (m *settleMachine) apply(txn external.Txn) external.TxnResult {
 	result := m.table.Commit(txn)
 	fits := true
 	for _, check := range txn.Checks {
@@ -56,7 +56,7 @@
 	m.times[txn.ID]++
 	m.revision++
 	for _, put := range txn.Puts {
-		m.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: m.revision, TxnID: txn.ID}
+		m.rows[put.Key] = external.Row{Key: put.Key, Value: put.Value, Version: m.revision, TxnID: txn.ID}
 	}
 	return result
 }
@@ -71,10 +71,10 @@
 	}
 }
 
-// Commit implements platform.TableService.
-func (m *settleMachine) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements external.TableService.
+func (m *settleMachine) Commit(_ context.Context, txn external.Txn) (external.TxnResult, error) {
 	m.interfere()
-	lost := &platform.Error{Kind: platform.KindUnavailable, OutcomeUnknown: true, Err: errLost}
+	lost := &external.Error{Kind: external.KindUnavailable, OutcomeUnknown: true, Err: errLost}
 	switch rapid.SampledFrom([]string{"ok", "twice", "late", "lost", "dropped", "refused"}).Draw(m.t, "commit") {
 	case "ok":
 		return m.apply(txn), nil
@@ -86,35 +86,35 @@
 	case "lost":
 		m.apply(txn)
 	case "refused":
-		return platform.TxnResult{}, &platform.Error{Kind: platform.KindOverloaded, Err: errLost}
+		return external.TxnResult{}, &external.Error{Kind: external.KindOverloaded, Err: errLost}
 	}
-	return platform.TxnResult{}, lost
+	return external.TxnResult{}, lost
 }
 
-// Get implements platform.TableService.
-func (m *settleMachine) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements external.TableService.
+func (m *settleMachine) Get(_ context.Context, key string) (external.Row, error) {
 	m.interfere()
 	if rapid.IntRange(0, 4).Draw(m.t, "get fails") == 0 {
-		return platform.Row{}, &platform.Error{Kind: platform.KindUnavailable, Err: errLost}
+		return external.Row{}, &external.Error{Kind: external.KindUnavailable, Err: errLost}
 	}
 	return m.table.Row(key), nil
 }
 
-// Changes implements platform.TableService.
-func (m *settleMachine) Changes(_ context.Context, prefix string, after int64) (platform.Changes, error) {
+// Changes implements external.TableService.
+func (m *settleMachine) Changes(_ context.Context, prefix string, after int64) (external.Changes, error) {
 	return m.table.Changes(prefix, after), nil
 }
 
 var keys = []string{"a", "b", "c"}
 
-func (m *settleMachine) txn(puts, checks []string) platform.Txn {
+func (m *settleMachine) txn(puts, checks []string) external.Txn {
 	m.serial++
-	txn := platform.Txn{ID: fmt.Sprintf("txn-%d", m.serial)}
+	txn := external.Txn{ID: fmt.Sprintf("txn-%d", m.serial)}
 	for _, key := range puts {
-		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: []byte(txn.ID)})
+		txn.Puts = append(txn.Puts, external.Put{Key: key, Value: []byte(txn.ID)})
 	}
 	for _, key := range checks {
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: m.rows[key].Version})
+		txn.Checks = append(txn.Checks, external.Check{Key: key, Version: m.rows[key].Version})
 	}
 	return txn
 }
@@ -145,9 +145,9 @@
 	txn := m.txn(puts, checks)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	result, err := platform.CommitSettled(ctx, m, txn)
+	result, err := external.CommitSettled(ctx, m, txn)
 	switch {
-	case err != nil && platform.OutcomeUnknown(err):
+	case err != nil && external.OutcomeUnknown(err):
 		m.verdicts[txn.ID] = unknown
 	case err == nil && result.Committed:
 		m.verdicts[txn.ID] = applied
@@ -184,7 +184,7 @@
 			m := &settleMachine{
 				t:        t,
 				table:    standin.NewTable(),
-				rows:     make(map[string]platform.Row),
+				rows:     make(map[string]external.Row),
 				times:    make(map[string]int),
 				verdicts: make(map[string]verdict),
 			}
--- /dev/null
+++ b/internal/fleet/directory.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"maps"
+	"sync/atomic"
+	"time"
+)
+
+// HeldModel is a model that an engine holds with its adapters.
+type HeldModel struct {
+	Name     string
+	Version  int64
+	Adapters []string
+}
+
+// Upstream is one incarnation of a server, as it describes itself.
+type Upstream struct {
+	ID            string
+	Service       string
+	Addr          string // IP:PORT
+	FailureDomain string
+	Slots         int
+	Draining      bool
+	// LeavesIn is set when the upstream is taken away at short notice.
+	LeavesIn time.Duration
+	// Sequence counts the descriptions of one incarnation.
+	Sequence int64
+	// StartedMs is the Unix time of the start in milliseconds; it tells
+	// incarnations with one id apart.
+	StartedMs int64
+	Models    []HeldModel
+	// OnDisk and InMemory name the models whose weights the host keeps.
+	OnDisk   []string
+	InMemory []string
+}
+
+// Entry is the state of one id in the platform's list.
+type Entry struct {
+	ID string
+	// Upstream is nil when the entry was removed or names no usable upstream.
+	Upstream *Upstream
+	// Fault tells why an entry names no usable upstream; nil for a removed one.
+	Fault error
+}
+
+// Snapshot is what a router knows at one moment. It is immutable.
+type Snapshot struct {
+	Config *Config
+	// Upstreams holds the known upstreams by id, draining ones included.
+	Upstreams map[string]*Upstream
+	ByService map[string][]*Upstream
+	// Listed is set once the list of upstreams was read.
+	Listed bool
+}
+
+// Usable returns the upstream if new work may be sent to it.
+func (s *Snapshot) Usable(id string) (*Upstream, bool) {
+	up := s.Upstreams[id]
+	return up, up != nil && !up.Draining
+}
+
+// Directory merges what the platform tells into snapshots. Merge and SetConfig
+// belong to one goroutine each; Load is safe for all.
+type Directory struct {
+	config    atomic.Pointer[Config]
+	upstreams atomic.Pointer[upstreamSet]
+	// held are removed entries that are kept until the time given, since the
+	// list was away and its entries may only have lapsed.
+	held map[string]time.Time
+}
+
+type upstreamSet struct {
+	byID      map[string]*Upstream
+	byService map[string][]*Upstream
+	listed    bool
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	d := &Directory{held: make(map[string]time.Time)}
+	d.upstreams.Store(&upstreamSet{})
+	return d
+}
+
+// Load returns the present snapshot. Its two halves may be read at slightly
+// different moments; neither depends on the other.
+func (d *Directory) Load() *Snapshot {
+	set := d.upstreams.Load()
+	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, Listed: set.listed}
+}
+
+// SetConfig puts a configuration in force. It reports false, and changes
+// nothing, if a newer or the same one is in force already.
+func (d *Directory) SetConfig(c *Config) bool {
+	if old := d.config.Load(); old != nil && old.Version >= c.Version {
+		return false
+	}
+	d.config.Store(c)
+	return true
+}
+
+// Change is a batch of entries.
+type Change struct {
+	Entries []Entry
+	// Whole is set when Entries is the whole list: other ids are removed.
+	Whole bool
+	// LapseGrace is how long removed entries stay usable, because the list was
+	// away and entries may have lapsed meanwhile.
+	LapseGrace time.Duration
+}
+
+// Merge takes a batch over and returns the ids whose state changed.
+func (d *Directory) Merge(now time.Time, change Change) []string {
+	old := d.upstreams.Load()
+	next := maps.Clone(old.byID)
+	if next == nil {
+		next = make(map[string]*Upstream)
+	}
+	var changed []string
+	seen := make(map[string]bool, len(change.Entries))
+	for _, entry := range change.Entries {
+		seen[entry.ID] = true
+		if d.mergeEntry(now, next, entry, change.LapseGrace) {
+			changed = append(changed, entry.ID)
+		}
+	}
+	if change.Whole {
+		for id := range old.byID {
+			if !seen[id] && d.remove(now, next, id, change.LapseGrace) {
+				changed = append(changed, id)
+			}
+		}
+	}
+	changed = append(changed, d.expireHeld(now, next)...)
+	d.upstreams.Store(newUpstreamSet(next))
+	return changed
+}
+
+func (d *Directory) mergeEntry(now time.Time, next map[string]*Upstream, entry Entry, grace time.Duration) bool {
+	if entry.Fault != nil {
+		// An unreadable entry may have another writer; what is known stays.
+		return false
+	}
+	if entry.Upstream == nil {
+		return d.remove(now, next, entry.ID, grace)
+	}
+	known := next[entry.ID]
+	fresh := entry.Upstream
+	if known != nil && isOlder(fresh, known) {
+		return false
+	}
+	delete(d.held, entry.ID)
+	if known != nil && known.Draining && known.StartedMs == fresh.StartedMs && !fresh.Draining {
+		// An incarnation that began to leave does not come back.
+		kept := *fresh
+		kept.Draining = true
+		fresh = &kept
+	}
+	next[entry.ID] = fresh
+	return true
+}
+
+// isOlder reports whether fresh is a late copy of an earlier description.
+func isOlder(fresh, known *Upstream) bool {
+	if fresh.StartedMs != known.StartedMs {
+		return fresh.StartedMs < known.StartedMs
+	}
+	return fresh.Sequence < known.Sequence
+}
+
+func (d *Directory) remove(now time.Time, next map[string]*Upstream, id string, grace time.Duration) bool {
+	if next[id] == nil {
+		return false
+	}
+	if grace > 0 {
+		if _, ok := d.held[id]; !ok {
+			d.held[id] = now.Add(grace)
+		}
+		return false
+	}
+	delete(d.held, id)
+	delete(next, id)
+	return true
+}
+
+// expireHeld drops the lapsed entries that did not come back.
+func (d *Directory) expireHeld(now time.Time, next map[string]*Upstream) []string {
+	var gone []string
+	for id, until := range d.held {
+		if now.Before(until) {
+			continue
+		}
+		delete(d.held, id)
+		delete(next, id)
+		gone = append(gone, id)
+	}
+	return gone
+}
+
+// Holding reports whether lapsed entries wait for their return.
+func (d *Directory) Holding() bool { return len(d.held) > 0 }
+
+func newUpstreamSet(byID map[string]*Upstream) *upstreamSet {
+	set := &upstreamSet{byID: byID, byService: make(map[string][]*Upstream), listed: true}
+	for _, up := range byID {
+		set.byService[up.Service] = append(set.byService[up.Service], up)
+	}
+	return set
+}
--- a/internal/lease/batch.go
+++ b/internal/lease/batch.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // change is a wanted write of one lease row.
@@ -48,20 +48,20 @@
 	return nil, time.Time{}, nil
 }
 
-func (m *Manager) send(ctx context.Context, batch []change) (platform.TxnResult, error) {
+func (m *Manager) send(ctx context.Context, batch []change) (external.TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.timing.callTimeout())
 	defer cancel()
-	txn := platform.Txn{ID: m.ids.next()}
+	txn := external.Txn{ID: m.ids.next()}
 	for _, c := range batch {
 		value, err := proto.Marshal(c.row)
 		if err != nil {
-			return platform.TxnResult{}, fmt.Errorf("encode lease %s: %w", c.entry.name, err)
+			return external.TxnResult{}, fmt.Errorf("encode lease %s: %w", c.entry.name, err)
 		}
-		key := platform.LeaseKey(c.entry.name)
-		txn.Checks = append(txn.Checks, platform.Check{Key: key, Version: c.entry.version})
-		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: value})
+		key := external.LeaseKey(c.entry.name)
+		txn.Checks = append(txn.Checks, external.Check{Key: key, Version: c.entry.version})
+		txn.Puts = append(txn.Puts, external.Put{Key: key, Value: value})
 		if c.newEpoch {
-			txn.Puts = append(txn.Puts, platform.Put{Key: platform.EpochKey(c.entry.name), Value: value})
+			txn.Puts = append(txn.Puts, external.Put{Key: external.EpochKey(c.entry.name), Value: value})
 		}
 	}
 	return m.opts.Commit(ctx, m.opts.Table, txn)
@@ -80,11 +80,11 @@
 
 // withoutConflicts takes over the conflicting rows and returns the changes that
 // are still wanted.
-func (m *Manager) withoutConflicts(batch []change, conflicts []platform.Row, remake func(*entry) (change, bool)) []change {
+func (m *Manager) withoutConflicts(batch []change, conflicts []external.Row, remake func(*entry) (change, bool)) []change {
 	now := m.opts.Now()
 	changed := make(map[*entry]bool, len(conflicts))
 	for _, row := range conflicts {
-		e := m.byName[strings.TrimPrefix(row.Key, platform.LeasePrefix)]
+		e := m.byName[strings.TrimPrefix(row.Key, external.LeasePrefix)]
 		if e == nil {
 			continue
 		}
--- a/internal/lease/entry.go
+++ b/internal/lease/entry.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // grant is a guard with the time until which it may be relied on.
@@ -81,7 +81,7 @@
 }
 
 // seeConflict takes over the state of a row whose check failed.
-func (m *Manager) seeConflict(e *entry, conflict platform.Row, now time.Time) {
+func (m *Manager) seeConflict(e *entry, conflict external.Row, now time.Time) {
 	if conflict.Version == 0 {
 		e.row, e.version = nil, 0
 		m.watch(e, now)
@@ -126,7 +126,7 @@
 func (m *Manager) claim(ctx context.Context, e *entry) {
 	ctx, cancel := context.WithTimeout(ctx, m.timing.callTimeout())
 	defer cancel()
-	row, err := m.opts.Table.Get(ctx, platform.EpochKey(e.name))
+	row, err := m.opts.Table.Get(ctx, external.EpochKey(e.name))
 	if err != nil {
 		m.stats.failures.Add(1)
 		return
@@ -146,7 +146,7 @@
 	e.held = true
 	e.guard = Guard{
 		Epoch: epoch,
-		Check: platform.Check{Key: platform.EpochKey(e.name), Version: epochVersion},
+		Check: external.Check{Key: external.EpochKey(e.name), Version: epochVersion},
 	}
 	e.misplacedSince = time.Time{}
 	m.stats.takeovers.Add(1)
--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
@@ -25,9 +25,9 @@
 
 func newFleet(routers, shards int) *fleet {
 	f := &fleet{now: time.Unix(1_800_000_000, 0), table: tabletest.New()}
-	f.names = []string{platform.PermitLease}
+	f.names = []string{external.PermitLease}
 	for shard := range uint32(shards) {
-		f.names = append(f.names, platform.ShardLease(shard))
+		f.names = append(f.names, external.ShardLease(shard))
 	}
 	for i := range routers {
 		f.add(fmt.Sprintf("router-%d", i))
@@ -152,7 +152,7 @@
 	is.NoErr(<-done)
 	_, held := m.Guard("a")
 	is.True(!held)
-	changes, err := table.Changes(context.Background(), platform.LeasePrefix, 0)
+	changes, err := table.Changes(context.Background(), external.LeasePrefix, 0)
 	is.NoErr(err)
 	f := view.NewStore()
 	f.ApplyRows(changes)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,7 +13,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -21,11 +21,11 @@
 const DefaultTTL = 5 * time.Second
 
 // CommitFunc applies a transaction and settles lost answers.
-type CommitFunc func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error)
+type CommitFunc func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error)
 
 // Options configure a Manager.
 type Options struct {
-	Table platform.TableService
+	Table external.TableService
 	// View shows the lease rows that the router polls.
 	View *view.Store
 	// Holder is the host id of this router.
@@ -55,7 +55,7 @@
 	// Epoch is the fencing number.
 	Epoch uint64
 	// Check fails once another holder has taken the lease over.
-	Check platform.Check
+	Check external.Check
 }
 
 // Manager competes for leases and renews the held ones.
@@ -112,7 +112,7 @@
 	return m
 }
 
-func commitOnce(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+func commitOnce(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error) {
 	return table.Commit(ctx, txn)
 }
 
--- a/internal/lease/machine_test.go
+++ b/internal/lease/machine_test.go
@@ -11,14 +11,14 @@
 	"pgregory.net/rapid"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
 const testTTL = 4 * time.Second
 
-var leaseNames = []string{"shard-0", "shard-1", platform.PermitLease}
+var leaseNames = []string{"shard-0", "shard-1", external.PermitLease}
 
 // node is one router of the machine.
 type node struct {
@@ -80,7 +80,7 @@
 	n.manager = New(Options{
 		Table: m.table, View: n.view, Holder: n.id, Names: leaseNames, TTL: testTTL,
 		Now: func() time.Time { return m.now }, Seed: m.boots, Peers: m.peers,
-		Commit: func(ctx context.Context, table platform.TableService, txn platform.Txn) (platform.TxnResult, error) {
+		Commit: func(ctx context.Context, table external.TableService, txn external.Txn) (external.TxnResult, error) {
 			m.pause("before commit")
 			defer m.pause("after commit")
 			return table.Commit(ctx, txn)
@@ -132,9 +132,9 @@
 }
 
 // applied is the oracle.
-func (m *machine) applied(txn platform.Txn, _ int64) {
+func (m *machine) applied(txn external.Txn, _ int64) {
 	for _, put := range txn.Puts {
-		name, isEpoch := strings.CutPrefix(put.Key, platform.EpochPrefix)
+		name, isEpoch := strings.CutPrefix(put.Key, external.EpochPrefix)
 		if !isEpoch {
 			continue
 		}
@@ -179,10 +179,10 @@
 	i := rapid.IntRange(0, len(m.ready)-1).Draw(m.t, "decision")
 	d := m.ready[i]
 	m.ready = append(m.ready[:i], m.ready[i+1:]...)
-	txn := platform.Txn{
+	txn := external.Txn{
 		ID:     fmt.Sprintf("decision-%s%d", d.process, len(m.sent)),
-		Checks: []platform.Check{d.guard.Check},
-		Puts:   []platform.Put{{Key: "live/decided/" + d.name}},
+		Checks: []external.Check{d.guard.Check},
+		Puts:   []external.Put{{Key: "live/decided/" + d.name}},
 	}
 	m.sent[txn.ID] = d
 	_, _ = m.table.Commit(context.Background(), txn)
--- a/internal/operator/cli/cli_test.go
+++ b/internal/operator/cli/cli_test.go
@@ -18,8 +18,8 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
 	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
@@ -54,12 +54,12 @@
 	t.Helper()
 	http := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(http.CloseIdleConnections)
-	table := platform.NewTableClient(platform.ClientOptions{BaseURL: serve(t, standin.NewTable()), HTTP: http})
-	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: serve(t, standin.NewObjects()), HTTP: http})
+	table := external.NewTableClient(external.ClientOptions{BaseURL: serve(t, standin.NewTable()), HTTP: http})
+	objects := external.NewObjectClient(external.ClientOptions{BaseURL: serve(t, standin.NewObjects()), HTTP: http})
 	f := &fixture{t: t, dir: t.TempDir()}
 	f.writer = waitlog.NewWriter(waitlog.WriterOptions{Objects: objects, Sample: 1, LateMs: 1000})
 	store := view.NewStore()
-	store.SetHosts(platform.HostListing{Revision: 1, Hosts: []platform.Host{{ID: "lm-01", Role: platform.RoleUpstream, Pool: "lm-pool"}}})
+	store.SetHosts(external.HostListing{Revision: 1, Hosts: []external.Host{{ID: "lm-01", Role: external.RoleUpstream, Pool: "lm-pool"}}})
 	f.url = serve(t, operator.NewServer(operator.ServerOptions{
 		Publisher: config.NewPublisher(table, objects, config.PublisherOptions{}),
 		Reader:    waitlog.NewReader(objects),
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -7,7 +7,7 @@
 	"net/http"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
 )
 
@@ -115,7 +115,7 @@
 }
 
 func toPlatformError(err error) *Error {
-	var platformErr *platform.Error
+	var platformErr *external.Error
 	isPlatform := errors.As(err, &platformErr)
 	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	if !isPlatform && !ended {
@@ -125,6 +125,6 @@
 		Kind:           KindUnavailable,
 		Message:        err.Error(),
 		Remedy:         "try again once the platform answers",
-		OutcomeUnknown: platform.OutcomeUnknown(err),
+		OutcomeUnknown: external.OutcomeUnknown(err),
 	}
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -14,7 +14,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
@@ -34,7 +34,7 @@
 	url     string
 	view    *view.Store
 	writer  *waitlog.Writer
-	objects platform.ObjectStore
+	objects external.ObjectStore
 }
 
 // platformStandIn holds the stand-ins that routers share.
@@ -61,8 +61,8 @@
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(client.CloseIdleConnections)
-	table := platform.NewTableClient(platform.ClientOptions{BaseURL: p.tableURL, HTTP: client, CallTimeout: callTimeout})
-	objects := platform.NewObjectClient(platform.ClientOptions{BaseURL: p.objectsURL, HTTP: client, CallTimeout: callTimeout})
+	table := external.NewTableClient(external.ClientOptions{BaseURL: p.tableURL, HTTP: client, CallTimeout: callTimeout})
+	objects := external.NewObjectClient(external.ClientOptions{BaseURL: p.objectsURL, HTTP: client, CallTimeout: callTimeout})
 	r := &router{view: view.NewStore(), objects: objects}
 	r.writer = waitlog.NewWriter(waitlog.WriterOptions{Objects: objects, Sample: 1})
 	r.url = serve(t, wrap(NewServer(ServerOptions{
@@ -204,14 +204,14 @@
 	p := newPlatform(t)
 	r := p.newRouter(t, unwrapped)
 	client := newTestClient(t, r.url)
-	r.view.SetHosts(platform.HostListing{Revision: 1, Hosts: []platform.Host{{ID: "e1", Role: platform.RoleUpstream}}})
+	r.view.SetHosts(external.HostListing{Revision: 1, Hosts: []external.Host{{ID: "e1", Role: external.RoleUpstream}}})
 	ctx := context.Background()
 	for _, draining := range []bool{true, true, false} {
 		p.table.Faults.Set(standin.Faults{LoseAnswers: 1})
 		reply, err := client.Drain(ctx, "e1", "saran", draining)
 		is.NoErr(err)
 		is.Equal(reply.Draining, draining)
-		r.view.ApplyRows(platform.Changes{Rows: []platform.Row{p.table.Row(platform.DrainKey("e1"))}})
+		r.view.ApplyRows(external.Changes{Rows: []external.Row{p.table.Row(external.DrainKey("e1"))}})
 		is.Equal(r.view.Load().Drains["e1"], draining)
 	}
 	_, err := client.Drain(ctx, "e2", "saran", true)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,7 +15,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
 )
@@ -38,8 +38,8 @@
 	// Status is nil when no nodes are known.
 	Status StatusSource
 	// Table holds the drain rows.
-	Table platform.TableService
-	// Commit is platform.CommitSettled by default.
+	Table external.TableService
+	// Commit is external.CommitSettled by default.
 	Commit config.CommitFunc
 	// Token is the bearer token that callers must send; nil demands none.
 	Token []byte
@@ -59,7 +59,7 @@
 func NewServer(options ServerOptions) http.Handler {
 	s := &server{options}
 	if s.Commit == nil {
-		s.Commit = platform.CommitSettled
+		s.Commit = external.CommitSettled
 	}
 	if s.Vars == nil {
 		s.Vars = expvar.Handler()
--- a/internal/operator/server_nodes.go
+++ b/internal/operator/server_nodes.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -87,7 +87,7 @@
 // writeDrain replaces the drain row. Each try checks the version that it read,
 // so that a delayed one can't undo a later change.
 func (s *server) writeDrain(ctx context.Context, row *apiv1.DrainRow) error {
-	key := platform.DrainKey(row.GetHost())
+	key := external.DrainKey(row.GetHost())
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode drain row: %w", err)
@@ -97,10 +97,10 @@
 		if err != nil {
 			return err
 		}
-		txn := platform.Txn{
+		txn := external.Txn{
 			ID:     "drain-" + rand.Text(),
-			Checks: []platform.Check{{Key: key, Version: current.Version}},
-			Puts:   []platform.Put{{Key: key, Value: value}},
+			Checks: []external.Check{{Key: key, Version: current.Version}},
+			Puts:   []external.Put{{Key: key, Value: value}},
 		}
 		result, err := s.Commit(ctx, s.Table, txn)
 		if err != nil {
@@ -115,7 +115,7 @@
 
 // wroteRow reports whether a conflict is with the transaction itself, whose
 // first answer was lost.
-func wroteRow(result platform.TxnResult, key, txnID string) bool {
+func wroteRow(result external.TxnResult, key, txnID string) bool {
 	for _, row := range result.Conflicts {
 		if row.Key == key && row.TxnID == txnID {
 			return true
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -5,17 +5,17 @@
 	"net/http"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // StateReply is a router's picture of the table, the configuration and the host
 // list. A router that starts while the platform is down takes it over.
 type StateReply struct {
-	Changes platform.Changes `json:"changes"`
+	Changes external.Changes `json:"changes"`
 	// Body is the encoded set in force, empty before the first one.
 	Body []byte `json:"body"`
 	// Hosts is the last host list.
-	Hosts platform.HostListing `json:"hosts"`
+	Hosts external.HostListing `json:"hosts"`
 }
 
 func (s *server) state(*http.Request) (any, error) {
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -7,7 +7,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -18,14 +18,14 @@
 		{Name: "p", Pool: "pool", MinReplicas: 2, MaxReplicas: 4, TargetInFlight: 8},
 	}}
 	s := State{
-		Slots: make(map[string][]view.Slot), Hosts: make(map[string]platform.Host, hosts),
+		Slots: make(map[string][]view.Slot), Hosts: make(map[string]external.Host, hosts),
 		HostReads: 1, Now: time.Unix(1_800_000_000, 0), Memory: NewMemory(), Budget: 50, Timing: DefaultTiming(),
 	}
 	reports := make(map[string]*apiv1.LoadReport, hosts)
 	for i := range hosts {
 		id := fmt.Sprintf("host-%d", i)
-		s.list(platform.Host{
-			ID: id, Role: platform.RoleUpstream, Pool: "pool", State: platform.HostLive,
+		s.list(external.Host{
+			ID: id, Role: external.RoleUpstream, Pool: "pool", State: external.HostLive,
 			FailureDomain: fmt.Sprintf("domain-%d", i%domains), MemoryMiB: 80_000,
 		})
 		reports[id] = &apiv1.LoadReport{Host: id, Cached: []*apiv1.CachedCheckpoint{
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -12,7 +12,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -28,7 +28,7 @@
 func newFixture(least, most uint32) *fixture {
 	f := &fixture{reports: make(map[string]*apiv1.LoadReport)}
 	f.State = State{
-		Slots: make(map[string][]view.Slot), Hosts: make(map[string]platform.Host), HostReads: 1,
+		Slots: make(map[string][]view.Slot), Hosts: make(map[string]external.Host), HostReads: 1,
 		Drains: make(map[string]bool), Silent: make(map[string]bool), Confirmed: make(map[SlotID]bool),
 		Report: func(host string) *apiv1.LoadReport { return f.reports[host] },
 		Now:    testStart, Memory: NewMemory(), Budget: 10, Timing: DefaultTiming(),
@@ -39,8 +39,8 @@
 		Placements: []*apiv1.Placement{{Name: "p", Pool: "pool", MinReplicas: least, MaxReplicas: most, TargetInFlight: 4}},
 	})
 	for _, id := range []string{"a1", "a2", "b1", "b2"} {
-		f.list(platform.Host{
-			ID: id, Role: platform.RoleUpstream, Pool: "pool", State: platform.HostLive,
+		f.list(external.Host{
+			ID: id, Role: external.RoleUpstream, Pool: "pool", State: external.HostLive,
 			FailureDomain: id[:1], MemoryMiB: 1000,
 		})
 	}
@@ -48,7 +48,7 @@
 }
 
 // list adds a host to the host list.
-func (s *State) list(host platform.Host) {
+func (s *State) list(host external.Host) {
 	s.Listing = append(s.Listing, host)
 	s.Hosts[host.ID] = host
 }
@@ -108,9 +108,9 @@
 				f.Listing[i].MemoryMiB = uint32(value)
 			}
 		case "pool":
-			f.list(platform.Host{ID: subject, Role: platform.RoleUpstream, Pool: text, State: platform.HostLive})
+			f.list(external.Host{ID: subject, Role: external.RoleUpstream, Pool: text, State: external.HostLive})
 		case "service":
-			f.list(platform.Host{ID: subject, Role: platform.RoleUpstream, Pool: text, State: platform.HostLive, Service: "bookings"})
+			f.list(external.Host{ID: subject, Role: external.RoleUpstream, Pool: text, State: external.HostLive, Service: "bookings"})
 		default:
 			t.Fatalf("unknown word %q", word)
 		}
--- a/internal/placement/hosts.go
+++ b/internal/placement/hosts.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 )
 
@@ -120,7 +120,7 @@
 	return q
 }
 
-func (f *hostFinder) eligible(host *platform.Host, q search) bool {
+func (f *hostFinder) eligible(host *external.Host, q search) bool {
 	if !allowed(host, q.placement) || q.holders[host.ID] {
 		return false
 	}
@@ -130,7 +130,7 @@
 	return !f.state.draining(host) && !f.state.Silent[host.ID]
 }
 
-func (f *hostFinder) candidate(host *platform.Host, q search) candidate {
+func (f *hostFinder) candidate(host *external.Host, q search) candidate {
 	report := f.state.report(host.ID)
 	c := candidate{
 		host:      host.ID,
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -74,8 +74,8 @@
 
 // allowed reports whether the host has an engine and a placement names its pool
 // and domain.
-func allowed(host *platform.Host, p *apiv1.Placement) bool {
-	if host.Role != platform.RoleUpstream || host.Service != "" || host.Pool != p.GetPool() {
+func allowed(host *external.Host, p *apiv1.Placement) bool {
+	if host.Role != external.RoleUpstream || host.Service != "" || host.Pool != p.GetPool() {
 		return false
 	}
 	domains := p.GetFailureDomains()
@@ -83,8 +83,8 @@
 }
 
 // draining reports whether a listed host takes no new work.
-func (s State) draining(host *platform.Host) bool {
-	return host.State != platform.HostLive || s.Drains[host.ID] || s.report(host.ID).GetDraining()
+func (s State) draining(host *external.Host) bool {
+	return host.State != external.HostLive || s.Drains[host.ID] || s.report(host.ID).GetDraining()
 }
 
 // modelNeeds returns the wanted changes of a configured model.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -7,7 +7,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -25,9 +25,9 @@
 	// Slots holds the slot rows of every model, ordered by slot number.
 	Slots map[string][]view.Slot
 	// Listing is the last host list.
-	Listing []platform.Host
+	Listing []external.Host
 	// Hosts is the same list by id.
-	Hosts map[string]platform.Host
+	Hosts map[string]external.Host
 	// HostReads counts how often the host list was read; 0 gives no orders.
 	HostReads uint64
 	// Drains holds the hosts that an operator drains.
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -16,7 +16,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -35,8 +35,8 @@
 	b.Helper()
 	store := view.NewStore()
 	set := &apiv1.ObjectSet{Placements: []*apiv1.Placement{{Name: "p", TargetInFlight: 1000}}}
-	changes := platform.Changes{Revision: 1}
-	listing := platform.HostListing{Revision: 1}
+	changes := external.Changes{Revision: 1}
+	listing := external.HostListing{Revision: 1}
 	reports := make(map[string]*apiv1.LoadReport)
 	for m := range models {
 		name := fmt.Sprintf("m%d", m)
@@ -45,7 +45,7 @@
 			host := benchHost(m, n)
 			if reports[host] == nil {
 				reports[host] = &apiv1.LoadReport{Host: host}
-				listing.Hosts = append(listing.Hosts, platform.Host{ID: host, Address: address, State: platform.HostLive})
+				listing.Hosts = append(listing.Hosts, external.Host{ID: host, Address: address, State: external.HostLive})
 			}
 			reports[host].Replicas = append(reports[host].Replicas, &apiv1.ReplicaReport{
 				Model: name, Slot: uint32(n), Generation: 1, State: apiv1.ReplicaState_REPLICA_STATE_READY,
@@ -55,7 +55,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			changes.Rows = append(changes.Rows, platform.Row{Key: platform.SlotKey(name, uint32(n)), Value: value, Version: 1})
+			changes.Rows = append(changes.Rows, external.Row{Key: external.SlotKey(name, uint32(n)), Value: value, Version: 1})
 		}
 	}
 	store.SetConfig(config.NewIndex(1, set))
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -21,7 +21,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/claim"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/router"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
@@ -176,15 +176,15 @@
 
 // newFixture makes a router that knows the sidecars as replicas of "manifest"
 // and as hosts of "bookings". table may be nil.
-func newFixture(t testing.TB, table platform.TableService, sidecars ...*fakeSidecar) *fixture {
+func newFixture(t testing.TB, table external.TableService, sidecars ...*fakeSidecar) *fixture {
 	t.Helper()
 	f := &fixture{view: view.NewStore(), records: &recorder{}, refreshed: make(chan string, 64)}
 	f.view.SetConfig(config.NewIndex(1, testSet()))
-	listing := platform.HostListing{Revision: 1}
-	changes := platform.Changes{Revision: 10}
+	listing := external.HostListing{Revision: 1}
+	changes := external.Changes{Revision: 10}
 	for i, s := range sidecars {
-		listing.Hosts = append(listing.Hosts, platform.Host{
-			ID: s.host, Role: platform.RoleUpstream, Address: s.server.Addr(), Pool: "app", Service: "bookings", State: platform.HostLive,
+		listing.Hosts = append(listing.Hosts, external.Host{
+			ID: s.host, Role: external.RoleUpstream, Address: s.server.Addr(), Pool: "app", Service: "bookings", State: external.HostLive,
 		})
 		changes.Rows = append(changes.Rows, slotRow(t, s.host, i, int64(i+1)))
 	}
@@ -194,7 +194,7 @@
 	return f
 }
 
-func slotRow(t testing.TB, host string, slot int, version int64) platform.Row {
+func slotRow(t testing.TB, host string, slot int, version int64) external.Row {
 	t.Helper()
 	value, err := proto.Marshal(&apiv1.SlotRow{
 		Model: "manifest", Slot: uint32(slot), Host: host, Generation: 1, State: apiv1.SlotState_SLOT_STATE_ASSIGNED,
@@ -202,10 +202,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Row{Key: platform.SlotKey("manifest", uint32(slot)), Value: value, Version: version}
+	return external.Row{Key: external.SlotKey("manifest", uint32(slot)), Value: value, Version: version}
 }
 
-func (f *fixture) start(t testing.TB, table platform.TableService) {
+func (f *fixture) start(t testing.TB, table external.TableService) {
 	t.Helper()
 	pool := transport.NewPool(transport.Credentials{}, time.Minute)
 	quiet := log.New(io.Discard)
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -8,7 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/route"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -130,7 +130,7 @@
 // takesWork reports whether a host is listed as live and not being drained.
 func takesWork(snap *view.Snapshot, host string) bool {
 	h, listed := snap.ByHost[host]
-	return listed && h.State == platform.HostLive && !snap.Drains[host]
+	return listed && h.State == external.HostLive && !snap.Drains[host]
 }
 
 func (rep *replica) candidate(row *apiv1.SlotRow, adapter string, window int, now time.Time) route.Candidate {
--- a/internal/router/service_test.go
+++ b/internal/router/service_test.go
@@ -16,7 +16,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/claim"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/router"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
@@ -255,7 +255,7 @@
 			value, err := proto.Marshal(tc.row)
 			is.NoErr(err)
 			table := tabletest.New()
-			_, err = table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: platform.ClaimKey("bookings", "k"), Value: value}}})
+			_, err = table.Commit(context.Background(), external.Txn{Puts: []external.Put{{Key: external.ClaimKey("bookings", "k"), Value: value}}})
 			is.NoErr(err)
 			a := newFakeSidecar(t, "a")
 			a.call = func(s *transport.Stream, req *apiv1.CallRequest, _ []byte) { book(a, s, req) }
@@ -302,7 +302,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.view.ApplyRows(platform.Changes{Revision: 20, Rows: []platform.Row{{Key: platform.DrainKey(host), Value: value, Version: 20}}})
+		f.view.ApplyRows(external.Changes{Revision: 20, Rows: []external.Row{{Key: external.DrainKey(host), Value: value, Version: 20}}})
 		return
 	}
 	listing := f.view.Load().Hosts
@@ -310,7 +310,7 @@
 	listing.Revision++
 	for i := range listing.Hosts {
 		if listing.Hosts[i].ID == host {
-			listing.Hosts[i].State = platform.HostLeaving
+			listing.Hosts[i].State = external.HostLeaving
 		}
 	}
 	f.view.SetHosts(listing)
--- a/internal/router/servicehosts.go
+++ b/internal/router/servicehosts.go
@@ -5,12 +5,12 @@
 	"slices"
 	"sync/atomic"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // serviceHost is a host that runs a plain service.
 type serviceHost struct {
-	platform.Host
+	external.Host
 	// inFlight counts the calls from this router; it lives as long as the host
 	// is listed.
 	inFlight *atomic.Int64
@@ -23,13 +23,13 @@
 }
 
 type serviceHosts struct {
-	listing  platform.HostListing
+	listing  external.HostListing
 	services map[string][]serviceHost // by service name
 }
 
 // hosts returns the hosts of a service. Two callers may rebuild the index at
 // once; both results are right and the counters are shared through the old one.
-func (x *serviceIndex) hosts(listing platform.HostListing, service string) []serviceHost {
+func (x *serviceIndex) hosts(listing external.HostListing, service string) []serviceHost {
 	current := x.current.Load()
 	if current == nil || !sameListing(current.listing, listing) {
 		current = indexServices(current, listing)
@@ -39,14 +39,14 @@
 }
 
 // sameListing compares listings by identity; they are immutable.
-func sameListing(a, b platform.HostListing) bool {
+func sameListing(a, b external.HostListing) bool {
 	if a.Revision != b.Revision || len(a.Hosts) != len(b.Hosts) {
 		return false
 	}
 	return len(a.Hosts) == 0 || &a.Hosts[0] == &b.Hosts[0]
 }
 
-func indexServices(old *serviceHosts, listing platform.HostListing) *serviceHosts {
+func indexServices(old *serviceHosts, listing external.HostListing) *serviceHosts {
 	counters := make(map[string]*atomic.Int64)
 	if old != nil {
 		for _, hosts := range old.services {
--- /dev/null
+++ b/internal/scheduler/engine.go
@@ -0,0 +1,287 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+)
+
+// copyState is the state of a model or adapter on an engine.
+type copyState int
+
+const (
+	present copyState = iota
+	loading
+	unloading
+)
+
+// weightCopy is a model on an engine. It counts against the engine's memory in
+// every state.
+type weightCopy struct {
+	model    string
+	memoryMB int64
+	state    copyState
+	adapters map[string]*adapterCopy
+	running  int
+	lastUsed time.Time
+}
+
+// adapterCopy is an adapter of a model on an engine. It takes a place in every
+// state.
+type adapterCopy struct {
+	state    copyState
+	running  int
+	lastUsed time.Time
+	// readyAt is when a coming adapter is expected.
+	readyAt  time.Time
+	loadedAt time.Time
+}
+
+// engine is what the cell knows about one upstream.
+type engine struct {
+	up     *fleet.Upstream
+	copies map[string]*weightCopy
+	// tier tells from where the host can load a model.
+	tier map[string]tier
+	runs map[uint64]*run
+	// pending are the runs that have not started, pendingWork their prefill time.
+	pending map[uint64]*run
+	// freeAt is when the known prompts are expected to be read.
+	freeAt time.Time
+	// kvTokens is the memory that the runs need at most.
+	kvTokens int64
+	cache    *prefixCache
+
+	// orders is the count of orders accepted; -1 until it is known.
+	orders int64
+	order  pendingOrder
+	plan   *plan
+	// loadEstimate is the expected time of the load that is planned.
+	loadEstimate time.Duration
+	// settledAt is when the last order was settled; descriptions lag behind it.
+	settledAt  time.Time
+	inspecting bool
+
+	// strikes counts failures in a row; until avoidUntil the engine is avoided.
+	strikes    int
+	avoidUntil time.Time
+}
+
+type tier int
+
+const (
+	tierRemote tier = iota
+	tierDisk
+	tierMemory
+)
+
+const (
+	// descriptionLag is how far an engine's own description may lag behind its
+	// orders: a heartbeat and its way through the store.
+	descriptionLag = 2500 * time.Millisecond
+	// fullPause keeps requests away from an engine that said that it is full.
+	fullPause = 150 * time.Millisecond
+	// firstPause and maxPause bound how long a failing engine is avoided.
+	firstPause = 400 * time.Millisecond
+	maxPause   = 5 * time.Second
+	// strikesToAvoid is the number of failures in a row after which an engine is
+	// avoided: single failures are no sign.
+	strikesToAvoid = 2
+)
+
+func newEngine(up *fleet.Upstream, spec *fleet.EngineSpec) *engine {
+	e := &engine{
+		up:      up,
+		copies:  make(map[string]*weightCopy),
+		tier:    make(map[string]tier),
+		runs:    make(map[uint64]*run),
+		pending: make(map[uint64]*run),
+		cache:   newPrefixCache(spec.KVTokens),
+		orders:  -1,
+	}
+	e.setCopies(up.Models, spec)
+	e.setTiers(up.OnDisk, up.InMemory)
+	return e
+}
+
+// setCopies replaces what the engine holds by its own description.
+func (e *engine) setCopies(held []fleet.HeldModel, spec *fleet.EngineSpec) {
+	next := make(map[string]*weightCopy, len(held))
+	for _, h := range held {
+		w := e.copies[h.Name]
+		if w == nil {
+			w = &weightCopy{model: h.Name, memoryMB: spec.Models[h.Name].MemoryMB}
+		}
+		w.state = present
+		w.setAdapters(h.Adapters)
+		next[h.Name] = w
+	}
+	e.copies = next
+}
+
+func (w *weightCopy) setAdapters(names []string) {
+	next := make(map[string]*adapterCopy, len(names))
+	for _, name := range names {
+		a := w.adapters[name]
+		if a == nil {
+			a = &adapterCopy{}
+		}
+		if a.state != unloading {
+			a.state = present
+		}
+		next[name] = a
+	}
+	for name, a := range w.adapters {
+		if next[name] == nil && a.state != present {
+			next[name] = a // on its way
+		}
+	}
+	w.adapters = next
+}
+
+func (e *engine) setTiers(onDisk, inMemory []string) {
+	if onDisk == nil && inMemory == nil {
+		return
+	}
+	clear(e.tier)
+	for _, name := range onDisk {
+		e.tier[name] = tierDisk
+	}
+	for _, name := range inMemory {
+		e.tier[name] = tierMemory
+	}
+}
+
+// ready returns the copy of a model that can take requests; nil if there is none.
+func (e *engine) ready(model string) *weightCopy {
+	w := e.copies[model]
+	if w == nil || w.state != present {
+		return nil
+	}
+	return w
+}
+
+func (e *engine) adapter(model, name string) *adapterCopy {
+	w := e.copies[model]
+	if w == nil {
+		return nil
+	}
+	return w.adapters[name]
+}
+
+// lose forgets a model or adapter that the engine says it does not hold.
+func (e *engine) lose(model, adapter string) {
+	w := e.copies[model]
+	if w == nil {
+		return
+	}
+	if adapter != "" {
+		if a := w.adapters[adapter]; a != nil && a.state == present {
+			delete(w.adapters, adapter)
+			return
+		}
+	}
+	if w.state == present && adapter == "" {
+		delete(e.copies, model)
+	}
+}
+
+// usedMB is the memory that is held or promised.
+func (e *engine) usedMB(spec *fleet.EngineSpec) int64 {
+	var used int64
+	for _, w := range e.copies {
+		used += w.memoryMB + int64(len(w.adapters))*spec.Models[w.model].AdapterMB
+	}
+	return used
+}
+
+// usedAdapterSlots counts the adapter places that are held or promised.
+func (e *engine) usedAdapterSlots() int {
+	used := 0
+	for _, w := range e.copies {
+		used += len(w.adapters)
+	}
+	return used
+}
+
+// comingAdapters counts the adapters on their way.
+func (e *engine) comingAdapters() int {
+	n := 0
+	for _, w := range e.copies {
+		for _, a := range w.adapters {
+			if a.state == loading {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (e *engine) addRun(now time.Time, r *run) {
+	e.runs[r.ask.Key] = r
+	e.pending[r.ask.Key] = r
+	if e.freeAt.Before(now) {
+		e.freeAt = now
+	}
+	e.freeAt = e.freeAt.Add(r.work)
+	e.kvTokens += r.ask.PromptTokens + r.ask.OutputTokens
+	e.cache.use(now, r.ask)
+	e.touch(now, r.ask, 1)
+}
+
+func (e *engine) removeRun(now time.Time, r *run) {
+	if e.runs[r.ask.Key] != r {
+		return
+	}
+	delete(e.runs, r.ask.Key)
+	e.dropPending(now, r)
+	e.kvTokens -= r.ask.PromptTokens + r.ask.OutputTokens
+	e.touch(now, r.ask, -1)
+}
+
+func (e *engine) touch(now time.Time, ask *Ask, delta int) {
+	w := e.copies[ask.Model]
+	if w == nil {
+		return
+	}
+	w.running = max(0, w.running+delta)
+	w.lastUsed = now
+	if a := w.adapters[ask.Adapter]; a != nil {
+		a.running = max(0, a.running+delta)
+		a.lastUsed = now
+	}
+}
+
+// dropPending notes that a run's prompt was read, or that it ended.
+func (e *engine) dropPending(now time.Time, r *run) {
+	if e.pending[r.ask.Key] != r {
+		return
+	}
+	delete(e.pending, r.ask.Key)
+	e.freeAt = now
+	for _, other := range e.pending {
+		e.freeAt = e.freeAt.Add(other.work)
+	}
+}
+
+// backlog is the time until the known prompts are read.
+func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.freeAt.Sub(now)) }
+
+func (e *engine) succeeded() { e.strikes = 0 }
+
+func (e *engine) failed(now time.Time) {
+	e.strikes++
+	if e.strikes < strikesToAvoid {
+		return
+	}
+	e.avoidUntil = now.Add(min(maxPause, firstPause<<min(e.strikes-strikesToAvoid, 4)))
+}
+
+func (e *engine) full(now time.Time) {
+	if until := now.Add(fullPause); e.avoidUntil.Before(until) {
+		e.avoidUntil = until
+	}
+}
+
+// usable reports whether new work may go to the engine at all.
+func (e *engine) usable() bool { return !e.up.Draining }
--- /dev/null
+++ b/internal/scheduler/prepare.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReplicaLoads bounds the loads that no request waits for.
+	maxReplicaLoads = 2
+	// replicaGain is how much more a replica must bring than its victims lose.
+	replicaGain = 1.3
+	// replicaMargin is the gain below which a replica isn't worth its order, s/s.
+	replicaMargin = 0.02
+)
+
+// prepare loads what requests are likely to need.
+func (c *Cell) prepare(now time.Time) {
+	if !c.mayOrder || c.spec == nil {
+		return
+	}
+	c.replicate(now)
+	c.fetchAbsent(now)
+}
+
+// replicate adds replicas of models whose replicas are busy.
+func (c *Cell) replicate(now time.Time) {
+	if !c.trafficSeen || c.loadsInProgress() >= maxReplicaLoads {
+		return
+	}
+	names := make([]string, 0, len(c.models))
+	for name, m := range c.models {
+		c.decay(now, m)
+		if m.demand.work > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.models[b].demand.work, c.models[a].demand.work), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		if c.replicateModel(now, name) {
+			return
+		}
+	}
+}
+
+func (c *Cell) replicateModel(now time.Time, name string) bool {
+	m := c.models[name]
+	n := c.copiesOf(name)
+	if n == 0 || c.isLoading(name) {
+		return false
+	}
+	gain := m.demand.requests * (queueing(m.demand.work, n) - queueing(m.demand.work, n+1))
+	if gain < replicaMargin {
+		return false
+	}
+	best, bestCost := (*engine)(nil), time.Duration(0)
+	for _, e := range c.engines {
+		if !e.usable() || e.copies[name] != nil || now.Before(e.avoidUntil) || e.tier[name] == tierRemote {
+			continue
+		}
+		_, loss, ok := c.victims(now, e, name)
+		if !ok || gain < loss*replicaGain {
+			continue
+		}
+		_, cost, ok := c.loadCost(now, e, name)
+		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
+			best = e
+			bestCost = cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	c.startLoad(now, best, name, "replica")
+	return true
+}
+
+// fetchAbsent loads models from the weight store that no host has at hand, so
+// that their first request does not wait for it.
+func (c *Cell) fetchAbsent(now time.Time) {
+	if !c.remote.mayStart(now) {
+		return
+	}
+	var absent []string
+	for name := range c.spec.Models {
+		if c.copiesOf(name) == 0 && !c.isAtHand(name) {
+			absent = append(absent, name)
+		}
+	}
+	slices.Sort(absent)
+	for _, name := range absent {
+		if !c.remote.mayStart(now) {
+			return
+		}
+		c.fetch(now, name)
+	}
+}
+
+func (c *Cell) fetch(now time.Time, name string) {
+	best, bestCost := (*engine)(nil), time.Duration(0)
+	for _, e := range c.engines {
+		if !e.usable() || now.Before(e.avoidUntil) {
+			continue
+		}
+		_, cost, ok := c.loadCost(now, e, name)
+		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
+			best = e
+			bestCost = cost
+		}
+	}
+	if best != nil {
+		c.startLoad(now, best, name, "absent model")
+	}
+}
+
+func (c *Cell) loadsInProgress() int {
+	n := 0
+	for _, e := range c.engines {
+		if e.plan != nil && e.plan.adapter == "" {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Cell) isLoading(name string) bool {
+	for _, e := range c.engines {
+		if w := e.copies[name]; e.usable() && w != nil && w.state == loading {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/update.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+)
+
+const (
+	// priorRequests and priorWork are the demand of a model for each replica
+	// that it has before the first request: what was replicated is in demand.
+	priorRequests = 0.3
+	priorWork     = 0.1
+)
+
+// Update takes over the list of upstreams and the configuration.
+func (c *Cell) Update(now time.Time, spec *fleet.EngineSpec, upstreams []*fleet.Upstream) Actions {
+	if spec == nil {
+		return c.take()
+	}
+	first := c.spec == nil
+	c.spec = spec
+	c.remote.setRate(spec.RemoteLoadsPerSecond)
+	listed := make(map[string]bool, len(upstreams))
+	for _, up := range upstreams {
+		listed[up.ID] = true
+		c.updateEngine(now, up)
+	}
+	for id, e := range c.engines {
+		if !listed[id] {
+			c.removeEngine(e)
+		}
+	}
+	if first {
+		c.assumeDemand()
+	}
+	c.dispatch(now)
+	return c.take()
+}
+
+// assumeDemand seeds the demand by what is replicated.
+func (c *Cell) assumeDemand() {
+	for name := range c.spec.Models {
+		if n := c.copiesOf(name); n > 1 {
+			m := c.modelOf(name)
+			m.demand.requests = float64(n) * priorRequests
+			m.demand.work = float64(n) * priorWork
+		}
+	}
+}
+
+func (c *Cell) updateEngine(now time.Time, up *fleet.Upstream) {
+	e := c.engines[up.ID]
+	if e == nil {
+		c.engines[up.ID] = newEngine(up, c.spec)
+		return
+	}
+	if up.StartedMs > e.up.StartedMs {
+		c.removeEngine(e)
+		c.engines[up.ID] = newEngine(up, c.spec)
+		return
+	}
+	if up.Sequence == e.up.Sequence && up.Draining == e.up.Draining {
+		return
+	}
+	e.up = up
+	e.setTiers(up.OnDisk, up.InMemory)
+	if e.plan == nil && now.Sub(e.settledAt) > descriptionLag {
+		c.adoptDescription(e, up)
+	}
+}
+
+// adoptDescription takes over what an engine without orders under way says that
+// it holds. Adapters are kept while requests use them.
+func (c *Cell) adoptDescription(e *engine, up *fleet.Upstream) {
+	for _, held := range up.Models {
+		if w := e.copies[held.Name]; w != nil {
+			w.setAdapters(withUsed(held.Adapters, w))
+			continue
+		}
+		e.copies[held.Name] = &weightCopy{model: held.Name, memoryMB: c.spec.Models[held.Name].MemoryMB, adapters: make(map[string]*adapterCopy)}
+		e.copies[held.Name].setAdapters(held.Adapters)
+	}
+	for name, w := range e.copies {
+		isHeld := slices.ContainsFunc(up.Models, func(h fleet.HeldModel) bool { return h.Name == name })
+		if !isHeld && w.running == 0 {
+			delete(e.copies, name)
+		}
+	}
+}
+
+func withUsed(names []string, w *weightCopy) []string {
+	out := slices.Clone(names)
+	for name, a := range w.adapters {
+		if a.running > 0 && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (c *Cell) removeEngine(e *engine) {
+	c.abandonPlan(e)
+	for key := range e.runs {
+		delete(c.runs, key)
+	}
+	delete(c.engines, e.up.ID)
+}
--- /dev/null
+++ b/internal/scheduler/victims.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lossHorizon is how long the loss of an evicted model is counted.
+	lossHorizon = 8 * time.Second
+	// rareRate is the demand that is assumed of every model, a second.
+	rareRate = 0.02
+	// queueLoss is the delay of a request at a replica that is fully busy, s.
+	queueLoss = 0.5
+	// spareLoss is the loss of a replica that nobody needs.
+	spareLoss = 0.005
+	// engineLoad weighs the load of the models that share an engine, s.
+	engineLoad = 0.3
+)
+
+// loadCost returns how long a load on an engine takes, and what it costs with
+// the loss of the models that have to make room. ok is false while the engine
+// can't take the model.
+func (c *Cell) loadCost(now time.Time, e *engine, name string) (wait, cost time.Duration, ok bool) {
+	if len(e.steps()) > 0 {
+		return 0, 0, false
+	}
+	victims, loss, ok := c.victims(now, e, name)
+	if !ok {
+		return 0, 0, false
+	}
+	wait, ok = c.loadTime(now, e, name)
+	if !ok {
+		return 0, 0, false
+	}
+	wait += orderTime*time.Duration(1+len(victims)) + reportLag
+	cost = wait + time.Duration(loss*float64(lossHorizon))
+	cost += time.Duration(c.engineWork(now, e) * engineLoad * float64(time.Second))
+	return wait, cost, true
+}
+
+// loadTime estimates the load itself. Loads from the weight store are only for
+// models that no host has at hand.
+func (c *Cell) loadTime(now time.Time, e *engine, name string) (time.Duration, bool) {
+	spec := c.spec.Models[name]
+	switch e.tier[name] {
+	case tierMemory:
+		return spec.MemoryLoad, true
+	case tierDisk:
+		return spec.DiskLoad, true
+	case tierRemote:
+	}
+	if c.isAtHand(name) || !c.remote.mayStart(now) {
+		return 0, false
+	}
+	return c.remote.expected(spec.RemoteLoad), true
+}
+
+// isAtHand reports whether a usable engine's host keeps the model's weights.
+func (c *Cell) isAtHand(name string) bool {
+	for _, e := range c.engines {
+		if e.usable() && e.tier[name] != tierRemote {
+			return true
+		}
+	}
+	return false
+}
+
+// victims chooses the copies that make room for a model, the least valuable
+// first. ok is false if idle ones don't suffice.
+func (c *Cell) victims(now time.Time, e *engine, name string) (chosen []*weightCopy, loss float64, ok bool) {
+	free := c.spec.MemoryMB - e.usedMB(c.spec)
+	need := c.spec.Models[name].MemoryMB
+	if free >= need {
+		return nil, 0, true
+	}
+	type candidate struct {
+		copy *weightCopy
+		loss float64
+	}
+	var idle []candidate
+	for _, w := range e.copies {
+		if w.state == present && w.running == 0 && !c.isWanted(w.model, "") {
+			idle = append(idle, candidate{w, c.lossOf(now, w)})
+		}
+	}
+	slices.SortFunc(idle, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.copy.model, b.copy.model))
+	})
+	for _, v := range idle {
+		chosen = append(chosen, v.copy)
+		loss += v.loss
+		free += v.copy.memoryMB + int64(len(v.copy.adapters))*c.spec.Models[v.copy.model].AdapterMB
+		if free >= need {
+			return chosen, loss, true
+		}
+	}
+	return nil, 0, false
+}
+
+// lossOf is the delay, in seconds a second over all requests, that the loss of
+// a copy would bring.
+func (c *Cell) lossOf(now time.Time, w *weightCopy) float64 {
+	m := c.modelOf(w.model)
+	c.decay(now, m)
+	n := c.copiesOf(w.model)
+	if n <= 1 {
+		reload := c.spec.Models[w.model].DiskLoad + orderTime*2 + reportLag
+		return (m.demand.requests + rareRate) * reload.Seconds()
+	}
+	return spareLoss + m.demand.requests*(queueing(m.demand.work, n-1)-queueing(m.demand.work, n))
+}
+
+// queueing estimates the delay of a request, in seconds, at one of n replicas
+// that share an amount of work a second.
+func queueing(work float64, n int) float64 {
+	share := min(1, work/float64(n))
+	return queueLoss * share * share
+}
+
+// copiesOf counts the copies of a model on usable engines, coming ones included.
+func (c *Cell) copiesOf(name string) int {
+	n := 0
+	for _, e := range c.engines {
+		w := e.copies[name]
+		if e.usable() && w != nil && w.state != unloading {
+			n++
+		}
+	}
+	return n
+}
+
+// engineWork is the share of an engine's time that the models on it need.
+func (c *Cell) engineWork(now time.Time, e *engine) float64 {
+	sum := 0.0
+	for name := range e.copies {
+		m := c.modelOf(name)
+		c.decay(now, m)
+		sum += m.demand.work / float64(max(1, c.copiesOf(name)))
+	}
+	return sum
+}
+
+// decay ages a model's demand; before the first request nothing ages.
+func (c *Cell) decay(now time.Time, m *model) {
+	if c.trafficSeen {
+		m.demand.decay(now)
+	}
+}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 const (
@@ -26,7 +26,7 @@
 	HostListAddress string
 
 	Weights     WeightKnobs
-	Checkpoints []platform.CheckpointInfo
+	Checkpoints []external.CheckpointInfo
 	HostList    HostKnobs
 
 	Engines  []EngineOptions
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // EngineOptions configure an Engine.
@@ -21,7 +21,7 @@
 	MemoryMiB uint32
 	Knobs     EngineKnobs
 	// Cached are the checkpoints that the host holds at the start.
-	Cached []platform.CachedCheckpoint
+	Cached []external.CachedCheckpoint
 	// WeightURL is the weight store's base URL; Start fills it in.
 	WeightURL string
 	// Census is shared between engines; nil makes one of its own.
@@ -63,7 +63,7 @@
 	waiting  []*stream
 	running  int
 	prefixes prefixCache
-	load     history[platform.EngineLoad]
+	load     history[external.EngineLoad]
 }
 
 // NewEngine makes an engine that holds nothing.
@@ -201,13 +201,13 @@
 func (e *Engine) handleInventory(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Inventory()) }
 
 // Inventory returns what the engine holds.
-func (e *Engine) Inventory() platform.Inventory {
+func (e *Engine) Inventory() external.Inventory {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	inventory := platform.Inventory{
+	inventory := external.Inventory{
 		BootID:         e.boot.id,
 		MemoryTotalMiB: e.memory,
-		Models:         []platform.EngineModel{},
+		Models:         []external.EngineModel{},
 		Cached:         e.cached.list(),
 	}
 	for _, m := range e.boot.models {
@@ -225,5 +225,5 @@
 // recordLoad notes the present load for the lagging report.
 func (e *Engine) recordLoad() {
 	e.counts.PeakRunning = max(e.counts.PeakRunning, int64(e.boot.running))
-	e.boot.load.add(time.Now(), platform.EngineLoad{Running: e.boot.running, Waiting: len(e.boot.waiting)})
+	e.boot.load.add(time.Now(), external.EngineLoad{Running: e.boot.running, Waiting: len(e.boot.waiting)})
 }
--- a/internal/standin/engine_cache.go
+++ b/internal/standin/engine_cache.go
@@ -7,7 +7,7 @@
 	"net/url"
 	"slices"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // memoryCheckpoints is the number of checkpoints that a host keeps in memory;
@@ -15,48 +15,48 @@
 const memoryCheckpoints = 4
 
 // checkpointCache holds the checkpoints of one host, the oldest first.
-type checkpointCache struct{ entries []platform.CachedCheckpoint }
+type checkpointCache struct{ entries []external.CachedCheckpoint }
 
-func newCheckpointCache(cached []platform.CachedCheckpoint) checkpointCache {
+func newCheckpointCache(cached []external.CachedCheckpoint) checkpointCache {
 	return checkpointCache{entries: slices.Clone(cached)}
 }
 
-func (c *checkpointCache) list() []platform.CachedCheckpoint {
-	return append([]platform.CachedCheckpoint{}, c.entries...)
+func (c *checkpointCache) list() []external.CachedCheckpoint {
+	return append([]external.CachedCheckpoint{}, c.entries...)
 }
 
 // tier returns the nearest tier that holds a checkpoint.
-func (c *checkpointCache) tier(checkpoint string) platform.Tier {
+func (c *checkpointCache) tier(checkpoint string) external.Tier {
 	for _, entry := range c.entries {
 		if entry.Checkpoint == checkpoint {
 			return entry.Tier
 		}
 	}
-	return platform.TierRemote
+	return external.TierRemote
 }
 
 // put keeps a checkpoint in memory.
 func (c *checkpointCache) put(checkpoint string) {
-	c.entries = slices.DeleteFunc(c.entries, func(entry platform.CachedCheckpoint) bool {
+	c.entries = slices.DeleteFunc(c.entries, func(entry external.CachedCheckpoint) bool {
 		return entry.Checkpoint == checkpoint
 	})
-	c.entries = append(c.entries, platform.CachedCheckpoint{Checkpoint: checkpoint, Tier: platform.TierMemory})
+	c.entries = append(c.entries, external.CachedCheckpoint{Checkpoint: checkpoint, Tier: external.TierMemory})
 	inMemory := 0
 	for i := len(c.entries) - 1; i >= 0; i-- {
-		if c.entries[i].Tier != platform.TierMemory {
+		if c.entries[i].Tier != external.TierMemory {
 			continue
 		}
 		inMemory++
 		if inMemory > memoryCheckpoints {
-			c.entries[i].Tier = platform.TierDisk
+			c.entries[i].Tier = external.TierDisk
 		}
 	}
 }
 
 // loseMemory drops what a restart loses.
 func (c *checkpointCache) loseMemory() {
-	c.entries = slices.DeleteFunc(c.entries, func(entry platform.CachedCheckpoint) bool {
-		return entry.Tier == platform.TierMemory
+	c.entries = slices.DeleteFunc(c.entries, func(entry external.CachedCheckpoint) bool {
+		return entry.Tier == external.TierMemory
 	})
 }
 
@@ -67,7 +67,7 @@
 }
 
 func newWeightReader(base string) *weightReader {
-	return &weightReader{base: base, transport: platform.NewTransport()}
+	return &weightReader{base: base, transport: external.NewTransport()}
 }
 
 // read takes as long as the weight store takes; without a store it is free.
--- a/internal/standin/engine_events.go
+++ b/internal/standin/engine_events.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // keptEvents is the number of cache events that an engine remembers.
@@ -27,7 +27,7 @@
 
 type timedEvent struct {
 	at    time.Time
-	event platform.CacheEvent
+	event external.CacheEvent
 }
 
 // touchPrefix reports whether a prompt start was cached, and caches it.
@@ -53,7 +53,7 @@
 	if gap := e.knobs.EventGapEvery; gap > 0 && p.sequence%int64(gap) == 0 {
 		return
 	}
-	event := platform.CacheEvent{Sequence: p.sequence, Model: entry.model, PrefixHash: entry.hash, Stored: stored}
+	event := external.CacheEvent{Sequence: p.sequence, Model: entry.model, PrefixHash: entry.hash, Stored: stored}
 	p.events = append(p.events, timedEvent{at: time.Now(), event: event})
 	if len(p.events) > keptEvents {
 		p.events = p.events[1:]
@@ -63,13 +63,13 @@
 func (e *Engine) handleEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
-		writeError(w, platform.KindInvalid, "after: "+err.Error())
+		writeError(w, external.KindInvalid, "after: "+err.Error())
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	shown := time.Now().Add(-milliseconds(e.knobs.EventLagMS))
-	events := []platform.CacheEvent{}
+	events := []external.CacheEvent{}
 	for _, t := range e.boot.prefixes.events {
 		if t.event.Sequence > after && !t.at.After(shown) {
 			events = append(events, t.event)
--- a/internal/standin/engine_models.go
+++ b/internal/standin/engine_models.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // load loads a model. A second load of a version joins the first one.
-func (e *Engine) load(b *boot, order platform.Order) *orderError {
+func (e *Engine) load(b *boot, order external.Order) *orderError {
 	held, started, refused := e.beginLoad(b, order)
 	if refused != nil {
 		return refused
@@ -24,16 +24,16 @@
 	}
 	if err != nil {
 		e.remove(b, held)
-		return refuse(platform.KindUnavailable, "load of %s: %v", order.Checkpoint, err)
+		return refuse(external.KindUnavailable, "load of %s: %v", order.Checkpoint, err)
 	}
-	held.state = platform.ModelReady
+	held.state = external.ModelReady
 	e.cached.put(order.Checkpoint)
 	return nil
 }
 
 // beginLoad takes memory for a model. started is false when the engine already
 // holds or loads it.
-func (e *Engine) beginLoad(b *boot, order platform.Order) (held *heldModel, started bool, refused *orderError) {
+func (e *Engine) beginLoad(b *boot, order external.Order) (held *heldModel, started bool, refused *orderError) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if b.ctx.Err() != nil {
@@ -49,7 +49,7 @@
 		model:   order.Model,
 		version: order.Version,
 		memory:  order.MemoryMiB,
-		state:   platform.ModelLoading,
+		state:   external.ModelLoading,
 		loaded:  make(chan struct{}),
 	}
 	e.census.loadStarted(order.Model, !b.holds(order.Model))
@@ -67,14 +67,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if held.state != platform.ModelReady || !slices.Contains(b.models, held) {
-		return refuse(platform.KindUnavailable, "%s was not loaded", held.model)
+	if held.state != external.ModelReady || !slices.Contains(b.models, held) {
+		return refuse(external.KindUnavailable, "%s was not loaded", held.model)
 	}
 	return nil
 }
 
 // unload frees a model. Its running streams are cut.
-func (e *Engine) unload(b *boot, order platform.Order) *orderError {
+func (e *Engine) unload(b *boot, order external.Order) *orderError {
 	held, refused := e.beginUnload(b, order)
 	if refused != nil {
 		return refused
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func (e *Engine) beginUnload(b *boot, order platform.Order) (*heldModel, *orderError) {
+func (e *Engine) beginUnload(b *boot, order external.Order) (*heldModel, *orderError) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	held := b.find(order.Model, order.Version)
@@ -100,11 +100,11 @@
 	case b.ctx.Err() != nil:
 		return nil, bootEnded()
 	case held == nil:
-		return nil, refuse(platform.KindNotFound, "%s version %s is not loaded", order.Model, order.Version)
-	case held.state != platform.ModelReady:
-		return nil, refuse(platform.KindOverloaded, "%s is still %s", order.Model, held.state)
+		return nil, refuse(external.KindNotFound, "%s version %s is not loaded", order.Model, order.Version)
+	case held.state != external.ModelReady:
+		return nil, refuse(external.KindOverloaded, "%s is still %s", order.Model, held.state)
 	}
-	held.state = platform.ModelUnloading
+	held.state = external.ModelUnloading
 	e.cutStreams(b, order.Model)
 	return held, nil
 }
@@ -118,7 +118,7 @@
 }
 
 // loadAdapter loads an adapter onto a ready model.
-func (e *Engine) loadAdapter(b *boot, order platform.Order) *orderError {
+func (e *Engine) loadAdapter(b *boot, order external.Order) *orderError {
 	held, loading, refused := e.beginAdapter(b, order)
 	if refused != nil || !loading {
 		return refused
@@ -131,46 +131,46 @@
 	defer e.mu.Unlock()
 	adapter := held.adapter(order.Adapter)
 	if adapter == nil {
-		return refuse(platform.KindNotFound, "adapter %s was unloaded", order.Adapter)
+		return refuse(external.KindNotFound, "adapter %s was unloaded", order.Adapter)
 	}
-	adapter.State = platform.ModelReady
+	adapter.State = external.ModelReady
 	return nil
 }
 
-func (e *Engine) beginAdapter(b *boot, order platform.Order) (held *heldModel, loading bool, refused *orderError) {
+func (e *Engine) beginAdapter(b *boot, order external.Order) (held *heldModel, loading bool, refused *orderError) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	held = b.ready(order.Model)
 	if held == nil {
-		return nil, false, refuse(platform.KindNotFound, "%s is not ready", order.Model)
+		return nil, false, refuse(external.KindNotFound, "%s is not ready", order.Model)
 	}
 	if adapter := held.adapter(order.Adapter); adapter != nil {
-		if adapter.State == platform.ModelReady {
+		if adapter.State == external.ModelReady {
 			return held, false, nil
 		}
-		return nil, false, refuse(platform.KindOverloaded, "adapter %s is still %s", order.Adapter, adapter.State)
+		return nil, false, refuse(external.KindOverloaded, "adapter %s is still %s", order.Adapter, adapter.State)
 	}
 	if refused = e.reserve(b, order.MemoryMiB); refused != nil {
 		return nil, false, refused
 	}
 	e.counts.AdapterLoads++
-	held.adapters = append(held.adapters, platform.EngineAdapter{
+	held.adapters = append(held.adapters, external.EngineAdapter{
 		Adapter:   order.Adapter,
 		MemoryMiB: order.MemoryMiB,
-		State:     platform.ModelLoading,
+		State:     external.ModelLoading,
 	})
 	return held, true, nil
 }
 
 // unloadAdapter frees an adapter at once.
-func (e *Engine) unloadAdapter(b *boot, order platform.Order) *orderError {
+func (e *Engine) unloadAdapter(b *boot, order external.Order) *orderError {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	held := b.ready(order.Model)
 	if held == nil || held.adapter(order.Adapter) == nil {
-		return refuse(platform.KindNotFound, "adapter %s of %s is not loaded", order.Adapter, order.Model)
+		return refuse(external.KindNotFound, "adapter %s of %s is not loaded", order.Adapter, order.Model)
 	}
-	held.adapters = slices.DeleteFunc(held.adapters, func(a platform.EngineAdapter) bool {
+	held.adapters = slices.DeleteFunc(held.adapters, func(a external.EngineAdapter) bool {
 		return a.Adapter == order.Adapter
 	})
 	return nil
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -15,22 +15,22 @@
 	model    string
 	version  string
 	memory   uint32
-	state    platform.ModelState
-	adapters []platform.EngineAdapter
+	state    external.ModelState
+	adapters []external.EngineAdapter
 	loaded   chan struct{} // closed when the load ends, well or not
 }
 
-func (m *heldModel) describe() platform.EngineModel {
-	return platform.EngineModel{
+func (m *heldModel) describe() external.EngineModel {
+	return external.EngineModel{
 		Model:     m.model,
 		Version:   m.version,
 		MemoryMiB: m.memory,
 		State:     m.state,
-		Adapters:  append([]platform.EngineAdapter{}, m.adapters...),
+		Adapters:  append([]external.EngineAdapter{}, m.adapters...),
 	}
 }
 
-func (m *heldModel) adapter(name string) *platform.EngineAdapter {
+func (m *heldModel) adapter(name string) *external.EngineAdapter {
 	for i := range m.adapters {
 		if m.adapters[i].Adapter == name {
 			return &m.adapters[i]
@@ -47,18 +47,18 @@
 
 // orderError is why an engine refuses or fails an order.
 type orderError struct {
-	kind    platform.Kind
+	kind    external.Kind
 	message string
 }
 
-func refuse(kind platform.Kind, format string, args ...any) *orderError {
+func refuse(kind external.Kind, format string, args ...any) *orderError {
 	return &orderError{kind: kind, message: fmt.Sprintf(format, args...)}
 }
 
 // handleOrder answers once the order is complete. The order goes on when the
 // caller goes away.
 func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order external.Order
 	if !readJSON(w, r, &order) {
 		return
 	}
@@ -80,7 +80,7 @@
 	writeJSON(w, struct{}{})
 }
 
-func (e *Engine) startOrder(order platform.Order) (*boot, *orderRun) {
+func (e *Engine) startOrder(order external.Order) (*boot, *orderRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.boot
@@ -105,7 +105,7 @@
 }
 
 // fence refuses an order with an old epoch, if the engine checks that.
-func (e *Engine) fence(order platform.Order) *orderError {
+func (e *Engine) fence(order external.Order) *orderError {
 	highest := e.boot.epochs[order.Model]
 	if order.Epoch >= highest {
 		e.boot.epochs[order.Model] = order.Epoch
@@ -115,21 +115,21 @@
 		return nil
 	}
 	e.counts.OrdersFenced++
-	return refuse(platform.KindFenced, "epoch %d of %s is older than %d", order.Epoch, order.Model, highest)
+	return refuse(external.KindFenced, "epoch %d of %s is older than %d", order.Epoch, order.Model, highest)
 }
 
-func (e *Engine) apply(b *boot, order platform.Order) *orderError {
+func (e *Engine) apply(b *boot, order external.Order) *orderError {
 	switch order.Kind {
-	case platform.OrderLoad:
+	case external.OrderLoad:
 		return e.load(b, order)
-	case platform.OrderUnload:
+	case external.OrderUnload:
 		return e.unload(b, order)
-	case platform.OrderLoadAdapter:
+	case external.OrderLoadAdapter:
 		return e.loadAdapter(b, order)
-	case platform.OrderUnloadAdapter:
+	case external.OrderUnloadAdapter:
 		return e.unloadAdapter(b, order)
 	default:
-		return refuse(platform.KindInvalid, "no order %q", order.Kind)
+		return refuse(external.KindInvalid, "no order %q", order.Kind)
 	}
 }
 
@@ -145,7 +145,7 @@
 // ready returns the version of a model that was loaded last, or nil.
 func (b *boot) ready(model string) *heldModel {
 	for _, m := range slices.Backward(b.models) {
-		if m.model == model && m.state == platform.ModelReady {
+		if m.model == model && m.state == external.ModelReady {
 			return m
 		}
 	}
@@ -179,13 +179,13 @@
 	if !e.knobs.OvercommitRefused {
 		e.restartLocked()
 	}
-	return refuse(platform.KindNoMemory, "needs %d MiB of %d", need, e.memory)
+	return refuse(external.KindNoMemory, "needs %d MiB of %d", need, e.memory)
 }
 
 // sleepIn waits within a boot. It reports false when the boot ended first.
 func sleepIn(b *boot, ms int) bool { return retry.Sleep(b.ctx, milliseconds(ms)) }
 
-func bootEnded() *orderError { return refuse(platform.KindUnavailable, "the engine restarted") }
+func bootEnded() *orderError { return refuse(external.KindUnavailable, "the engine restarted") }
 
 // readWeights brings a checkpoint from its nearest tier.
 func (e *Engine) readWeights(ctx context.Context, checkpoint string) error {
@@ -194,9 +194,9 @@
 	knobs := e.knobs
 	e.mu.Unlock()
 	switch tier {
-	case platform.TierMemory:
+	case external.TierMemory:
 		retry.Sleep(ctx, milliseconds(knobs.MemoryLoadMS))
-	case platform.TierDisk:
+	case external.TierDisk:
 		retry.Sleep(ctx, milliseconds(knobs.DiskLoadMS))
 	default:
 		if err := e.weights.read(ctx, checkpoint); err != nil {
--- a/internal/standin/engine_streams.go
+++ b/internal/standin/engine_streams.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"slices"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 const (
@@ -17,7 +17,7 @@
 
 // stream is one generation. Engine.mu guards the fields below admitted.
 type stream struct {
-	gen      platform.Generation
+	gen      external.Generation
 	total    int
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -34,7 +34,7 @@
 }
 
 func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
-	var gen platform.Generation
+	var gen external.Generation
 	if !readJSON(w, r, &gen) {
 		return
 	}
@@ -60,7 +60,7 @@
 
 // beginStream puts a generation into the batch or its queue. A stream of the
 // same request that is still running ends.
-func (e *Engine) beginStream(ctx context.Context, gen platform.Generation) (*boot, *stream, *orderError) {
+func (e *Engine) beginStream(ctx context.Context, gen external.Generation) (*boot, *stream, *orderError) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b := e.boot
@@ -86,16 +86,16 @@
 	return b, s, nil
 }
 
-func (b *boot) canServe(gen platform.Generation) *orderError {
+func (b *boot) canServe(gen external.Generation) *orderError {
 	held := b.ready(gen.Model)
 	if held == nil {
-		return refuse(platform.KindNotFound, "model %s is not ready", gen.Model)
+		return refuse(external.KindNotFound, "model %s is not ready", gen.Model)
 	}
 	if gen.Adapter == "" {
 		return nil
 	}
-	if a := held.adapter(gen.Adapter); a == nil || a.State != platform.ModelReady {
-		return refuse(platform.KindNotFound, "adapter %s of %s is not ready", gen.Adapter, gen.Model)
+	if a := held.adapter(gen.Adapter); a == nil || a.State != external.ModelReady {
+		return refuse(external.KindNotFound, "adapter %s of %s is not ready", gen.Adapter, gen.Model)
 	}
 	return nil
 }
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -41,7 +41,7 @@
 		is.NoErr(engineClient(t, c, i).Do(ctx, loadOrder("o1")))
 	}
 	unload := loadOrder("o2")
-	unload.Kind = platform.OrderUnload
+	unload.Kind = external.OrderUnload
 	is.NoErr(engineClient(t, c, 0).Do(ctx, unload))
 	is.Equal(c.Census.Model(model), standin.ModelCensus{Loads: 2, Held: 1, PeakHeld: 2})
 	c.Engines[1].Restart()
@@ -73,14 +73,14 @@
 	client := engineClient(t, c, 0)
 	is.NoErr(client.Do(ctx, loadOrder("o1")))
 	unload := loadOrder("o2")
-	unload.Kind = platform.OrderUnload
+	unload.Kind = external.OrderUnload
 	is.NoErr(client.Do(ctx, unload))
-	is.Equal(c.Engines[0].Inventory().Cached, []platform.CachedCheckpoint{{Checkpoint: checkpoint, Tier: platform.TierMemory}})
+	is.Equal(c.Engines[0].Inventory().Cached, []external.CachedCheckpoint{{Checkpoint: checkpoint, Tier: external.TierMemory}})
 	c.Weights.Faults.Set(standin.Faults{Down: true})
 	is.NoErr(client.Do(ctx, loadOrder("o3")))
 	c.Engines[0].Restart()
 	err := client.Do(ctx, loadOrder("o4")) // no longer in memory
-	is.Equal(platform.KindOf(err), platform.KindUnavailable)
+	is.Equal(external.KindOf(err), external.KindUnavailable)
 	is.Equal(len(c.Engines[0].Inventory().Models), 0)
 }
 
@@ -92,16 +92,16 @@
 	client := engineClient(t, c, 0)
 	is.NoErr(client.Do(ctx, loadOrder("o1")))
 	c.Engines[0].SetKnobs(standin.EngineKnobs{MaxBatch: 1, TokenMS: 60_000})
-	streams := make(map[string]platform.TokenStream)
+	streams := make(map[string]external.TokenStream)
 	for priority, id := range []string{"first", "low", "high"} {
-		stream, err := client.Generate(ctx, platform.Generation{RequestID: id, Model: model, MaxTokens: 2, Priority: priority})
+		stream, err := client.Generate(ctx, external.Generation{RequestID: id, Model: model, MaxTokens: 2, Priority: priority})
 		is.NoErr(err)
 		defer func() { _ = stream.Close() }()
 		streams[id] = stream
 	}
 	load, err := client.Load(ctx)
 	is.NoErr(err)
-	is.Equal(load, platform.EngineLoad{Running: 1, Waiting: 2})
+	is.Equal(load, external.EngineLoad{Running: 1, Waiting: 2})
 	for _, id := range []string{"first", "high", "low"} {
 		_, err := streams[id].Next()
 		is.NoErr(err) // it would end with ctx if another were before it
@@ -110,7 +110,7 @@
 	c.Engines[0].SetKnobs(standin.EngineKnobs{LoadLagMS: 60_000})
 	load, err = client.Load(ctx)
 	is.NoErr(err)
-	is.Equal(load, platform.EngineLoad{}) // as it was a minute ago
+	is.Equal(load, external.EngineLoad{}) // as it was a minute ago
 }
 
 func TestKnobsOverHTTP(t *testing.T) {
@@ -130,7 +130,7 @@
 	is.Equal(c.Engines[0].Knobs().MaxBatch, 32) // not named, so kept
 	is.Equal(post(c.TableURL+"/admin/faults", `{"donw":true}`), http.StatusBadRequest)
 	is.Equal(post(c.HostListURL+"/admin/hosts", `{"id":"h1"}`), http.StatusOK)
-	is.Equal(c.Hosts.Listing().Hosts[0].State, platform.HostLive)
+	is.Equal(c.Hosts.Listing().Hosts[0].State, external.HostLive)
 }
 
 func TestStartNamesTheTakenPort(t *testing.T) {
--- a/internal/standin/engine_tokens.go
+++ b/internal/standin/engine_tokens.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -19,7 +19,7 @@
 
 func (o *eventWriter) sendHeader() { _ = o.flush.Flush() }
 
-func (o *eventWriter) send(event platform.TokenEvent) bool {
+func (o *eventWriter) send(event external.TokenEvent) bool {
 	if json.NewEncoder(o.w).Encode(event) != nil {
 		return false
 	}
@@ -33,7 +33,7 @@
 	if !retry.Sleep(s.ctx, milliseconds(firstTokenMS(knobs, s))) {
 		return false
 	}
-	if s.stray && !out.send(platform.TokenEvent{RequestID: strayID, Offset: s.gen.Offset, Text: "stray "}) {
+	if s.stray && !out.send(external.TokenEvent{RequestID: strayID, Offset: s.gen.Offset, Text: "stray "}) {
 		return false
 	}
 	for i := s.gen.Offset; i < s.total; i++ {
@@ -63,20 +63,20 @@
 	}
 }
 
-func (s *stream) token(i int) platform.TokenEvent {
+func (s *stream) token(i int) external.TokenEvent {
 	if s.crossed {
-		return platform.TokenEvent{RequestID: strayID, Offset: i, Text: Token(s.gen.Model, "", strayID, i)}
+		return external.TokenEvent{RequestID: strayID, Offset: i, Text: Token(s.gen.Model, "", strayID, i)}
 	}
 	text := Token(s.gen.Model, s.gen.Adapter, s.gen.Prompt, i)
-	return platform.TokenEvent{RequestID: s.gen.RequestID, Offset: i, Text: text}
+	return external.TokenEvent{RequestID: s.gen.RequestID, Offset: i, Text: text}
 }
 
-func (s *stream) end() platform.TokenEvent {
+func (s *stream) end() external.TokenEvent {
 	id := s.gen.RequestID
 	if s.crossed {
 		id = strayID
 	}
-	return platform.TokenEvent{RequestID: id, Offset: s.total, Done: true, FinishReason: "length"}
+	return external.TokenEvent{RequestID: id, Offset: s.total, Done: true, FinishReason: "length"}
 }
 
 func (e *Engine) countToken() {
--- a/internal/standin/engine_use.go
+++ b/internal/standin/engine_use.go
@@ -1,6 +1,6 @@
 package standin
 
-import "github.com/ragwortdoor/ragwortdoor/internal/platform"
+import "github.com/ragwortdoor/ragwortdoor/internal/external"
 
 // EngineUse tells what an engine holds and how much of it works at a moment.
 type EngineUse struct {
@@ -26,7 +26,7 @@
 		}
 	}
 	for _, m := range e.boot.models {
-		if m.state != platform.ModelReady {
+		if m.state != external.ModelReady {
 			continue
 		}
 		use.Loaded++
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -107,7 +107,7 @@
 			hangUp()
 		}
 		if faults.Refuse {
-			writeError(w, platform.KindOverloaded, "told to refuse")
+			writeError(w, external.KindOverloaded, "told to refuse")
 			return
 		}
 		if b.loses(r) {
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // HostKnobs are the settings of a Hosts.
@@ -31,13 +31,13 @@
 	mu       sync.Mutex
 	knobs    HostKnobs
 	counts   HostCounts
-	listings history[platform.HostListing]
+	listings history[external.HostListing]
 }
 
 // NewHosts makes an empty list.
 func NewHosts(knobs HostKnobs) *Hosts {
 	h := &Hosts{knobs: knobs}
-	h.listings.first.Hosts = []platform.Host{}
+	h.listings.first.Hosts = []external.Host{}
 	protocol := http.NewServeMux()
 	protocol.HandleFunc("GET /v1/hosts", h.handleHosts)
 	h.mux = adminMux(&h.Faults, func() any { return h.Counts() }, protocol)
@@ -78,21 +78,21 @@
 
 // Add adds a host or replaces the one with its id. A host without a state is
 // live.
-func (h *Hosts) Add(host platform.Host) {
+func (h *Hosts) Add(host external.Host) {
 	if host.State == "" {
-		host.State = platform.HostLive
+		host.State = external.HostLive
 	}
-	h.change(func(hosts []platform.Host) []platform.Host {
+	h.change(func(hosts []external.Host) []external.Host {
 		return append(without(hosts, host.ID), host)
 	})
 }
 
 // Leave marks a host as leaving.
 func (h *Hosts) Leave(id string) {
-	h.change(func(hosts []platform.Host) []platform.Host {
+	h.change(func(hosts []external.Host) []external.Host {
 		for i := range hosts {
 			if hosts[i].ID == id {
-				hosts[i].State = platform.HostLeaving
+				hosts[i].State = external.HostLeaving
 			}
 		}
 		return hosts
@@ -101,18 +101,18 @@
 
 // Drop removes a host.
 func (h *Hosts) Drop(id string) {
-	h.change(func(hosts []platform.Host) []platform.Host { return without(hosts, id) })
+	h.change(func(hosts []external.Host) []external.Host { return without(hosts, id) })
 }
 
-func without(hosts []platform.Host, id string) []platform.Host {
-	return slices.DeleteFunc(hosts, func(host platform.Host) bool { return host.ID == id })
+func without(hosts []external.Host, id string) []external.Host {
+	return slices.DeleteFunc(hosts, func(host external.Host) bool { return host.ID == id })
 }
 
-func (h *Hosts) change(edit func([]platform.Host) []platform.Host) {
+func (h *Hosts) change(edit func([]external.Host) []external.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	last := h.listings.last()
-	next := platform.HostListing{
+	next := external.HostListing{
 		Hosts:    edit(slices.Clone(last.Hosts)),
 		Revision: last.Revision + 1,
 	}
@@ -120,7 +120,7 @@
 }
 
 // Listing returns the list that is served now.
-func (h *Hosts) Listing() platform.HostListing {
+func (h *Hosts) Listing() external.HostListing {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.listings.at(time.Now().Add(-milliseconds(h.knobs.LagMS)))
@@ -149,7 +149,7 @@
 }
 
 func (h *Hosts) handleAdd(w http.ResponseWriter, r *http.Request) {
-	var host platform.Host
+	var host external.Host
 	if readSettings(w, r, &host) {
 		h.Add(host)
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -13,10 +13,10 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func writeError(w http.ResponseWriter, kind platform.Kind, message string) {
+func writeError(w http.ResponseWriter, kind external.Kind, message string) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(platform.StatusOf(kind))
-	_ = json.NewEncoder(w).Encode(platform.ErrorBody{Kind: kind.String(), Message: message})
+	w.WriteHeader(external.StatusOf(kind))
+	_ = json.NewEncoder(w).Encode(external.ErrorBody{Kind: kind.String(), Message: message})
 }
 
 // readJSON decodes a call's body. It answers a bad one itself.
@@ -33,7 +33,7 @@
 
 func decode(w http.ResponseWriter, dec *json.Decoder, into any) bool {
 	if err := dec.Decode(into); err != nil {
-		writeError(w, platform.KindInvalid, "body: "+err.Error())
+		writeError(w, external.KindInvalid, "body: "+err.Error())
 		return false
 	}
 	return true
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // ObjectCounts are the counters of an Objects.
@@ -60,7 +60,7 @@
 	o.counts.Puts++
 	key := r.PathValue("key")
 	if held, ok := o.bodies[key]; ok && !bytes.Equal(held, body) {
-		writeError(w, platform.KindInvalid, "object "+key+" exists with another body")
+		writeError(w, external.KindInvalid, "object "+key+" exists with another body")
 		return
 	}
 	o.bodies[key] = body
@@ -72,7 +72,7 @@
 	o.counts.Gets++
 	body, ok := o.bodies[r.PathValue("key")]
 	if !ok {
-		writeError(w, platform.KindNotFound, "no object "+r.PathValue("key"))
+		writeError(w, external.KindNotFound, "no object "+r.PathValue("key"))
 		return
 	}
 	_, _ = w.Write(body)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -131,7 +131,7 @@
 	answer := ServiceAnswer{
 		Service:   s.name,
 		Host:      s.host,
-		RequestID: r.Header.Get(platform.HeaderRequestID),
+		RequestID: r.Header.Get(external.HeaderRequestID),
 		Method:    r.Method,
 		Path:      r.URL.RequestURI(),
 		Body:      string(body),
--- a/internal/standin/shared_test.go
+++ b/internal/standin/shared_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // elapsed runs jobs at the same time on the bubble's clock and returns how long
@@ -68,7 +68,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				tc.knobs.MiBPerSecond = 100
-				store := NewWeights(tc.knobs, []platform.CheckpointInfo{{Checkpoint: "c", SizeMiB: 100}})
+				store := NewWeights(tc.knobs, []external.CheckpointInfo{{Checkpoint: "c", SizeMiB: 100}})
 				took := elapsed(tc.loads, func() {
 					req := httptest.NewRequest(http.MethodPost, "/v1/checkpoints/c/load", nil)
 					store.ServeHTTP(httptest.NewRecorder(), req)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
 
@@ -28,7 +28,7 @@
 	t.Helper()
 	c, err := standin.Start(t.Context(), standin.ClusterOptions{
 		Weights:     standin.WeightKnobs{LoadsPerSecond: 100, MiBPerSecond: 1 << 20},
-		Checkpoints: []platform.CheckpointInfo{{Checkpoint: checkpoint, SizeMiB: modelMiB}},
+		Checkpoints: []external.CheckpointInfo{{Checkpoint: checkpoint, SizeMiB: modelMiB}},
 		Engines: []standin.EngineOptions{
 			{Host: "engine-0", MemoryMiB: engineMiB},
 			{Host: "engine-1", MemoryMiB: engineMiB},
@@ -42,9 +42,9 @@
 	return c
 }
 
-func engineClient(t *testing.T, c *standin.Cluster, i int) platform.Engine {
+func engineClient(t *testing.T, c *standin.Cluster, i int) external.Engine {
 	t.Helper()
-	engine := platform.NewEngineClient(platform.ClientOptions{BaseURL: c.EngineURLs[i]})
+	engine := external.NewEngineClient(external.ClientOptions{BaseURL: c.EngineURLs[i]})
 	closeIdle(t, engine)
 	return engine
 }
@@ -53,10 +53,10 @@
 	t.Cleanup(client.(interface{ CloseIdleConnections() }).CloseIdleConnections)
 }
 
-func loadOrder(id string) platform.Order {
-	return platform.Order{
+func loadOrder(id string) external.Order {
+	return external.Order{
 		ID:         id,
-		Kind:       platform.OrderLoad,
+		Kind:       external.OrderLoad,
 		Epoch:      1,
 		Model:      model,
 		Version:    "v1",
@@ -66,7 +66,7 @@
 }
 
 // collect reads a stream to its end and returns the text of one request.
-func collect(stream platform.TokenStream, requestID string) (string, error) {
+func collect(stream external.TokenStream, requestID string) (string, error) {
 	defer func() { _ = stream.Close() }()
 	var text strings.Builder
 	for {
@@ -89,7 +89,7 @@
 	c := startCluster(t)
 	engine := engineClient(t, c, 0)
 	is.NoErr(engine.Do(ctx, loadOrder("order-1")))
-	stream, err := engine.Generate(ctx, platform.Generation{RequestID: "r1", Model: model, Prompt: "p", MaxTokens: 20})
+	stream, err := engine.Generate(ctx, external.Generation{RequestID: "r1", Model: model, Prompt: "p", MaxTokens: 20})
 	is.NoErr(err)
 	text, err := collect(stream, "r1")
 	is.NoErr(err)
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -8,7 +8,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // TableCounts are the counters of a Table.
@@ -24,7 +24,7 @@
 	mux    *http.ServeMux
 
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]external.Row
 	revision int64
 
 	reads, commits, conflicts atomic.Int64
@@ -32,7 +32,7 @@
 
 // NewTable makes an empty table.
 func NewTable() *Table {
-	t := &Table{rows: make(map[string]platform.Row)}
+	t := &Table{rows: make(map[string]external.Row)}
 	protocol := http.NewServeMux()
 	protocol.HandleFunc("POST /v1/commit", t.handleCommit)
 	protocol.HandleFunc("GET /v1/rows", t.handleGet)
@@ -50,24 +50,24 @@
 }
 
 // Row returns a row as it is; an absent one has Version 0.
-func (t *Table) Row(key string) platform.Row {
+func (t *Table) Row(key string) external.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.row(key)
 }
 
-func (t *Table) row(key string) platform.Row {
+func (t *Table) row(key string) external.Row {
 	if row, ok := t.rows[key]; ok {
 		return row
 	}
-	return platform.Row{Key: key}
+	return external.Row{Key: key}
 }
 
 // Commit applies a transaction.
-func (t *Table) Commit(txn platform.Txn) platform.TxnResult {
+func (t *Table) Commit(txn external.Txn) external.TxnResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var conflicts []platform.Row
+	var conflicts []external.Row
 	for _, check := range txn.Checks {
 		if row := t.row(check.Key); row.Version != check.Version {
 			conflicts = append(conflicts, row)
@@ -75,40 +75,40 @@
 	}
 	if conflicts != nil {
 		t.conflicts.Add(1)
-		return platform.TxnResult{Conflicts: conflicts}
+		return external.TxnResult{Conflicts: conflicts}
 	}
 	t.revision++
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: t.revision, TxnID: txn.ID}
+		t.rows[put.Key] = external.Row{Key: put.Key, Value: put.Value, Version: t.revision, TxnID: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(t.rows, key)
 	}
 	t.commits.Add(1)
-	return platform.TxnResult{Committed: true, Version: t.revision}
+	return external.TxnResult{Committed: true, Version: t.revision}
 }
 
 // Changes lists the rows under prefix that were written after a revision.
-func (t *Table) Changes(prefix string, after int64) platform.Changes {
+func (t *Table) Changes(prefix string, after int64) external.Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changes := platform.Changes{Rows: []platform.Row{}, Revision: t.revision}
+	changes := external.Changes{Rows: []external.Row{}, Revision: t.revision}
 	for key, row := range t.rows {
 		if row.Version > after && strings.HasPrefix(key, prefix) {
 			changes.Rows = append(changes.Rows, row)
 		}
 	}
-	slices.SortFunc(changes.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(changes.Rows, func(a, b external.Row) int { return strings.Compare(a.Key, b.Key) })
 	return changes
 }
 
 func (t *Table) handleCommit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn external.Txn
 	if !readJSON(w, r, &txn) {
 		return
 	}
 	if txn.ID == "" {
-		writeError(w, platform.KindInvalid, "a transaction needs an id")
+		writeError(w, external.KindInvalid, "a transaction needs an id")
 		return
 	}
 	writeJSON(w, t.Commit(txn))
@@ -124,7 +124,7 @@
 	query := r.URL.Query()
 	after, err := strconv.ParseInt(query.Get("after"), 10, 64)
 	if err != nil {
-		writeError(w, platform.KindInvalid, "after: "+err.Error())
+		writeError(w, external.KindInvalid, "after: "+err.Error())
 		return
 	}
 	writeJSON(w, t.Changes(query.Get("prefix"), after))
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // WeightKnobs are the settings of a Weights.
@@ -66,17 +66,17 @@
 
 	mu          sync.Mutex
 	knobs       WeightKnobs
-	checkpoints map[string]platform.CheckpointInfo
+	checkpoints map[string]external.CheckpointInfo
 
 	loads, stats atomic.Int64
 }
 
 // NewWeights makes a store of some checkpoints.
-func NewWeights(knobs WeightKnobs, checkpoints []platform.CheckpointInfo) *Weights {
+func NewWeights(knobs WeightKnobs, checkpoints []external.CheckpointInfo) *Weights {
 	knobs = knobs.withDefaults()
 	s := &Weights{
 		starts:      rate.NewLimiter(rate.Limit(knobs.LoadsPerSecond), knobs.burst()),
-		checkpoints: make(map[string]platform.CheckpointInfo),
+		checkpoints: make(map[string]external.CheckpointInfo),
 	}
 	s.SetKnobs(knobs)
 	for _, info := range checkpoints {
@@ -94,7 +94,7 @@
 func (s *Weights) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 // Add adds a checkpoint.
-func (s *Weights) Add(info platform.CheckpointInfo) {
+func (s *Weights) Add(info external.CheckpointInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.checkpoints[info.Checkpoint] = info
@@ -127,12 +127,12 @@
 	}
 }
 
-func (s *Weights) find(w http.ResponseWriter, r *http.Request) (platform.CheckpointInfo, bool) {
+func (s *Weights) find(w http.ResponseWriter, r *http.Request) (external.CheckpointInfo, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	info, ok := s.checkpoints[r.PathValue("name")]
 	if !ok {
-		writeError(w, platform.KindNotFound, "no checkpoint "+r.PathValue("name"))
+		writeError(w, external.KindNotFound, "no checkpoint "+r.PathValue("name"))
 	}
 	return info, ok
 }
--- a/internal/tabletest/table.go
+++ b/internal/tabletest/table.go
@@ -8,7 +8,7 @@
 	"strings"
 	"sync"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // Fault is what happens to a call.
@@ -28,16 +28,16 @@
 // Table is a table service in memory. It is safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]external.Row
 	revision int64
-	delayed  []platform.Txn
+	delayed  []external.Txn
 	fault    Fault
 	commits  int
-	applied  func(platform.Txn, int64)
+	applied  func(external.Txn, int64)
 }
 
 // New makes an empty table.
-func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+func New() *Table { return &Table{rows: make(map[string]external.Row)} }
 
 // SetFault sets the fault of every call from now on.
 func (t *Table) SetFault(f Fault) {
@@ -48,7 +48,7 @@
 
 // OnApplied sets a function that is called with each transaction that took
 // effect, and its version.
-func (t *Table) OnApplied(f func(txn platform.Txn, version int64)) { t.applied = f }
+func (t *Table) OnApplied(f func(txn external.Txn, version int64)) { t.applied = f }
 
 // Commits returns the number of commits that were called.
 func (t *Table) Commits() int {
@@ -69,57 +69,57 @@
 	}
 }
 
-// Get implements platform.TableService.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements external.TableService.
+func (t *Table) Get(ctx context.Context, key string) (external.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fault == Down {
-		return platform.Row{}, unavailable("table get", false)
+		return external.Row{}, unavailable("table get", false)
 	}
 	row := t.rows[key]
 	row.Key = key
 	return row, ctx.Err()
 }
 
-// Changes implements platform.TableService.
-func (t *Table) Changes(ctx context.Context, prefix string, after int64) (platform.Changes, error) {
+// Changes implements external.TableService.
+func (t *Table) Changes(ctx context.Context, prefix string, after int64) (external.Changes, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.fault == Down {
-		return platform.Changes{}, unavailable("table changes", false)
+		return external.Changes{}, unavailable("table changes", false)
 	}
-	out := platform.Changes{Revision: t.revision}
+	out := external.Changes{Revision: t.revision}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && row.Version > after {
 			out.Rows = append(out.Rows, row)
 		}
 	}
-	slices.SortFunc(out.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out.Rows, func(a, b external.Row) int { return strings.Compare(a.Key, b.Key) })
 	return out, ctx.Err()
 }
 
-// Commit implements platform.TableService.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Commit implements external.TableService.
+func (t *Table) Commit(ctx context.Context, txn external.Txn) (external.TxnResult, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	switch t.fault {
 	case Down:
-		return platform.TxnResult{}, unavailable("table commit", false)
+		return external.TxnResult{}, unavailable("table commit", false)
 	case LostAnswer:
 		t.apply(txn)
-		return platform.TxnResult{}, unavailable("table commit", true)
+		return external.TxnResult{}, unavailable("table commit", true)
 	case Delayed:
 		t.delayed = append(t.delayed, txn)
-		return platform.TxnResult{}, unavailable("table commit", true)
+		return external.TxnResult{}, unavailable("table commit", true)
 	default:
 		return t.apply(txn), ctx.Err()
 	}
 }
 
 // apply writes a transaction unless a check fails.
-func (t *Table) apply(txn platform.Txn) platform.TxnResult {
-	var conflicts []platform.Row
+func (t *Table) apply(txn external.Txn) external.TxnResult {
+	var conflicts []external.Row
 	for _, c := range txn.Checks {
 		row := t.rows[c.Key]
 		if row.Version != c.Version {
@@ -128,11 +128,11 @@
 		}
 	}
 	if len(conflicts) > 0 {
-		return platform.TxnResult{Conflicts: conflicts}
+		return external.TxnResult{Conflicts: conflicts}
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: t.revision, TxnID: txn.ID}
+		t.rows[p.Key] = external.Row{Key: p.Key, Value: p.Value, Version: t.revision, TxnID: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(t.rows, key)
@@ -140,14 +140,14 @@
 	if t.applied != nil {
 		t.applied(txn, t.revision)
 	}
-	return platform.TxnResult{Committed: true, Version: t.revision}
+	return external.TxnResult{Committed: true, Version: t.revision}
 }
 
 var errNoAnswer = errors.New("no answer")
 
 func unavailable(op string, unknown bool) error {
-	return &platform.Error{
-		Kind:           platform.KindUnavailable,
+	return &external.Error{
+		Kind:           external.KindUnavailable,
 		Op:             op,
 		OutcomeUnknown: unknown,
 		Remedy:         "set the fault of the test table to None",
--- a/internal/upstream/assignment.go
+++ b/internal/upstream/assignment.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
@@ -17,7 +17,7 @@
 		ConfigRevision: snap.Config.Revision,
 		TableRevision:  uint64(snap.TableRevision),
 		Deployment:     snap.Config.Set.GetDeployment(),
-		Leaving:        snap.ByHost[host].State == platform.HostLeaving,
+		Leaving:        snap.ByHost[host].State == external.HostLeaving,
 		Draining:       snap.Drains[host],
 
 		HostListRevision: snap.Hosts.Revision,
@@ -35,7 +35,7 @@
 
 // closed reports whether a host takes no new work.
 func closed(snap *view.Snapshot, host string) bool {
-	return snap.ByHost[host].State == platform.HostLeaving || snap.Drains[host]
+	return snap.ByHost[host].State == external.HostLeaving || snap.Drains[host]
 }
 
 func slotSpec(snap *view.Snapshot, row *apiv1.SlotRow) *apiv1.SlotSpec {
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -22,7 +22,7 @@
 // and a loop that hands over the host's slots whenever they change.
 type link struct {
 	opts   Options
-	host   platform.Host
+	host   external.Host
 	rank   func(host string) int // of this router for a host, 0 for the first
 	cancel context.CancelFunc
 
@@ -39,7 +39,7 @@
 	pushed revisions
 }
 
-func newLink(opts Options, h platform.Host, rank func(host string) int, cancel context.CancelFunc) *link {
+func newLink(opts Options, h external.Host, rank func(host string) int, cancel context.CancelFunc) *link {
 	return &link{
 		opts:      opts,
 		host:      h,
--- a/internal/upstream/manager.go
+++ b/internal/upstream/manager.go
@@ -15,7 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/rendezvous"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
@@ -39,7 +39,7 @@
 	// Refresh returns after a read of the table that started after the call.
 	Refresh func(ctx context.Context) error
 	// Watches reports whether this router keeps a session to a host.
-	Watches func(platform.Host) bool
+	Watches func(external.Host) bool
 	// Peers lists the live routers that watch the same hosts, this one included;
 	// nil means that it is alone.
 	Peers func() []string
@@ -122,7 +122,7 @@
 		}
 	}
 	for _, h := range snap.Hosts.Hosts {
-		if h.Role != platform.RoleUpstream || !m.opts.Watches(h) {
+		if h.Role != external.RoleUpstream || !m.opts.Watches(h) {
 			continue
 		}
 		l := m.links[h.ID]
@@ -150,7 +150,7 @@
 }
 
 // startLink runs a link; the caller holds mu.
-func (m *Manager) startLink(ctx context.Context, h platform.Host) *link {
+func (m *Manager) startLink(ctx context.Context, h external.Host) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	l := newLink(m.opts, h, m.rank, cancel)
 	m.links[h.ID] = l
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,7 +15,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
@@ -135,7 +135,7 @@
 	pool := transport.NewPool(transport.Credentials{}, time.Minute)
 	manager := NewManager(Options{
 		Router: "r1", View: store, Pool: pool, ReportPeriod: time.Second, Permits: noPermits{}, Log: log.New(io.Discard),
-		Watches: func(platform.Host) bool { return true },
+		Watches: func(external.Host) bool { return true },
 		Refresh: func(context.Context) error {
 			mu.Lock()
 			defer mu.Unlock()
@@ -143,7 +143,7 @@
 			return nil
 		},
 	})
-	store.SetHosts(platform.HostListing{Revision: 1, Hosts: []platform.Host{{ID: host, Role: platform.RoleUpstream, Address: server.Addr()}}})
+	store.SetHosts(external.HostListing{Revision: 1, Hosts: []external.Host{{ID: host, Role: external.RoleUpstream, Address: server.Addr()}}})
 	store.SetConfig(config.NewIndex(1, &apiv1.ObjectSet{
 		Models:   []*apiv1.Model{{Name: "m", Version: "v"}},
 		Versions: []*apiv1.Version{{Name: "v", Model: "m", Checkpoint: "c", MemoryMib: 5}},
@@ -166,7 +166,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.store.ApplyRows(platform.Changes{Revision: version, Rows: []platform.Row{{Key: platform.SlotKey("m", 0), Value: value, Version: version}}})
+	b.store.ApplyRows(external.Changes{Revision: version, Rows: []external.Row{{Key: external.SlotKey("m", 0), Value: value, Version: version}}})
 }
 
 func TestLinkHandsOverSlots(t *testing.T) {
--- a/internal/view/fold.go
+++ b/internal/view/fold.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // fold applies rows to a snapshot and copies each map once, before its first
@@ -20,22 +20,22 @@
 	drains bool
 }
 
-func (f *fold) apply(row platform.Row) bool {
+func (f *fold) apply(row external.Row) bool {
 	switch {
-	case row.Key == platform.HeadKey:
+	case row.Key == external.HeadKey:
 		return f.applyHead(row)
-	case strings.HasPrefix(row.Key, platform.SlotPrefix):
+	case strings.HasPrefix(row.Key, external.SlotPrefix):
 		return f.applySlot(row)
-	case strings.HasPrefix(row.Key, platform.LeasePrefix):
+	case strings.HasPrefix(row.Key, external.LeasePrefix):
 		return f.applyLease(row)
-	case strings.HasPrefix(row.Key, platform.DrainPrefix):
+	case strings.HasPrefix(row.Key, external.DrainPrefix):
 		return f.applyDrain(row)
 	default:
 		return true
 	}
 }
 
-func (f *fold) applyHead(row platform.Row) bool {
+func (f *fold) applyHead(row external.Row) bool {
 	head := &apiv1.HeadRow{}
 	if proto.Unmarshal(row.Value, head) != nil {
 		return false
@@ -47,7 +47,7 @@
 	return true
 }
 
-func (f *fold) applySlot(row platform.Row) bool {
+func (f *fold) applySlot(row external.Row) bool {
 	slot := &apiv1.SlotRow{}
 	if proto.Unmarshal(row.Value, slot) != nil {
 		return false
@@ -78,7 +78,7 @@
 	return next
 }
 
-func (f *fold) applyLease(row platform.Row) bool {
+func (f *fold) applyLease(row external.Row) bool {
 	lease := &apiv1.LeaseRow{}
 	if proto.Unmarshal(row.Value, lease) != nil {
 		return false
@@ -87,14 +87,14 @@
 		f.next.Leases = maps.Clone(f.next.Leases)
 		f.leases = true
 	}
-	name := strings.TrimPrefix(row.Key, platform.LeasePrefix)
+	name := strings.TrimPrefix(row.Key, external.LeasePrefix)
 	if row.Version > f.next.Leases[name].Version {
 		f.next.Leases[name] = Lease{Row: lease, Version: row.Version}
 	}
 	return true
 }
 
-func (f *fold) applyDrain(row platform.Row) bool {
+func (f *fold) applyDrain(row external.Row) bool {
 	drain := &apiv1.DrainRow{}
 	if proto.Unmarshal(row.Value, drain) != nil {
 		return false
--- a/internal/view/poller.go
+++ b/internal/view/poller.go
@@ -10,14 +10,14 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // PollerOptions configure a Poller.
 type PollerOptions struct {
 	Store *Store
-	Table platform.TableService
-	Hosts platform.HostList
+	Table external.TableService
+	Hosts external.HostList
 	// LoadConfig fetches and indexes the body that a head row names.
 	LoadConfig func(ctx context.Context, head *apiv1.HeadRow) (*config.Index, error)
 	// TablePeriod and HostPeriod are the times between two reads.
@@ -121,7 +121,7 @@
 
 func (p *Poller) readTable(ctx context.Context) error {
 	after := p.opts.Store.Load().TableRevision
-	changes, err := p.opts.Table.Changes(ctx, platform.LivePrefix, after)
+	changes, err := p.opts.Table.Changes(ctx, external.LivePrefix, after)
 	if err != nil {
 		return err
 	}
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -9,7 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // Slot is a slot row with the table version at which it was read.
@@ -44,9 +44,9 @@
 	// Drains holds the hosts that an operator drains.
 	Drains map[string]bool
 	// Hosts is the last host list.
-	Hosts platform.HostListing
+	Hosts external.HostListing
 	// ByHost indexes Hosts by id.
-	ByHost map[string]platform.Host
+	ByHost map[string]external.Host
 	// HostReads counts the reads of the host list that were not older than the
 	// present one, so that a list that was read again can be told from one that
 	// was only kept.
@@ -80,7 +80,7 @@
 		Slots:  make(map[string][]Slot),
 		Leases: make(map[string]Lease),
 		Drains: make(map[string]bool),
-		ByHost: make(map[string]platform.Host),
+		ByHost: make(map[string]external.Host),
 
 		slotIndex:     &slotIndex{},
 		drainVersions: make(map[string]int64),
@@ -136,7 +136,7 @@
 }
 
 // SetHosts stores a host list, unless the present one is as new.
-func (s *Store) SetHosts(listing platform.HostListing) {
+func (s *Store) SetHosts(listing external.HostListing) {
 	s.update(func(next *Snapshot) {
 		if next.Hosts.Hosts != nil && listing.Revision < next.Hosts.Revision {
 			return
@@ -151,7 +151,7 @@
 
 // AdoptHosts takes over the host list of a peer while this router has none. It
 // is no read of the list, so that nothing is decided by it.
-func (s *Store) AdoptHosts(listing platform.HostListing) {
+func (s *Store) AdoptHosts(listing external.HostListing) {
 	s.update(func(next *Snapshot) {
 		if next.Hosts.Hosts == nil && listing.Hosts != nil {
 			next.setHosts(listing)
@@ -159,9 +159,9 @@
 	})
 }
 
-func (s *Snapshot) setHosts(listing platform.HostListing) {
+func (s *Snapshot) setHosts(listing external.HostListing) {
 	s.Hosts = listing
-	s.ByHost = make(map[string]platform.Host, len(listing.Hosts))
+	s.ByHost = make(map[string]external.Host, len(listing.Hosts))
 	for _, h := range listing.Hosts {
 		s.ByHost[h.ID] = h
 	}
@@ -183,8 +183,8 @@
 
 // ApplyRows folds rows read from the table into the snapshot. Rows that are
 // older than what is held are skipped. It returns the rows that can't be read.
-func (s *Store) ApplyRows(changes platform.Changes) []platform.Row {
-	var bad []platform.Row
+func (s *Store) ApplyRows(changes external.Changes) []external.Row {
+	var bad []external.Row
 	s.update(func(next *Snapshot) {
 		next.TableRevision = max(next.TableRevision, changes.Revision)
 		f := fold{next: next}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -17,7 +17,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 func TestMain(m *testing.M) {
@@ -28,7 +28,7 @@
 	os.Exit(m.Run())
 }
 
-func slotRow(model string, slot uint32, generation uint64, version int64) platform.Row {
+func slotRow(model string, slot uint32, generation uint64, version int64) external.Row {
 	value, err := proto.Marshal(&apiv1.SlotRow{
 		Model: model, Slot: slot, Generation: generation, Host: "h",
 		State: apiv1.SlotState_SLOT_STATE_ASSIGNED,
@@ -36,7 +36,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return platform.Row{Key: platform.SlotKey(model, slot), Value: value, Version: version}
+	return external.Row{Key: external.SlotKey(model, slot), Value: value, Version: version}
 }
 
 // Rows that arrive late or twice never bring an older slot back, and a router
@@ -45,7 +45,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := NewStore()
 		latest := map[string]int64{}
-		var seen []platform.Row
+		var seen []external.Row
 		version := int64(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
@@ -53,14 +53,14 @@
 				row := slotRow(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "model"), rapid.Uint32Range(0, 3).Draw(t, "slot"), uint64(version), version)
 				seen = append(seen, row)
 				latest[row.Key] = version
-				store.ApplyRows(platform.Changes{Rows: []platform.Row{row}, Revision: version})
+				store.ApplyRows(external.Changes{Rows: []external.Row{row}, Revision: version})
 			},
 			"repeat": func(t *rapid.T) {
 				if len(seen) == 0 {
 					t.Skip("no rows")
 				}
 				row := rapid.SampledFrom(seen).Draw(t, "row")
-				store.ApplyRows(platform.Changes{Rows: []platform.Row{row}, Revision: row.Version})
+				store.ApplyRows(external.Changes{Rows: []external.Row{row}, Revision: row.Version})
 			},
 			"take over": func(t *rapid.T) {
 				changes, err := store.Load().Rows()
@@ -76,7 +76,7 @@
 				for _, slots := range snap.Slots {
 					for _, slot := range slots {
 						held++
-						key := platform.SlotKey(slot.Row.GetModel(), slot.Row.GetSlot())
+						key := external.SlotKey(slot.Row.GetModel(), slot.Row.GetSlot())
 						if slot.Version != latest[key] {
 							t.Fatalf("%s has version %d, the latest is %d", key, slot.Version, latest[key])
 						}
@@ -102,13 +102,13 @@
 	is.Equal(store.Load().Config.Revision, uint64(2))
 }
 
-func drainRow(t *testing.T, draining bool, version int64) platform.Row {
+func drainRow(t *testing.T, draining bool, version int64) external.Row {
 	t.Helper()
 	value, err := proto.Marshal(&apiv1.DrainRow{Host: "h", Draining: draining})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Row{Key: platform.DrainKey("h"), Value: value, Version: version}
+	return external.Row{Key: external.DrainKey("h"), Value: value, Version: version}
 }
 
 // A router that takes over a peer's rows knows its drains, and an older peer
@@ -116,29 +116,29 @@
 func TestDrainsAreTakenOver(t *testing.T) {
 	is := is.New(t)
 	peer := NewStore()
-	peer.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, true, 1)}, Revision: 1})
+	peer.ApplyRows(external.Changes{Rows: []external.Row{drainRow(t, true, 1)}, Revision: 1})
 	old, err := peer.Load().Rows()
 	is.NoErr(err)
 	store := NewStore()
 	store.ApplyRows(old)
 	is.True(store.Load().Drains["h"])
 
-	store.ApplyRows(platform.Changes{Rows: []platform.Row{drainRow(t, false, 2)}, Revision: 2})
+	store.ApplyRows(external.Changes{Rows: []external.Row{drainRow(t, false, 2)}, Revision: 2})
 	store.ApplyRows(old)
 	is.True(!store.Load().Drains["h"])
 }
 
 func TestAdoptedHostsAreNoRead(t *testing.T) {
 	is := is.New(t)
-	listing := func(revision int64, hosts ...string) platform.HostListing {
-		l := platform.HostListing{Revision: revision, Hosts: []platform.Host{}}
+	listing := func(revision int64, hosts ...string) external.HostListing {
+		l := external.HostListing{Revision: revision, Hosts: []external.Host{}}
 		for _, id := range hosts {
-			l.Hosts = append(l.Hosts, platform.Host{ID: id})
+			l.Hosts = append(l.Hosts, external.Host{ID: id})
 		}
 		return l
 	}
 	store := NewStore()
-	store.AdoptHosts(platform.HostListing{}) // of a peer that has none
+	store.AdoptHosts(external.HostListing{}) // of a peer that has none
 	is.True(store.Load().Hosts.Hosts == nil)
 	store.AdoptHosts(listing(3, "a"))
 	store.AdoptHosts(listing(4, "b")) // only the first one is taken
@@ -152,23 +152,23 @@
 func TestUnreadableRowIsReportedAndSkipped(t *testing.T) {
 	is := is.New(t)
 	store := NewStore()
-	bad := platform.Row{Key: platform.SlotKey("a", 0), Value: []byte{0xff}, Version: 1}
-	got := store.ApplyRows(platform.Changes{Rows: []platform.Row{bad, slotRow("a", 1, 1, 2)}, Revision: 2})
+	bad := external.Row{Key: external.SlotKey("a", 0), Value: []byte{0xff}, Version: 1}
+	got := store.ApplyRows(external.Changes{Rows: []external.Row{bad, slotRow("a", 1, 1, 2)}, Revision: 2})
 	is.Equal(len(got), 1)
 	is.Equal(len(store.Load().Slots["a"]), 1)
 }
 
 // countingTable counts reads that started and holds each until let go.
 type countingTable struct {
-	platform.TableService
+	external.TableService
 	started atomic.Int64
 	gate    chan struct{}
 }
 
-func (c *countingTable) Changes(context.Context, string, int64) (platform.Changes, error) {
+func (c *countingTable) Changes(context.Context, string, int64) (external.Changes, error) {
 	revision := c.started.Add(1)
 	<-c.gate
-	return platform.Changes{Revision: revision}, nil
+	return external.Changes{Revision: revision}, nil
 }
 
 // Each caller of Refresh sees a read that started after its call, and callers
--- a/internal/waitlog/fakes_test.go
+++ b/internal/waitlog/fakes_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 )
 
@@ -26,7 +26,7 @@
 	goleak.VerifyTestMain(m)
 }
 
-var errStore = &platform.Error{Kind: platform.KindUnavailable, Op: "fake put", OutcomeUnknown: true}
+var errStore = &external.Error{Kind: external.KindUnavailable, Op: "fake put", OutcomeUnknown: true}
 
 // fakeObjects is an object store in memory. Put fails while before returns an
 // error, and its answer is lost while after does.
@@ -61,7 +61,7 @@
 	f.reads++
 	body, found := f.bodies[key]
 	if !found {
-		return nil, &platform.Error{Kind: platform.KindNotFound, Op: "fake get"}
+		return nil, &external.Error{Kind: external.KindNotFound, Op: "fake get"}
 	}
 	return body, nil
 }
--- a/internal/waitlog/reader.go
+++ b/internal/waitlog/reader.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 )
 
@@ -34,11 +34,11 @@
 
 // Reader reads the records of all routers. It is safe for concurrent use.
 type Reader struct {
-	objects platform.ObjectStore
+	objects external.ObjectStore
 }
 
 // NewReader makes a reader on the object store.
-func NewReader(objects platform.ObjectStore) *Reader {
+func NewReader(objects external.ObjectStore) *Reader {
 	return &Reader{objects: objects}
 }
 
@@ -98,7 +98,7 @@
 // store.
 func (r *Reader) batch(ctx context.Context, key string) ([]*apiv1.WaitRecord, error) {
 	body, err := r.objects.Get(ctx, key)
-	if err != nil && platform.KindOf(err) == platform.KindNotFound {
+	if err != nil && external.KindOf(err) == external.KindNotFound {
 		return nil, &BatchError{Key: key, Err: err}
 	}
 	if err != nil {
--- a/internal/waitlog/writer.go
+++ b/internal/waitlog/writer.go
@@ -14,7 +14,7 @@
 	"github.com/charmbracelet/log"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/platform"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/requestid"
 )
 
@@ -28,7 +28,7 @@
 
 // WriterOptions configure a Writer.
 type WriterOptions struct {
-	Objects platform.ObjectStore
+	Objects external.ObjectStore
 	// Router is the host id of this router. Records whose id names another one
 	// are stored under that one.
 	Router string
