--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -14,6 +14,13 @@
 	maxBackoff   = 150 * time.Millisecond
 	// inspectEvery is the pause between looks at a load that is overdue.
 	inspectEvery = 100 * time.Millisecond
+	// reportAge is how old a report may be at most.
+	reportAge = 600 * time.Millisecond
+	// unloadTime is what an unload of an idle model takes, from plays of both
+	// sites; unloadRetry is the pace of a load's order while an unload is under way.
+	unloadTime     = 52 * time.Millisecond
+	unloadRetry    = 30 * time.Millisecond
+	maxUnloadTries = 20
 	// triesPerInspect is the number of refused orders after which the engine is
 	// inspected.
 	triesPerInspect = 2
@@ -57,7 +64,9 @@
 	// at any time while the count of orders stays the same.
 	uncertain bool
 	looks     int
-	doneAt    time.Time // expected end of an accepted order
+	// afterUnload is set when the order has to wait for an unload's end.
+	afterUnload bool
+	doneAt      time.Time // expected end of an accepted order
 	// changed is when the state was entered.
 	changed time.Time
 }
@@ -218,7 +227,9 @@
 		e.order = pendingOrder{state: stepAccepted, changed: now, doneAt: now}
 		if len(e.plan.steps) > 1 {
 			c.finishUnload(e, s)
-			c.nextStep(now, e)
+			e.plan.steps = e.plan.steps[1:]
+			e.order = pendingOrder{changed: now, afterUnload: true}
+			c.send(now, e, unloadTime)
 			return
 		}
 		c.inspect(e, inspectEvery)
@@ -300,6 +311,10 @@
 	e.order.tries++
 	e.order.state = stepIdle
 	e.order.changed = now
+	if e.order.afterUnload && e.order.tries < maxUnloadTries {
+		c.send(now, e, unloadRetry)
+		return
+	}
 	if e.order.tries%triesPerInspect == 0 {
 		c.inspect(e, 0)
 		return
@@ -383,12 +398,15 @@
 		if e.plan == nil {
 			e.setCopies(inventory.Models, c.spec)
 		}
-	case inventory.Orders < e.orders:
+	case inventory.Orders < e.orders && now.Sub(e.settledAt) < reportAge:
 		// The report is older than the last order.
 		if e.plan != nil {
 			c.inspect(e, inspectEvery)
 		}
 		return
+	case inventory.Orders < e.orders:
+		// An order for what is under way already is accepted without being counted.
+		e.orders = inventory.Orders
 	case inventory.Orders > e.orders:
 		c.overtaken(now, e, inventory)
 		return
