scheduler: a new holder counts what engines hold by their reports

Cause: LIMIT on both sites after a takeover. The new holder took the engine's description in the store for what it holds; adapters loaded since were not in it. Ruled out: double orders of the former holder (its fence was refused). Change: the first report of an engine replaces what was assumed and voids plans; descriptions only add; a denied model is doubted, not uncounted; a fenced holder steps down.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -95,6 +95,8 @@
 	began   time.Time
 	// resumed is set after a pause until the next renewal.
 	resumed atomic.Bool
+	// fenced is set when an engine has seen a higher fence.
+	fenced atomic.Bool
 }
 
 // NewElection makes an election; call Run.
@@ -127,6 +129,9 @@
 		e.watchedSince = now
 	}
 	e.lastTick = now
+	if e.fenced.Swap(false) && e.fence != 0 {
+		e.lose("an engine has seen a higher fence")
+	}
 	if e.fence != 0 {
 		e.renew(ctx, now)
 	} else {
@@ -136,6 +141,10 @@
 	e.lastTick = time.Now()
 }
 
+// Fenced tells that an engine refused an order for its fence: another router
+// has taken the lease over.
+func (e *Election) Fenced() { e.fenced.Store(true) }
+
 // RenewedAgo is the time since the last renewal that succeeded was sent.
 func (e *Election) RenewedAgo() time.Duration {
 	return time.Since(e.began) - time.Duration(e.renewed.Load())
@@ -145,7 +154,7 @@
 // must renew first. Where engines check fences it goes on while the store can't
 // be reached, since a successor's orders have a higher fence.
 func (e *Election) MayOrder() bool {
-	if e.resumed.Load() {
+	if e.resumed.Load() || e.fenced.Load() {
 		return false
 	}
 	if e.RenewedAgo() < e.opts.LeaseTime-takeoverMargin {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -75,7 +75,7 @@
 		LoadWindowFactor: settings.LoadWindowFactor,
 		MayOrder:         func() bool { return p.election.MayOrder() },
 		RenewedAgo:       func() time.Duration { return p.election.RenewedAgo() },
-		OnFenced:         func() { p.log.Tenure(false, 0, "an engine has seen a higher fence") },
+		OnFenced:         func() { p.election.Fenced() },
 		Log:              p.log,
 	})
 	p.client = cell.NewClient(settings.Host, bootID, p.scheduler, p.log)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -24,6 +24,9 @@
 	adapters map[string]*adapterCopy
 	running  int
 	lastUsed time.Time
+	// doubted is set when the engine denied that it holds the model; it counts
+	// until a report settles it.
+	doubted bool
 }
 
 // adapterCopy is an adapter of a model on an engine. It takes a place in every
@@ -32,6 +35,7 @@
 	state    copyState
 	running  int
 	lastUsed time.Time
+	doubted  bool
 	// readyAt is when a coming adapter is expected.
 	readyAt  time.Time
 	loadedAt time.Time
@@ -113,6 +117,7 @@
 			w = &weightCopy{model: h.Name, memoryMB: spec.Models[h.Name].MemoryMB}
 		}
 		w.state = present
+		w.doubted = false
 		w.setAdapters(h.Adapters)
 		next[h.Name] = w
 	}
@@ -129,6 +134,7 @@
 		if a.state != unloading {
 			a.state = present
 		}
+		a.doubted = false
 		next[name] = a
 	}
 	for name, a := range w.adapters {
@@ -139,6 +145,15 @@
 	w.adapters = next
 }
 
+// addComing counts the adapters that are on their way by a report.
+func (e *engine) addComing(coming []fleet.AdapterRef) {
+	for _, ref := range coming {
+		if w := e.copies[ref.Model]; w != nil && w.adapters[ref.Adapter] == nil {
+			w.adapters[ref.Adapter] = &adapterCopy{}
+		}
+	}
+}
+
 func (e *engine) setTiers(onDisk, inMemory []string) {
 	if onDisk == nil && inMemory == nil {
 		return
@@ -155,7 +170,7 @@
 // ready returns the copy of a model that can take requests; nil if there is none.
 func (e *engine) ready(model string) *weightCopy {
 	w := e.copies[model]
-	if w == nil || w.state != present {
+	if w == nil || w.state != present || w.doubted {
 		return nil
 	}
 	return w
@@ -169,21 +184,18 @@
 	return w.adapters[name]
 }
 
-// lose forgets a model or adapter that the engine says it does not hold.
-func (e *engine) lose(model, adapter string) {
+// doubt keeps requests away from a model or adapter that the engine says it
+// does not hold. It still counts against the engine's room.
+func (e *engine) doubt(model, adapter string) {
 	w := e.copies[model]
 	if w == nil {
 		return
 	}
-	if adapter != "" {
-		if a := w.adapters[adapter]; a != nil && a.state == present {
-			delete(w.adapters, adapter)
-			return
-		}
-	}
-	if w.state == present && adapter == "" {
-		delete(e.copies, model)
+	if a := w.adapters[adapter]; a != nil {
+		a.doubted = true
+		return
 	}
+	w.doubted = true
 }
 
 // usedMB is the memory that is held or promised.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -14,6 +14,8 @@
 	maxBackoff   = 150 * time.Millisecond
 	// inspectEvery is the pause between looks at a load that is overdue.
 	inspectEvery = 100 * time.Millisecond
+	// failedInspectEvery is the pause after a report that could not be read.
+	failedInspectEvery = 400 * time.Millisecond
 	// reportAge is how old a report may be at most.
 	reportAge = 600 * time.Millisecond
 	// unloadTime is what an unload of an idle model takes, from plays of both
@@ -364,8 +366,9 @@
 	}
 	e.inspecting = false
 	if err != nil {
+		e.failed(now)
 		if e.plan != nil {
-			c.inspect(e, inspectEvery)
+			c.inspect(e, failedInspectEvery)
 		}
 		return c.take()
 	}
@@ -394,10 +397,12 @@
 	e.setTiers(inventory.OnDisk, inventory.InMemory)
 	switch {
 	case e.orders < 0:
+		// What was known before is a description that may be old, and a former
+		// holder may have ordered since: plans are made anew.
 		e.orders = inventory.Orders
-		if e.plan == nil {
-			e.setCopies(inventory.Models, c.spec)
-		}
+		c.abandonPlan(e)
+		e.setCopies(inventory.Models, c.spec)
+		e.addComing(inventory.Coming)
 	case inventory.Orders < e.orders && now.Sub(e.settledAt) < reportAge:
 		// The report is older than the last order.
 		if e.plan != nil {
@@ -426,6 +431,7 @@
 	}
 	c.abandonPlan(e)
 	e.setCopies(inventory.Models, c.spec)
+	e.addComing(inventory.Coming)
 	if inventory.Busy {
 		c.inspect(e, inspectEvery)
 	}
@@ -434,6 +440,10 @@
 // advance takes the plan under way a step further.
 func (c *Cell) advance(now time.Time, e *engine, inventory fleet.Inventory) {
 	if e.plan == nil {
+		if !inventory.Busy && now.Sub(e.settledAt) > reportAge {
+			e.setCopies(inventory.Models, c.spec)
+			e.addComing(inventory.Coming)
+		}
 		return
 	}
 	s := e.plan.steps[0]
@@ -441,11 +451,6 @@
 		return
 	}
 	if e.order.state == stepIdle {
-		if !e.order.uncertain && e.order.tries == 0 && !c.stillFits(e, inventory) {
-			c.abandonPlan(e)
-			e.setCopies(inventory.Models, c.spec)
-			return
-		}
 		after := time.Duration(0)
 		if inventory.Busy {
 			after = maxBackoff
@@ -466,17 +471,6 @@
 	c.inspect(e, inspectEvery)
 }
 
-// stillFits reports whether a plan that was not ordered yet agrees with what
-// the engine holds.
-func (c *Cell) stillFits(e *engine, inventory fleet.Inventory) bool {
-	for _, held := range inventory.Models {
-		if e.copies[held.Name] == nil {
-			return false
-		}
-	}
-	return true
-}
-
 // holds reports whether an inventory shows what a step is about.
 func holds(inventory fleet.Inventory, s step) bool {
 	for _, m := range inventory.Models {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -207,6 +207,8 @@
 	a := e.adapter(ask.Model, ask.Adapter)
 	switch {
 	case a == nil:
+	case a.doubted:
+		return 0, adapterNone, false
 	case a.state == present && !now.Before(a.readyAt):
 		return 0, adapterNone, true
 	case a.state == unloading:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -240,7 +240,7 @@
 	case NotRun:
 		c.noteNotRun(now, r)
 	case ModelMissing:
-		r.engine.lose(r.ask.Model, r.ask.Adapter)
+		r.engine.doubt(r.ask.Model, r.ask.Adapter)
 		c.inspect(r.engine, 0)
 	case Failed:
 		r.engine.failed(now)
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
@@ -72,32 +71,26 @@
 }
 
 // adoptDescription takes over what an engine without orders under way says that
-// it holds. Adapters are kept while requests use them.
+// it holds. A description may be old, so it only adds to what is counted; what
+// it lacks is settled by a report.
 func (c *Cell) adoptDescription(e *engine, up *fleet.Upstream) {
+	lacks := len(up.Models) < len(e.copies)
 	for _, held := range up.Models {
-		if w := e.copies[held.Name]; w != nil {
-			w.setAdapters(withUsed(held.Adapters, w))
-			continue
+		w := e.copies[held.Name]
+		if w == nil {
+			w = &weightCopy{model: held.Name, memoryMB: c.spec.Models[held.Name].MemoryMB, adapters: make(map[string]*adapterCopy)}
+			e.copies[held.Name] = w
 		}
-		e.copies[held.Name] = &weightCopy{model: held.Name, memoryMB: c.spec.Models[held.Name].MemoryMB, adapters: make(map[string]*adapterCopy)}
-		e.copies[held.Name].setAdapters(held.Adapters)
-	}
-	for name, w := range e.copies {
-		isHeld := slices.ContainsFunc(up.Models, func(h fleet.HeldModel) bool { return h.Name == name })
-		if !isHeld && w.running == 0 {
-			delete(e.copies, name)
+		lacks = lacks || len(held.Adapters) < len(w.adapters)
+		for _, name := range held.Adapters {
+			if w.adapters[name] == nil {
+				w.adapters[name] = &adapterCopy{}
+			}
 		}
 	}
-}
-
-func withUsed(names []string, w *weightCopy) []string {
-	out := slices.Clone(names)
-	for name, a := range w.adapters {
-		if a.running > 0 && !slices.Contains(out, name) {
-			out = append(out, name)
-		}
+	if lacks {
+		c.inspect(e, 0)
 	}
-	return out
 }
 
 func (c *Cell) removeEngine(e *engine) {
