--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -24,6 +24,8 @@
 	defaultBodyBytes = 4 << 20
 	// startPause is the Retry-After while the router knows no configuration.
 	startPause = 300 * time.Millisecond
+	// stopPause is the Retry-After of a router that stops: others take over.
+	stopPause = 10 * time.Millisecond
 	// againPause is the Retry-After after an upstream's own refusal.
 	againPause = 50 * time.Millisecond
 	// retryMargin leaves a part of the retry budget to what can't be foreseen.
@@ -41,8 +43,9 @@
 	balancer  *balancer
 	budget    *retry.Budget
 	log       *Log
-	stopping  atomic.Bool
-	inFlight  atomic.Int64
+	// stopAt is when the process began to stop, in Unix nanoseconds; 0 before.
+	stopAt   atomic.Int64
+	inFlight atomic.Int64
 }
 
 // FrontOptions configure a Front.
@@ -99,7 +102,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.stopping.Load() {
+	if f.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{front: f, w: w, r: r, arrived: time.Now()}
@@ -114,10 +117,27 @@
 	}
 }
 
+// stop makes the front unready. Requests are still taken, since callers go on
+// using their connections.
+func (f *Front) stop() { f.stopAt.Store(time.Now().UnixNano()) }
+
+func (f *Front) isStopping() bool { return f.stopAt.Load() != 0 }
+
+// stopsSoon reports whether a request that is taken now could be cut by the end
+// of the process.
+func (f *Front) stopsSoon() bool {
+	at := f.stopAt.Load()
+	return at != 0 && time.Since(time.Unix(0, at)) > stopLinger
+}
+
 // prepare finds the route and reads the body; it answers the request and
 // reports false if that fails.
 func (j *job) prepare() bool {
 	snapshot := j.front.directory.Load()
+	if j.front.stopsSoon() {
+		j.refuse(stopPause, "this router stops")
+		return false
+	}
 	if snapshot.Config == nil {
 		j.refuse(startPause, "no configuration yet")
 		return false
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -27,12 +27,12 @@
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 10 * time.Second
 	// stopMargin is what is left of the grace when the process ends by itself.
-	stopMargin = 700 * time.Millisecond
-	// stopQuiet is how long a stopping process goes on without requests, at
-	// least stopLinger after the signal: the balancer asks once a second and
-	// connections may still be on their way.
-	stopQuiet  = 500 * time.Millisecond
-	stopLinger = 3 * time.Second
+	stopMargin = 300 * time.Millisecond
+	// stopLinger is how long a stopping process takes requests: the balancer
+	// asks once a second and gives up after two misses.
+	stopLinger = 2800 * time.Millisecond
+	// stopQuiet is how long it goes on after that without requests.
+	stopQuiet = 500 * time.Millisecond
 )
 
 // Deps are the parts that reach the platform.
@@ -185,7 +185,7 @@
 func (p *Process) drain(endElection func(), electionDone <-chan struct{}) {
 	began := time.Now()
 	p.deps.Log.Info("stopping", "in_flight", p.front.inFlight.Load())
-	p.front.stopping.Store(true)
+	p.front.stop()
 	endElection()
 	<-electionDone
 	deadline := began.Add(p.settings.StopGrace - stopMargin)
@@ -219,7 +219,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.deps.Dialect.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
 		snapshot := p.directory.Load()
-		if p.front.stopping.Load() || snapshot.Config == nil || !snapshot.Listed {
+		if p.front.isStopping() || snapshot.Config == nil || !snapshot.Listed {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -73,12 +73,9 @@
 	changed time.Time
 }
 
-func (e *engine) steps() []step {
-	if e.plan == nil {
-		return nil
-	}
-	return e.plan.steps
-}
+// isFree reports whether the engine can be given an order: what it holds is
+// known and nothing is under way.
+func (e *engine) isFree() bool { return e.plan == nil && e.orders >= 0 }
 
 // loadLeft returns how long a load of the model that is under way still takes.
 func (e *engine) loadLeft(now time.Time, name string) (time.Duration, bool) {
@@ -94,7 +91,7 @@
 
 // startLoad begins to load a model on an engine that has no plan.
 func (c *Cell) startLoad(now time.Time, e *engine, name, reason string) {
-	if !c.mayOrder || e.plan != nil || e.copies[name] != nil {
+	if !c.mayOrder || !e.isFree() || e.copies[name] != nil {
 		return
 	}
 	victims, _, ok := c.victims(now, e, name)
@@ -146,10 +143,6 @@
 
 // send sends the first step of an engine's plan.
 func (c *Cell) send(now time.Time, e *engine, after time.Duration) {
-	if e.orders < 0 {
-		c.inspect(e, 0)
-		return
-	}
 	s := e.plan.steps[0]
 	expected := e.orders
 	e.order.state = stepSent
@@ -207,6 +200,7 @@
 	case fleet.OrderInvalid:
 		c.abandonPlan(e)
 		e.orders = -1
+		c.inspect(e, inspectEvery)
 	}
 	c.dispatch(now)
 	return c.take()
@@ -367,7 +361,7 @@
 	e.inspecting = false
 	if err != nil {
 		e.failed(now)
-		if e.plan != nil {
+		if !e.isFree() {
 			c.inspect(e, failedInspectEvery)
 		}
 		return c.take()
@@ -389,7 +383,6 @@
 	e.orders = -1
 	e.copies = make(map[string]*weightCopy)
 	e.cache = newPrefixCache(c.spec.KVTokens)
-	e.setCopies(inventory.Models, c.spec)
 }
 
 // reconcile compares an inventory with the plan under way.
@@ -397,12 +390,8 @@
 	e.setTiers(inventory.OnDisk, inventory.InMemory)
 	switch {
 	case e.orders < 0:
-		// What was known before is a description that may be old, and a former
-		// holder may have ordered since: plans are made anew.
-		e.orders = inventory.Orders
-		c.abandonPlan(e)
-		e.setCopies(inventory.Models, c.spec)
-		e.addComing(inventory.Coming)
+		c.adoptReport(e, inventory)
+		return
 	case inventory.Orders < e.orders && now.Sub(e.settledAt) < reportAge:
 		// The report is older than the last order.
 		if e.plan != nil {
@@ -423,16 +412,24 @@
 // got no answer, or one of a former holder.
 func (c *Cell) overtaken(now time.Time, e *engine, inventory fleet.Inventory) {
 	own := e.plan != nil && e.order.uncertain && inventory.Orders == e.orders+1
-	e.orders = inventory.Orders
 	if own {
-		s := e.plan.steps[0]
-		c.accepted(now, e, s)
+		e.orders = inventory.Orders
+		c.accepted(now, e, e.plan.steps[0])
 		return
 	}
+	c.adoptReport(e, inventory)
+}
+
+// adoptReport takes over what an engine holds that others have given orders to.
+// A busy engine does not tell what it loads: until it is idle, nothing is
+// ordered there.
+func (c *Cell) adoptReport(e *engine, inventory fleet.Inventory) {
 	c.abandonPlan(e)
 	e.setCopies(inventory.Models, c.spec)
 	e.addComing(inventory.Coming)
+	e.orders = inventory.Orders
 	if inventory.Busy {
+		e.orders = -1
 		c.inspect(e, inspectEvery)
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -216,7 +216,7 @@
 	default:
 		return max(time.Millisecond, a.readyAt.Sub(now)), adapterComing, true
 	}
-	if !c.mayOrder || len(e.steps()) > 0 || e.comingAdapters() >= maxComingAdapters {
+	if !c.mayOrder || !e.isFree() || e.comingAdapters() >= maxComingAdapters {
 		return 0, adapterNone, false
 	}
 	wait := c.modelOf(ask.Model).adapterDelay
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -174,7 +174,13 @@
 
 // AllowOrders lets the cell order from now on.
 func (c *Cell) AllowOrders(now time.Time) Actions {
+	if c.mayOrder {
+		return c.take()
+	}
 	c.mayOrder = true
+	for _, e := range c.engines {
+		c.inspect(e, 0)
+	}
 	c.dispatch(now)
 	return c.take()
 }
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -51,13 +51,16 @@
 
 func (c *Cell) updateEngine(now time.Time, up *fleet.Upstream) {
 	e := c.engines[up.ID]
-	if e == nil {
-		c.engines[up.ID] = newEngine(up, c.spec)
-		return
-	}
-	if up.StartedMs > e.up.StartedMs {
+	if e != nil && up.StartedMs > e.up.StartedMs {
 		c.removeEngine(e)
-		c.engines[up.ID] = newEngine(up, c.spec)
+		e = nil
+	}
+	if e == nil {
+		e = newEngine(up, c.spec)
+		c.engines[up.ID] = e
+		if c.mayOrder {
+			c.inspect(e, 0)
+		}
 		return
 	}
 	if up.Sequence == e.up.Sequence && up.Draining == e.up.Draining {
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -23,7 +23,7 @@
 // the loss of the models that have to make room. ok is false while the engine
 // can't take the model.
 func (c *Cell) loadCost(now time.Time, e *engine, name string) (wait, cost time.Duration, ok bool) {
-	if len(e.steps()) > 0 {
+	if !e.isFree() {
 		return 0, 0, false
 	}
 	victims, loss, ok := c.victims(now, e, name)
