cell: a stopping router finds the new scheduler; requests left at the end are answered

Change: Resign in place of ending the election; at the end of the grace waiting requests are refused, the others answered with what is known. A vacant lease is taken after the jitter alone.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -20,7 +20,7 @@
 	// leaseKey is the row of the lease, TABLE/KEY.
 	leaseKey = "ragwortdoor-lease/scheduler"
 
-	electionTick = 100 * time.Millisecond
+	electionTick = 50 * time.Millisecond
 	// renewEvery is the pace of renewals, renewRetry that after a failure.
 	renewEvery   = 500 * time.Millisecond
 	renewRetry   = 150 * time.Millisecond
@@ -97,6 +97,8 @@
 	resumed atomic.Bool
 	// fenced is set when an engine has seen a higher fence.
 	fenced atomic.Bool
+	// resigned is set once this router takes no lease any more.
+	resigned atomic.Bool
 }
 
 // NewElection makes an election; call Run.
@@ -132,15 +134,22 @@
 	if e.fenced.Swap(false) && e.fence != 0 {
 		e.lose("an engine has seen a higher fence")
 	}
-	if e.fence != 0 {
-		e.renew(ctx, now)
-	} else {
+	switch {
+	case e.fence == 0:
 		e.follow(ctx, now)
+	case e.resigned.Load():
+		e.release(ctx)
+	default:
+		e.renew(ctx, now)
 	}
 	// A call to the store may take long; that is no pause of the process.
 	e.lastTick = time.Now()
 }
 
+// Resign gives a held lease up and takes none any more. Run goes on to find the
+// scheduler among other routers.
+func (e *Election) Resign() { e.resigned.Store(true) }
+
 // Fenced tells that an engine refused an order for its fence: another router
 // has taken the lease over.
 func (e *Election) Fenced() { e.fenced.Store(true) }
@@ -227,7 +236,10 @@
 		return
 	}
 	e.see(lease, row.Version)
-	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" {
+	if lease.GetHolder() == "" {
+		e.nextRead = e.nextTake
+	}
+	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" && !e.resigned.Load() {
 		// An own takeover whose answer was lost came through.
 		e.elected(row.Version, now)
 		return
@@ -265,7 +277,7 @@
 }
 
 func (e *Election) mayTake(now time.Time) bool {
-	if now.Before(e.nextTake) {
+	if now.Before(e.nextTake) || e.resigned.Load() {
 		return false
 	}
 	if e.row.GetHolder() == "" {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -46,6 +46,9 @@
 	// stopAt is when the process began to stop, in Unix nanoseconds; 0 before.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
+	// ending is cancelled when requests under way have to be answered at once.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // FrontOptions configure a Front.
@@ -60,7 +63,10 @@
 
 // NewFront makes a front.
 func NewFront(opts FrontOptions) *Front {
+	ending, end := context.WithCancel(context.Background())
 	return &Front{
+		ending:    ending,
+		end:       end,
 		settings:  opts.Settings,
 		dialect:   opts.Dialect,
 		directory: opts.Directory,
@@ -201,6 +207,8 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.giveUp)
 	defer cancel()
+	stop := context.AfterFunc(j.front.ending, cancel)
+	defer stop()
 	j.ctx = ctx
 	j.front.budget.Call()
 	if j.call.Model != "" && j.service.Engine != nil {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -33,6 +33,7 @@
 	stopLinger = 2800 * time.Millisecond
 	// stopQuiet is how long it goes on after that without requests.
 	stopQuiet = 500 * time.Millisecond
+	stopPoll  = 50 * time.Millisecond
 )
 
 // Deps are the parts that reach the platform.
@@ -161,17 +162,13 @@
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
 	group.Go(func() error { return serveHTTP(readyServer, ready) })
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.sweep} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep} {
 		group.Go(func() error { run(background); return nil })
 	}
-	electionCtx, endElection := context.WithCancel(background)
-	electionDone := make(chan struct{})
-	group.Go(func() error { defer close(electionDone); p.election.Run(electionCtx); return nil })
 	select {
 	case <-ctx.Done():
-		p.drain(endElection, electionDone)
+		p.drain()
 	case <-background.Done():
-		endElection()
 	}
 	err = errors.Join(callerServer.Close(), readyServer.Close())
 	end()
@@ -181,17 +178,17 @@
 }
 
 // drain says that the process is not ready, gives the lease up and waits for
-// the requests under way.
-func (p *Process) drain(endElection func(), electionDone <-chan struct{}) {
+// the requests under way. Those that are left at the end are answered: what was
+// not sent is refused, of the rest nobody knows.
+func (p *Process) drain() {
 	began := time.Now()
 	p.deps.Log.Info("stopping", "in_flight", p.front.inFlight.Load())
 	p.front.stop()
-	endElection()
-	<-electionDone
+	p.election.Resign()
 	deadline := began.Add(p.settings.StopGrace - stopMargin)
 	quietSince := time.Now()
 	for time.Now().Before(deadline) {
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(stopPoll)
 		if p.front.inFlight.Load() > 0 {
 			quietSince = time.Now()
 		}
@@ -199,6 +196,9 @@
 			return
 		}
 	}
+	p.deps.Log.Warn("stopping with requests under way", "in_flight", p.front.inFlight.Load())
+	p.front.end()
+	time.Sleep(stopPoll)
 }
 
 func (p *Process) sweep(ctx context.Context) {
