--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -19,7 +19,9 @@
 	silenceLimit = 800 * time.Millisecond
 	// staleLease is the age of the last renewal after which routers look at the
 	// lease themselves.
-	staleLease  = 1500 * time.Millisecond
+	staleLease = 1500 * time.Millisecond
+	// askTimeout bounds the wait for the confirmation of an ask.
+	askTimeout  = 200 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	redialPause = 150 * time.Millisecond
 )
@@ -67,14 +69,24 @@
 	mu      sync.Mutex
 	target  string // address of the holder; empty for none, "local" for this process
 	link    sender
-	waiting map[uint64]chan *apiv1.SchedulerReply
+	waiting map[uint64]*waitingAsk
 	running map[uint64]*apiv1.RunningRequest
-	// lastBeat and renewedAt belong to the present link.
+	// lastBeat and renewedAt belong to the present link; alive is set by its
+	// first beat.
+	alive     bool
 	lastBeat  time.Time
 	renewedAt time.Time
 	changed   chan struct{} // closed when a link comes up
 }
 
+// waitingAsk is an ask without a decision.
+type waitingAsk struct {
+	// answer gets the decision; it is closed when the link ends.
+	answer chan *apiv1.SchedulerReply
+	// queued is set once the scheduler has confirmed the ask.
+	queued bool
+}
+
 // ClientObserver is told about links, for logs.
 type ClientObserver interface {
 	SchedulerLinked(address string)
@@ -90,7 +102,7 @@
 		bootID:  bootID,
 		local:   local,
 		events:  events,
-		waiting: make(map[uint64]chan *apiv1.SchedulerReply),
+		waiting: make(map[uint64]*waitingAsk),
 		running: make(map[uint64]*apiv1.RunningRequest),
 		changed: make(chan struct{}),
 	}
@@ -125,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	return c.link != nil && now.Sub(c.lastBeat) < silenceLimit && now.Sub(c.renewedAt) < staleLease
+	return c.alive && now.Sub(c.lastBeat) < silenceLimit && now.Sub(c.renewedAt) < staleLease
 }
 
 // Run keeps a link to the scheduler until ctx ends.
@@ -200,10 +212,6 @@
 	}
 	c.link = link
 	c.lastBeat = time.Now()
-	c.renewedAt = c.lastBeat
-	close(c.changed)
-	c.changed = make(chan struct{})
-	c.events.SchedulerLinked(target)
 	return true
 }
 
@@ -243,14 +251,28 @@
 	if c.link == nil {
 		return
 	}
-	link := c.link
+	go c.link.close() // may wait for the peer
 	c.link = nil
-	go link.close() // may wait for the peer
-	for number, answer := range c.waiting {
-		close(answer)
+	for number, ask := range c.waiting {
+		close(ask.answer)
 		delete(c.waiting, number)
 	}
-	c.events.SchedulerLost(c.target, err)
+	if c.alive {
+		c.alive = false
+		c.events.SchedulerLost(c.target, err)
+	}
+}
+
+// beatLocked notes a sign of life.
+func (c *Client) beatLocked(renewedAgo time.Duration) {
+	c.renewedAt = c.lastBeat.Add(-renewedAgo)
+	if c.alive {
+		return
+	}
+	c.alive = true
+	close(c.changed)
+	c.changed = make(chan struct{})
+	c.events.SchedulerLinked(c.target)
 }
 
 func (c *Client) deliver(link sender, reply *apiv1.SchedulerReply) {
@@ -263,16 +285,21 @@
 	var number uint64
 	switch body := reply.GetBody().(type) {
 	case *apiv1.SchedulerReply_Beat:
-		c.renewedAt = c.lastBeat.Add(-time.Duration(body.Beat.GetRenewedAgoUs()) * time.Microsecond)
+		c.beatLocked(microseconds(body.Beat.GetRenewedAgoUs()))
+		return
+	case *apiv1.SchedulerReply_Queued:
+		if ask := c.waiting[body.Queued.GetNumber()]; ask != nil {
+			ask.queued = true
+		}
 		return
 	case *apiv1.SchedulerReply_Grant:
 		number = body.Grant.GetNumber()
 	case *apiv1.SchedulerReply_Refusal:
 		number = body.Refusal.GetNumber()
 	}
-	if answer := c.waiting[number]; answer != nil {
+	if ask := c.waiting[number]; ask != nil {
 		delete(c.waiting, number)
-		answer <- reply
+		ask.answer <- reply
 		return
 	}
 	if reply.GetGrant() != nil {
@@ -294,24 +321,40 @@
 // *RefusedError or that of ctx.
 func (c *Client) Place(ctx context.Context, ask *apiv1.PlacementAsk) (Placement, error) {
 	ask.Number = c.numbers.Add(1)
-	answer := make(chan *apiv1.SchedulerReply, 1)
+	waiting := &waitingAsk{answer: make(chan *apiv1.SchedulerReply, 1)}
 	c.mu.Lock()
-	if c.link == nil {
+	if !c.alive {
 		c.mu.Unlock()
 		return Placement{}, ErrNoScheduler
 	}
-	c.waiting[ask.GetNumber()] = answer
+	c.waiting[ask.GetNumber()] = waiting
 	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Ask{Ask: ask}})
 	c.mu.Unlock()
-	select {
-	case reply, ok := <-answer:
-		if !ok {
-			return Placement{}, ErrNoScheduler
+	confirm := time.NewTimer(askTimeout)
+	defer confirm.Stop()
+	for {
+		select {
+		case reply, ok := <-waiting.answer:
+			if !ok {
+				return Placement{}, ErrNoScheduler
+			}
+			return c.decide(ask, reply)
+		case <-confirm.C:
+			c.checkConfirmed(waiting)
+		case <-ctx.Done():
+			c.withdraw(ask.GetNumber())
+			return Placement{}, ctx.Err()
 		}
-		return c.decide(ask, reply)
-	case <-ctx.Done():
-		c.withdraw(ask.GetNumber())
-		return Placement{}, ctx.Err()
+	}
+}
+
+// checkConfirmed gives the link up if the scheduler has not confirmed an ask in
+// time; it may be frozen or cut off.
+func (c *Client) checkConfirmed(ask *waitingAsk) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !ask.queued && len(ask.answer) == 0 && time.Since(c.lastBeat) > askTimeout {
+		c.dropLinkLocked(errors.New("an ask was not confirmed"))
 	}
 }
 
@@ -373,7 +416,7 @@
 func (c *Client) WaitLinked(ctx context.Context) error {
 	for {
 		c.mu.Lock()
-		linked := c.link != nil
+		linked := c.alive
 		changed := c.changed
 		c.mu.Unlock()
 		if linked {
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -352,7 +352,11 @@
 	}
 	decoded := decodeAsk(now, from, ask)
 	from.services[decoded.Key] = ask.GetService()
-	s.carryOut(ask.GetService(), cell.Submit(now, decoded))
+	actions := cell.Submit(now, decoded)
+	if !actions.Answers(decoded.Key) {
+		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Queued{Queued: &apiv1.PlacementQueued{Number: ask.GetNumber()}}})
+	}
+	s.carryOut(ask.GetService(), actions)
 }
 
 func decodeAsk(now time.Time, from *session, ask *apiv1.PlacementAsk) *scheduler.Ask {
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -56,9 +56,13 @@
 	d.at = now
 }
 
-func (d *demand) add(now time.Time, work time.Duration) {
+func (d *demand) addRequest(now time.Time) {
 	d.decay(now)
 	d.requests += 1 / demandWindow.Seconds()
+}
+
+func (d *demand) addWork(now time.Time, work time.Duration) {
+	d.decay(now)
 	d.work += work.Seconds() / demandWindow.Seconds()
 }
 
@@ -74,15 +78,6 @@
 // readTime estimates the prefill of a number of tokens.
 func (m *model) readTime(tokens int64) time.Duration { return time.Duration(tokens) * m.perToken }
 
-// workOf estimates the prefill of an ask whose shared parts are cached.
-func (c *Cell) workOf(ask *Ask) time.Duration {
-	tokens := ask.PromptTokens
-	if n := len(ask.Parts); n > 0 {
-		tokens = ask.Parts[n-1].Tokens
-	}
-	return c.modelOf(ask.Model).readTime(tokens) + time.Duration(ask.OutputTokens)*c.modelOf(ask.Model).perToken
-}
-
 // learnPace takes a sample of the prefill time from a run that had an engine
 // for itself.
 func (c *Cell) learnPace(now time.Time, r *run) {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -185,6 +185,9 @@
 		e.orders++
 		c.accepted(now, e, s)
 	case fleet.OrderHolds:
+		if s.unload && s.adapter != "" {
+			e.orders++ // an unused adapter is unloaded at once, which counts
+		}
 		c.completed(now, e, s)
 	case fleet.OrderConflict:
 		c.conflicted(now, e)
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -13,6 +13,9 @@
 	replicaGain = 1.3
 	// replicaMargin is the gain below which a replica isn't worth its order, s/s.
 	replicaMargin = 0.02
+	// remoteReplicaGain is the gain from which a replica is worth a load from
+	// the weight store, s/s.
+	remoteReplicaGain = 0.2
 )
 
 // prepare loads what requests are likely to need.
@@ -58,7 +61,10 @@
 	}
 	best, bestCost := (*engine)(nil), time.Duration(0)
 	for _, e := range c.engines {
-		if !e.usable() || e.copies[name] != nil || now.Before(e.avoidUntil) || e.tier[name] == tierRemote {
+		if !e.usable() || e.copies[name] != nil || now.Before(e.avoidUntil) {
+			continue
+		}
+		if e.tier[name] == tierRemote && gain < remoteReplicaGain {
 			continue
 		}
 		_, loss, ok := c.victims(now, e, name)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
@@ -88,6 +89,13 @@
 	Inspects []InspectCall
 }
 
+// Answers reports whether the actions answer an ask.
+func (a Actions) Answers(key uint64) bool {
+	isGrant := func(g Grant) bool { return g.Key == key }
+	isRefusal := func(r Refusal) bool { return r.Key == key }
+	return slices.ContainsFunc(a.Grants, isGrant) || slices.ContainsFunc(a.Refusals, isRefusal)
+}
+
 // Outcome is how a granted request went on.
 type Outcome int
 
@@ -195,7 +203,7 @@
 // Submit takes an ask. Its grant or refusal may come with a later event.
 func (c *Cell) Submit(now time.Time, ask *Ask) Actions {
 	c.trafficSeen = true
-	c.modelOf(ask.Model).demand.add(now, c.workOf(ask))
+	c.modelOf(ask.Model).demand.addRequest(now)
 	c.waiting = append(c.waiting, &waiter{ask: ask, since: now})
 	c.dispatch(now)
 	return c.take()
@@ -295,6 +303,7 @@
 		alone:     len(e.pending) == 0,
 	}
 	c.runs[ask.Key] = r
+	c.modelOf(ask.Model).demand.addWork(now, r.work)
 	e.addRun(now, r)
 	return r
 }
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -41,7 +41,7 @@
 }
 
 // loadTime estimates the load itself. Loads from the weight store are only for
-// models that no host has at hand.
+// models that no host without the model has at hand.
 func (c *Cell) loadTime(now time.Time, e *engine, name string) (time.Duration, bool) {
 	spec := c.spec.Models[name]
 	switch e.tier[name] {
@@ -57,10 +57,11 @@
 	return c.remote.expected(spec.RemoteLoad), true
 }
 
-// isAtHand reports whether a usable engine's host keeps the model's weights.
+// isAtHand reports whether the host of a usable engine that does not hold the
+// model keeps its weights.
 func (c *Cell) isAtHand(name string) bool {
 	for _, e := range c.engines {
-		if e.usable() && e.tier[name] != tierRemote {
+		if e.usable() && e.copies[name] == nil && e.tier[name] != tierRemote {
 			return true
 		}
 	}
