--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+)
+
+func TestLoadedModelIsGrantedAtOnce(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(2)
+	w := newWorld(spec, newFakeEngine("e1", spec, "m0"))
+	w.describeAll()
+	w.startCell(2)
+	key := w.ask("m0", "", 100)
+	_, ok := w.granted(key)
+	is.True(ok) // no order is needed
+	is.Equal(w.orders, 0)
+}
+
+func TestRareModelIsSwappedInFromDisk(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(3)
+	e := newFakeEngine("e1", spec, "m0", "m1")
+	e.tiers["m2"] = tierDisk
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(100 * time.Millisecond)
+	key := w.ask("m2", "", 100)
+	w.run(1200 * time.Millisecond)
+	g, ok := w.granted(key)
+	is.True(ok) // one unload and one load from disk
+	is.True(g.Waited < 1200*time.Millisecond)
+	is.Equal(w.crashed(), nil)
+	is.Equal(w.orders, 2) // no order was refused
+}
+
+// Pattern: a burst of first requests for rare models, more than fit.
+func TestBurstOfRareModelsNeverOvercommits(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(12)
+	var engines []*fakeEngine
+	for i := range 3 {
+		e := newFakeEngine(fmt.Sprintf("e%d", i), spec, fmt.Sprintf("m%d", 2*i), fmt.Sprintf("m%d", 2*i+1))
+		for m := range 12 {
+			e.tiers[fmt.Sprintf("m%d", m)] = tierDisk
+		}
+		e.describe()
+		engines = append(engines, e)
+	}
+	w := newWorld(spec, engines...)
+	w.run(100 * time.Millisecond)
+	var keys []uint64
+	for m := range 12 {
+		keys = append(keys, w.ask(fmt.Sprintf("m%d", m), "", 100))
+	}
+	for range 60 {
+		w.run(100 * time.Millisecond)
+		for _, k := range keys {
+			if _, ok := w.granted(k); ok {
+				w.end(k)
+			}
+		}
+	}
+	is.Equal(w.crashed(), nil)
+	for _, k := range keys {
+		_, ok := w.granted(k)
+		is.True(ok) // every model got its turn before the deadline
+	}
+}
+
+// Pattern: a new holder of the lease sees entries that are older than the
+// former holder's adapter orders.
+func TestNewHolderCountsFormerHoldersAdapters(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	e.describe()
+	w := newWorld(spec, e)
+	for _, name := range []string{"a1", "a2", "a3"} { // not in the entry yet
+		e.models["m0"][name] = true
+		e.orders++
+	}
+	w.startCell(2)
+	w.run(50 * time.Millisecond)
+	for i := range 6 {
+		key := w.ask("m0", fmt.Sprintf("b%d", i), 100)
+		w.run(200 * time.Millisecond)
+		w.end(key)
+	}
+	is.Equal(w.crashed(), nil)
+}
+
+// Pattern: a new holder meets an engine that still loads for the former one.
+func TestNewHolderWaitsForTheLoadUnderWay(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(4)
+	e := newFakeEngine("e1", spec, "m0")
+	for m := range 4 {
+		e.tiers[fmt.Sprintf("m%d", m)] = tierDisk
+	}
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	w.ask("m1", "", 100) // the former holder orders m1 and is gone
+	w.run(20 * time.Millisecond)
+	is.True(e.busy != nil)
+	w.startCell(2)
+	key := w.ask("m2", "", 100)
+	w.run(3 * time.Second)
+	is.Equal(w.crashed(), nil)
+	_, ok := w.granted(key)
+	is.True(ok)
+}
+
+// Pattern: a model is ordered that loads already, which an engine accepts
+// without counting it.
+func TestDuplicateLoadDoesNotStall(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(3)
+	e := newFakeEngine("e1", spec, "m0")
+	e.tiers["m1"] = tierDisk
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	order := fleet.Order{Model: "m1", Holder: "router-0", Fence: 1}
+	expected := int64(0)
+	order.ExpectedOrders = &expected
+	w.apply(e, order)
+	key := w.ask("m1", "", 100)
+	w.run(4 * time.Second)
+	_, ok := w.granted(key)
+	is.True(ok)
+}
+
+// Pattern: an unused adapter is unloaded at once; that counts as an order.
+func TestAdapterSwapMeetsNoConflict(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		e.models["m0"][name] = true
+	}
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	key := w.ask("m0", "a9", 100)
+	w.run(100 * time.Millisecond)
+	_, ok := w.granted(key)
+	is.True(ok)
+	is.Equal(w.orders, 2) // unload and load, none of them refused
+	is.Equal(w.crashed(), nil)
+}
+
+// Pattern: the only engine with the busiest model is overrun, and no other host
+// keeps a copy.
+func TestBusyModelGetsReplicaFromWeightStore(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(3)
+	e1 := newFakeEngine("e1", spec, "m0")
+	e2 := newFakeEngine("e2", spec, "m1")
+	e1.describe()
+	e2.describe()
+	w := newWorld(spec, e1, e2)
+	w.run(50 * time.Millisecond)
+	for range 300 {
+		key := w.ask("m0", "", 4000) // 100 ms of prefill each
+		w.run(50 * time.Millisecond)
+		_ = key
+	}
+	is.True(e2.models["m0"] != nil) // replicated
+	is.Equal(w.crashed(), nil)
+}
+
+// Pattern: an engine denies a model that the cell counts.
+func TestDeniedModelIsCountedUntilReported(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(4)
+	e := newFakeEngine("e1", spec, "m0", "m1")
+	e.tiers["m2"] = tierDisk
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	key := w.ask("m0", "", 100)
+	w.carryOut(w.cell.Progress(w.now, key, ModelMissing))
+	w.ask("m2", "", 100)
+	w.run(3 * time.Second)
+	is.Equal(w.crashed(), nil)
+}
+
+func TestRequestThatCannotBeServedIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(2)
+	e := newFakeEngine("e1", spec, "m0")
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	w.nextKey++
+	w.carryOut(w.cell.Submit(w.now, &Ask{Key: w.nextKey, Model: "m1", PromptTokens: 10, Objective: w.now.Add(time.Second), GiveUp: w.now.Add(2 * time.Second)}))
+	is.Equal(len(w.refused), 1) // the load takes 6 s
+	is.True(w.refused[0].RetryAfter > 0)
+}
+
+func TestPrefixAffinity(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e1 := newFakeEngine("e1", spec, "m0")
+	e2 := newFakeEngine("e2", spec, "m0")
+	e1.describe()
+	e2.describe()
+	w := newWorld(spec, e1, e2)
+	w.run(50 * time.Millisecond)
+	submit := func(own string) string {
+		w.nextKey++
+		key := w.nextKey
+		w.carryOut(w.cell.Submit(w.now, &Ask{
+			Key: key, Model: "m0", PromptTokens: 4500, OutputTokens: 10,
+			Parts: []Part{{ID: "shared", Tokens: 4000}, {ID: own, Tokens: 500}}, Objective: w.now.Add(time.Second), GiveUp: w.now.Add(10 * time.Second),
+		}))
+		g, ok := w.granted(key)
+		is.True(ok)
+		w.run(200 * time.Millisecond)
+		w.end(key)
+		return g.Upstream.ID
+	}
+	first := submit("s1")
+	is.Equal(submit("s2"), first)
+	is.Equal(submit("s3"), first)
+}
