--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -27,8 +27,11 @@
 	leaseTimeout = 600 * time.Millisecond // of one call to the store
 	// readEvery is the pace at which a router without a scheduler reads the row.
 	readEvery = 300 * time.Millisecond
-	// contendJitter spreads the routers that find the lease vacant.
-	contendJitter = 150 * time.Millisecond
+	// contendJitter spreads the routers that find the lease vacant, beside a
+	// delay that is longer on weaker hosts: contendDelay for a whole core.
+	contendJitter   = 100 * time.Millisecond
+	contendDelay    = 40 * time.Millisecond
+	maxContendDelay = 300 * time.Millisecond
 	// fencedPatience is how long a row must be unchanged before it is taken over
 	// where engines refuse orders of former holders: three renewals.
 	fencedPatience = 3 * renewEvery
@@ -53,6 +56,8 @@
 	Host    string
 	BootID  string
 	Address string
+	// Cores is the processor share of this host; strong hosts go first.
+	Cores float64
 	// LeaseTime is how long two holders must not order within, where engines
 	// don't check fences.
 	LeaseTime         time.Duration
@@ -265,11 +270,19 @@
 	e.row = row
 	e.version = version
 	e.watchedSince = time.Now()
-	e.nextTake = e.watchedSince.Add(rand.N(contendJitter))
+	e.nextTake = e.watchedSince.Add(e.delay() + rand.N(contendJitter))
 	e.opts.Observer.LeaseRead(row.GetHolder(), version)
 	e.announce()
 }
 
+// delay makes strong hosts contend first.
+func (e *Election) delay() time.Duration {
+	if e.opts.Cores <= 0 {
+		return contendDelay
+	}
+	return min(maxContendDelay, time.Duration(float64(contendDelay)/e.opts.Cores))
+}
+
 func (e *Election) announce() {
 	if e.row.GetHolder() != "" && e.row.GetBootId() != e.opts.BootID {
 		e.opts.OnHolder(e.row.GetHolder(), e.row.GetAddress())
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	tickEvery = 50 * time.Millisecond
+	// tickEvery is the pace of the cells while requests wait, idleTick else.
+	tickEvery = 10 * time.Millisecond
+	idleTick  = 50 * time.Millisecond
 	// engineTimeout bounds an order or the reading of a report.
 	engineTimeout = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the scheduler's goroutine.
@@ -58,6 +60,7 @@
 	sessions map[uint64]*session
 	serial   uint64
 	lastBeat time.Time
+	lastTick time.Time
 }
 
 // session is one router's connection.
@@ -164,7 +167,14 @@
 		return
 	}
 	now := time.Now()
+	idle := now.Sub(s.lastTick) >= idleTick
+	if idle {
+		s.lastTick = now
+	}
 	for name, cell := range s.cells {
+		if !idle && cell.Waiting() == 0 {
+			continue
+		}
 		if !now.Before(s.tenure.OrdersFrom) {
 			s.carryOut(name, cell.AllowOrders(now))
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,8 @@
 	CallerAddr string
 	ReadyAddr  string
 	PeerAddr   string
+	// Cores is the processor share of the host, in cores; 0 if unknown.
+	Cores float64
 	// StopGrace is the time from the signal to stop to the kill.
 	StopGrace time.Duration
 	// LeaseTime is how long two holders of the scheduler's lease must not order
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -85,6 +85,7 @@
 		Host:              settings.Host,
 		BootID:            bootID,
 		Address:           settings.PeerAddr,
+		Cores:             settings.Cores,
 		LeaseTime:         settings.LeaseTime,
 		EnginesCheckFence: settings.EnginesCheckFence,
 		IsServed:          p.client.IsServed,
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,224 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// scripted is an upstream that answers the n-th request of a connection with
+// the n-th text; "CLOSE" and "RESET" end the connection.
+type scripted struct {
+	addr  string
+	conns atomic.Int64
+	reads atomic.Int64
+}
+
+func serve(t *testing.T, answers ...string) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &scripted{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.answer(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) answer(c net.Conn, answers []string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, text := range answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s.reads.Add(1)
+		text, closes := strings.CutSuffix(text, "CLOSE")
+		text, resets := strings.CutSuffix(text, "RESET")
+		text = strings.ReplaceAll(text, "{id}", req.Header.Get("Id"))
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if resets {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		if closes || resets {
+			return
+		}
+	}
+	_, _ = r.ReadByte() // wait for the caller's close
+}
+
+func request(id string) *Request {
+	return &Request{ID: id, Method: http.MethodPost, URI: "/p?q=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body")}
+}
+
+func get(p *Pool, addr, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Send(ctx, addr, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(resp)
+	return string(body), err
+}
+
+const (
+	okA = "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nhi"
+	old = "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 3\r\n\r\nold"
+)
+
+func TestAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, answer string
+		body         string
+		fails        bool
+		sent         bool
+	}{
+		{"whole", okA, "hi", false, false},
+		{"chunked", "HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi", false, false},
+		{"ended by its connection", "HTTP/1.1 200 OK\r\nId: {id}\r\n\r\nhiCLOSE", "hi", false, false},
+		{"late answer to an earlier request first", old + okA, "hi", false, false},
+		{"informational first", "HTTP/1.1 102 Processing\r\n\r\n" + okA, "hi", false, false},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nhiCLOSE", "", true, false},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhiCLOSE", "", true, false},
+		{"reset before its end", "HTTP/1.1 200 OK\r\nId: {id}\r\n\r\nhiRESET", "", true, false},
+		{"no answer", "CLOSE", "", true, true},
+		{"no HTTP", "garbage\r\n\r\nCLOSE", "", true, true},
+		{"only another's answer", old + "CLOSE", "", true, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, tc.answer)
+			body, err := get(NewPool(Options{IDHeader: "Id"}), s.addr, "r1")
+			is.Equal(err != nil, tc.fails)
+			if !tc.fails {
+				is.Equal(body, tc.body)
+			}
+			var failure *Error
+			if tc.sent {
+				is.True(errors.As(err, &failure))
+				is.True(failure.Sent) // it may have run
+			}
+		})
+	}
+}
+
+func TestNothingSentIsToldApart(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	l.Close()
+	_, err = get(NewPool(Options{}), addr, "r1")
+	var failure *Error
+	is.True(errors.As(err, &failure))
+	is.True(!failure.Sent)
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, okA, okA, okA)
+	p := NewPool(Options{IDHeader: "Id"})
+	for _, id := range []string{"a", "b", "c"} {
+		body, err := get(p, s.addr, id)
+		is.NoErr(err)
+		is.Equal(body, "hi")
+	}
+	is.Equal(s.conns.Load(), int64(1))
+}
+
+// A second answer that nobody asked for must not answer the next request.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, okA+old, okA)
+	p := NewPool(Options{IDHeader: "Id"})
+	_, err := get(p, s.addr, "a")
+	is.NoErr(err)
+	body, err := get(p, s.addr, "b")
+	is.NoErr(err)
+	is.Equal(body, "hi")
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, okA+"CLOSE")
+	p := NewPool(Options{IDHeader: "Id"})
+	_, err := get(p, s.addr, "a")
+	is.NoErr(err)
+	deadline := time.Now().Add(5 * time.Second)
+	for time.Now().Before(deadline) {
+		p.mu.Lock()
+		idle := p.idle[s.addr]
+		p.mu.Unlock()
+		if len(idle) == 0 || !idle[0].isQuiet() {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, err = get(p, s.addr, "b")
+	is.NoErr(err)
+	is.Equal(s.conns.Load(), int64(2))
+}
+
+func TestAnnouncedIdleTimeoutIsKept(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, strings.Replace(okA, "\r\n\r\n", "\r\nKeep-Alive: timeout=2\r\n\r\n", 1))
+	p := NewPool(Options{IDHeader: "Id"})
+	_, err := get(p, s.addr, "a")
+	is.NoErr(err)
+	is.Equal(p.idle[s.addr][0].idleLimit, 1400*time.Millisecond)
+}
+
+func TestRequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	client, server := net.Pipe()
+	done := make(chan struct{})
+	go func() { defer close(done); io.Copy(&b, server) }()
+	req := request("r1")
+	req.URI = "/a%2Fb//c?x=%20"
+	is.NoErr(writeRequest(newConn(client), req))
+	client.Close()
+	<-done
+	is.Equal(b.String(), "POST /a%2Fb//c?x=%20 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody")
+}
+
+func TestCancelEndsTheExchange(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nhi", okA)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := NewPool(Options{IDHeader: "Id"})
+	resp, err := p.Send(ctx, s.addr, request("a"))
+	is.NoErr(err)
+	cancel()
+	_, err = io.ReadAll(resp)
+	is.True(err != nil)
+	resp.Close()
+	is.Equal(len(p.idle[s.addr]), 0)
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	config := NewConfig(1, []Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}, nil, Limits{})
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/y", "root"},
+		{"A.EXAMPLE:8080", "/x/y/", "long"},
+		{"b.example", "/x/1", "other"},
+		{"b.example", "/y/1", ""},
+		{"c.example", "/", ""},
+	} {
+		t.Run(tc.host+tc.path, func(t *testing.T) {
+			is := is.New(t)
+			got := ""
+			if route := config.Match(tc.host, tc.path); route != nil {
+				got = route.Name
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+func TestPickTargetFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	route := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	is.Equal(route.PickTarget(0), "a")
+	is.Equal(route.PickTarget(0.89), "a")
+	is.Equal(route.PickTarget(0.91), "b")
+	is.Equal((&Route{}).PickTarget(0.5), "")
+}
+
+func TestConfigNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	d := NewDirectory()
+	is.True(d.SetConfig(NewConfig(7, nil, nil, Limits{})))
+	is.True(!d.SetConfig(NewConfig(3, nil, nil, Limits{})))
+	is.True(!d.SetConfig(NewConfig(7, nil, nil, Limits{})))
+	is.Equal(d.Load().Config.Version, int64(7))
+}
+
+func entry(id string, started, sequence int64, draining bool) Entry {
+	return Entry{ID: id, Upstream: &Upstream{ID: id, Service: "s", StartedMs: started, Sequence: sequence, Draining: draining}}
+}
+
+func TestMerge(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, tc := range []struct {
+		name    string
+		entries []Entry
+		usable  bool
+		known   bool
+	}{
+		{"new", []Entry{entry("a", 1, 1, false)}, true, true},
+		{"draining", []Entry{entry("a", 1, 1, false), entry("a", 1, 2, true)}, false, true},
+		{"late copy of an earlier heartbeat", []Entry{entry("a", 1, 5, true), entry("a", 1, 4, false)}, false, true},
+		{"ready again in the same incarnation", []Entry{entry("a", 1, 5, true), entry("a", 1, 6, false)}, false, true},
+		{"a new incarnation is ready", []Entry{entry("a", 1, 5, true), entry("a", 2, 0, false)}, true, true},
+		{"an entry of the former incarnation", []Entry{entry("a", 2, 0, false), entry("a", 1, 9, true)}, true, true},
+		{"unreadable entry keeps what is known", []Entry{entry("a", 1, 1, false), {ID: "a", Fault: errors.New("torn")}}, true, true},
+		{"unreadable entry names nobody", []Entry{{ID: "a", Fault: errors.New("torn")}}, false, false},
+		{"removed", []Entry{entry("a", 1, 1, false), {ID: "a"}}, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			d := NewDirectory()
+			for _, e := range tc.entries {
+				d.Merge(now, Change{Entries: []Entry{e}})
+			}
+			_, usable := d.Load().Usable("a")
+			is.Equal(usable, tc.usable)
+			is.Equal(d.Load().Upstreams["a"] != nil, tc.known)
+		})
+	}
+}
+
+// Pattern: the store was away, entries lapsed meanwhile and come back.
+func TestLapsedEntriesStayUntilTheGraceIsOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := NewDirectory()
+	d.Merge(now, Change{Entries: []Entry{entry("a", 1, 1, false), entry("b", 1, 1, false)}})
+	d.Merge(now, Change{Whole: true, LapseGrace: 2 * time.Second})
+	is.Equal(len(d.Load().Upstreams), 2)
+	is.True(d.Holding())
+	d.Merge(now.Add(time.Second), Change{Entries: []Entry{entry("a", 1, 2, false)}})
+	gone := d.Merge(now.Add(2*time.Second), Change{})
+	is.Equal(gone, []string{"b"}) // taken as gone
+	is.True(d.Load().Upstreams["a"] != nil)
+	is.True(!d.Holding())
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -138,6 +138,7 @@
 func (c *Cell) begin(now time.Time, e *engine, p *plan) {
 	e.plan = p
 	e.order = pendingOrder{changed: now}
+	c.index.valid = false
 	c.send(now, e, 0)
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -54,9 +54,18 @@
 		return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), a.ask.Objective.Compare(b.ask.Objective))
 	})
 	kept := c.waiting[:0]
+	stuck := make(map[string]bool) // models for which nothing can be done now
 	for _, w := range c.waiting {
-		if !c.settle(now, w) {
+		if stuck[w.ask.Model] && now.Before(w.ask.GiveUp) {
 			kept = append(kept, w)
+			continue
+		}
+		if c.settle(now, w) {
+			continue
+		}
+		kept = append(kept, w)
+		if w.ask.Adapter == "" && len(w.ask.Tried) == 0 {
+			stuck[w.ask.Model] = true
 		}
 	}
 	clear(c.waiting[len(kept):])
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// prepareEvery is the pace of loads that no request waits for.
+	prepareEvery = 200 * time.Millisecond
 	// maxReplicaLoads bounds the loads that no request waits for.
 	maxReplicaLoads = 2
 	// replicaGain is how much more a replica must bring than its victims lose.
@@ -20,9 +22,10 @@
 
 // prepare loads what requests are likely to need.
 func (c *Cell) prepare(now time.Time) {
-	if !c.mayOrder || c.spec == nil {
+	if !c.mayOrder || c.spec == nil || now.Sub(c.preparedAt) < prepareEvery {
 		return
 	}
+	c.preparedAt = now
 	c.replicate(now)
 	c.fetchAbsent(now)
 }
@@ -121,22 +124,3 @@
 		c.startLoad(now, best, name, "absent model")
 	}
 }
-
-func (c *Cell) loadsInProgress() int {
-	n := 0
-	for _, e := range c.engines {
-		if e.plan != nil && e.plan.adapter == "" {
-			n++
-		}
-	}
-	return n
-}
-
-func (c *Cell) isLoading(name string) bool {
-	for _, e := range c.engines {
-		if w := e.copies[name]; e.usable() && w != nil && w.state == loading {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -145,6 +145,8 @@
 	mayOrder bool
 	// trafficSeen is set by the first ask.
 	trafficSeen bool
+	preparedAt  time.Time
+	index       index
 }
 
 // waiter is an ask that has no place yet.
@@ -197,6 +199,7 @@
 func (c *Cell) take() Actions {
 	out := c.actions
 	c.actions = Actions{}
+	c.index.valid = false
 	return out
 }
 
@@ -204,8 +207,10 @@
 func (c *Cell) Submit(now time.Time, ask *Ask) Actions {
 	c.trafficSeen = true
 	c.modelOf(ask.Model).demand.addRequest(now)
-	c.waiting = append(c.waiting, &waiter{ask: ask, since: now})
-	c.dispatch(now)
+	w := &waiter{ask: ask, since: now}
+	if !c.settle(now, w) {
+		c.waiting = append(c.waiting, w)
+	}
 	return c.take()
 }
 
@@ -234,11 +239,11 @@
 	if r := c.runs[key]; r != nil {
 		c.endRun(now, r)
 	}
-	c.dispatch(now)
 	return c.take()
 }
 
-// Progress takes news of a granted request.
+// Progress takes news of a granted request. The room that it leaves is given
+// out by the next Tick.
 func (c *Cell) Progress(now time.Time, key uint64, outcome Outcome) Actions {
 	r := c.runs[key]
 	if r == nil {
@@ -261,7 +266,6 @@
 	case Finished, Cancelled:
 	}
 	c.endRun(now, r)
-	c.dispatch(now)
 	return c.take()
 }
 
@@ -277,7 +281,7 @@
 	r.engine.full(now)
 }
 
-// Tick lets time pass.
+// Tick lets time pass. It is due every few milliseconds while asks wait.
 func (c *Cell) Tick(now time.Time) Actions {
 	c.remote.tick(now)
 	c.checkOrders(now)
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -57,17 +57,6 @@
 	return c.remote.expected(spec.RemoteLoad), true
 }
 
-// isAtHand reports whether the host of a usable engine that does not hold the
-// model keeps its weights.
-func (c *Cell) isAtHand(name string) bool {
-	for _, e := range c.engines {
-		if e.usable() && e.copies[name] == nil && e.tier[name] != tierRemote {
-			return true
-		}
-	}
-	return false
-}
-
 // victims chooses the copies that make room for a model, the least valuable
 // first. ok is false if idle ones don't suffice.
 func (c *Cell) victims(now time.Time, e *engine, name string) (chosen []*weightCopy, loss float64, ok bool) {
@@ -120,18 +109,6 @@
 	return queueLoss * share * share
 }
 
-// copiesOf counts the copies of a model on usable engines, coming ones included.
-func (c *Cell) copiesOf(name string) int {
-	n := 0
-	for _, e := range c.engines {
-		w := e.copies[name]
-		if e.usable() && w != nil && w.state != unloading {
-			n++
-		}
-	}
-	return n
-}
-
 // engineWork is the share of an engine's time that the models on it need.
 func (c *Cell) engineWork(now time.Time, e *engine) float64 {
 	sum := 0.0
