--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -70,6 +70,8 @@
 	OnLost    func(reason string)
 	OnHolder  func(host, address string)
 	Observer  Observer
+	// Now tells the time with a monotonic reading; nil means time.Now.
+	Now func() time.Time
 }
 
 // Observer is told what an election learns, for logs.
@@ -108,14 +110,18 @@
 
 // NewElection makes an election; call Run.
 func NewElection(opts ElectionOptions) *Election {
-	return &Election{opts: opts, row: &apiv1.SchedulerLease{}, began: time.Now()}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	now := opts.Now()
+	return &Election{opts: opts, row: &apiv1.SchedulerLease{}, began: now, lastTick: now}
 }
 
 // Run competes until ctx ends, then releases a held lease.
 func (e *Election) Run(ctx context.Context) {
 	ticker := time.NewTicker(electionTick)
 	defer ticker.Stop()
-	e.lastTick = time.Now()
+	e.lastTick = e.opts.Now()
 	e.step(ctx)
 	for {
 		select {
@@ -129,7 +135,7 @@
 }
 
 func (e *Election) step(ctx context.Context) {
-	now := time.Now()
+	now := e.opts.Now()
 	if now.Sub(e.lastTick) > pauseGap {
 		e.resumed.Store(true)
 		e.nextRenewal = now
@@ -148,7 +154,7 @@
 		e.renew(ctx, now)
 	}
 	// A call to the store may take long; that is no pause of the process.
-	e.lastTick = time.Now()
+	e.lastTick = e.opts.Now()
 }
 
 // Resign gives a held lease up and takes none any more. Run goes on to find the
@@ -161,7 +167,7 @@
 
 // RenewedAgo is the time since the last renewal that succeeded was sent.
 func (e *Election) RenewedAgo() time.Duration {
-	return time.Since(e.began) - time.Duration(e.renewed.Load())
+	return e.opts.Now().Sub(e.began) - time.Duration(e.renewed.Load())
 }
 
 // MayOrder reports whether the holder may send an order now. After a pause it
@@ -191,7 +197,7 @@
 	result, err := e.commit(ctx, row)
 	if err != nil {
 		e.opts.Observer.LeaseFailed("renew", err)
-		e.nextRenewal = time.Now().Add(renewRetry)
+		e.nextRenewal = e.opts.Now().Add(renewRetry)
 		return
 	}
 	if result.Committed {
@@ -232,7 +238,7 @@
 	if err != nil {
 		e.opts.Observer.LeaseFailed("read", err)
 		// The holder could not renew either.
-		e.watchedSince = time.Now()
+		e.watchedSince = e.opts.Now()
 		return
 	}
 	lease, err := decodeLease(row)
@@ -249,7 +255,7 @@
 		e.elected(row.Version, now)
 		return
 	}
-	if e.mayTake(time.Now()) {
+	if e.mayTake(e.opts.Now()) {
 		e.take(ctx)
 	}
 }
@@ -269,7 +275,7 @@
 	}
 	e.row = row
 	e.version = version
-	e.watchedSince = time.Now()
+	e.watchedSince = e.opts.Now()
 	e.nextTake = e.watchedSince.Add(e.delay() + rand.N(contendJitter))
 	e.opts.Observer.LeaseRead(row.GetHolder(), version)
 	e.announce()
@@ -310,12 +316,12 @@
 }
 
 func (e *Election) take(ctx context.Context) {
-	now := time.Now()
+	now := e.opts.Now()
 	row := &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
 	result, err := e.commit(ctx, row)
 	if err != nil {
 		e.opts.Observer.LeaseFailed("take", err)
-		e.watchedSince = time.Now()
+		e.watchedSince = e.opts.Now()
 		return
 	}
 	if !result.Committed {
@@ -331,7 +337,7 @@
 	e.fence = version
 	e.setRenewed(sent)
 	e.nextRenewal = sent.Add(renewEvery)
-	tenure := Tenure{Fence: version, OrdersFrom: time.Now()}
+	tenure := Tenure{Fence: version, OrdersFrom: e.opts.Now()}
 	if !e.opts.EnginesCheckFence {
 		tenure.OrdersFrom = tenure.OrdersFrom.Add(e.opts.LeaseTime)
 	}
--- /dev/null
+++ b/internal/cell/election_test.go
@@ -0,0 +1,194 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
+)
+
+type quietObserver struct{}
+
+func (quietObserver) LeaseRead(string, int64)     {}
+func (quietObserver) LeaseFailed(string, error)   {}
+func (quietObserver) SchedulerLinked(string)      {}
+func (quietObserver) SchedulerLost(string, error) {}
+
+// contender is an election in simulated time.
+type contender struct {
+	*Election
+	host    string
+	tenures []Tenure
+	lost    int
+	holder  string // as announced
+	served  bool
+}
+
+type arena struct {
+	now        time.Time
+	table      *tabletest.Table
+	contenders []*contender
+}
+
+func newArena(fenced bool, hosts ...string) *arena {
+	a := &arena{now: time.Unix(1000, 0), table: tabletest.New()}
+	for _, host := range hosts {
+		c := &contender{host: host}
+		c.Election = NewElection(ElectionOptions{
+			Table: a.table, Host: host, BootID: "boot-" + host, Address: host + ":1",
+			LeaseTime: 3 * time.Second, EnginesCheckFence: fenced,
+			IsServed:  func() bool { return c.served },
+			OnElected: func(t Tenure) { c.tenures = append(c.tenures, t) },
+			OnLost:    func(string) { c.lost++ },
+			OnHolder:  func(host, _ string) { c.holder = host },
+			Observer:  quietObserver{},
+			Now:       func() time.Time { return a.now },
+		})
+		a.contenders = append(a.contenders, c)
+	}
+	return a
+}
+
+// run steps the contenders for a time; the stopped ones stand still.
+func (a *arena) run(d time.Duration, stopped ...*contender) {
+	for end := a.now.Add(d); a.now.Before(end); a.now = a.now.Add(electionTick) {
+	next:
+		for _, c := range a.contenders {
+			for _, s := range stopped {
+				if s == c {
+					continue next
+				}
+			}
+			c.step(context.Background())
+		}
+	}
+}
+
+func (c *contender) holds() bool { return c.fence != 0 }
+
+func TestOneTakesAVacantLease(t *testing.T) {
+	is := is.New(t)
+	a := newArena(true, "a", "b", "c")
+	a.run(2 * time.Second)
+	holders := 0
+	for _, c := range a.contenders {
+		if c.holds() {
+			holders++
+			is.True(c.MayOrder())
+		} else {
+			is.True(c.holder != "")
+		}
+	}
+	is.Equal(holders, 1)
+}
+
+// holderOf makes the first contender the holder and returns it with the other.
+func holderOf(t *testing.T, fenced bool) (*arena, *contender, *contender) {
+	t.Helper()
+	a := newArena(fenced, "a", "b")
+	first, second := a.contenders[0], a.contenders[1]
+	a.run(time.Second, second)
+	if !first.holds() {
+		t.Fatal("the only contender did not take the lease")
+	}
+	return a, first, second
+}
+
+func TestSilentHolderIsReplacedWithAHigherFence(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		is := is.New(t)
+		a, first, second := holderOf(t, fenced)
+		before := a.now
+		a.run(8*time.Second, first)
+		is.True(second.holds())
+		is.True(second.tenures[0].Fence > first.tenures[0].Fence)
+		if !fenced {
+			// No order of two holders within the lease time.
+			is.True(second.tenures[0].OrdersFrom.Sub(before) > 3*time.Second)
+		}
+	}
+}
+
+// Pattern: the holder is frozen as the answer to its renewal is on its way.
+func TestThawedHolderOrdersNothing(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	a.run(6*time.Second, first)
+	is.True(second.holds())
+	is.True(!first.MayOrder()) // its last renewal is too old
+	first.step(context.Background())
+	is.Equal(first.lost, 1)
+	is.Equal(first.holder, "b")
+}
+
+func TestPausedHolderRenewsBeforeItOrders(t *testing.T) {
+	is := is.New(t)
+	a, first, _ := holderOf(t, true)
+	a.now = a.now.Add(2 * time.Second) // a pause in which nobody took over
+	a.table.SetFault(tabletest.Down)
+	first.step(context.Background())
+	is.True(!first.MayOrder())
+	a.table.SetFault(tabletest.None)
+	a.run(time.Second, a.contenders[1])
+	is.True(first.holds())
+	is.True(first.MayOrder())
+}
+
+func TestHolderGoesOnWhileTheStoreIsAway(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		is := is.New(t)
+		a, first, second := holderOf(t, fenced)
+		a.table.SetFault(tabletest.Down)
+		a.run(10 * time.Second)
+		is.True(first.holds())
+		is.True(!second.holds())
+		is.Equal(first.MayOrder(), fenced) // only where engines check fences
+		a.table.SetFault(tabletest.None)
+		a.run(2 * time.Second)
+		is.True(first.holds()) // no takeover on the strength of an old row
+		is.True(first.MayOrder())
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	is := is.New(t)
+	a := newArena(true, "a", "b")
+	first := a.contenders[0]
+	a.table.SetFault(tabletest.LostAnswer)
+	a.run(time.Second, a.contenders[1])
+	a.table.SetFault(tabletest.None)
+	a.run(2 * time.Second)
+	is.True(first.holds()) // its takeover came through
+	a.table.SetFault(tabletest.LostAnswer)
+	a.run(time.Second)
+	a.table.SetFault(tabletest.None)
+	a.run(time.Second)
+	is.True(first.holds()) // and so did its renewals
+	is.Equal(first.lost, 0)
+	is.Equal(len(first.tenures), 1)
+}
+
+func TestFencedHolderStepsDown(t *testing.T) {
+	is := is.New(t)
+	_, first, _ := holderOf(t, true)
+	first.Fenced()
+	is.True(!first.MayOrder())
+	first.step(context.Background())
+	is.Equal(first.lost, 1)
+}
+
+// Pattern: routers are stopped one after the other.
+func TestStoppingRouterFindsTheNextScheduler(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.Resign()
+	a.run(time.Second)
+	is.True(!first.holds())
+	is.True(second.holds()) // at once, without waiting for the lease's end
+	is.Equal(first.holder, "b")
+	a.run(10*time.Second, second)
+	is.True(!first.holds()) // it takes no lease any more
+}
--- /dev/null
+++ b/internal/cell/link_test.go
@@ -0,0 +1,143 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
+	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+)
+
+type quietLog struct{}
+
+func (quietLog) Granted(string, scheduler.Grant)                                              {}
+func (quietLog) Refused(string, scheduler.Refusal)                                            {}
+func (quietLog) Ordered(string, scheduler.OrderCall, fleet.OrderResult, time.Duration, error) {}
+func (quietLog) Inspected(string, fleet.Inventory, error)                                     {}
+
+type holdingEngines struct{}
+
+func (holdingEngines) Order(context.Context, *fleet.Upstream, fleet.Order) (fleet.OrderResult, error) {
+	return fleet.OrderConflict, nil
+}
+
+func (holdingEngines) Inspect(context.Context, *fleet.Upstream) (fleet.Inventory, error) {
+	return fleet.Inventory{StartedMs: 1, Models: []fleet.HeldModel{{Name: "m"}}}, nil
+}
+
+// newScheduler runs an active scheduler with one engine that holds model m.
+func newScheduler(t *testing.T, ctx context.Context) (*Scheduler, string) {
+	t.Helper()
+	directory := fleet.NewDirectory()
+	spec := &fleet.EngineSpec{Slots: 1, KVTokens: 1000, MemoryMB: 10, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}}}
+	directory.SetConfig(fleet.NewConfig(1, nil, map[string]fleet.Service{"s": {Name: "s", Engine: spec}}, fleet.Limits{}))
+	directory.Merge(time.Now(), fleet.Change{Whole: true, Entries: []fleet.Entry{{ID: "e", Upstream: &fleet.Upstream{
+		ID: "e", Service: "s", Addr: "127.0.0.1:1", Slots: 1, StartedMs: 1, Models: []fleet.HeldModel{{Name: "m"}},
+	}}}})
+	s := NewScheduler(SchedulerOptions{
+		Directory: directory, Engines: holdingEngines{}, Host: "h",
+		MayOrder: func() bool { return true }, RenewedAgo: func() time.Duration { return 0 }, OnFenced: func() {}, Log: quietLog{},
+	})
+	go s.Run(ctx)
+	s.Start(Tenure{Fence: 1, OrdersFrom: time.Now()})
+	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, s.Serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve(ctx)
+	return s, server.Addr()
+}
+
+func ask() *apiv1.PlacementAsk {
+	return &apiv1.PlacementAsk{RequestId: "r", Service: "s", Model: "m", PromptTokens: 10, ObjectiveUs: 1e6, GiveUpUs: 20e6}
+}
+
+func TestPlaceOverALinkAndAfterItsLoss(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	schedulerCtx, endScheduler := context.WithCancel(ctx)
+	_, addr := newScheduler(t, schedulerCtx)
+	client := NewClient("r1", "boot", nil, quietObserver{})
+	go client.Run(ctx)
+	_, err := client.Place(ctx, ask())
+	is.True(errors.Is(err, ErrNoScheduler)) // told at once, so that the router can choose alone
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	is.True(client.IsServed())
+	place, err := client.Place(ctx, ask())
+	is.NoErr(err)
+	is.Equal(place.UpstreamID, "e")
+
+	// The engine has one slot: the next ask waits, and is told of the loss.
+	waiting := make(chan error, 1)
+	go func() { _, err := client.Place(ctx, ask()); waiting <- err }()
+	time.Sleep(50 * time.Millisecond)
+	endScheduler()
+	is.True(errors.Is(<-waiting, ErrNoScheduler))
+
+	// A new holder learns of the request under way.
+	next, addr := newScheduler(t, ctx)
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	runs := make(chan int, 1)
+	next.post(func() { runs <- next.cells["s"].Runs() })
+	is.Equal(<-runs, 1)
+	client.Report(place.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
+	_, err = client.Place(ctx, ask())
+	is.NoErr(err)
+}
+
+// Pattern: the scheduler's host stands still while its kernel still accepts
+// connections.
+func TestFrozenSchedulerDoesNotCountAsServing(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, func(ctx context.Context, _ *transport.Stream) { <-ctx.Done() })
+	is.NoErr(err)
+	go server.Serve(ctx)
+	client := NewClient("r1", "boot", nil, quietObserver{})
+	go client.Run(ctx)
+	client.Follow(server.Addr())
+	time.Sleep(400 * time.Millisecond)
+	is.True(!client.IsServed())
+	_, err = client.Place(ctx, ask())
+	is.True(errors.Is(err, ErrNoScheduler))
+}
+
+func TestWithdrawnAskLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, addr := newScheduler(t, ctx)
+	client := NewClient("r1", "boot", nil, quietObserver{})
+	go client.Run(ctx)
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	first, err := client.Place(ctx, ask())
+	is.NoErr(err)
+	short, end := context.WithTimeout(ctx, 30*time.Millisecond)
+	defer end()
+	_, err = client.Place(short, ask())
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	client.Report(first.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
+	counts := make(chan [2]int, 1)
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		s.post(func() { counts <- [2]int{s.cells["s"].Runs(), s.cells["s"].Waiting()} })
+		if got := <-counts; got == [2]int{} {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("an ask was left behind")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const patience = 5 * time.Second
+
+func TestPlainOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		path    string
+		scripts []http.HandlerFunc
+		status  int
+		body    string
+		runs    int // sendings over both upstreams
+	}{
+		{"answer is passed on unchanged", "/once/a", []http.HandlerFunc{answer(201, "made")}, 201, "made", 1},
+		{"failure of the upstream is passed on", "/once/a", []http.HandlerFunc{answer(500, "own failure")}, 500, "own failure", 1},
+		{"once: no answer is never repeated", "/once/a", []http.HandlerFunc{breakOff("")}, 502, "", 1},
+		{"once: a broken answer is never repeated", "/once/a", []http.HandlerFunc{breakOff("part")}, 502, "", 1},
+		{"once: a refusal that did not run goes elsewhere", "/once/a", []http.HandlerFunc{notRun, answer(200, "ok")}, 200, "ok", 2},
+		{"refused by all: not run", "/once/a", []http.HandlerFunc{notRun}, 503, "", 2},
+		{"again: no answer is repeated", "/again/a", []http.HandlerFunc{breakOff(""), answer(200, "ok")}, 200, "ok", 2},
+		{"again: a broken answer is repeated", "/again/a", []http.HandlerFunc{breakOff("part"), answer(200, "ok")}, 200, "ok", 2},
+		{"again: a failure is repeated", "/again/a", []http.HandlerFunc{answer(500, "bad"), answer(200, "ok")}, 200, "ok", 2},
+		{"an unsigned success is no answer", "/once/a", []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }}, 502, "", 1},
+		{"a signed 503 may have run: no promise", "/once/a", []http.HandlerFunc{answer(503, "ran")}, 502, "", 1},
+		{"no route", "/nowhere/a", []http.HandlerFunc{answer(200, "ok")}, 404, "", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			shared := newUpstream(t, "plain-1", tc.scripts...)
+			other := &upstream{id: "plain-2", addr: shared.addr} // the same server under another id
+			b := start(t, shared, other)
+			got := b.send(t, tc.path, "", patience)
+			is.NoErr(got.err)
+			is.Equal(got.status, tc.status)
+			if tc.body != "" {
+				is.Equal(got.body, tc.body)
+			}
+			is.Equal(shared.runs(), tc.runs)
+			if got.status == http.StatusServiceUnavailable {
+				is.True(got.header.Get("Retry-After") != "")
+			}
+			if got.status == http.StatusBadGateway {
+				is.Equal(got.header.Get("Signed"), "") // not the upstream's answer
+			}
+			shared.mu.Lock()
+			defer shared.mu.Unlock()
+			for _, body := range shared.bodies {
+				is.Equal(body, "the body")
+			}
+		})
+	}
+}
+
+func TestStreamOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		path    string
+		scripts []http.HandlerFunc
+		status  int
+		last    string // last whole event that the caller gets
+		whole   bool
+		runs    int
+	}{
+		{"whole", "/stream/a", []http.HandlerFunc{events(1, 3, true)}, 200, "e3", true, 1},
+		{"broken off: not ended as if whole", "/stream/a", []http.HandlerFunc{events(1, 2, false)}, 200, "e2", false, 1},
+		{"no event: unknown whether it ran", "/stream/a", []http.HandlerFunc{breakOff("")}, 502, "", true, 1},
+		{"resumable: goes on after the last whole event", "/resume/a", []http.HandlerFunc{events(1, 2, false), events(3, 4, true)}, 200, "e4", true, 2},
+		{"resumable: no event yet", "/resume/a", []http.HandlerFunc{breakOff(""), events(1, 2, true)}, 200, "e2", true, 2},
+		{"resumable: ends after its attempts", "/resume/a", []http.HandlerFunc{events(1, 2, false), breakOff("")}, 200, "e2", false, 2},
+		{"refused: goes elsewhere", "/stream/a", []http.HandlerFunc{notRun, events(1, 1, true)}, 200, "e1", true, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			shared := newUpstream(t, "engine-1", tc.scripts...)
+			other := &upstream{id: "engine-2", addr: shared.addr}
+			b := start(t, shared, other)
+			got := b.send(t, tc.path, "m", patience)
+			is.Equal(got.status, tc.status)
+			is.Equal(got.err == nil, tc.whole)
+			if tc.last != "" {
+				is.True(strings.HasSuffix(strings.TrimSpace(got.body), tc.last))
+				is.Equal(strings.Count(got.body, "data: "+tc.last), 1) // no event twice
+			}
+			is.Equal(shared.runs(), tc.runs)
+		})
+	}
+}
+
+func TestResumedStreamNamesTheLastEvent(t *testing.T) {
+	is := is.New(t)
+	shared := newUpstream(t, "engine-1", events(1, 2, false), events(3, 4, true))
+	b := start(t, shared, &upstream{id: "engine-2", addr: shared.addr})
+	got := b.send(t, "/resume/a", "m", patience)
+	is.NoErr(got.err)
+	is.Equal(shared.header(1).Get("Last"), "2")
+	is.True(shared.header(0).Get("Upstream") != shared.header(1).Get("Upstream"))
+}
+
+func TestTimeoutOfTheRouteIsKept(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "plain-1", hang)
+	b := start(t, u)
+	got := b.send(t, "/short/a", "", patience)
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.True(u.header(0).Get("Left") <= "300") // the upstream gets what is left
+}
+
+// Pattern: the caller leaves while its request runs.
+func TestCallerLeavesAndTheUpstreamIsTold(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	u := newUpstream(t, "engine-1", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(cancelled) })
+	b := start(t, u)
+	req, err := http.NewRequest(http.MethodPost, b.url+"/stream/a", nil)
+	is.NoErr(err)
+	req.Host = "h"
+	req.Header.Set("Id", "r-1")
+	req.Header.Set("Model", "m")
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	_, err = client.Do(req)
+	is.True(err != nil)
+	<-cancelled
+	b.await(t, func() bool { return b.process.front.inFlight.Load() == 0 })
+}
+
+// Pattern: a stop while requests run, wait for a place and still come.
+func TestStop(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	u := newUpstream(t, "engine-1", func(w http.ResponseWriter, r *http.Request) { <-release; events(1, 2, true)(w, r) })
+	b := start(t, u)
+	running := make(chan reply, 1)
+	go func() { running <- b.send(t, "/stream/a", "m", 30*time.Second) }()
+	b.await(t, func() bool { return u.runs() == 1 })
+	waiting := make(chan reply, 1)
+	go func() { waiting <- b.send(t, "/stream/a", "absent", 30*time.Second) }() // fits nowhere
+	b.await(t, func() bool { return b.process.front.inFlight.Load() == 2 })
+	b.stop()
+	b.await(t, func() bool { return b.process.front.isStopping() })
+	resp, err := http.Get(b.ready)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // not ready
+	b.await(t, b.process.front.stopsSoon)
+	late := b.send(t, "/stream/a", "m", patience)
+	is.Equal(late.status, http.StatusServiceUnavailable) // refused, not cut
+	close(release)
+	got := <-running
+	is.NoErr(got.err)
+	is.True(strings.HasSuffix(strings.TrimSpace(got.body), "e2")) // finished within the grace
+	got = <-waiting
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable) // it has not run
+	is.NoErr(<-b.done)
+	b.done <- nil
+}
+
+func TestLargeBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "plain-1", answer(200, "ok"))
+	b := start(t, u)
+	req, err := http.NewRequest(http.MethodPost, b.url+"/once/a", strings.NewReader(strings.Repeat("x", 2000)))
+	is.NoErr(err)
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+	is.Equal(u.runs(), 0)
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -133,7 +133,11 @@
 // of the process.
 func (f *Front) stopsSoon() bool {
 	at := f.stopAt.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) > stopLinger
+	return at != 0 && time.Since(time.Unix(0, at)) > f.stopLinger()
+}
+
+func (f *Front) stopLinger() time.Duration {
+	return time.Duration(stopLingerShare * float64(f.settings.StopGrace))
 }
 
 // prepare finds the route and reads the body; it answers the request and
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
+)
+
+// testDialect uses header names of its own.
+type testDialect struct{}
+
+func (testDialect) ReadyPath() string { return "/ready" }
+func (testDialect) IDHeader() string  { return "Id" }
+
+func (testDialect) ReadCall(h http.Header) Call {
+	call := Call{ID: h.Get("Id"), Model: h.Get("Model"), Adapter: h.Get("Adapter"), PromptTokens: 10, ResumeAfter: h.Get("Last")}
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		call.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return call
+}
+
+func (testDialect) Prepare(h http.Header, a Attempt) {
+	h.Set("Upstream", a.UpstreamID)
+	h.Set("Left", strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
+	h.Del("Last")
+	if a.ResumeAfter != "" {
+		h.Set("Last", a.ResumeAfter)
+	}
+}
+
+func (testDialect) ReadAnswer(_ int, h http.Header) Answer {
+	return Answer{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// upstream is a scripted server: each request is answered by the next function,
+// the last one answers all that follow.
+type upstream struct {
+	id      string
+	addr    string
+	mu      sync.Mutex
+	scripts []http.HandlerFunc
+	seen    []http.Header
+	bodies  []string
+}
+
+func newUpstream(t *testing.T, id string, scripts ...http.HandlerFunc) *upstream {
+	t.Helper()
+	u := &upstream{id: id, scripts: scripts}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.addr = l.Addr().String()
+	server := &http.Server{Handler: u}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return u
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	u.seen = append(u.seen, r.Header.Clone())
+	u.bodies = append(u.bodies, string(body))
+	script := u.scripts[min(len(u.seen), len(u.scripts))-1]
+	u.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	script(w, r)
+}
+
+func (u *upstream) runs() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+// header returns the headers of the n-th request.
+func (u *upstream) header(n int) http.Header {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.seen[n]
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "yes")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breakOff ends the connection, after a part of an answer if there is any.
+func breakOff(part string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if part != "" {
+			w.Header().Set("Signed", "yes")
+			_, _ = io.WriteString(w, part)
+			w.(http.Flusher).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// events writes events first to last as a stream; whole ends it properly.
+func events(first, last int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "yes")
+		for i := first; i <= last; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// hang works until the caller is gone.
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// source is a fleet.Source with what it is given.
+type source struct {
+	config    *fleet.Config
+	upstreams []*upstream
+	mu        sync.Mutex
+	draining  map[string]bool
+	version   int64
+}
+
+func (s *source) Config(ctx context.Context, after int64, wait time.Duration) (fleet.ConfigUpdate, error) {
+	if after > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		return fleet.ConfigUpdate{Version: after}, nil
+	}
+	return fleet.ConfigUpdate{Config: s.config, Version: 1}, nil
+}
+
+func (s *source) Upstreams(context.Context, int64, time.Duration) (fleet.UpstreamUpdate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	update := fleet.UpstreamUpdate{Whole: true, Version: s.version}
+	for _, u := range s.upstreams {
+		service, models := "plain", []fleet.HeldModel(nil)
+		if strings.HasPrefix(u.id, "engine") {
+			service = "llm"
+			models = []fleet.HeldModel{{Name: "m", Version: 1}}
+		}
+		update.Entries = append(update.Entries, fleet.Entry{ID: u.id, Upstream: &fleet.Upstream{
+			ID: u.id, Service: service, Addr: u.addr, FailureDomain: "a", Slots: 8, Sequence: s.version, StartedMs: 1, Models: models, Draining: s.draining[u.id],
+		}})
+	}
+	return update, nil
+}
+
+// engines holds exactly model m and takes no orders.
+type engines struct{}
+
+func (engines) Order(context.Context, *fleet.Upstream, fleet.Order) (fleet.OrderResult, error) {
+	return fleet.OrderConflict, nil
+}
+
+func (engines) Inspect(context.Context, *fleet.Upstream) (fleet.Inventory, error) {
+	return fleet.Inventory{StartedMs: 1, Models: []fleet.HeldModel{{Name: "m", Version: 1}}}, nil
+}
+
+type bed struct {
+	process *Process
+	url     string
+	ready   string
+	stop    func()
+	done    chan error
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+var testRoutes = []fleet.Route{
+	{Name: "once", Host: "h", Prefix: "/once/", Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
+	{Name: "again", Host: "h", Prefix: "/again/", Repeat: fleet.RunAgain, Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
+	{Name: "short", Host: "h", Prefix: "/short/", Attempts: 1, Timeout: 300 * time.Millisecond, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
+	{Name: "stream", Host: "h", Prefix: "/stream/", Stream: true, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
+	{Name: "resume", Host: "h", Prefix: "/resume/", Stream: true, Resumable: true, Repeat: fleet.RunAgain, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
+}
+
+func start(t *testing.T, upstreams ...*upstream) *bed {
+	t.Helper()
+	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
+	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
+	settings := Settings{
+		Host: "entry-1", FailureDomain: "a", CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), PeerAddr: freeAddr(t),
+		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
+	}
+	logger := decisionlog.New(log.ErrorLevel)
+	pool := exchange.NewPool(exchange.Options{IDHeader: "Id"})
+	p := New(settings, Deps{
+		Dialect: testDialect{}, Table: tabletest.New(), Source: &source{config: config, upstreams: upstreams, draining: map[string]bool{}},
+		Engines: engines{}, Pool: pool, Log: logger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bed{process: p, url: "http://" + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", stop: cancel, done: make(chan error, 1)}
+	go func() { b.done <- p.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-b.done })
+	b.await(t, func() bool {
+		resp, err := http.Get(b.ready)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK && p.client.IsServed() && p.scheduler != nil
+	})
+	return b
+}
+
+func (b *bed) await(t *testing.T, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition was not met")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // set when the body was cut
+}
+
+func (b *bed) send(t *testing.T, path, model string, patience time.Duration) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader("the body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "r-1")
+	req.Header.Set("Patience", strconv.FormatInt(patience.Milliseconds(), 10))
+	if model != "" {
+		req.Header.Set("Model", model)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -28,9 +28,9 @@
 	headerTimeout = 10 * time.Second
 	// stopMargin is what is left of the grace when the process ends by itself.
 	stopMargin = 300 * time.Millisecond
-	// stopLinger is how long a stopping process takes requests: the balancer
-	// asks once a second and gives up after two misses.
-	stopLinger = 2800 * time.Millisecond
+	// stopLingerShare is the part of the grace in which a stopping process still
+	// takes requests: the balancer needs some seconds to send no more.
+	stopLingerShare = 0.35
 	// stopQuiet is how long it goes on after that without requests.
 	stopQuiet = 500 * time.Millisecond
 	stopPoll  = 50 * time.Millisecond
@@ -193,7 +193,7 @@
 		if p.front.inFlight.Load() > 0 {
 			quietSince = time.Now()
 		}
-		if time.Since(began) > stopLinger && time.Since(quietSince) > stopQuiet {
+		if time.Since(began) > p.front.stopLinger() && time.Since(quietSince) > stopQuiet {
 			return
 		}
 	}
