--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -30,8 +31,15 @@
 	// contendJitter spreads the routers that find the lease vacant, beside a
 	// delay that is longer on weaker hosts: contendDelay for a whole core.
 	contendJitter   = 100 * time.Millisecond
-	contendDelay    = 40 * time.Millisecond
-	maxContendDelay = 300 * time.Millisecond
+	contendDelay    = 25 * time.Millisecond
+	maxContendDelay = 600 * time.Millisecond
+	contendPower    = 1.5
+	// strongerBy is how much stronger than the holder a connected router must be
+	// for the lease to be given up to it, after yieldAfter; the former holder
+	// takes no lease for yieldFor.
+	strongerBy = 2
+	yieldAfter = 2 * time.Second
+	yieldFor   = 2 * time.Second
 	// fencedPatience is how long a row must be unchanged before it is taken over
 	// where engines refuse orders of former holders: three renewals.
 	fencedPatience = 3 * renewEvery
@@ -58,6 +66,9 @@
 	Address string
 	// Cores is the processor share of this host; strong hosts go first.
 	Cores float64
+	// StrongestPeer is the processor share of the strongest router that is
+	// connected to this one's scheduler; nil means that there is none.
+	StrongestPeer func() float64
 	// LeaseTime is how long two holders must not order within, where engines
 	// don't check fences.
 	LeaseTime         time.Duration
@@ -93,7 +104,9 @@
 	nextRead     time.Time
 	nextRenewal  time.Time
 	nextTake     time.Time
+	yieldUntil   time.Time
 	lastTick     time.Time
+	electedAt    time.Time
 	// storeFails is set while the last call to the store failed.
 	storeFails atomic.Bool
 	// renewed is when the last successful renewal was sent, in nanoseconds of
@@ -126,7 +139,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			e.release(context.WithoutCancel(ctx))
+			e.release(context.WithoutCancel(ctx), "stopping")
 			return
 		case <-ticker.C:
 			e.step(ctx)
@@ -149,7 +162,10 @@
 	case e.fence == 0:
 		e.follow(ctx, now)
 	case e.resigned.Load():
-		e.release(ctx)
+		e.release(ctx, "stopping")
+	case e.shouldYield(now):
+		e.release(ctx, "a stronger host is there")
+		e.yieldUntil = now.Add(yieldFor)
 	default:
 		e.renew(ctx, now)
 	}
@@ -286,7 +302,7 @@
 	if e.opts.Cores <= 0 {
 		return contendDelay
 	}
-	return min(maxContendDelay, time.Duration(float64(contendDelay)/e.opts.Cores))
+	return min(maxContendDelay, time.Duration(float64(contendDelay)/math.Pow(e.opts.Cores, contendPower)))
 }
 
 func (e *Election) announce() {
@@ -296,7 +312,7 @@
 }
 
 func (e *Election) mayTake(now time.Time) bool {
-	if now.Before(e.nextTake) || e.resigned.Load() {
+	if now.Before(e.nextTake) || now.Before(e.yieldUntil) || e.resigned.Load() {
 		return false
 	}
 	if e.row.GetHolder() == "" {
@@ -335,6 +351,7 @@
 func (e *Election) elected(version int64, sent time.Time) {
 	e.version = version
 	e.fence = version
+	e.electedAt = e.opts.Now()
 	e.setRenewed(sent)
 	e.nextRenewal = sent.Add(renewEvery)
 	tenure := Tenure{Fence: version, OrdersFrom: e.opts.Now()}
@@ -344,13 +361,21 @@
 	e.opts.OnElected(tenure)
 }
 
+// shouldYield reports whether a much stronger host should schedule.
+func (e *Election) shouldYield(now time.Time) bool {
+	if e.opts.StrongestPeer == nil || e.opts.Cores <= 0 || e.storeFails.Load() {
+		return false
+	}
+	return now.Sub(e.electedAt) > yieldAfter && e.opts.StrongestPeer() >= strongerBy*e.opts.Cores
+}
+
 // release gives a held lease up.
-func (e *Election) release(ctx context.Context) {
+func (e *Election) release(ctx context.Context, reason string) {
 	if e.fence == 0 {
 		return
 	}
 	e.fence = 0
-	e.opts.OnLost("stopping")
+	e.opts.OnLost(reason)
 	result, err := e.commit(ctx, &apiv1.SchedulerLease{})
 	if err != nil {
 		e.opts.Observer.LeaseFailed("release", err)
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -192,3 +192,17 @@
 	a.run(10*time.Second, second)
 	is.True(!first.holds()) // it takes no lease any more
 }
+
+// Pattern: after a restart of all routers a weak host was the first to contend.
+func TestWeakHolderYieldsToAStrongHost(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.opts.Cores = 0.144
+	first.opts.StrongestPeer = func() float64 { return 0.8 }
+	second.opts.Cores = 0.8
+	a.run(4 * time.Second)
+	is.True(!first.holds())
+	is.True(second.holds())
+	is.Equal(first.holder, "b")
+	is.Equal(len(second.tenures), 1)
+}
--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -21,7 +21,7 @@
 	// lease themselves.
 	staleLease = 1500 * time.Millisecond
 	// askTimeout bounds the wait for the confirmation of an ask.
-	askTimeout  = 200 * time.Millisecond
+	askTimeout  = 250 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	redialPause = 150 * time.Millisecond
 )
@@ -60,6 +60,7 @@
 type Client struct {
 	host   string
 	bootID string
+	cores  float64
 	creds  transport.Credentials
 	local  *Scheduler
 	events ClientObserver
@@ -95,11 +96,13 @@
 
 const localTarget = "local"
 
-// NewClient makes a client without a scheduler; call Run.
-func NewClient(host, bootID string, local *Scheduler, events ClientObserver) *Client {
+// NewClient makes a client without a scheduler; call Run. cores is the host's
+// processor share.
+func NewClient(host, bootID string, cores float64, local *Scheduler, events ClientObserver) *Client {
 	return &Client{
 		host:    host,
 		bootID:  bootID,
+		cores:   cores,
 		local:   local,
 		events:  events,
 		waiting: make(map[uint64]*waitingAsk),
@@ -203,7 +206,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.host, BootId: c.bootID}
+	hello := &apiv1.SchedulerHello{Router: c.host, BootId: c.bootID, Cores: c.cores}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
@@ -340,7 +343,10 @@
 			}
 			return c.decide(ask, reply)
 		case <-confirm.C:
-			c.checkConfirmed(waiting)
+			if !c.isQueued(ask.GetNumber(), waiting) {
+				c.withdraw(ask.GetNumber())
+				return Placement{}, ErrNoScheduler
+			}
 		case <-ctx.Done():
 			c.withdraw(ask.GetNumber())
 			return Placement{}, ctx.Err()
@@ -348,14 +354,13 @@
 	}
 }
 
-// checkConfirmed gives the link up if the scheduler has not confirmed an ask in
-// time; it may be frozen or cut off.
-func (c *Client) checkConfirmed(ask *waitingAsk) {
+// isQueued reports whether the scheduler has confirmed or decided an ask. One
+// that it has not is taken back: the scheduler may be overloaded, frozen or cut
+// off, and the router chooses alone.
+func (c *Client) isQueued(number uint64, ask *waitingAsk) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !ask.queued && len(ask.answer) == 0 && time.Since(c.lastBeat) > askTimeout {
-		c.dropLinkLocked(errors.New("an ask was not confirmed"))
-	}
+	return ask.queued || c.waiting[number] != ask
 }
 
 func (c *Client) decide(ask *apiv1.PlacementAsk, reply *apiv1.SchedulerReply) (Placement, error) {
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync/atomic"
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
@@ -61,6 +63,9 @@
 	serial   uint64
 	lastBeat time.Time
 	lastTick time.Time
+	// strongest is the processor share of the strongest connected router, in
+	// bits of a float64.
+	strongest atomic.Uint64
 }
 
 // session is one router's connection.
@@ -68,6 +73,7 @@
 	owner  *Scheduler
 	number uint64
 	router string
+	cores  float64
 	reply  func(*apiv1.SchedulerReply)
 	ended  func()
 	// services tells the service of each open key; it belongs to the
@@ -186,7 +192,16 @@
 	}
 }
 
+// StrongestPeer is the processor share of the strongest connected router, in
+// cores.
+func (s *Scheduler) StrongestPeer() float64 { return math.Float64frombits(s.strongest.Load()) }
+
 func (s *Scheduler) beat() {
+	strongest := 0.0
+	for _, session := range s.sessions {
+		strongest = max(strongest, session.cores)
+	}
+	s.strongest.Store(math.Float64bits(strongest))
 	beat := &apiv1.SchedulerBeat{Fence: s.tenure.Fence, RenewedAgoUs: s.opts.RenewedAgo().Microseconds()}
 	for _, session := range s.sessions {
 		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Beat{Beat: beat}})
@@ -337,6 +352,7 @@
 
 func (s *Scheduler) hello(now time.Time, from *session, hello *apiv1.SchedulerHello) {
 	from.router = hello.GetRouter()
+	from.cores = hello.GetCores()
 	for _, r := range hello.GetRunning() {
 		service := r.GetAsk().GetService()
 		cell := s.cells[service]
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -79,7 +79,7 @@
 		OnFenced:         func() { p.election.Fenced() },
 		Log:              p.log,
 	})
-	p.client = cell.NewClient(settings.Host, bootID, p.scheduler, p.log)
+	p.client = cell.NewClient(settings.Host, bootID, settings.Cores, p.scheduler, p.log)
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:             deps.Table,
 		Host:              settings.Host,
@@ -89,6 +89,7 @@
 		LeaseTime:         settings.LeaseTime,
 		EnginesCheckFence: settings.EnginesCheckFence,
 		IsServed:          p.client.IsServed,
+		StrongestPeer:     p.scheduler.StrongestPeer,
 		OnElected:         p.elected,
 		OnLost:            p.lost,
 		OnHolder:          func(_, address string) { p.client.Follow(address) },
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,70 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// benchWorld is a cell of 56 engines with three of 206 models each.
+func benchWorld() *world {
+	spec := testSpec(206)
+	spec.MemoryMB = 310
+	spec.KVTokens = 262_000
+	var engines []*fakeEngine
+	for i := range 56 {
+		e := newFakeEngine(fmt.Sprintf("e%d", i), spec, fmt.Sprintf("m%d", (3*i)%206), fmt.Sprintf("m%d", (3*i+1)%206), "m0")
+		for k := range 13 {
+			e.tiers[fmt.Sprintf("m%d", (17*i+k)%206)] = tierDisk
+		}
+		e.describe()
+		engines = append(engines, e)
+	}
+	w := newWorld(spec, engines...)
+	w.run(200 * time.Millisecond)
+	return w
+}
+
+func benchAsk(w *world, n uint64, model string) *Ask {
+	return &Ask{
+		Key: n, Model: model, PromptTokens: 9190, OutputTokens: 52,
+		Parts:     []Part{{"a", 2520}, {"b", 3780}, {fmt.Sprint(n), 2890}},
+		Objective: w.now.Add(time.Second), GiveUp: w.now.Add(10 * time.Second), FailureDomain: "a",
+	}
+}
+
+// BenchmarkGrant measures the decision for a request whose model is loaded on
+// every engine.
+func BenchmarkGrant(b *testing.B) {
+	w := benchWorld()
+	b.ReportAllocs()
+	for n := range b.N {
+		key := uint64(n + 1)
+		w.now = w.now.Add(5 * time.Millisecond)
+		w.cell.Submit(w.now, benchAsk(w, key, "m0"))
+		w.cell.Progress(w.now, key, Started)
+		w.cell.Progress(w.now, key, Finished)
+	}
+}
+
+// BenchmarkTickWithWaiters measures a tick while 100 requests wait for models
+// that can't be loaded now.
+func BenchmarkTickWithWaiters(b *testing.B) {
+	w := benchWorld()
+	for _, e := range w.cell.engines {
+		e.orders = -1 // unknown: no order is possible
+	}
+	for n := range 100 {
+		ask := benchAsk(w, uint64(n+1), fmt.Sprintf("m%d", 170+n%30))
+		ask.GiveUp = w.now.Add(1000 * time.Hour)
+		w.cell.Submit(w.now, ask)
+	}
+	if w.cell.Waiting() < 50 {
+		b.Fatalf("only %d requests wait", w.cell.Waiting())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.cell.Tick(w.now)
+	}
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -237,7 +237,7 @@
 	}
 	e.freeAt = e.freeAt.Add(r.work)
 	e.kvTokens += r.ask.PromptTokens + r.ask.OutputTokens
-	e.cache.use(now, r.ask)
+	e.cache.use(r.ask)
 	e.touch(now, r.ask, 1)
 }
 
--- a/internal/scheduler/prefix.go
+++ b/internal/scheduler/prefix.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"container/list"
-	"time"
-)
+import "container/list"
 
 // prefixCache guesses which prompt parts an engine keeps, from the requests
 // that were sent to it. Parts are evicted least recently used first.
@@ -33,7 +30,7 @@
 // uncached returns the prompt tokens that an engine would have to read.
 func (p *prefixCache) uncached(ask *Ask) int64 {
 	left := ask.PromptTokens
-	for _, key := range partKeys(ask) {
+	for _, key := range ask.partKeys() {
 		el := p.byKey[key]
 		if el == nil {
 			break
@@ -44,8 +41,8 @@
 }
 
 // use notes that a request's parts are read.
-func (p *prefixCache) use(_ time.Time, ask *Ask) {
-	for i, key := range partKeys(ask) {
+func (p *prefixCache) use(ask *Ask) {
+	for i, key := range ask.partKeys() {
 		if el := p.byKey[key]; el != nil {
 			p.order.MoveToFront(el)
 			continue
@@ -76,13 +73,17 @@
 	p.tokens -= part.tokens
 }
 
-// partKeys returns the keys of an ask's parts in order.
-func partKeys(ask *Ask) []partKey {
-	keys := make([]partKey, len(ask.Parts))
+// partKeys returns the keys of an ask's parts in order. They are computed once,
+// since every engine is asked for them.
+func (a *Ask) partKeys() []partKey {
+	if a.keys != nil || len(a.Parts) == 0 {
+		return a.keys
+	}
+	a.keys = make([]partKey, len(a.Parts))
 	var chain uint64
-	for i, part := range ask.Parts {
+	for i, part := range a.Parts {
 		chain = chainHash(chain, part.ID)
-		keys[i] = partKey{model: ask.Model, adapter: ask.Adapter, chain: chain}
+		a.keys[i] = partKey{model: a.Model, adapter: a.Adapter, chain: chain}
 	}
-	return keys
+	return a.keys
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,6 +43,8 @@
 	// MayMove is set when the request may be sent to an upstream that it was not
 	// tried on.
 	MayMove bool
+
+	keys []partKey // of Parts; see partKeys
 }
 
 // Grant sends a request to an engine.
