--- a/internal/cell/link_test.go
+++ b/internal/cell/link_test.go
@@ -141,3 +141,34 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Pattern: a router loses its connection for a moment while its request runs.
+func TestRequestsOfALostRouterStillCount(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, addr := newScheduler(t, ctx)
+	routerCtx, endRouter := context.WithCancel(ctx)
+	client := NewClient("r1", "boot", 1, nil, quietObserver{})
+	go client.Run(routerCtx)
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	_, err := client.Place(ctx, ask())
+	is.NoErr(err)
+	endRouter()
+	counts := make(chan [2]int, 1)
+	count := func() [2]int {
+		s.post(func() { counts <- [2]int{len(s.sessions), s.cells["s"].Runs()} })
+		return <-counts
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for count()[0] > 0 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(count(), [2]int{0, 1}) // its engine may still run it
+	again := NewClient("r1", "boot-2", 1, nil, quietObserver{})
+	go again.Run(ctx)
+	again.Follow(addr)
+	is.NoErr(again.WaitLinked(ctx))
+	is.Equal(count(), [2]int{1, 0}) // the router knows of none
+}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -21,6 +21,9 @@
 	engineTimeout = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the scheduler's goroutine.
 	eventQueue = 16384
+	// orphanTime is how long the requests of a router that lost its connection
+	// are taken to run, unless it comes back and tells.
+	orphanTime = 5 * time.Second
 	// sessionShift leaves the lower bits of a key to the router's own numbers.
 	sessionShift = 40
 )
@@ -61,13 +64,26 @@
 	cells    map[string]*scheduler.Cell
 	sessions map[uint64]*session
 	serial   uint64
+	// orphans are the requests of routers whose connection was lost. Their
+	// upstreams may still run them.
+	orphans []orphan
 	lastBeat time.Time
 	lastTick time.Time
+	// fence is that of the present tenure, 0 without one.
+	fence atomic.Int64
 	// strongest is the processor share of the strongest connected router, in
 	// bits of a float64.
 	strongest atomic.Uint64
 }
 
+// orphan is a granted request whose router is not connected.
+type orphan struct {
+	router  string
+	service string
+	key     uint64
+	until   time.Time
+}
+
 // session is one router's connection.
 type session struct {
 	owner  *Scheduler
@@ -123,8 +139,10 @@
 func (s *Scheduler) Start(tenure Tenure) {
 	s.post(func() {
 		s.tenure = tenure
+		s.fence.Store(tenure.Fence)
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
+		s.orphans = nil
 		s.refresh()
 	})
 }
@@ -133,6 +151,7 @@
 func (s *Scheduler) Stop() {
 	s.post(func() {
 		s.active = false
+		s.fence.Store(0)
 		s.cells = make(map[string]*scheduler.Cell)
 		for _, session := range s.sessions {
 			session.ended()
@@ -176,6 +195,7 @@
 	idle := now.Sub(s.lastTick) >= idleTick
 	if idle {
 		s.lastTick = now
+		s.dropOrphans(now, func(o orphan) bool { return now.After(o.until) })
 	}
 	for name, cell := range s.cells {
 		if !idle && cell.Waiting() == 0 {
@@ -247,7 +267,7 @@
 	result := fleet.OrderConflict
 	var err error
 	began := time.Now()
-	if s.opts.MayOrder() {
+	if s.opts.MayOrder() && s.fence.Load() == tenure.Fence {
 		ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
 		result, err = s.opts.Engines.Order(ctx, call.Upstream, call.Order)
 		cancel()
@@ -320,10 +340,31 @@
 	delete(s.sessions, from.number)
 	now := time.Now()
 	for key, service := range from.services {
-		if cell := s.cells[service]; cell != nil {
-			s.carryOut(service, cell.Withdraw(now, key))
+		cell := s.cells[service]
+		if cell == nil {
+			continue
+		}
+		if cell.IsRunning(key) {
+			s.orphans = append(s.orphans, orphan{router: from.router, service: service, key: key, until: now.Add(orphanTime)})
+			continue
+		}
+		s.carryOut(service, cell.Withdraw(now, key))
+	}
+}
+
+// dropOrphans ends the orphans that match.
+func (s *Scheduler) dropOrphans(now time.Time, matches func(orphan) bool) {
+	kept := s.orphans[:0]
+	for _, o := range s.orphans {
+		if !matches(o) {
+			kept = append(kept, o)
+			continue
+		}
+		if cell := s.cells[o.service]; cell != nil {
+			s.carryOut(o.service, cell.Withdraw(now, o.key))
 		}
 	}
+	s.orphans = kept
 }
 
 func (s *Scheduler) handle(from *session, call *apiv1.SchedulerCall) {
@@ -353,6 +394,8 @@
 func (s *Scheduler) hello(now time.Time, from *session, hello *apiv1.SchedulerHello) {
 	from.router = hello.GetRouter()
 	from.cores = hello.GetCores()
+	// The router itself tells what it has under way.
+	s.dropOrphans(now, func(o orphan) bool { return o.router == from.router })
 	for _, r := range hello.GetRunning() {
 		service := r.GetAsk().GetService()
 		cell := s.cells[service]
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -217,11 +217,11 @@
 }
 
 // comingAdapters counts the adapters on their way.
-func (e *engine) comingAdapters() int {
+func (e *engine) comingAdapters(now time.Time) int {
 	n := 0
 	for _, w := range e.copies {
 		for _, a := range w.adapters {
-			if a.state == loading {
+			if a.state == loading || now.Before(a.readyAt) {
 				n++
 			}
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -225,7 +225,7 @@
 	default:
 		return max(time.Millisecond, a.readyAt.Sub(now)), adapterComing, true
 	}
-	if !c.mayOrder || !e.isFree() || e.comingAdapters() >= maxComingAdapters {
+	if !c.mayOrder || !e.isFree() || e.comingAdapters(now) >= maxComingAdapters {
 		return 0, adapterNone, false
 	}
 	wait := c.modelOf(ask.Model).adapterDelay
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -295,6 +295,9 @@
 // Waiting returns the number of asks without a place.
 func (c *Cell) Waiting() int { return len(c.waiting) }
 
+// IsRunning reports whether a request was granted and has not ended.
+func (c *Cell) IsRunning(key uint64) bool { return c.runs[key] != nil }
+
 // Runs returns the number of granted requests that have not ended.
 func (c *Cell) Runs() int { return len(c.runs) }
 
