Routers learn configuration versions and upstream changes from the scheduler

Change: beats carry the version of the configuration and the ages of the scheduler's reads; changes of the list are passed on; a router reads by itself when those ages pass 1.2 and 1.1 s.

--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -20,6 +21,10 @@
 	// staleLease is the age of the last renewal after which routers look at the
 	// lease themselves.
 	staleLease = 1500 * time.Millisecond
+	// freshConfig and freshList are the ages of the scheduler's reads after which
+	// a router reads by itself. A scheduler reads each 0.6 and 0.5 s.
+	freshConfig = 1200 * time.Millisecond
+	freshList   = 1100 * time.Millisecond
 	// askTimeout bounds the wait for the confirmation of an ask.
 	askTimeout  = 250 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
@@ -64,6 +69,7 @@
 	creds  transport.Credentials
 	local  *Scheduler
 	events ClientObserver
+	onList func(fleet.Change)
 
 	numbers atomic.Uint64
 
@@ -77,7 +83,13 @@
 	alive     bool
 	lastBeat  time.Time
 	renewedAt time.Time
-	changed   chan struct{} // closed when a link comes up
+	// configVersion is that of the scheduler; configAt and listAt are when it
+	// read the configuration and the list of upstreams; listed is set once the
+	// whole list has come through this link.
+	configVersion    int64
+	configAt, listAt time.Time
+	listed           bool
+	changed          chan struct{} // closed when a link comes up
 }
 
 // waitingAsk is an ask without a decision.
@@ -97,14 +109,16 @@
 const localTarget = "local"
 
 // NewClient makes a client without a scheduler; call Run. cores is the host's
-// processor share.
-func NewClient(host, bootID string, cores float64, local *Scheduler, events ClientObserver) *Client {
+// processor share. onList takes the lists that the scheduler passes on; it must
+// not call the client.
+func NewClient(host, bootID string, cores float64, local *Scheduler, events ClientObserver, onList func(fleet.Change)) *Client {
 	return &Client{
 		host:    host,
 		bootID:  bootID,
 		cores:   cores,
 		local:   local,
 		events:  events,
+		onList:  onList,
 		waiting: make(map[uint64]*waitingAsk),
 		running: make(map[uint64]*apiv1.RunningRequest),
 		changed: make(chan struct{}),
@@ -143,6 +157,17 @@
 	return c.alive && now.Sub(c.lastBeat) < silenceLimit && now.Sub(c.renewedAt) < staleLease
 }
 
+// Fresh implements fleet.Peer: the scheduler of another host passes on what it
+// reads.
+func (c *Client) Fresh() (configVersion int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	ok = c.alive && c.listed && c.target != localTarget && now.Sub(c.lastBeat) < silenceLimit &&
+		now.Sub(c.configAt) < freshConfig && now.Sub(c.listAt) < freshList
+	return c.configVersion, ok
+}
+
 // Run keeps a link to the scheduler until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -215,6 +240,7 @@
 	}
 	c.link = link
 	c.lastBeat = time.Now()
+	c.listed = false
 	return true
 }
 
@@ -267,8 +293,11 @@
 }
 
 // beatLocked notes a sign of life.
-func (c *Client) beatLocked(renewedAgo time.Duration) {
-	c.renewedAt = c.lastBeat.Add(-renewedAgo)
+func (c *Client) beatLocked(beat *apiv1.SchedulerBeat) {
+	c.renewedAt = c.lastBeat.Add(-microseconds(beat.GetRenewedAgoUs()))
+	c.configVersion = beat.GetConfigVersion()
+	c.configAt = c.lastBeat.Add(-microseconds(beat.GetConfigAgeUs()))
+	c.listAt = c.lastBeat.Add(-microseconds(beat.GetListAgeUs()))
 	if c.alive {
 		return
 	}
@@ -288,7 +317,11 @@
 	var number uint64
 	switch body := reply.GetBody().(type) {
 	case *apiv1.SchedulerReply_Beat:
-		c.beatLocked(microseconds(body.Beat.GetRenewedAgoUs()))
+		c.beatLocked(body.Beat)
+		return
+	case *apiv1.SchedulerReply_List:
+		c.listed = true
+		c.onList(decodeList(body.List))
 		return
 	case *apiv1.SchedulerReply_Queued:
 		if ask := c.waiting[body.Queued.GetNumber()]; ask != nil {
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -63,10 +63,12 @@
 	active   bool
 	cells    map[string]*scheduler.Cell
 	sessions map[uint64]*session
-	serial   uint64
+	// passed is what was passed on of each upstream.
+	passed map[string]*apiv1.ListedUpstream
+	serial uint64
 	// orphans are the requests of routers whose connection was lost. Their
 	// upstreams may still run them.
-	orphans []orphan
+	orphans  []orphan
 	lastBeat time.Time
 	lastTick time.Time
 	// fence is that of the present tenure, 0 without one.
@@ -90,8 +92,10 @@
 	number uint64
 	router string
 	cores  float64
-	reply  func(*apiv1.SchedulerReply)
-	ended  func()
+	// greeted is set by the hello; before it nothing is passed on.
+	greeted bool
+	reply   func(*apiv1.SchedulerReply)
+	ended   func()
 	// services tells the service of each open key; it belongs to the
 	// scheduler's goroutine.
 	services map[uint64]string
@@ -143,6 +147,7 @@
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.orphans = nil
+		s.passed = make(map[string]*apiv1.ListedUpstream)
 		s.refresh()
 	})
 }
@@ -168,6 +173,7 @@
 	if !s.active || snapshot.Config == nil || !snapshot.Listed {
 		return
 	}
+	s.passOn(snapshot)
 	now := time.Now()
 	for name, service := range snapshot.Config.Services {
 		if service.Engine == nil {
@@ -222,7 +228,16 @@
 		strongest = max(strongest, session.cores)
 	}
 	s.strongest.Store(math.Float64bits(strongest))
-	beat := &apiv1.SchedulerBeat{Fence: s.tenure.Fence, RenewedAgoUs: s.opts.RenewedAgo().Microseconds()}
+	configAge, listAge := s.opts.Directory.ReadAges(time.Now())
+	beat := &apiv1.SchedulerBeat{
+		Fence:        s.tenure.Fence,
+		RenewedAgoUs: s.opts.RenewedAgo().Microseconds(),
+		ConfigAgeUs:  configAge.Microseconds(),
+		ListAgeUs:    listAge.Microseconds(),
+	}
+	if config := s.opts.Directory.Load().Config; config != nil {
+		beat.ConfigVersion = config.Version
+	}
 	for _, session := range s.sessions {
 		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Beat{Beat: beat}})
 	}
@@ -406,6 +421,8 @@
 		from.services[ask.Key] = service
 		cell.Adopt(now, ask, r.GetUpstreamId(), r.GetStarted())
 	}
+	from.greeted = true
+	from.reply(listReply(&apiv1.UpstreamList{Whole: true, Upstreams: s.listed()}))
 	s.beat()
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -79,7 +79,7 @@
 		OnFenced:         func() { p.election.Fenced() },
 		Log:              p.log,
 	})
-	p.client = cell.NewClient(settings.Host, bootID, settings.Cores, p.scheduler, p.log)
+	p.client = cell.NewClient(settings.Host, bootID, settings.Cores, p.scheduler, p.log, p.told)
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:             deps.Table,
 		Host:              settings.Host,
@@ -95,7 +95,7 @@
 		OnHolder:          func(_, address string) { p.client.Follow(address) },
 		Observer:          p.log,
 	})
-	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.changed, Observer: p.log})
+	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.changed, Observer: p.log, Peer: p.client})
 	p.front = NewFront(FrontOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, Log: p.log})
 	return p
 }
@@ -118,6 +118,13 @@
 	p.logUpstreams(p.directory.Load())
 }
 
+// told takes over a list of upstreams that the scheduler has passed on. What it
+// holds on to of lapsed entries is decided there.
+func (p *Process) told(change fleet.Change) {
+	p.directory.Merge(time.Now(), change)
+	p.logUpstreams(p.directory.Load())
+}
+
 // logUpstreams logs the upstreams that came, began to leave or went.
 func (p *Process) logUpstreams(snapshot *fleet.Snapshot) {
 	p.seenMu.Lock()
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -59,11 +60,17 @@
 	return up, up != nil && !up.Draining
 }
 
-// Directory merges what the platform tells into snapshots. Merge and SetConfig
-// belong to one goroutine each; Load is safe for all.
+// Directory merges what the platform tells into snapshots. It is safe for
+// concurrent use; Load never waits.
 type Directory struct {
 	config    atomic.Pointer[Config]
 	upstreams atomic.Pointer[upstreamSet]
+	// configRead and listRead are when the platform was last read, in Unix
+	// nanoseconds.
+	configRead atomic.Int64
+	listRead   atomic.Int64
+
+	mu sync.Mutex // serializes changes
 	// held are removed entries that are kept until the time given, since the
 	// list was away and its entries may only have lapsed.
 	held map[string]time.Time
@@ -92,6 +99,8 @@
 // SetConfig puts a configuration in force. It reports false, and changes
 // nothing, if a newer or the same one is in force already.
 func (d *Directory) SetConfig(c *Config) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if old := d.config.Load(); old != nil && old.Version >= c.Version {
 		return false
 	}
@@ -111,6 +120,8 @@
 
 // Merge takes a batch over and returns the ids whose state changed.
 func (d *Directory) Merge(now time.Time, change Change) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	old := d.upstreams.Load()
 	next := maps.Clone(old.byID)
 	if next == nil {
@@ -198,7 +209,18 @@
 }
 
 // Holding reports whether lapsed entries wait for their return.
-func (d *Directory) Holding() bool { return len(d.held) > 0 }
+func (d *Directory) Holding() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.held) > 0
+}
+
+// ReadAges returns the time since the configuration and the list of upstreams
+// were last read from the platform.
+func (d *Directory) ReadAges(now time.Time) (config, list time.Duration) {
+	age := func(at int64) time.Duration { return now.Sub(time.Unix(0, at)) }
+	return age(d.configRead.Load()), age(d.listRead.Load())
+}
 
 func newUpstreamSet(byID map[string]*Upstream) *upstreamSet {
 	set := &upstreamSet{byID: byID, byService: make(map[string][]*Upstream), listed: true}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -34,15 +34,18 @@
 const (
 	// configWait is how long one read waits for a change. It bounds how long a
 	// connection that went silent delays a configuration.
-	configWait = 1500 * time.Millisecond
+	configWait = 600 * time.Millisecond
 	// configTimeout is the time after which such a connection is given up.
 	configTimeout = configWait + 400*time.Millisecond
 	// upstreamPeriod is the pace of reads of the upstream list. Twice this plus
 	// a call must stay below the time in which a leaving upstream is avoided.
-	upstreamPeriod  = 700 * time.Millisecond
+	upstreamPeriod  = 500 * time.Millisecond
 	upstreamTimeout = 900 * time.Millisecond
-	firstRetry      = 50 * time.Millisecond
-	maxRetry        = 500 * time.Millisecond
+	// peerPoll is the pace at which a router with a fresh peer looks whether
+	// that is still so.
+	peerPoll   = 50 * time.Millisecond
+	firstRetry = 50 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
 	// lapseAfter is how long the list must be away before missing entries are
 	// taken for lapsed ones.
 	lapseAfter = 2 * time.Second
@@ -58,8 +61,15 @@
 	OnChange func()
 	// Observer is told what changed, for logs; all its methods must be fast.
 	Observer Observer
-	// UpstreamPeriod is the pace of reads of the upstream list; 0 means the default.
-	UpstreamPeriod time.Duration
+	// Peer tells what another router knows; nil means that there is none.
+	Peer Peer
+}
+
+// Peer is a router that reads the platform's lists and passes them on.
+type Peer interface {
+	// Fresh reports whether the peer's list of upstreams and configuration are
+	// recent, and the version of its configuration.
+	Fresh() (configVersion int64, ok bool)
 }
 
 // Observer is told what a Follower learns.
@@ -78,9 +88,6 @@
 
 // NewFollower makes a follower; call Run.
 func NewFollower(opts FollowerOptions) *Follower {
-	if opts.UpstreamPeriod <= 0 {
-		opts.UpstreamPeriod = upstreamPeriod
-	}
 	return &Follower{opts: opts}
 }
 
@@ -89,6 +96,10 @@
 	var version int64
 	outage := outageTracker{what: "configuration", observer: f.opts.Observer}
 	for ctx.Err() == nil {
+		if f.isTold(true) {
+			pause(ctx, peerPoll)
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, configTimeout)
 		update, err := f.opts.Source.Config(callCtx, version, configWait)
 		cancel()
@@ -97,6 +108,7 @@
 			continue
 		}
 		outage.succeeded()
+		f.opts.Directory.configRead.Store(time.Now().UnixNano())
 		version = update.Version
 		if update.Config != nil && f.opts.Directory.SetConfig(update.Config) {
 			f.opts.Observer.ConfigInForce(update.Config.Version)
@@ -114,6 +126,10 @@
 	var graceUntil time.Time
 	outage := outageTracker{what: "upstream list", observer: f.opts.Observer}
 	for ctx.Err() == nil {
+		if f.isTold(false) {
+			pause(ctx, peerPoll)
+			continue
+		}
 		began := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, upstreamTimeout)
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
@@ -126,9 +142,26 @@
 			graceUntil = time.Now().Add(lapseGrace)
 		}
 		version = update.Version
+		f.opts.Directory.listRead.Store(time.Now().UnixNano())
 		f.merge(update, time.Until(graceUntil))
-		pause(ctx, f.opts.UpstreamPeriod-time.Since(began))
+		pause(ctx, upstreamPeriod-time.Since(began))
+	}
+}
+
+// isTold reports whether a peer makes a read needless.
+func (f *Follower) isTold(config bool) bool {
+	if f.opts.Peer == nil {
+		return false
+	}
+	version, ok := f.opts.Peer.Fresh()
+	if !ok {
+		return false
+	}
+	snapshot := f.opts.Directory.Load()
+	if config {
+		return snapshot.Config != nil && snapshot.Config.Version >= version
 	}
+	return snapshot.Listed
 }
 
 func (f *Follower) merge(update UpstreamUpdate, grace time.Duration) {
