scheduler: an adapter on its way is no victim; a count that falls back voids the plan

The caller of adapter a13 had left; a13 was unloaded 2 ms after its load was accepted, which an engine answers as if it held already; a13 came all the same and the next adapter was one too many. Ruled out: the former holder's orders (fenced), lost answers (none). Change: adapters are victims only 1.5 s after their order; an engine whose count of orders is lower than assumed is taken over by its report; a new holder waits 350 ms for the routers to tell what they run.

--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -21,6 +21,9 @@
 	engineTimeout = 500 * time.Millisecond
 	// eventQueue bounds the events that wait for the scheduler's goroutine.
 	eventQueue = 16384
+	// greetTime is how long a new holder waits with orders for the routers to tell
+	// what they have under way: models and adapters in use must not be unloaded.
+	greetTime = 350 * time.Millisecond
 	// orphanTime is how long the requests of a router that lost its connection
 	// are taken to run, unless it comes back and tells.
 	orphanTime = 5 * time.Second
@@ -144,6 +147,9 @@
 	s.post(func() {
 		s.tenure = tenure
 		s.fence.Store(tenure.Fence)
+		if greeted := time.Now().Add(greetTime); s.tenure.OrdersFrom.Before(greeted) {
+			s.tenure.OrdersFrom = greeted
+		}
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.orphans = nil
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -21,7 +21,8 @@
 	// firstAdapterDelay is how long an adapter takes until it was measured.
 	firstAdapterDelay = 25 * time.Millisecond
 	maxAdapterDelay   = 400 * time.Millisecond
-	// adapterSettle is how long after a load a refusal is put down to it.
+	// adapterSettle is how long after its order an adapter may still be on its
+	// way: a refusal is put down to it, and it is not unloaded.
 	adapterSettle = 1500 * time.Millisecond
 )
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -37,6 +37,7 @@
 			}
 			return time.Duration(rapid.IntRange(100, 6000).Draw(t, "late ms")) * time.Millisecond
 		}
+		w.adapterTime = time.Duration(rapid.IntRange(5, 400).Draw(t, "adapter ms")) * time.Millisecond
 		fence := int64(1)
 		var open []uint64
 		t.Repeat(map[string]func(*rapid.T){
@@ -79,6 +80,7 @@
 				up.Sequence = 0
 				e.up = &up
 				e.models = make(map[string]map[string]bool)
+				e.coming = make(map[string]map[string]bool)
 				e.orders = 0
 				e.fence = 0
 				e.busy = nil
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -122,7 +122,7 @@
 func (c *Cell) startAdapter(now time.Time, e *engine, ask *Ask) {
 	p := &plan{model: ask.Model, adapter: ask.Adapter, reason: "request " + ask.RequestID, began: now}
 	if !c.adapterFits(e, ask.Model) {
-		victim := c.adapterVictim(e)
+		victim := c.adapterVictim(now, e)
 		if victim == nil {
 			return
 		}
@@ -403,8 +403,10 @@
 		}
 		return
 	case inventory.Orders < e.orders:
-		// An order for what is under way already is accepted without being counted.
-		e.orders = inventory.Orders
+		// An order was answered as accepted or as holding without being counted:
+		// what it was taken to change may not have changed.
+		c.adoptReport(e, inventory)
+		return
 	case inventory.Orders > e.orders:
 		c.overtaken(now, e, inventory)
 		return
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -230,7 +230,7 @@
 	}
 	wait := c.modelOf(ask.Model).adapterDelay
 	if !c.adapterFits(e, ask.Model) {
-		if c.adapterVictim(e) == nil {
+		if c.adapterVictim(now, e) == nil {
 			return 0, adapterNone, false
 		}
 		wait += evictTime
@@ -242,8 +242,9 @@
 	return e.usedAdapterSlots() < c.spec.AdapterSlots && e.usedMB(c.spec)+c.spec.Models[model].AdapterMB <= c.spec.MemoryMB
 }
 
-// adapterVictim returns the idle adapter that was used longest ago.
-func (c *Cell) adapterVictim(e *engine) *fleet.AdapterRef {
+// adapterVictim returns the idle adapter that was used longest ago. One that
+// may still be on its way is none: unloading it has no effect.
+func (c *Cell) adapterVictim(now time.Time, e *engine) *fleet.AdapterRef {
 	var best *fleet.AdapterRef
 	var oldest time.Time
 	for _, w := range e.copies {
@@ -251,7 +252,7 @@
 			continue
 		}
 		for name, a := range w.adapters {
-			if a.state != present || a.running > 0 || c.isWanted(w.model, name) {
+			if a.state != present || a.running > 0 || now.Before(a.readyAt.Add(adapterSettle)) || c.isWanted(w.model, name) {
 				continue
 			}
 			if best == nil || a.lastUsed.Before(oldest) || a.lastUsed.Equal(oldest) && name < best.Adapter {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -231,3 +231,26 @@
 	is.Equal(submit("s2"), first)
 	is.Equal(submit("s3"), first)
 }
+
+// Pattern: the caller that an adapter was loaded for has left before it came.
+func TestComingAdapterIsNoVictim(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	for _, name := range []string{"a1", "a2", "a3"} {
+		e.models["m0"][name] = true
+	}
+	e.describe()
+	w := newWorld(spec, e)
+	w.adapterTime = 300 * time.Millisecond
+	w.run(50 * time.Millisecond)
+	for _, name := range []string{"a1", "a2", "a3"} { // in use
+		w.ask("m0", name, 100)
+	}
+	left := w.ask("m0", "a4", 100)
+	w.run(10 * time.Millisecond)
+	w.carryOut(w.cell.Withdraw(w.now, left))
+	w.ask("m0", "a5", 100)
+	w.run(2 * time.Second)
+	is.Equal(w.crashed(), nil)
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -21,6 +21,9 @@
 	fence   int64
 	busy    *fleet.Order
 	running map[string]int // by model
+	// coming are adapters on their way: they take a place, but an unload finds
+	// nothing to unload.
+	coming  map[string]map[string]bool
 	crashed bool
 	loads   int // from the weight store
 }
@@ -32,6 +35,7 @@
 		models:  make(map[string]map[string]bool),
 		tiers:   make(map[string]tier),
 		running: make(map[string]int),
+		coming:  make(map[string]map[string]bool),
 	}
 	for _, m := range models {
 		e.models[m] = make(map[string]bool)
@@ -72,7 +76,13 @@
 
 func (e *fakeEngine) inventory() fleet.Inventory {
 	up := e.describe()
-	return fleet.Inventory{StartedMs: e.up.StartedMs, Models: e.held(), Busy: e.busy != nil, Orders: e.orders, OnDisk: up.OnDisk}
+	inventory := fleet.Inventory{StartedMs: e.up.StartedMs, Models: e.held(), Busy: e.busy != nil, Orders: e.orders, OnDisk: up.OnDisk}
+	for model, adapters := range e.coming {
+		for name := range adapters {
+			inventory.Coming = append(inventory.Coming, fleet.AdapterRef{Model: model, Adapter: name})
+		}
+	}
+	return inventory
 }
 
 // order accepts or refuses an order.
@@ -111,13 +121,28 @@
 		e.orders--
 		return fleet.OrderInvalid
 	}
-	e.models[o.Model][o.Adapter] = true
+	if e.coming[o.Model] == nil {
+		e.coming[o.Model] = make(map[string]bool)
+	}
+	e.coming[o.Model][o.Adapter] = true
 	e.checkRoom()
 	return fleet.OrderAccepted
 }
 
+// arrive ends the way of an adapter.
+func (e *fakeEngine) arrive(o fleet.Order) {
+	if e.models[o.Model] == nil || !e.coming[o.Model][o.Adapter] {
+		return
+	}
+	delete(e.coming[o.Model], o.Adapter)
+	e.models[o.Model][o.Adapter] = true
+}
+
 func (e *fakeEngine) holds(o fleet.Order) bool {
 	adapters, ok := e.models[o.Model]
+	if !o.Unload && o.Adapter != "" && e.coming[o.Model][o.Adapter] {
+		return true
+	}
 	return ok && (o.Adapter == "" || adapters[o.Adapter])
 }
 
@@ -127,7 +152,7 @@
 	slots := 0
 	for name, adapters := range e.models {
 		memory += e.spec.Models[name].MemoryMB + int64(len(adapters))*e.spec.Models[name].AdapterMB
-		slots += len(adapters)
+		slots += len(adapters) + len(e.coming[name])
 	}
 	if e.busy != nil && !e.busy.Unload && e.models[e.busy.Model] == nil {
 		memory += e.spec.Models[e.busy.Model].MemoryMB
@@ -144,6 +169,7 @@
 	}
 	if e.busy.Unload {
 		delete(e.models, e.busy.Model)
+		delete(e.coming, e.busy.Model)
 	} else {
 		e.models[e.busy.Model] = make(map[string]bool)
 		e.tiers[e.busy.Model] = tierDisk
@@ -174,8 +200,9 @@
 	orders  int
 	// answerDelay is the time from an order to its answer.
 	answerDelay time.Duration
-	// reportLag is how old reports are.
-	nextKey uint64
+	// adapterTime is how long an adapter is on its way.
+	adapterTime time.Duration
+	nextKey     uint64
 	// loseAnswer, if set, tells whether the answer to an order is lost.
 	loseAnswer func() bool
 	// applyLate, if set, tells how much later an unanswered order is carried out.
@@ -198,7 +225,7 @@
 }
 
 func newWorld(spec *fleet.EngineSpec, engines ...*fakeEngine) *world {
-	w := &world{now: time.Unix(1_000_000, 0), spec: spec, engines: make(map[string]*fakeEngine), answerDelay: 2 * time.Millisecond}
+	w := &world{now: time.Unix(1_000_000, 0), spec: spec, engines: make(map[string]*fakeEngine), answerDelay: 2 * time.Millisecond, adapterTime: 14 * time.Millisecond}
 	for _, e := range engines {
 		w.engines[e.up.ID] = e
 	}
@@ -281,6 +308,9 @@
 func (w *world) apply(e *fakeEngine, o fleet.Order) fleet.OrderResult {
 	wasBusy := e.busy
 	result := e.order(o)
+	if result == fleet.OrderAccepted && o.Adapter != "" && !o.Unload {
+		w.after(w.adapterTime, func() { e.arrive(o) })
+	}
 	if e.busy != nil && e.busy != wasBusy {
 		w.finishAfter(e, e.duration(*e.busy), e.busy)
 	}
