cell: a stopping holder hands the lease over to a connected router, without the store

Change: the holder gives fence + 1 and the row's version to the strongest connected router and tells the others; fences are the row's version with ten bits for such handovers, so no number is used twice.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -34,6 +34,9 @@
 	contendDelay    = 25 * time.Millisecond
 	maxContendDelay = 600 * time.Millisecond
 	contendPower    = 1.5
+	// handoverBits are left below the version of the row in a fencing number, to
+	// count the handovers since the takeover.
+	handoverBits = 10
 	// strongerBy is how much stronger than the holder a connected router must be
 	// for the lease to be given up to it, after yieldAfter; the former holder
 	// takes no lease for yieldFor.
@@ -58,6 +61,15 @@
 	OrdersFrom time.Time
 }
 
+// Handover is what a holder passes to its successor, so that a planned change
+// needs no store.
+type Handover struct {
+	Fence int64
+	// Version and BootID are those of the lease's row as the holder wrote it last.
+	Version int64
+	BootID  string
+}
+
 // ElectionOptions configure an Election.
 type ElectionOptions struct {
 	Table   external.TableService
@@ -80,7 +92,10 @@
 	OnElected func(Tenure)
 	OnLost    func(reason string)
 	OnHolder  func(host, address string)
-	Observer  Observer
+	// HandOver gives the lease to a connected router and reports whether there
+	// is one; nil means that there is none.
+	HandOver func(offer Handover) bool
+	Observer Observer
 	// Now tells the time with a monotonic reading; nil means time.Now.
 	Now func() time.Time
 }
@@ -119,6 +134,11 @@
 	fenced atomic.Bool
 	// resigned is set once this router takes no lease any more.
 	resigned atomic.Bool
+	// offered is a lease that its holder hands to this router.
+	offered atomic.Pointer[Handover]
+	// predecessor is the boot id of the holder that handed the lease over, until
+	// this router's first renewal.
+	predecessor string
 }
 
 // NewElection makes an election; call Run.
@@ -158,7 +178,10 @@
 	if e.fenced.Swap(false) && e.fence != 0 {
 		e.lose("an engine has seen a higher fence")
 	}
+	offer := e.offered.Swap(nil)
 	switch {
+	case e.fence == 0 && offer != nil && !e.resigned.Load():
+		e.succeed(*offer, now)
 	case e.fence == 0:
 		e.follow(ctx, now)
 	case e.resigned.Load():
@@ -177,6 +200,9 @@
 // scheduler among other routers.
 func (e *Election) Resign() { e.resigned.Store(true) }
 
+// Accept takes a lease over that its holder hands to this router.
+func (e *Election) Accept(offer Handover) { e.offered.Store(&offer) }
+
 // Fenced tells that an engine refused an order for its fence: another router
 // has taken the lease over.
 func (e *Election) Fenced() { e.fenced.Store(true) }
@@ -219,18 +245,20 @@
 	if result.Committed {
 		e.row = row
 		e.version = result.Version
+		e.predecessor = ""
 		e.setRenewed(now)
 		e.nextRenewal = now.Add(renewEvery)
 		return
 	}
 	present, version := e.conflict(result)
-	if present.GetBootId() != e.opts.BootID || present.GetHolder() == "" {
+	isPredecessor := e.predecessor != "" && present.GetBootId() == e.predecessor
+	if present.GetBootId() != e.opts.BootID && !isPredecessor || present.GetHolder() == "" {
 		e.see(present, version)
 		e.lose("lease taken over by " + present.GetHolder())
 		return
 	}
-	// An own renewal whose answer was lost came through.
-	e.row = present
+	// An own renewal whose answer was lost came through, or the predecessor's.
+	e.row.Renewals = present.GetRenewals()
 	e.version = version
 	e.nextRenewal = now
 }
@@ -348,13 +376,26 @@
 	e.elected(result.Version, now)
 }
 
+// succeed begins a tenure that the former holder has handed over.
+func (e *Election) succeed(offer Handover, now time.Time) {
+	e.row = &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
+	e.predecessor = offer.BootID
+	e.begin(offer.Version, offer.Fence, now)
+	e.nextRenewal = now
+}
+
 func (e *Election) elected(version int64, sent time.Time) {
+	e.predecessor = ""
+	e.begin(version, version<<handoverBits, sent)
+}
+
+func (e *Election) begin(version, fence int64, sent time.Time) {
 	e.version = version
-	e.fence = version
+	e.fence = fence
 	e.electedAt = e.opts.Now()
 	e.setRenewed(sent)
 	e.nextRenewal = sent.Add(renewEvery)
-	tenure := Tenure{Fence: version, OrdersFrom: e.opts.Now()}
+	tenure := Tenure{Fence: fence, OrdersFrom: e.opts.Now()}
 	if !e.opts.EnginesCheckFence {
 		tenure.OrdersFrom = tenure.OrdersFrom.Add(e.opts.LeaseTime)
 	}
@@ -369,9 +410,22 @@
 	return now.Sub(e.electedAt) > yieldAfter && e.opts.StrongestPeer() >= strongerBy*e.opts.Cores
 }
 
+// handOver gives a held lease to a connected router, if there is one.
+func (e *Election) handOver(reason string) bool {
+	if e.opts.HandOver == nil {
+		return false
+	}
+	if !e.opts.HandOver(Handover{Fence: e.fence + 1, Version: e.version, BootID: e.opts.BootID}) {
+		return false
+	}
+	e.fence = 0
+	e.opts.OnLost(reason)
+	return true
+}
+
 // release gives a held lease up.
 func (e *Election) release(ctx context.Context, reason string) {
-	if e.fence == 0 {
+	if e.fence == 0 || e.handOver(reason) {
 		return
 	}
 	e.fence = 0
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -206,3 +206,40 @@
 	is.Equal(first.holder, "b")
 	is.Equal(len(second.tenures), 1)
 }
+
+// Pattern: the holder is stopped while the store is away.
+func TestHandoverWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	a.table.SetFault(tabletest.Down)
+	first.Resign()
+	a.run(time.Second)
+	is.True(!first.holds())
+	is.True(second.holds())
+	is.True(second.MayOrder())
+	is.True(second.tenures[0].Fence > first.tenures[0].Fence)
+	a.table.SetFault(tabletest.None)
+	a.run(10*time.Second, first)
+	is.True(second.holds()) // the row is its own now
+	is.Equal(second.lost, 0)
+	third := a.contenders[0]
+	third.resigned.Store(false)
+	a.run(8*time.Second, second) // it ends
+	is.True(third.holds())
+	is.True(third.tenures[1].Fence > second.tenures[0].Fence) // no number is used twice
+}
+
+// Pattern: a renewal of the former holder is applied after the handover.
+func TestHandoverOutlivesALateRenewal(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	a.table.SetFault(tabletest.LostAnswer)
+	a.run(700*time.Millisecond, second)
+	a.table.SetFault(tabletest.None)
+	first.Resign()
+	a.run(3 * time.Second)
+	is.True(second.holds())
+	is.Equal(second.lost, 0)
+}
--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -63,13 +63,8 @@
 
 // Client asks the scheduler, wherever it runs.
 type Client struct {
-	host   string
-	bootID string
-	cores  float64
-	creds  transport.Credentials
-	local  *Scheduler
-	events ClientObserver
-	onList func(fleet.Change)
+	opts  ClientOptions
+	creds transport.Credentials
 
 	numbers atomic.Uint64
 
@@ -108,17 +103,27 @@
 
 const localTarget = "local"
 
-// NewClient makes a client without a scheduler; call Run. cores is the host's
-// processor share. onList takes the lists that the scheduler passes on; it must
-// not call the client.
-func NewClient(host, bootID string, cores float64, local *Scheduler, events ClientObserver, onList func(fleet.Change)) *Client {
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	Host   string
+	BootID string
+	// Address is where this router is reached by others, Cores its host's
+	// processor share.
+	Address string
+	Cores   float64
+	// Local is the scheduler of this process.
+	Local  *Scheduler
+	Events ClientObserver
+	// OnList takes the lists that the scheduler passes on, OnHandover a lease
+	// that it hands over. They must not call the client.
+	OnList     func(fleet.Change)
+	OnHandover func(Handover)
+}
+
+// NewClient makes a client without a scheduler; call Run.
+func NewClient(opts ClientOptions) *Client {
 	return &Client{
-		host:    host,
-		bootID:  bootID,
-		cores:   cores,
-		local:   local,
-		events:  events,
-		onList:  onList,
+		opts:    opts,
 		waiting: make(map[uint64]*waitingAsk),
 		running: make(map[uint64]*apiv1.RunningRequest),
 		changed: make(chan struct{}),
@@ -129,6 +134,10 @@
 func (c *Client) Follow(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.followLocked(address)
+}
+
+func (c *Client) followLocked(address string) {
 	if c.target == address {
 		return
 	}
@@ -136,6 +145,13 @@
 	c.dropLinkLocked(errors.New("another router schedules"))
 }
 
+// Leave tells the scheduler that this router stops.
+func (c *Client) Leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Leaving{Leaving: &apiv1.RouterLeaving{}}})
+}
+
 // FollowLocal sends asks to the scheduler of this process.
 func (c *Client) FollowLocal() { c.Follow(localTarget) }
 
@@ -231,7 +247,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.host, BootId: c.bootID, Cores: c.cores}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
@@ -246,7 +262,7 @@
 
 func (c *Client) connectLocal() {
 	link := &localLink{}
-	link.session = c.local.attach(
+	link.session = c.opts.Local.attach(
 		func(reply *apiv1.SchedulerReply) { c.deliver(link, reply) },
 		func() { c.lost(link, errors.New("this router no longer schedules")) },
 	)
@@ -288,7 +304,7 @@
 	}
 	if c.alive {
 		c.alive = false
-		c.events.SchedulerLost(c.target, err)
+		c.opts.Events.SchedulerLost(c.target, err)
 	}
 }
 
@@ -304,7 +320,7 @@
 	c.alive = true
 	close(c.changed)
 	c.changed = make(chan struct{})
-	c.events.SchedulerLinked(c.target)
+	c.opts.Events.SchedulerLinked(c.target)
 }
 
 func (c *Client) deliver(link sender, reply *apiv1.SchedulerReply) {
@@ -319,9 +335,16 @@
 	case *apiv1.SchedulerReply_Beat:
 		c.beatLocked(body.Beat)
 		return
+	case *apiv1.SchedulerReply_Handover:
+		h := body.Handover
+		c.opts.OnHandover(Handover{Fence: h.GetFence(), Version: h.GetVersion(), BootID: h.GetBootId()})
+		return
+	case *apiv1.SchedulerReply_Moved:
+		c.followLocked(body.Moved.GetAddress())
+		return
 	case *apiv1.SchedulerReply_List:
 		c.listed = true
-		c.onList(decodeList(body.List))
+		c.opts.OnList(decodeList(body.List))
 		return
 	case *apiv1.SchedulerReply_Queued:
 		if ask := c.waiting[body.Queued.GetNumber()]; ask != nil {
--- a/internal/cell/link_test.go
+++ b/internal/cell/link_test.go
@@ -21,6 +21,15 @@
 func (quietLog) Ordered(string, scheduler.OrderCall, fleet.OrderResult, time.Duration, error) {}
 func (quietLog) Inspected(string, fleet.Inventory, error)                                     {}
 
+func (quietLog) HandedOver(string, int64) {}
+
+func newClient(host, bootID string) *Client {
+	return NewClient(ClientOptions{
+		Host: host, BootID: bootID, Address: host + ":1", Cores: 1, Events: quietObserver{},
+		OnList: func(fleet.Change) {}, OnHandover: func(Handover) {},
+	})
+}
+
 type holdingEngines struct{}
 
 func (holdingEngines) Order(context.Context, *fleet.Upstream, fleet.Order) (fleet.OrderResult, error) {
@@ -64,7 +73,7 @@
 	defer cancel()
 	schedulerCtx, endScheduler := context.WithCancel(ctx)
 	_, addr := newScheduler(t, schedulerCtx)
-	client := NewClient("r1", "boot", 1, nil, quietObserver{}, func(fleet.Change) {})
+	client := newClient("r1", "boot")
 	go client.Run(ctx)
 	_, err := client.Place(ctx, ask())
 	is.True(errors.Is(err, ErrNoScheduler)) // told at once, so that the router can choose alone
@@ -103,7 +112,7 @@
 	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, func(ctx context.Context, _ *transport.Stream) { <-ctx.Done() })
 	is.NoErr(err)
 	go server.Serve(ctx)
-	client := NewClient("r1", "boot", 1, nil, quietObserver{}, func(fleet.Change) {})
+	client := newClient("r1", "boot")
 	go client.Run(ctx)
 	client.Follow(server.Addr())
 	time.Sleep(400 * time.Millisecond)
@@ -117,7 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s, addr := newScheduler(t, ctx)
-	client := NewClient("r1", "boot", 1, nil, quietObserver{}, func(fleet.Change) {})
+	client := newClient("r1", "boot")
 	go client.Run(ctx)
 	client.Follow(addr)
 	is.NoErr(client.WaitLinked(ctx))
@@ -149,7 +158,7 @@
 	defer cancel()
 	s, addr := newScheduler(t, ctx)
 	routerCtx, endRouter := context.WithCancel(ctx)
-	client := NewClient("r1", "boot", 1, nil, quietObserver{}, func(fleet.Change) {})
+	client := newClient("r1", "boot")
 	go client.Run(routerCtx)
 	client.Follow(addr)
 	is.NoErr(client.WaitLinked(ctx))
@@ -166,9 +175,50 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	is.Equal(count(), [2]int{0, 1}) // its engine may still run it
-	again := NewClient("r1", "boot-2", 1, nil, quietObserver{}, func(fleet.Change) {})
+	again := newClient("r1", "boot-2")
 	go again.Run(ctx)
 	again.Follow(addr)
 	is.NoErr(again.WaitLinked(ctx))
 	is.Equal(count(), [2]int{1, 0}) // the router knows of none
 }
+
+// Pattern: a planned stop of the scheduler, with or without the store.
+func TestHandoverReachesTheStrongestRouter(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, addr := newScheduler(t, ctx)
+	offers := make(chan string, 4)
+	var clients []*Client
+	for host, cores := range map[string]float64{"weak": 0.1, "strong": 0.8, "leaving": 2} {
+		c := newClient(host, "boot-"+host)
+		c.opts.Cores = cores
+		c.opts.OnHandover = func(h Handover) { offers <- host }
+		go c.Run(ctx)
+		c.Follow(addr)
+		is.NoErr(c.WaitLinked(ctx))
+		if host == "leaving" {
+			c.Leave()
+		}
+		clients = append(clients, c)
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.True(s.HandOver(Handover{Fence: 7}))
+	is.Equal(<-offers, "strong")
+	deadline := time.Now().Add(10 * time.Second)
+	for _, c := range clients {
+		if c.opts.Host == "strong" {
+			continue
+		}
+		for moved := false; !moved; {
+			c.mu.Lock()
+			moved = c.target == "strong:1"
+			c.mu.Unlock()
+			if time.Now().After(deadline) {
+				t.Fatal("a router was not told where the scheduler is")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	is.True(!s.HandOver(Handover{Fence: 8})) // nobody is left
+}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -53,6 +53,7 @@
 	Refused(service string, refusal scheduler.Refusal)
 	Ordered(service string, call scheduler.OrderCall, result fleet.OrderResult, took time.Duration, err error)
 	Inspected(upstreamID string, inventory fleet.Inventory, err error)
+	HandedOver(router string, fence int64)
 }
 
 // Scheduler runs the cells on the router that holds the lease. All its state
@@ -91,12 +92,15 @@
 
 // session is one router's connection.
 type session struct {
-	owner  *Scheduler
-	number uint64
-	router string
-	cores  float64
+	owner   *Scheduler
+	number  uint64
+	router  string
+	cores   float64
+	address string
 	// greeted is set by the hello; before it nothing is passed on.
 	greeted bool
+	// leaving is set once the router stops.
+	leaving bool
 	reply   func(*apiv1.SchedulerReply)
 	ended   func()
 	// services tells the service of each open key; it belongs to the
@@ -171,6 +175,51 @@
 	})
 }
 
+// HandOver ends the tenure, gives it to the strongest connected router and tells
+// the others. It reports false, and changes nothing, if there is none.
+func (s *Scheduler) HandOver(offer Handover) bool {
+	done := make(chan bool, 1)
+	if !s.post(func() { done <- s.handOver(offer) }) {
+		return false
+	}
+	select {
+	case ok := <-done:
+		return ok
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+func (s *Scheduler) handOver(offer Handover) bool {
+	var heir *session
+	for _, session := range s.sessions {
+		if session.leaving || session.address == "" || session.router == s.opts.Host {
+			continue
+		}
+		if heir == nil || session.cores > heir.cores || session.cores == heir.cores && session.router < heir.router {
+			heir = session
+		}
+	}
+	if heir == nil {
+		return false
+	}
+	s.opts.Log.HandedOver(heir.router, offer.Fence)
+	heir.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Handover{Handover: &apiv1.SchedulerHandover{
+		Fence: offer.Fence, Version: offer.Version, BootId: offer.BootID,
+	}}})
+	for _, session := range s.sessions {
+		if session != heir {
+			session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Moved{Moved: &apiv1.SchedulerMoved{Address: heir.address}}})
+		}
+	}
+	// The routers disconnect when they have read this.
+	s.active = false
+	s.fence.Store(0)
+	s.cells = make(map[string]*scheduler.Cell)
+	clear(s.sessions)
+	return true
+}
+
 // Refresh takes over the directory after a change.
 func (s *Scheduler) Refresh() { s.post(s.refresh) }
 
@@ -231,7 +280,9 @@
 func (s *Scheduler) beat() {
 	strongest := 0.0
 	for _, session := range s.sessions {
-		strongest = max(strongest, session.cores)
+		if !session.leaving {
+			strongest = max(strongest, session.cores)
+		}
 	}
 	s.strongest.Store(math.Float64bits(strongest))
 	configAge, listAge := s.opts.Directory.ReadAges(time.Now())
@@ -400,6 +451,8 @@
 		s.ask(now, from, body.Ask)
 	case *apiv1.SchedulerCall_Progress:
 		s.progress(now, from, body.Progress)
+	case *apiv1.SchedulerCall_Leaving:
+		from.leaving = true
 	case *apiv1.SchedulerCall_Withdrawal:
 		key := from.key(body.Withdrawal.GetNumber())
 		if cell := s.cells[from.services[key]]; cell != nil {
@@ -415,6 +468,7 @@
 func (s *Scheduler) hello(now time.Time, from *session, hello *apiv1.SchedulerHello) {
 	from.router = hello.GetRouter()
 	from.cores = hello.GetCores()
+	from.address = hello.GetAddress()
 	// The router itself tells what it has under way.
 	s.dropOrphans(now, func(o orphan) bool { return o.router == from.router })
 	for _, r := range hello.GetRunning() {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -150,6 +150,11 @@
 		"running", inventory.Running, "waiting", inventory.Waiting, "kv_used", inventory.KVUsed)
 }
 
+// HandedOver implements cell.DecisionLog.
+func (l *Log) HandedOver(router string, fence int64) {
+	l.out.Info("lease handed over", "to", router, "fence", fence)
+}
+
 // Tenure logs the beginning or the end of scheduling on this router.
 func (l *Log) Tenure(begins bool, fence int64, reason string) {
 	l.out.Info("scheduling", "begins", begins, "fence", fence, "reason", reason)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -79,7 +79,16 @@
 		OnFenced:         func() { p.election.Fenced() },
 		Log:              p.log,
 	})
-	p.client = cell.NewClient(settings.Host, bootID, settings.Cores, p.scheduler, p.log, p.told)
+	p.client = cell.NewClient(cell.ClientOptions{
+		Host:       settings.Host,
+		BootID:     bootID,
+		Address:    settings.PeerAddr,
+		Cores:      settings.Cores,
+		Local:      p.scheduler,
+		Events:     p.log,
+		OnList:     p.told,
+		OnHandover: func(offer cell.Handover) { p.election.Accept(offer) },
+	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:             deps.Table,
 		Host:              settings.Host,
@@ -90,6 +99,7 @@
 		EnginesCheckFence: settings.EnginesCheckFence,
 		IsServed:          p.client.IsServed,
 		StrongestPeer:     p.scheduler.StrongestPeer,
+		HandOver:          p.scheduler.HandOver,
 		OnElected:         p.elected,
 		OnLost:            p.lost,
 		OnHolder:          func(_, address string) { p.client.Follow(address) },
@@ -193,6 +203,7 @@
 	began := time.Now()
 	p.deps.Log.Info("stopping", "in_flight", p.front.inFlight.Load())
 	p.front.stop()
+	p.client.Leave()
 	p.election.Resign()
 	deadline := began.Add(p.settings.StopGrace - stopMargin)
 	quietSince := time.Now()
