Long prompts keep away from running streams; an engine that denies a model is left out; a superseded holder is told

Changes: the choice of an engine counts what reading disturbs; denials are kept for 3 s; a voluntary handover holds orders back for the lease time; routers tell the former holder who has its lease.

--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -48,6 +48,9 @@
 	fencedPatience = 3 * renewEvery
 	// takeoverMargin is added to the lease time where they don't.
 	takeoverMargin = 500 * time.Millisecond
+	// orderMargin is added to the lease time before a new holder's first order, for
+	// orders of the former one that were on their way.
+	orderMargin = 200 * time.Millisecond
 	// pauseGap is the time between two ticks that shows that the process was
 	// stopped meanwhile.
 	pauseGap = 700 * time.Millisecond
@@ -68,6 +71,9 @@
 	// Version and BootID are those of the lease's row as the holder wrote it last.
 	Version int64
 	BootID  string
+	// Wait is set when the former holder goes on running. Orders of two live
+	// holders must be the lease time apart.
+	Wait bool
 }
 
 // ElectionOptions configure an Election.
@@ -132,6 +138,8 @@
 	resumed atomic.Bool
 	// fenced is set when an engine has seen a higher fence.
 	fenced atomic.Bool
+	// superseded is the address of a new holder that a router told of.
+	superseded atomic.Pointer[string]
 	// resigned is set once this router takes no lease any more.
 	resigned atomic.Bool
 	// offered is a lease that its holder hands to this router.
@@ -178,6 +186,10 @@
 	if e.fenced.Swap(false) && e.fence != 0 {
 		e.lose("an engine has seen a higher fence")
 	}
+	if address := e.superseded.Swap(nil); address != nil && e.fence != 0 {
+		e.lose("a router follows another holder")
+		e.opts.OnHolder("", *address)
+	}
 	offer := e.offered.Swap(nil)
 	switch {
 	case e.fence == 0 && offer != nil && !e.resigned.Load():
@@ -186,8 +198,7 @@
 		e.follow(ctx, now)
 	case e.resigned.Load():
 		e.release(ctx, "stopping")
-	case e.shouldYield(now):
-		e.release(ctx, "a stronger host is there")
+	case e.shouldYield(now) && e.handOver("a stronger host is there", true):
 		e.yieldUntil = now.Add(yieldFor)
 	default:
 		e.renew(ctx, now)
@@ -196,6 +207,9 @@
 	e.lastTick = e.opts.Now()
 }
 
+// Superseded tells that the router at address has taken the lease over.
+func (e *Election) Superseded(address string) { e.superseded.Store(&address) }
+
 // Resign gives a held lease up and takes none any more. Run goes on to find the
 // scheduler among other routers.
 func (e *Election) Resign() { e.resigned.Store(true) }
@@ -216,7 +230,7 @@
 // must renew first. Where engines check fences it goes on while the store can't
 // be reached, since a successor's orders have a higher fence.
 func (e *Election) MayOrder() bool {
-	if e.resumed.Load() || e.fenced.Load() {
+	if e.resumed.Load() || e.fenced.Load() || e.superseded.Load() != nil {
 		return false
 	}
 	if e.RenewedAgo() < e.opts.LeaseTime-takeoverMargin {
@@ -380,24 +394,26 @@
 func (e *Election) succeed(offer Handover, now time.Time) {
 	e.row = &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
 	e.predecessor = offer.BootID
-	e.begin(offer.Version, offer.Fence, now)
+	e.begin(offer.Version, offer.Fence, now, offer.Wait)
 	e.nextRenewal = now
 }
 
 func (e *Election) elected(version int64, sent time.Time) {
 	e.predecessor = ""
-	e.begin(version, version<<handoverBits, sent)
+	e.begin(version, version<<handoverBits, sent, false)
 }
 
-func (e *Election) begin(version, fence int64, sent time.Time) {
+// begin starts a tenure. wait keeps orders back for the lease time, which is also
+// due where engines don't check fences.
+func (e *Election) begin(version, fence int64, sent time.Time, wait bool) {
 	e.version = version
 	e.fence = fence
 	e.electedAt = e.opts.Now()
 	e.setRenewed(sent)
 	e.nextRenewal = sent.Add(renewEvery)
 	tenure := Tenure{Fence: fence, OrdersFrom: e.opts.Now()}
-	if !e.opts.EnginesCheckFence {
-		tenure.OrdersFrom = tenure.OrdersFrom.Add(e.opts.LeaseTime)
+	if wait || !e.opts.EnginesCheckFence {
+		tenure.OrdersFrom = tenure.OrdersFrom.Add(e.opts.LeaseTime + orderMargin)
 	}
 	e.opts.OnElected(tenure)
 }
@@ -411,11 +427,11 @@
 }
 
 // handOver gives a held lease to a connected router, if there is one.
-func (e *Election) handOver(reason string) bool {
+func (e *Election) handOver(reason string, wait bool) bool {
 	if e.opts.HandOver == nil {
 		return false
 	}
-	if !e.opts.HandOver(Handover{Fence: e.fence + 1, Version: e.version, BootID: e.opts.BootID}) {
+	if !e.opts.HandOver(Handover{Fence: e.fence + 1, Version: e.version, BootID: e.opts.BootID, Wait: wait}) {
 		return false
 	}
 	e.fence = 0
@@ -425,7 +441,7 @@
 
 // release gives a held lease up.
 func (e *Election) release(ctx context.Context, reason string) {
-	if e.fence == 0 || e.handOver(reason) {
+	if e.fence == 0 || e.handOver(reason, false) {
 		return
 	}
 	e.fence = 0
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -200,11 +200,17 @@
 	first.opts.Cores = 0.144
 	first.opts.StrongestPeer = func() float64 { return 0.8 }
 	second.opts.Cores = 0.8
+	a.run(time.Second)
+	is.True(first.holds()) // there is nobody to hand over to
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	before := a.now
 	a.run(4 * time.Second)
 	is.True(!first.holds())
 	is.True(second.holds())
 	is.Equal(first.holder, "b")
 	is.Equal(len(second.tenures), 1)
+	// Both run on: their orders are the lease time apart.
+	is.True(second.tenures[0].OrdersFrom.Sub(before) > 3*time.Second)
 }
 
 // Pattern: the holder is stopped while the store is away.
@@ -243,3 +249,17 @@
 	is.True(second.holds())
 	is.Equal(second.lost, 0)
 }
+
+func TestSupersededHolderStepsDown(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	a.run(6*time.Second, first)
+	is.True(second.holds())
+	first.Superseded("b:1")
+	is.True(!first.MayOrder())
+	first.step(context.Background())
+	is.Equal(first.lost, 1)
+	first.Superseded("b:1") // told once more
+	first.step(context.Background())
+	is.Equal(first.lost, 1)
+}
--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -29,6 +29,7 @@
 	askTimeout  = 250 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	redialPause = 150 * time.Millisecond
+	closeDelay  = 50 * time.Millisecond
 )
 
 // ErrNoScheduler means that no scheduler is connected.
@@ -141,10 +142,19 @@
 	if c.target == address {
 		return
 	}
+	if c.target != localTarget && address != localTarget {
+		c.sendLocked(superseded(address))
+	} else if address == localTarget {
+		c.sendLocked(superseded(c.opts.Address))
+	}
 	c.target = address
 	c.dropLinkLocked(errors.New("another router schedules"))
 }
 
+func superseded(address string) *apiv1.SchedulerCall {
+	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Superseded{Superseded: &apiv1.SchedulerSuperseded{Address: address}}}
+}
+
 // Leave tells the scheduler that this router stops.
 func (c *Client) Leave() {
 	c.mu.Lock()
@@ -296,7 +306,7 @@
 	if c.link == nil {
 		return
 	}
-	go c.link.close() // may wait for the peer
+	closeLater(c.link)
 	c.link = nil
 	for number, ask := range c.waiting {
 		close(ask.answer)
@@ -308,6 +318,9 @@
 	}
 }
 
+// closeLater ends a link once its last calls had time to be sent.
+func closeLater(link sender) { time.AfterFunc(closeDelay, link.close) }
+
 // beatLocked notes a sign of life.
 func (c *Client) beatLocked(beat *apiv1.SchedulerBeat) {
 	c.renewedAt = c.lastBeat.Add(-microseconds(beat.GetRenewedAgoUs()))
@@ -337,7 +350,7 @@
 		return
 	case *apiv1.SchedulerReply_Handover:
 		h := body.Handover
-		c.opts.OnHandover(Handover{Fence: h.GetFence(), Version: h.GetVersion(), BootID: h.GetBootId()})
+		c.opts.OnHandover(Handover{Fence: h.GetFence(), Version: h.GetVersion(), BootID: h.GetBootId(), Wait: h.GetWaitLeaseTime()})
 		return
 	case *apiv1.SchedulerReply_Moved:
 		c.followLocked(body.Moved.GetAddress())
--- a/internal/cell/link_test.go
+++ b/internal/cell/link_test.go
@@ -42,6 +42,11 @@
 
 // newScheduler runs an active scheduler with one engine that holds model m.
 func newScheduler(t *testing.T, ctx context.Context) (*Scheduler, string) {
+	t.Helper()
+	return newSchedulerWith(t, ctx, func(string) {})
+}
+
+func newSchedulerWith(t *testing.T, ctx context.Context, onSuperseded func(string)) (*Scheduler, string) {
 	t.Helper()
 	directory := fleet.NewDirectory()
 	spec := &fleet.EngineSpec{Slots: 1, KVTokens: 1000, MemoryMB: 10, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}}}
@@ -51,7 +56,7 @@
 	}}}})
 	s := NewScheduler(SchedulerOptions{
 		Directory: directory, Engines: holdingEngines{}, Host: "h",
-		MayOrder: func() bool { return true }, RenewedAgo: func() time.Duration { return 0 }, OnFenced: func() {}, Log: quietLog{},
+		MayOrder: func() bool { return true }, RenewedAgo: func() time.Duration { return 0 }, OnFenced: func() {}, OnSuperseded: onSuperseded, Log: quietLog{},
 	})
 	go s.Run(ctx)
 	s.Start(Tenure{Fence: 1, OrdersFrom: time.Now()})
@@ -222,3 +227,18 @@
 	}
 	is.True(!s.HandOver(Handover{Fence: 8})) // nobody is left
 }
+
+// Pattern: the holder is cut off from the store, and routers find its successor.
+func TestFormerHolderIsToldOfItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told := make(chan string, 1)
+	_, addr := newSchedulerWith(t, ctx, func(address string) { told <- address })
+	client := newClient("r1", "boot")
+	go client.Run(ctx)
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	client.Follow("127.0.0.1:1")
+	is.Equal(<-told, "127.0.0.1:1")
+}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -44,7 +44,10 @@
 	RenewedAgo func() time.Duration
 	// OnFenced is called when an engine has seen a higher fence.
 	OnFenced func()
-	Log      DecisionLog
+	// OnSuperseded is called with the new holder's address when a router tells
+	// that another one has the lease.
+	OnSuperseded func(address string)
+	Log          DecisionLog
 }
 
 // DecisionLog takes a line for each decision. Calls must not block.
@@ -205,7 +208,7 @@
 	}
 	s.opts.Log.HandedOver(heir.router, offer.Fence)
 	heir.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Handover{Handover: &apiv1.SchedulerHandover{
-		Fence: offer.Fence, Version: offer.Version, BootId: offer.BootID,
+		Fence: offer.Fence, Version: offer.Version, BootId: offer.BootID, WaitLeaseTime: offer.Wait,
 	}}})
 	for _, session := range s.sessions {
 		if session != heir {
@@ -451,6 +454,8 @@
 		s.ask(now, from, body.Ask)
 	case *apiv1.SchedulerCall_Progress:
 		s.progress(now, from, body.Progress)
+	case *apiv1.SchedulerCall_Superseded:
+		s.opts.OnSuperseded(body.Superseded.GetAddress())
 	case *apiv1.SchedulerCall_Leaving:
 		from.leaving = true
 	case *apiv1.SchedulerCall_Withdrawal:
@@ -519,6 +524,7 @@
 		FailureDomain: ask.GetFailureDomain(),
 		Tried:         ask.GetTried(),
 		MayMove:       ask.GetMayMove(),
+		MaxGap:        microseconds(ask.GetMaxGapUs()),
 	}
 	for _, p := range ask.GetParts() {
 		out.Parts = append(out.Parts, scheduler.Part{ID: p.GetId(), Tokens: p.GetTokens()})
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -12,6 +12,9 @@
 	// firstAvoid and maxAvoid bound how long a failing upstream is avoided.
 	firstAvoid = 300 * time.Millisecond
 	maxAvoid   = 4 * time.Second
+	// deniedFor is how long an upstream's word that it lacks a model goes before
+	// its entry, which may be old while the store is away.
+	deniedFor = 3 * time.Second
 	// refusedAvoid is the pause after a refusal of a full upstream.
 	refusedAvoid = 100 * time.Millisecond
 	// loadAge is how long a reported load counts.
@@ -34,8 +37,14 @@
 	mu      sync.Mutex
 	states  map[string]*upstreamState
 	latency time.Duration
+	// denied tells until when an upstream counts as without a model that its
+	// entry names.
+	denied map[modelOn]time.Time
 }
 
+// modelOn is a model on an upstream.
+type modelOn struct{ upstream, model string }
+
 type upstreamState struct {
 	inFlight int
 	strikes  int
@@ -47,7 +56,7 @@
 }
 
 func newBalancer(domain string) *balancer {
-	return &balancer{domain: domain, states: make(map[string]*upstreamState)}
+	return &balancer{domain: domain, states: make(map[string]*upstreamState), denied: make(map[modelOn]time.Time)}
 }
 
 // pick returns the least loaded candidate; nil if there is none.
@@ -117,10 +126,18 @@
 	s.reported = time.Now()
 }
 
-func (b *balancer) succeeded(id string, took time.Duration) {
+// recovered notes a whole answer.
+func (b *balancer) recovered(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.state(id).strikes = 0
+}
+
+// succeeded notes a whole answer of a plain service and the time that it took.
+func (b *balancer) succeeded(id string, took time.Duration) {
+	b.recovered(id)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.latency == 0 {
 		b.latency = took
 	}
@@ -143,6 +160,20 @@
 	}
 }
 
+// deny notes that an upstream says it does not hold a model.
+func (b *balancer) deny(id, model string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.denied[modelOn{id, model}] = time.Now().Add(deniedFor)
+}
+
+// isDenied reports whether an upstream said lately that it does not hold a model.
+func (b *balancer) isDenied(id, model string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.denied[modelOn{id, model}])
+}
+
 // patience is how long an answer may take before another upstream is tried.
 func (b *balancer) patience() time.Duration {
 	b.mu.Lock()
@@ -159,4 +190,9 @@
 			delete(b.states, id)
 		}
 	}
+	for key, until := range b.denied {
+		if time.Now().After(until) {
+			delete(b.denied, key)
+		}
+	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -179,3 +179,22 @@
 	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
 	is.Equal(u.runs(), 0)
 }
+
+// Pattern: the scheduler and the store are away, and an engine came back empty
+// under an entry that still names its models. It refuses fast and must not draw
+// all requests.
+func TestEmptyEngineDrawsNoMoreRequests(t *testing.T) {
+	is := is.New(t)
+	empty := newUpstream(t, "engine-1", lacksModel)
+	good := newUpstream(t, "engine-2", events(1, 1, true))
+	b := start(t, empty, good)
+	b.process.client.Follow("127.0.0.1:1") // no scheduler answers there
+	served := 0
+	for range 12 {
+		if got := b.send(t, "/stream/a", "m", patience); got.status == http.StatusOK {
+			served++
+		}
+	}
+	is.True(empty.runs() <= 1) // asked once, then known
+	is.True(served >= 11)
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -44,7 +44,7 @@
 }
 
 func (testDialect) ReadAnswer(_ int, h http.Header) Answer {
-	return Answer{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	return Answer{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", WrongUpstream: h.Get("Lacks") != ""}
 }
 
 // upstream is a scripted server: each request is answered by the next function,
@@ -104,6 +104,13 @@
 	}
 }
 
+// lacksModel is the refusal of an engine that does not hold the model.
+func lacksModel(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.Header().Set("Lacks", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 func notRun(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -103,6 +103,7 @@
 		FailureDomain: j.front.settings.FailureDomain,
 		Tried:         slices.Clone(j.tried),
 		MayMove:       j.mayMove(),
+		MaxGapUs:      j.route.MaxGap.Microseconds(),
 	}
 	for _, p := range j.call.Parts {
 		ask.Parts = append(ask.Parts, &apiv1.PromptPart{Id: p.ID, Tokens: p.Tokens})
@@ -118,7 +119,10 @@
 	snapshot := j.front.directory.Load()
 	var candidates []*fleet.Upstream
 	for _, up := range snapshot.ByService[j.service.Name] {
-		if !up.Draining && holdsModel(up, j.call) && (j.mayMove() != slices.Contains(j.tried, up.ID)) {
+		if up.Draining || !holdsModel(up, j.call) || j.front.balancer.isDenied(up.ID, j.call.Model) {
+			continue
+		}
+		if j.mayMove() != slices.Contains(j.tried, up.ID) {
 			candidates = append(candidates, up)
 		}
 	}
@@ -181,6 +185,7 @@
 		return true
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	j.front.balancer.failed(j.record.Upstream)
 	var failure *exchange.Error
 	if errors.As(err, &failure) && !failure.Sent {
 		return j.again("upstream not reached")
@@ -213,8 +218,10 @@
 func (j *job) notRun(answer Answer, report func(apiv1.PlacementOutcome)) bool {
 	if answer.WrongUpstream {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_MODEL_MISSING)
+		j.front.balancer.deny(j.record.Upstream, j.call.Model)
 	} else {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_NOT_RUN)
+		j.front.balancer.refused(j.record.Upstream)
 	}
 	if j.call.Adapter != "" && j.sends < maxSameSends && j.front.budget.Retry() {
 		return false
@@ -229,6 +236,7 @@
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED)
 	})
 	if err == nil {
+		j.front.balancer.recovered(j.record.Upstream)
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
 		j.record.Outcome = OutcomeServed
 		return true
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -77,6 +77,7 @@
 		MayOrder:         func() bool { return p.election.MayOrder() },
 		RenewedAgo:       func() time.Duration { return p.election.RenewedAgo() },
 		OnFenced:         func() { p.election.Fenced() },
+		OnSuperseded:     func(address string) { p.election.Superseded(address) },
 		Log:              p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -34,6 +34,8 @@
 	Timeout time.Duration
 	// Objective is the time to the first byte that callers expect.
 	Objective time.Duration
+	// MaxGap is the longest pause between events that callers expect; 0 if any.
+	MaxGap time.Duration
 	// Attempts is the number of upstreams that one request may be sent to.
 	Attempts int
 	// Priority is the rank of the route's requests, 0 is the most urgent.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -52,6 +52,8 @@
 	pending map[uint64]*run
 	// freeAt is when the known prompts are expected to be read.
 	freeAt time.Time
+	// maxGap is the shortest MaxGap of the requests that were sent here; 0 before.
+	maxGap time.Duration
 	// kvTokens is the memory that the runs need at most.
 	kvTokens int64
 	cache    *prefixCache
@@ -88,6 +90,12 @@
 	// firstPause and maxPause bound how long a failing engine is avoided.
 	firstPause = 400 * time.Millisecond
 	maxPause   = 5 * time.Second
+	// slowdownPercent weighs the delay of running streams by a prompt's reading.
+	slowdownPercent = 3
+	// gapPercent is the part of the longest pause that may be spent on reading
+	// prompts, pauseCost what a stream that pauses longer counts.
+	gapPercent = 70
+	pauseCost  = 40 * time.Millisecond
 	// strikesToAvoid is the number of failures in a row after which an engine is
 	// avoided: single failures are no sign.
 	strikesToAvoid = 2
@@ -237,6 +245,9 @@
 	}
 	e.freeAt = e.freeAt.Add(r.work)
 	e.kvTokens += r.ask.PromptTokens + r.ask.OutputTokens
+	if gap := r.ask.MaxGap; gap > 0 && (e.maxGap == 0 || gap < e.maxGap) {
+		e.maxGap = gap
+	}
 	e.cache.use(r.ask)
 	e.touch(now, r.ask, 1)
 }
@@ -279,6 +290,21 @@
 // backlog is the time until the known prompts are read.
 func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.freeAt.Sub(now)) }
 
+// streaming is the number of runs that have started.
+func (e *engine) streaming() int { return len(e.runs) - len(e.pending) }
+
+// disturbance is the time that reading a prompt costs the streams that run: it
+// slows all of them, and they pause too long when prompts are read for most of
+// their longest pause.
+func (e *engine) disturbance(now time.Time, read time.Duration) time.Duration {
+	streams := time.Duration(e.streaming())
+	cost := streams * read * slowdownPercent / 100
+	if e.maxGap > 0 && e.backlog(now)+read > e.maxGap*gapPercent/100 {
+		cost += streams * pauseCost
+	}
+	return cost
+}
+
 func (e *engine) succeeded() { e.strikes = 0 }
 
 func (e *engine) failed(now time.Time) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,7 +34,9 @@
 	// wait is the time until the model and the adapter are there, first the time
 	// until the first event.
 	wait, first time.Duration
-	adapter     adapterNeed
+	// cost is first with what the choice costs other requests.
+	cost    time.Duration
+	adapter adapterNeed
 }
 
 type adapterNeed int
@@ -164,8 +166,8 @@
 
 // less orders options; ids break ties so that decisions can be repeated.
 func (o option) less(other option) bool {
-	if o.first != other.first {
-		return o.first < other.first
+	if o.cost != other.cost {
+		return o.cost < other.cost
 	}
 	return o.engine.up.ID < other.engine.up.ID
 }
@@ -202,12 +204,13 @@
 	}
 	read := c.modelOf(ask.Model).readTime(e.cache.uncached(ask))
 	o.first = max(o.wait, e.backlog(now)) + read + firstEventTime + time.Duration(len(e.runs))*perRun
-	if e.up.FailureDomain != ask.FailureDomain {
-		o.first += otherDomain
-	}
 	if now.Before(e.avoidUntil) {
 		o.first += avoidPenalty
 	}
+	o.cost = o.first + e.disturbance(now, read)
+	if e.up.FailureDomain != ask.FailureDomain {
+		o.cost += otherDomain
+	}
 	return o, true
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,6 +36,9 @@
 	// must be whole.
 	Objective time.Time
 	GiveUp    time.Time
+	// MaxGap is the longest pause between the request's events that is still on
+	// time; 0 if any is.
+	MaxGap time.Duration
 	// FailureDomain is where the router runs.
 	FailureDomain string
 	// Tried are the upstreams that got the request before; all of them failed.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -254,3 +254,39 @@
 	w.run(2 * time.Second)
 	is.Equal(w.crashed(), nil)
 }
+
+// Pattern: long prompts beside chat streams, which pause too long when several
+// are read in a row.
+func TestLongPromptsKeepAwayFromRunningStreams(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e1 := newFakeEngine("e1", spec, "m0")
+	e2 := newFakeEngine("e2", spec, "m0")
+	e1.describe()
+	e2.describe()
+	w := newWorld(spec, e1, e2)
+	w.run(50 * time.Millisecond)
+	submit := func(tokens int64) Grant {
+		w.nextKey++
+		key := w.nextKey
+		w.carryOut(w.cell.Submit(w.now, &Ask{
+			Key: key, Model: "m0", PromptTokens: tokens, OutputTokens: 100, MaxGap: 600 * time.Millisecond,
+			Objective: w.now.Add(time.Second), GiveUp: w.now.Add(20 * time.Second), FailureDomain: "a",
+		}))
+		g, ok := w.granted(key)
+		is.True(ok)
+		return g
+	}
+	streams := make(map[string]int)
+	for range 9 { // chats, of which one engine gets more
+		g := submit(100)
+		w.run(100 * time.Millisecond)
+		w.carryOut(w.cell.Progress(w.now, g.Key, Started))
+		streams[g.Upstream.ID]++
+	}
+	quiet := "e1"
+	if streams["e2"] < streams["e1"] {
+		quiet = "e2"
+	}
+	is.Equal(submit(16_000).Upstream.ID, quiet) // 400 ms of reading
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 echo "== format"
-unformatted=$(GOWORK=off go -C tools/lint tool gofumpt -l "$PWD/api" "$PWD/cmd" "$PWD/internal" | grep -v '\.pb\.go$' || true)
+unformatted=$(GOWORK=off go -C tools/lint tool gofumpt -l "$PWD/api" "$PWD/cmd" "$PWD/internal" "$PWD/platform" | grep -v '\.pb\.go$' || true)
 if [ -n "$unformatted" ]; then
 	echo "not formatted, run tools/format.sh:"
 	echo "$unformatted"
