--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -70,8 +70,11 @@
 		name  string
 		value *expvar.Int
 	}{
-		{"sends_total", &m.sends}, {"orders_total", &m.orders}, {"reports_total", &m.inspections},
-		{"upstream_changes_total", &m.listChanges}, {"upstreams", &m.upstreams},
+		{"sends_total", &m.sends},
+		{"orders_total", &m.orders},
+		{"reports_total", &m.inspections},
+		{"upstream_changes_total", &m.listChanges},
+		{"upstreams", &m.upstreams},
 	} {
 		fmt.Fprintf(w, "%s %s\n", counter.name, counter.value)
 	}
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -2,4 +2,4 @@
 # Formats the Go code of the workspace.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-GOWORK=off go -C tools/lint tool gofumpt -w "$PWD/api" "$PWD/cmd" "$PWD/internal"
+GOWORK=off go -C tools/lint tool gofumpt -w "$PWD/api" "$PWD/cmd" "$PWD/internal" "$PWD/platform"
