--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -473,12 +473,13 @@
 
 // conflict returns the row that a failed commit met.
 func (e *Election) conflict(result external.TxnResult) (*apiv1.SchedulerLease, int64) {
-	for _, row := range result.Conflicts {
-		lease, err := decodeLease(row)
-		if err != nil {
-			e.opts.Observer.LeaseFailed("decode", err)
-		}
-		return lease, row.Version
+	if len(result.Conflicts) == 0 {
+		return &apiv1.SchedulerLease{}, 0
+	}
+	row := result.Conflicts[0] // one row is checked
+	lease, err := decodeLease(row)
+	if err != nil {
+		e.opts.Observer.LeaseFailed("decode", err)
 	}
-	return &apiv1.SchedulerLease{}, 0
+	return lease, row.Version
 }
