--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -9,8 +9,10 @@
 const (
 	// prepareEvery is the pace of loads that no request waits for.
 	prepareEvery = 200 * time.Millisecond
-	// maxReplicaLoads bounds the loads that no request waits for.
-	maxReplicaLoads = 2
+	// minReplicaLoads bounds the loads that no request waits for, besides one for
+	// each enginesPerLoad engines.
+	minReplicaLoads = 2
+	enginesPerLoad  = 6
 	// replicaGain is how much more a replica must bring than its victims lose.
 	replicaGain = 1.3
 	// replicaMargin is the gain below which a replica isn't worth its order, s/s.
@@ -32,7 +34,8 @@
 
 // replicate adds replicas of models whose replicas are busy.
 func (c *Cell) replicate(now time.Time) {
-	if !c.trafficSeen || c.loadsInProgress() >= maxReplicaLoads {
+	limit := max(minReplicaLoads, len(c.engines)/enginesPerLoad)
+	if !c.trafficSeen || c.loadsInProgress() >= limit {
 		return
 	}
 	names := make([]string, 0, len(c.models))
@@ -46,21 +49,24 @@
 		return cmp.Or(cmp.Compare(c.models[b].demand.work, c.models[a].demand.work), cmp.Compare(a, b))
 	})
 	for _, name := range names {
-		if c.replicateModel(now, name) {
+		c.replicateModel(now, name)
+		if c.loadsInProgress() >= limit {
 			return
 		}
 	}
 }
 
-func (c *Cell) replicateModel(now time.Time, name string) bool {
+// replicateModel adds a replica of a model if that saves more delay than it
+// costs.
+func (c *Cell) replicateModel(now time.Time, name string) {
 	m := c.models[name]
 	n := c.copiesOf(name)
 	if n == 0 || c.isLoading(name) {
-		return false
+		return
 	}
 	gain := m.demand.requests * (queueing(m.demand.work, n) - queueing(m.demand.work, n+1))
 	if gain < replicaMargin {
-		return false
+		return
 	}
 	best, bestCost := (*engine)(nil), time.Duration(0)
 	for _, e := range c.engines {
@@ -80,11 +86,9 @@
 			bestCost = cost
 		}
 	}
-	if best == nil {
-		return false
+	if best != nil {
+		c.startLoad(now, best, name, "replica")
 	}
-	c.startLoad(now, best, name, "replica")
-	return true
 }
 
 // fetchAbsent loads models from the weight store that no host has at hand, so
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -11,8 +11,10 @@
 	lossHorizon = 8 * time.Second
 	// rareRate is the demand that is assumed of every model, a second.
 	rareRate = 0.02
-	// queueLoss is the delay of a request at a replica that is fully busy, s.
-	queueLoss = 0.5
+	// queueLoss scales the delay of a request at a busy replica, s; busyMargin
+	// keeps it finite at a replica that is always busy.
+	queueLoss  = 0.5
+	busyMargin = 0.05
 	// spareLoss is the loss of a replica that nobody needs.
 	spareLoss = 0.005
 	// engineLoad weighs the load of the models that share an engine, s.
@@ -106,7 +108,7 @@
 // that share an amount of work a second.
 func queueing(work float64, n int) float64 {
 	share := min(1, work/float64(n))
-	return queueLoss * share * share
+	return queueLoss * share * share / (1 + busyMargin - share)
 }
 
 // engineWork is the share of an engine's time that the models on it need.
