--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,9 @@
 	CallerAddr string
 	ReadyAddr  string
 	PeerAddr   string
+	// MetricsAddr serves GET /metrics, "IP:PORT"; empty for none. A port that is
+	// taken is logged and does not keep the process from serving.
+	MetricsAddr string
 	// Cores is the processor share of the host, in cores; 0 if unknown.
 	Cores float64
 	// StopGrace is the time from the signal to stop to the kill.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -198,3 +199,18 @@
 	is.True(empty.runs() <= 1) // asked once, then known
 	is.True(served >= 11)
 }
+
+func TestMetricsCountOutcomesAndTimes(t *testing.T) {
+	is := is.New(t)
+	b := start(t, newUpstream(t, "engine-1", events(1, 1, true)))
+	b.send(t, "/stream/a", "m", patience)
+	b.send(t, "/nowhere/a", "", patience)
+	resp, err := http.Get(b.metrics)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	for _, line := range []string{`requests_total{outcome="served"} 1`, `requests_total{outcome="no_route"} 1`, "first_event_seconds_count 1", "upstreams 1"} {
+		is.True(strings.Contains(string(body), line+"\n"))
+	}
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -200,6 +200,7 @@
 	process *Process
 	url     string
 	ready   string
+	metrics string
 	stop    func()
 	done    chan error
 }
@@ -227,7 +228,7 @@
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
 	settings := Settings{
-		Host: "entry-1", FailureDomain: "a", CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), PeerAddr: freeAddr(t),
+		Host: "entry-1", FailureDomain: "a", CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), PeerAddr: freeAddr(t), MetricsAddr: freeAddr(t),
 		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
 	}
 	logger := decisionlog.New(log.ErrorLevel)
@@ -237,7 +238,7 @@
 		Engines: engines{}, Pool: pool, Log: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	b := &bed{process: p, url: "http://" + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", stop: cancel, done: make(chan error, 1)}
+	b := &bed{process: p, url: "http://" + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
 	go func() { b.done <- p.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-b.done })
 	b.await(t, func() bool {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -182,7 +182,7 @@
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
 	group.Go(func() error { return serveHTTP(readyServer, ready) })
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep, p.serveMetrics} {
 		group.Go(func() error { run(background); return nil })
 	}
 	select {
@@ -246,10 +246,29 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	mux.Handle("GET /metrics", p.metrics)
 	return mux
 }
 
+// serveMetrics serves the metrics until ctx ends.
+func (p *Process) serveMetrics(ctx context.Context) {
+	if p.settings.MetricsAddr == "" {
+		return
+	}
+	l, err := listen(p.settings.MetricsAddr)
+	if err != nil {
+		p.deps.Log.Warn("metrics are not served", "err", err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // ends Serve
+	defer stop()
+	if err := serveHTTP(server, l); err != nil {
+		p.deps.Log.Warn("metrics are no longer served", "err", err)
+	}
+}
+
 func listen(addr string) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -71,6 +71,8 @@
 	// strikes counts failures in a row; until avoidUntil the engine is avoided.
 	strikes    int
 	avoidUntil time.Time
+	// failing is the average share of requests that failed lately, 0 to 1.
+	failing float64
 }
 
 type tier int
@@ -90,6 +92,11 @@
 	// firstPause and maxPause bound how long a failing engine is avoided.
 	firstPause = 400 * time.Millisecond
 	maxPause   = 5 * time.Second
+	// failureShare and successShare are the weights of one request in the share
+	// that fails; failureCost is what a failed request counts.
+	failureShare = 0.2
+	successShare = 0.1
+	failureCost  = 1500 * time.Millisecond
 	// slowdownPercent weighs the delay of running streams by a prompt's reading.
 	slowdownPercent = 3
 	// gapPercent is the part of the longest pause that may be spent on reading
@@ -305,10 +312,14 @@
 	return cost
 }
 
-func (e *engine) succeeded() { e.strikes = 0 }
+func (e *engine) succeeded() {
+	e.strikes = 0
+	e.failing -= successShare * e.failing
+}
 
 func (e *engine) failed(now time.Time) {
 	e.strikes++
+	e.failing += failureShare * (1 - e.failing)
 	if e.strikes < strikesToAvoid {
 		return
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -207,7 +207,7 @@
 	if now.Before(e.avoidUntil) {
 		o.first += avoidPenalty
 	}
-	o.cost = o.first + e.disturbance(now, read)
+	o.cost = o.first + e.disturbance(now, read) + time.Duration(e.failing*float64(failureCost))
 	if e.up.FailureDomain != ask.FailureDomain {
 		o.cost += otherDomain
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -290,3 +290,31 @@
 	}
 	is.Equal(submit(16_000).Upstream.ID, quiet) // 400 ms of reading
 }
+
+// Pattern: an engine fails part of its requests at once while it looks sound and
+// idle.
+func TestGreyEngineGetsFewRequests(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	grey := newFakeEngine("e1", spec, "m0")
+	sound := newFakeEngine("e2", spec, "m0")
+	grey.describe()
+	sound.describe()
+	w := newWorld(spec, grey, sound)
+	w.run(50 * time.Millisecond)
+	failed := 0
+	for i := range 100 {
+		key := w.ask("m0", "", 100)
+		g, ok := w.granted(key)
+		is.True(ok)
+		if g.Upstream.ID == "e1" && i%2 == 0 {
+			failed++
+			w.carryOut(w.cell.Progress(w.now, key, Failed))
+		} else {
+			w.run(100 * time.Millisecond) // the sound one is always busier
+			w.end(key)
+		}
+		w.run(20 * time.Millisecond)
+	}
+	is.True(failed < 10)
+}
