--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -36,9 +36,8 @@
 	Directory *fleet.Directory
 	Engines   fleet.Engines
 	Host      string
-	// LoadWindow and LoadWindowFactor bound loads from the weight store.
-	LoadWindow       time.Duration
-	LoadWindowFactor float64
+	// LoadWindow is the window for which loads from the weight store are bounded.
+	LoadWindow time.Duration
 	// MayOrder is asked right before each order; RenewedAgo is told to routers.
 	MayOrder   func() bool
 	RenewedAgo func() time.Duration
@@ -242,10 +241,9 @@
 		cell := s.cells[name]
 		if cell == nil {
 			cell = scheduler.New(scheduler.Options{
-				Holder:           s.opts.Host,
-				Fence:            s.tenure.Fence,
-				LoadWindow:       s.opts.LoadWindow,
-				LoadWindowFactor: s.opts.LoadWindowFactor,
+				Holder:     s.opts.Host,
+				Fence:      s.tenure.Fence,
+				LoadWindow: s.opts.LoadWindow,
 			})
 			s.cells[name] = cell
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,17 +30,12 @@
 	// within. EnginesCheckFence is set where engines refuse former holders.
 	LeaseTime         time.Duration
 	EnginesCheckFence bool
-	// RetryShare is the part of a service's requests that all routers may send
-	// once more within RetryWindow, beside RetrySlack.
-	RetryShare  float64
-	RetryWindow time.Duration
-	RetrySlack  float64
-	// LoadWindow and LoadWindowFactor bound loads from the weight store: in any
-	// window no more than the configured rate times the factor may begin.
-	LoadWindow       time.Duration
-	LoadWindowFactor float64
-	// HeartbeatPeriod is how often upstreams describe themselves.
-	HeartbeatPeriod time.Duration
+	// RetryShare is the part of a service's requests that all routers together
+	// may send once more.
+	RetryShare float64
+	// LoadWindow bounds loads from the weight store: in any window no more than
+	// the configured rate allows may begin.
+	LoadWindow time.Duration
 }
 
 // PromptPart is a piece of a prompt that requests may share.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -69,17 +69,16 @@
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
-		Directory:        p.directory,
-		Engines:          deps.Engines,
-		Host:             settings.Host,
-		LoadWindow:       settings.LoadWindow,
-		LoadWindowFactor: settings.LoadWindowFactor,
-		MayOrder:         func() bool { return p.election.MayOrder() },
-		RenewedAgo:       func() time.Duration { return p.election.RenewedAgo() },
-		LeaseVersion:     func() int64 { return p.election.LeaseVersion() },
-		OnFenced:         func() { p.election.Fenced() },
-		OnSuperseded:     func(address string) { p.election.Superseded(address) },
-		Log:              p.log,
+		Directory:    p.directory,
+		Engines:      deps.Engines,
+		Host:         settings.Host,
+		LoadWindow:   settings.LoadWindow,
+		MayOrder:     func() bool { return p.election.MayOrder() },
+		RenewedAgo:   func() time.Duration { return p.election.RenewedAgo() },
+		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
+		OnFenced:     func() { p.election.Fenced() },
+		OnSuperseded: func(address string) { p.election.Superseded(address) },
+		Log:          p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
 		Host:       settings.Host,
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,7 +21,6 @@
 	// idleSince and idleLimit belong to the pool while the connection is idle.
 	idleSince time.Time
 	idleLimit time.Duration
-	reused    bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,7 +5,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -53,8 +52,6 @@
 	Length int64
 	// Delimited is false when only the end of the connection ends the body.
 	Delimited bool
-	// Reused is set when the connection had served a request before.
-	Reused bool
 
 	body io.ReadCloser
 	done func(reusable bool)
@@ -115,7 +112,6 @@
 		Header:    resp.Header,
 		Length:    resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		Reused:    c.reused,
 		body:      resp.Body,
 	}
 	out.done = func(reusable bool) {
@@ -165,8 +161,8 @@
 		if p.opts.IDHeader == "" || resp.Header.Get(p.opts.IDHeader) == req.ID {
 			return resp, nil
 		}
-		if resp.Header.Get(p.opts.IDHeader) == "" && !p.opts.RequireID {
-			return resp, nil
+		if resp.Header.Get(p.opts.IDHeader) == "" {
+			return resp, nil // not every answer repeats the id
 		}
 		strays++
 		if err := skip(resp); err != nil {
@@ -207,6 +203,3 @@
 	r.done(r.ok && r.Delimited)
 	r.done = nil
 }
-
-// NewReader returns a buffered reader of the body.
-func (r *Response) NewReader() *bufio.Reader { return bufio.NewReaderSize(r, readBufferBytes) }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,10 +13,6 @@
 	// IDHeader is the header in which upstreams repeat a request's id; empty
 	// switches the check off.
 	IDHeader string
-	// RequireID refuses answers without that header.
-	RequireID bool
-	// MaxIdle bounds the idle connections to one upstream; 0 means no bound.
-	MaxIdle int
 }
 
 // Pool keeps connections to upstreams by address.
@@ -52,7 +48,6 @@
 			return p.dial(ctx, addr)
 		}
 		if time.Since(c.idleSince) < c.idleLimit && c.isQuiet() {
-			c.reused = true
 			p.stats.reuses.Add(1)
 			return c, nil
 		}
@@ -89,10 +84,6 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.opts.MaxIdle > 0 && len(p.idle[addr]) >= p.opts.MaxIdle {
-		_ = c.Conn.Close() // over the bound
-		return
-	}
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -77,16 +77,13 @@
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
 	Name string
-	// ConnectionCap bounds an upstream's connections from all callers.
-	ConnectionCap int
 	// Engine is nil for a plain service.
 	Engine *EngineSpec
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	BodyBytes int64
 }
 
 // Config is one version of the configuration. It is immutable once built.
--- a/internal/scheduler/remote.go
+++ b/internal/scheduler/remote.go
@@ -20,7 +20,6 @@
 	window time.Duration
 	// perWindow is how many loads may begin in a window; 0 until it is known.
 	perWindow int
-	factor    float64
 }
 
 type remoteLoad struct {
@@ -30,11 +29,10 @@
 }
 
 func newRemoteLoads(opts Options) remoteLoads {
-	return remoteLoads{limit: firstRemoteLimit, active: make(map[string]remoteLoad), window: opts.LoadWindow, factor: opts.LoadWindowFactor}
+	return remoteLoads{limit: firstRemoteLimit, active: make(map[string]remoteLoad), window: opts.LoadWindow}
 }
 
-// setRate takes over the rate of the configuration, in loads a second. The
-// factor of the bound is left as a margin for loads that begin late.
+// setRate takes over the rate of the configuration, in loads a second.
 func (l *remoteLoads) setRate(perSecond float64) {
 	l.perWindow = max(1, int(perSecond*l.window.Seconds()))
 }
@@ -54,9 +52,6 @@
 	return len(l.active) < l.limit && (l.perWindow == 0 || len(l.begun) < l.perWindow)
 }
 
-// expected estimates a load that starts now.
-func (l *remoteLoads) expected(alone time.Duration) time.Duration { return alone }
-
 func (l *remoteLoads) start(now time.Time, key string) {
 	l.active[key] = remoteLoad{since: now}
 	l.begun = append(l.begun, now)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,10 +130,9 @@
 	// Holder and Fence identify the holder of the cell's lease in orders.
 	Holder string
 	Fence  int64
-	// LoadWindow and LoadWindowFactor bound the loads from the weight store that
-	// begin in any window: rate * window * factor.
-	LoadWindow       time.Duration
-	LoadWindowFactor float64
+	// LoadWindow bounds the loads from the weight store that begin in any window
+	// to what the configured rate allows.
+	LoadWindow time.Duration
 }
 
 // Cell schedules the engines of one service.
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -56,7 +56,7 @@
 	if c.isAtHand(name) || !c.remote.mayStart(now) {
 		return 0, false
 	}
-	return c.remote.expected(spec.RemoteLoad), true
+	return spec.RemoteLoad, true
 }
 
 // victims chooses the copies that make room for a model, the least valuable
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -235,7 +235,7 @@
 
 // startCell makes a new holder's cell, which knows only the engines' entries.
 func (w *world) startCell(fence int64) {
-	w.cell = New(Options{Holder: "router-1", Fence: fence, LoadWindow: 5 * time.Second, LoadWindowFactor: 1.1})
+	w.cell = New(Options{Holder: "router-1", Fence: fence, LoadWindow: 5 * time.Second})
 	w.update()
 	w.carryOut(w.cell.AllowOrders(w.now))
 }
