fleet: removed upstreams are remembered; a stale grant to one is not sent

Ten servers leave at 16.8 s; from 17.5 s the store refuses the scheduler's host. It went on granting servers whose entries were removed; routers refused only those that they knew as draining, and took a removed one for a new one. Change: removed ids are remembered for a minute and their grants are not used.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
 const patience = 5 * time.Second
@@ -181,6 +183,26 @@
 	is.Equal(u.runs(), 0)
 }
 
+// Pattern: the scheduler still grants an upstream that this router knows to be
+// gone.
+func TestGrantOfARemovedUpstreamIsNotSent(t *testing.T) {
+	is := is.New(t)
+	gone := newUpstream(t, "engine-1", events(1, 1, true))
+	good := newUpstream(t, "engine-2", events(1, 1, true))
+	b := start(t, gone, good)
+	own := fleet.NewDirectory() // what this router knows, apart from its scheduler
+	own.SetConfig(b.process.directory.Load().Config)
+	for _, u := range []*upstream{gone, good} {
+		own.Merge(time.Now(), fleet.Change{Entries: []fleet.Entry{{ID: u.id, Upstream: b.process.directory.Load().Upstreams[u.id]}}})
+	}
+	own.Merge(time.Now(), fleet.Change{Entries: []fleet.Entry{{ID: "engine-1"}}})
+	b.process.front.directory = own
+	for range 6 {
+		is.Equal(b.send(t, "/stream/a", "m", patience).status, http.StatusOK)
+	}
+	is.Equal(gone.runs(), 0)
+}
+
 // Pattern: the scheduler and the store are away, and an engine came back empty
 // under an entry that still names its models. It refuses fast and must not draw
 // all requests.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -29,8 +29,8 @@
 			j.failPlacement(err)
 			return
 		}
-		if up, known := j.upstream(place.UpstreamID); known && up.Draining {
-			// The scheduler has not heard yet that the upstream leaves.
+		if j.front.directory.Load().HasLeft(place.UpstreamID) {
+			// The scheduler has not heard yet that the upstream leaves or is gone.
 			j.front.scheduler.Report(place.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
 			j.tried = append(j.tried, place.UpstreamID)
 			continue
@@ -42,11 +42,6 @@
 	j.giveUpModel()
 }
 
-func (j *job) upstream(id string) (*fleet.Upstream, bool) {
-	up := j.front.directory.Load().Upstreams[id]
-	return up, up != nil
-}
-
 func (j *job) giveUpModel() {
 	if j.begun || j.record.Unknown {
 		j.fail("no upstream answered")
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -52,6 +52,18 @@
 	ByService map[string][]*Upstream
 	// Listed is set once the list of upstreams was read.
 	Listed bool
+
+	left map[string]time.Time
+}
+
+// HasLeft reports whether an upstream is leaving or was removed lately. Another
+// router may not have heard of it yet.
+func (s *Snapshot) HasLeft(id string) bool {
+	if up := s.Upstreams[id]; up != nil {
+		return up.Draining
+	}
+	_, removed := s.left[id]
+	return removed
 }
 
 // Usable returns the upstream if new work may be sent to it.
@@ -80,8 +92,14 @@
 	byID      map[string]*Upstream
 	byService map[string][]*Upstream
 	listed    bool
+	// left tells when upstreams were removed.
+	left map[string]time.Time
 }
 
+// leftMemory is how long removed upstreams are remembered, far above the time
+// that routers disagree.
+const leftMemory = time.Minute
+
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	d := &Directory{held: make(map[string]time.Time)}
@@ -93,7 +111,7 @@
 // different moments; neither depends on the other.
 func (d *Directory) Load() *Snapshot {
 	set := d.upstreams.Load()
-	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, Listed: set.listed}
+	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, Listed: set.listed, left: set.left}
 }
 
 // SetConfig puts a configuration in force. It reports false, and changes
@@ -143,7 +161,9 @@
 		}
 	}
 	changed = append(changed, d.expireHeld(now, next)...)
-	d.upstreams.Store(newUpstreamSet(next))
+	set := newUpstreamSet(next)
+	set.left = rememberLeft(now, old, next)
+	d.upstreams.Store(set)
 	return changed
 }
 
@@ -171,6 +191,22 @@
 	return true
 }
 
+// rememberLeft returns the upstreams that were removed lately.
+func rememberLeft(now time.Time, old *upstreamSet, next map[string]*Upstream) map[string]time.Time {
+	left := make(map[string]time.Time)
+	for id, at := range old.left {
+		if next[id] == nil && now.Sub(at) < leftMemory {
+			left[id] = at
+		}
+	}
+	for id := range old.byID {
+		if next[id] == nil {
+			left[id] = now
+		}
+	}
+	return left
+}
+
 // isOlder reports whether fresh is a late copy of an earlier description.
 func isOlder(fresh, known *Upstream) bool {
 	if fresh.StartedMs != known.StartedMs {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// Pattern: a scheduler that is cut off from the store grants an upstream that is
+// gone.
+func TestRemovedUpstreamIsRemembered(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := NewDirectory()
+	d.Merge(now, Change{Entries: []Entry{entry("a", 1, 1, false), entry("b", 1, 1, true)}})
+	is.True(!d.Load().HasLeft("a"))
+	is.True(d.Load().HasLeft("b"))        // draining
+	is.True(!d.Load().HasLeft("unknown")) // others may know it before this router
+	d.Merge(now, Change{Entries: []Entry{{ID: "a"}}})
+	is.True(d.Load().HasLeft("a"))
+	d.Merge(now.Add(time.Second), Change{Entries: []Entry{entry("a", 2, 0, false)}})
+	is.True(!d.Load().HasLeft("a")) // a new incarnation
+	d.Merge(now, Change{Entries: []Entry{{ID: "a"}}})
+	d.Merge(now.Add(2*leftMemory), Change{})
+	is.True(!d.Load().HasLeft("a"))
+}
+
 // Pattern: the store was away, entries lapsed meanwhile and come back.
 func TestLapsedEntriesStayUntilTheGraceIsOver(t *testing.T) {
 	is := is.New(t)
