--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -197,22 +198,13 @@
 		if !linked && target != "" {
 			c.connect(ctx, target)
 		}
-		sleep(ctx, redialPause)
+		retry.Sleep(ctx, redialPause)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dropLinkLocked(ctx.Err())
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Client) connect(ctx context.Context, target string) {
 	if target == localTarget {
 		c.connectLocal()
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -9,6 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
 
@@ -239,7 +240,7 @@
 
 // order sends an order and feeds its answer back.
 func (s *Scheduler) order(service string, tenure Tenure, call scheduler.OrderCall) {
-	sleep(s.ctx, call.After)
+	retry.Sleep(s.ctx, call.After)
 	result := fleet.OrderConflict
 	var err error
 	began := time.Now()
@@ -262,7 +263,7 @@
 }
 
 func (s *Scheduler) inspect(service string, tenure Tenure, call scheduler.InspectCall) {
-	sleep(s.ctx, call.After)
+	retry.Sleep(s.ctx, call.After)
 	ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
 	defer cancel()
 	inventory, err := s.opts.Engines.Inspect(ctx, call.Upstream)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 // Source reads the platform's configuration and list of upstreams.
@@ -97,14 +99,14 @@
 	outage := outageTracker{what: "configuration", observer: f.opts.Observer}
 	for ctx.Err() == nil {
 		if f.isTold(true) {
-			pause(ctx, peerPoll)
+			retry.Sleep(ctx, peerPoll)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, configTimeout)
 		update, err := f.opts.Source.Config(callCtx, version, configWait)
 		cancel()
 		if err != nil {
-			pause(ctx, outage.failed(err))
+			retry.Sleep(ctx, outage.failed(err))
 			continue
 		}
 		outage.succeeded()
@@ -115,7 +117,7 @@
 			f.opts.OnChange()
 		}
 		if version == 0 {
-			pause(ctx, firstRetry) // nothing published yet
+			retry.Sleep(ctx, firstRetry) // nothing published yet
 		}
 	}
 }
@@ -127,7 +129,7 @@
 	outage := outageTracker{what: "upstream list", observer: f.opts.Observer}
 	for ctx.Err() == nil {
 		if f.isTold(false) {
-			pause(ctx, peerPoll)
+			retry.Sleep(ctx, peerPoll)
 			continue
 		}
 		began := time.Now()
@@ -135,7 +137,7 @@
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
 		if err != nil {
-			pause(ctx, outage.failed(err))
+			retry.Sleep(ctx, outage.failed(err))
 			continue
 		}
 		if outage.succeeded() > lapseAfter {
@@ -144,7 +146,7 @@
 		version = update.Version
 		f.opts.Directory.listRead.Store(time.Now().UnixNano())
 		f.merge(update, time.Until(graceUntil))
-		pause(ctx, upstreamPeriod-time.Since(began))
+		retry.Sleep(ctx, upstreamPeriod-time.Since(began))
 	}
 }
 
@@ -210,15 +212,3 @@
 	o.observer.SourceRegained(o.what, away)
 	return away
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -45,18 +45,10 @@
 // loadTime estimates the load itself. Loads from the weight store are only for
 // models that no host without the model has at hand.
 func (c *Cell) loadTime(now time.Time, e *engine, name string) (time.Duration, bool) {
-	spec := c.spec.Models[name]
-	switch e.tier[name] {
-	case tierMemory:
-		return spec.MemoryLoad, true
-	case tierDisk:
-		return spec.DiskLoad, true
-	case tierRemote:
-	}
-	if c.isAtHand(name) || !c.remote.mayStart(now) {
+	if e.tier[name] == tierRemote && (c.isAtHand(name) || !c.remote.mayStart(now)) {
 		return 0, false
 	}
-	return spec.RemoteLoad, true
+	return c.stated(e, name), true
 }
 
 // victims chooses the copies that make room for a model, the least valuable
