--- a/cmd/ragwortdoord/entry.go
+++ b/cmd/ragwortdoord/entry.go
@@ -39,10 +39,7 @@
 		return err
 	}
 	logger := decisionlog.New(log.InfoLevel)
-	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
-	logDone := make(chan struct{})
-	go func() { defer close(logDone); logger.Run(logCtx, os.Stdout) }()
-	defer func() { endLog(); <-logDone }()
+	defer logger.Start(os.Stdout)()
 	go reloadOnHangup(ctx, path, logger)
 	store := platform.NewStore(settings.StoreAddr)
 	pool := platform.NewPool()
--- a/cmd/ragwortdoord/main.go
+++ b/cmd/ragwortdoord/main.go
@@ -1,5 +1,5 @@
-// Command ragwortdoord runs the processes of ragwortdoor: routers, sidecars, the
-// dev mode, and the entry hosts of the users' platform.
+// Command ragwortdoord runs the processes of ragwortdoor: routers, those of the
+// entry hosts on the users' platform, and the dev mode.
 package main
 
 import (
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math"
 	"math/rand/v2"
 	"sync/atomic"
@@ -367,6 +368,7 @@
 	if err != nil {
 		e.opts.Observer.LeaseFailed("take", err)
 		e.watchedSince = e.opts.Now()
+		e.nextTake = e.watchedSince.Add(renewRetry)
 		return
 	}
 	if !result.Committed {
@@ -390,6 +392,7 @@
 	ctx, cancel := e.callContext(ctx)
 	defer cancel()
 	result, err := e.opts.Table.Commit(ctx, external.Txn{
+		ID:     crand.Text(),
 		Checks: []external.Check{{Key: leaseKey, Version: e.version}},
 		Puts:   []external.Put{{Key: leaseKey, Value: value}},
 	})
--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -49,8 +49,7 @@
 
 // Client asks the scheduler, wherever it runs.
 type Client struct {
-	opts  ClientOptions
-	creds transport.Credentials
+	opts ClientOptions
 
 	numbers atomic.Uint64
 
@@ -90,6 +89,8 @@
 	// processor share.
 	Address string
 	Cores   float64
+	// Credentials protect the links.
+	Credentials transport.Credentials
 	// Local is the scheduler of this process.
 	Local  *Scheduler
 	Events ClientObserver
@@ -212,7 +213,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	session, err := transport.Dial(ctx, target, c.creds)
+	session, err := transport.Dial(ctx, target, c.opts.Credentials)
 	if err != nil {
 		return
 	}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -175,6 +175,7 @@
 		Tried:         ask.GetTried(),
 		MayMove:       ask.GetMayMove(),
 		MaxGap:        microseconds(ask.GetMaxGapUs()),
+		Ageing:        microseconds(ask.GetAgeingUs()),
 	}
 	for _, p := range ask.GetParts() {
 		out.Parts = append(out.Parts, scheduler.Part{ID: p.GetId(), Tokens: p.GetTokens()})
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -13,7 +13,7 @@
 const (
 	maxQueue          = 1_000_000
 	maxReplicas       = 1024
-	maxTargetInFlight = 100_000
+	maxEngineSlots    = 100_000
 	maxPriority       = 1000
 	maxKeepAliveMs    = 7 * 24 * 3_600_000
 	maxDeadlineMs     = 24 * 3_600_000
--- a/internal/config/check_objects.go
+++ b/internal/config/check_objects.go
@@ -78,12 +78,8 @@
 func (c *checker) placement(i int, p *apiv1.Placement) {
 	o := c.named(KindPlacements, "", p.GetName(), i)
 	o.required("pool", p.GetPool(), "name a pool of upstream hosts")
-	o.within("min_replicas", p.GetMinReplicas(), 1, maxReplicas)
 	o.within("max_replicas", p.GetMaxReplicas(), 1, maxReplicas)
-	if p.GetMinReplicas() > p.GetMaxReplicas() {
-		o.add("min_replicas", fmt.Sprintf("%d is above max_replicas %d", p.GetMinReplicas(), p.GetMaxReplicas()), "lower min_replicas or raise max_replicas")
-	}
-	o.within("target_in_flight", p.GetTargetInFlight(), 1, maxTargetInFlight)
+	o.within("engine_slots", p.GetEngineSlots(), 1, maxEngineSlots)
 	seen := make(map[string]bool)
 	for _, domain := range p.GetFailureDomains() {
 		o.required("failure_domains", domain, "remove the empty entry")
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -4,13 +4,13 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
@@ -34,7 +34,7 @@
 	// Now is time.Now by default.
 	Now func() time.Time
 	// Log is discarded by default.
-	Log *log.Logger
+	Log *decisionlog.Logger
 }
 
 // Publisher puts object sets in force. It is safe for concurrent use.
@@ -56,7 +56,7 @@
 		options.Now = time.Now
 	}
 	if options.Log == nil {
-		options.Log = log.New(io.Discard)
+		options.Log = decisionlog.New(log.FatalLevel)
 	}
 	return &Publisher{table: table, objects: objects, options: options}
 }
--- a/internal/config/warnings.go
+++ b/internal/config/warnings.go
@@ -34,7 +34,7 @@
 func (c *checker) warnPlacement(i int, p *apiv1.Placement) {
 	o := object{c, objectLabel(KindPlacements, p.GetName(), i)}
 	if p.GetMaxReplicas() == 1 {
-		o.add("max_replicas", "a lost host keeps its models down until the platform's list drops the host",
+		o.add("max_replicas", "the model is down while the only engine that holds it takes no new work or does not answer",
 			"set max_replicas to 2 or more where that is too long")
 	}
 	if !o.warnPool(p.GetPool()) {
--- a/internal/daemon/security_test.go
+++ b/internal/daemon/security_test.go
@@ -65,7 +65,7 @@
 	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
 }
 
-// Router and sidecar talk over TLS with a token, callers need no certificate,
+// Routers talk over TLS with a token, callers need no certificate,
 // and operators need the token.
 func TestProcessesWithCredentials(t *testing.T) {
 	t.Parallel()
--- a/internal/decisionlog/writer.go
+++ b/internal/decisionlog/writer.go
@@ -57,6 +57,21 @@
 	return len(line), nil
 }
 
+// Start writes the queued lines to w in the background. The function that it
+// returns writes what is left and ends that.
+func (l *Logger) Start(w io.Writer) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx, w)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // Run writes the queued lines to w until ctx ends, then what is left.
 func (l *Logger) Run(ctx context.Context, w io.Writer) {
 	ticker := time.NewTicker(reportEvery)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,9 @@
 	Cores float64
 	// StopGrace is the time from the signal to stop to the kill.
 	StopGrace time.Duration
+	// StopLinger is the part of it in which requests are still taken, since the
+	// balancer needs time to notice; 0 takes a share of StopGrace.
+	StopLinger time.Duration
 	// LeaseTime is how long two holders of the scheduler's lease must not order
 	// within. EnginesCheckFence is set where engines refuse former holders.
 	LeaseTime         time.Duration
@@ -57,11 +60,55 @@
 	Patience time.Duration
 	// ResumeAfter is the id of the last event that the caller has.
 	ResumeAfter string
+	// Path is where the route is looked up, Target what an upstream gets as the
+	// request target; empty for the request's own.
+	Path   string
+	Target string
+	// Rank replaces the route's priority; nil leaves that.
+	Rank *Rank
+	// Repeatable is set when this request may run more than once, whatever its
+	// route says.
+	Repeatable bool
+	// Whole is set when the answer of an engine is no stream.
+	Whole bool
+	// Fault tells why the request can't be served by anybody; nil if it can.
+	Fault *Fault
+}
+
+// Rank is a request's place in the queues.
+type Rank struct {
+	Priority int // 0 first
+	// Ageing is the waiting time that improves the rank by one; 0 never does.
+	Ageing time.Duration
+}
+
+// Fault is what is wrong with a request.
+type Fault struct {
+	Status int
+	// Kind names the fault for programs, Text tells people what to do.
+	Kind string
+	Text string
+}
+
+// Verdict is an answer of the router's own.
+type Verdict struct {
+	Status int
+	// Kind names the reason for programs.
+	Kind string
+	Text string
+	// MayHaveRun is false when the request certainly did not run.
+	MayHaveRun bool
+	// RetryAfter is when another try may succeed; 0 if that is not known.
+	RetryAfter time.Duration
+	// ID is that of the request.
+	ID string
 }
 
 // Attempt is one sending of a request.
 type Attempt struct {
 	UpstreamID string
+	// Model and Adapter are what the upstream is to run; empty for a plain service.
+	Model, Adapter string
 	// TimeLeft is how long the upstream may work; 0 leaves it open.
 	TimeLeft time.Duration
 	// Priority is the rank at the upstream, 0 first; negative leaves it open.
@@ -90,8 +137,11 @@
 	ReadyPath() string
 	// IDHeader is the header that carries a request's id both ways.
 	IDHeader() string
-	// ReadCall reads a caller's headers.
-	ReadCall(h http.Header) Call
+	// ReadCall reads a caller's request. It may read the body if it puts it back.
+	ReadCall(r *http.Request) Call
+	// WriteVerdict sets the headers of an answer of the router's own and returns
+	// its body.
+	WriteVerdict(h http.Header, verdict Verdict) []byte
 	// Prepare turns a caller's headers into those for an upstream.
 	Prepare(h http.Header, attempt Attempt)
 	// ReadAnswer reads the head of an upstream's answer.
@@ -112,4 +162,5 @@
 	OutcomeCallerEnd Outcome = "caller_left"
 	OutcomeNoRoute   Outcome = "no_route"
 	OutcomeTooLarge  Outcome = "too_large"
+	OutcomeInvalid   Outcome = "invalid"
 )
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -26,6 +26,8 @@
 	startPause = 300 * time.Millisecond
 	// stopPause is the Retry-After of a router that stops: others take over.
 	stopPause = 10 * time.Millisecond
+	// minPause is the shortest Retry-After.
+	minPause = time.Millisecond
 	// againPause is the Retry-After after an upstream's own refusal.
 	againPause = 50 * time.Millisecond
 	// retryMargin leaves a part of the retry budget to what can't be foreseen.
@@ -93,6 +95,9 @@
 	// be whole.
 	objective time.Time
 	giveUp    time.Time
+	// repeatable is set when the request may run more than once.
+	repeatable bool
+	rank       Rank
 
 	// sends counts the sendings, tried the upstreams that got the request.
 	sends int
@@ -112,7 +117,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{front: f, w: w, r: r, arrived: time.Now()}
-	j.call = f.dialect.ReadCall(r.Header)
+	j.call = f.dialect.ReadCall(r)
 	j.record = Record{ID: j.call.ID, Model: j.call.Model, Adapter: j.call.Adapter}
 	if j.call.ID != "" {
 		w.Header().Set(f.dialect.IDHeader(), j.call.ID)
@@ -137,6 +142,9 @@
 }
 
 func (f *Front) stopLinger() time.Duration {
+	if f.settings.StopLinger > 0 {
+		return f.settings.StopLinger
+	}
 	return time.Duration(stopLingerShare * float64(f.settings.StopGrace))
 }
 
@@ -153,11 +161,16 @@
 		return false
 	}
 	j.record.ConfigVersion = snapshot.Config.Version
-	path, _, _ := strings.Cut(j.r.RequestURI, "?")
-	j.route = snapshot.Config.Match(j.r.Host, path)
+	if fault := j.call.Fault; fault != nil {
+		j.record.Outcome = OutcomeInvalid
+		j.record.Reason = fault.Text
+		j.answer(Verdict{Status: fault.Status, Kind: fault.Kind, Text: fault.Text})
+		return false
+	}
+	j.route = snapshot.Config.Match(j.r.Host, j.path())
 	if j.route == nil {
 		j.record.Outcome = OutcomeNoRoute
-		j.answer(http.StatusNotFound, "no route for this host and path: publish one or correct the address")
+		j.answer(Verdict{Status: http.StatusNotFound, Kind: "unknown_path", Text: "no route for this host and path: publish one or correct the address"})
 		return false
 	}
 	j.record.Route = j.route.Name
@@ -168,10 +181,24 @@
 	}
 	j.service = service
 	j.record.Service = service.Name
+	j.repeatable = j.route.Repeat == fleet.RunAgain || j.call.Repeatable
+	j.rank = Rank{Priority: j.route.Priority}
+	if j.call.Rank != nil {
+		j.rank = *j.call.Rank
+	}
 	j.setTimes()
 	return j.readBody(snapshot.Config.Limits.BodyBytes)
 }
 
+// path is where the route is looked up.
+func (j *job) path() string {
+	if j.call.Path != "" {
+		return j.call.Path
+	}
+	path, _, _ := strings.Cut(j.r.RequestURI, "?")
+	return path
+}
+
 func (j *job) setTimes() {
 	patience := j.call.Patience
 	if patience <= 0 {
@@ -196,7 +223,7 @@
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		j.record.Outcome = OutcomeTooLarge
-		j.answer(http.StatusRequestEntityTooLarge, "the body is larger than the configured limit")
+		j.answer(Verdict{Status: http.StatusRequestEntityTooLarge, Kind: "body_too_large", Text: "the body is larger than the configured limit"})
 		return false
 	}
 	if err != nil {
@@ -226,9 +253,9 @@
 func (j *job) refuse(retryAfter time.Duration, reason string) {
 	j.record.Outcome = OutcomeRefused
 	j.record.Reason = reason
+	retryAfter = max(retryAfter, minPause)
 	j.record.RetryAfter = retryAfter
-	j.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
-	j.answer(http.StatusServiceUnavailable, reason)
+	j.answer(Verdict{Status: http.StatusServiceUnavailable, Kind: "refused", Text: reason, RetryAfter: retryAfter})
 }
 
 // fail answers that it is unknown whether the request ran, or that it ran out
@@ -245,23 +272,23 @@
 	}
 	if !time.Now().Before(j.giveUp) {
 		j.record.Outcome = OutcomeTimeout
-		j.answer(http.StatusGatewayTimeout, reason)
+		j.answer(Verdict{Status: http.StatusGatewayTimeout, Kind: "deadline", Text: reason, MayHaveRun: j.record.Unknown})
 		return
 	}
 	j.record.Outcome = OutcomeFailed
-	j.answer(http.StatusBadGateway, reason)
+	j.answer(Verdict{Status: http.StatusBadGateway, Kind: "upstream_failed", Text: reason, MayHaveRun: j.record.Unknown})
 }
 
 func (j *job) callerLeft() bool { return j.r.Context().Err() != nil }
 
 // answer writes an answer of the router's own.
-func (j *job) answer(status int, text string) {
-	j.record.Status = status
-	h := j.w.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	h.Set("Content-Length", strconv.Itoa(len(text)+1))
-	j.w.WriteHeader(status)
-	_, _ = io.WriteString(j.w, text+"\n") // a caller that left gets nothing
+func (j *job) answer(verdict Verdict) {
+	verdict.ID = j.call.ID
+	j.record.Status = verdict.Status
+	body := j.front.dialect.WriteVerdict(j.w.Header(), verdict)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	j.w.WriteHeader(verdict.Status)
+	_, _ = j.w.Write(body) // a caller that left gets nothing
 }
 
 // timeLeft is the time until the request is given up.
@@ -270,11 +297,18 @@
 // request builds what goes on the wire to an upstream.
 func (j *job) request(upstreamID string, priority int) *exchange.Request {
 	header := endToEnd(j.r.Header)
-	j.front.dialect.Prepare(header, Attempt{UpstreamID: upstreamID, TimeLeft: j.timeLeft(), Priority: priority, ResumeAfter: j.resumeAfter()})
+	j.front.dialect.Prepare(header, Attempt{
+		UpstreamID:  upstreamID,
+		Model:       j.call.Model,
+		Adapter:     j.call.Adapter,
+		TimeLeft:    j.timeLeft(),
+		Priority:    priority,
+		ResumeAfter: j.resumeAfter(),
+	})
 	return &exchange.Request{
 		ID:     j.call.ID,
 		Method: j.r.Method,
-		URI:    requestTarget(j.r),
+		URI:    j.target(),
 		Host:   j.r.Host,
 		Header: header,
 		Body:   j.body,
@@ -291,12 +325,15 @@
 	return ""
 }
 
-// requestTarget returns the target in the form that upstreams expect.
-func requestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
+// target returns the request target in the form that upstreams expect.
+func (j *job) target() string {
+	if j.call.Target != "" {
+		return j.call.Target
+	}
+	if strings.HasPrefix(j.r.RequestURI, "/") {
+		return j.r.RequestURI
 	}
-	return r.URL.RequestURI()
+	return j.r.URL.RequestURI()
 }
 
 // hopHeaders concern one connection only.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -31,7 +31,7 @@
 func (j *job) pickPlain() *fleet.Upstream {
 	var candidates []*fleet.Upstream
 	for _, up := range j.front.directory.Load().ByService[j.service.Name] {
-		if !up.Draining && !slices.Contains(j.tried, up.ID) {
+		if up.TakesWork() && !slices.Contains(j.tried, up.ID) {
 			candidates = append(candidates, up)
 		}
 	}
@@ -92,13 +92,13 @@
 
 // mayRepeat takes a retry out of the budget if the request may run once more.
 func (j *job) mayRepeat() bool {
-	return j.route.Repeat == fleet.RunAgain && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry()
+	return j.repeatable && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry()
 }
 
 // attemptContext bounds the first sending of a request that may be sent once
 // more, so that time is left for that.
 func (j *job) attemptContext() (context.Context, context.CancelFunc) {
-	if j.route.Repeat != fleet.RunAgain || len(j.tried) >= j.route.Attempts {
+	if !j.repeatable || len(j.tried) >= j.route.Attempts {
 		return context.WithCancel(j.ctx)
 	}
 	return context.WithTimeout(j.ctx, min(j.timeLeft()/2, j.front.balancer.patience()))
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -44,6 +45,12 @@
 	Engines fleet.Engines
 	Pool    *exchange.Pool
 	Log     *decisionlog.Logger
+	// Credentials protect the links between routers, CallerTLS the callers' side;
+	// the zero values are for trusted networks.
+	Credentials transport.Credentials
+	CallerTLS   *tls.Config
+	// Callers wraps the handler of callers' requests; nil leaves it alone.
+	Callers func(front http.Handler) http.Handler
 }
 
 // Process is an entry process.
@@ -81,14 +88,15 @@
 		Log:          p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
-		Host:       settings.Host,
-		BootID:     bootID,
-		Address:    settings.PeerAddr,
-		Cores:      settings.Cores,
-		Local:      p.scheduler,
-		Events:     p.log,
-		OnList:     p.told,
-		OnHandover: func(offer cell.Handover) { p.election.Accept(offer) },
+		Host:        settings.Host,
+		BootID:      bootID,
+		Address:     settings.PeerAddr,
+		Cores:       settings.Cores,
+		Credentials: deps.Credentials,
+		Local:       p.scheduler,
+		Events:      p.log,
+		OnList:      p.told,
+		OnHandover:  func(offer cell.Handover) { p.election.Accept(offer) },
 	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:             deps.Table,
@@ -143,8 +151,11 @@
 	defer p.seenMu.Unlock()
 	for id, up := range snapshot.Upstreams {
 		state := "ready"
-		if up.Draining {
+		switch {
+		case up.Draining:
 			state = "leaving"
+		case up.SetAside:
+			state = "set aside"
 		}
 		if p.seen[id] != state {
 			p.seen[id] = state
@@ -166,11 +177,7 @@
 	if err != nil {
 		return err
 	}
-	ready, err := listen(p.settings.ReadyAddr)
-	if err != nil {
-		return err
-	}
-	peers, err := transport.Listen(p.settings.PeerAddr, transport.Credentials{}, p.scheduler.Serve)
+	peers, err := transport.Listen(p.settings.PeerAddr, p.deps.Credentials, p.scheduler.Serve)
 	if err != nil {
 		return err
 	}
@@ -178,20 +185,22 @@
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, background := errgroup.WithContext(background)
-	callerServer := &http.Server{Handler: p.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
-	readyServer := &http.Server{Handler: p.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	callerServer := &http.Server{Handler: p.callers(), TLSConfig: p.deps.CallerTLS, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
-	group.Go(func() error { return serveHTTP(readyServer, ready) })
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep, p.serveMetrics} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep} {
 		group.Go(func() error { run(background); return nil })
 	}
+	if err := p.serveAside(background, group); err != nil {
+		end()
+		return errors.Join(err, callerServer.Close(), group.Wait())
+	}
 	select {
 	case <-ctx.Done():
 		p.drain()
 	case <-background.Done():
 	}
-	err = errors.Join(callerServer.Close(), readyServer.Close())
+	err = callerServer.Close()
 	end()
 	err = errors.Join(err, group.Wait())
 	p.deps.Log.Info("stop", "host", p.settings.Host)
@@ -237,37 +246,79 @@
 	}
 }
 
-func (p *Process) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+p.deps.Dialect.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
-		snapshot := p.directory.Load()
-		if p.front.isStopping() || snapshot.Config == nil || !snapshot.Listed {
+// callers is the handler of callers' requests.
+func (p *Process) callers() http.Handler {
+	if p.deps.Callers == nil {
+		return p.front
+	}
+	return p.deps.Callers(p.front)
+}
+
+// IsReady reports whether the balancer should send requests.
+func (p *Process) IsReady() bool {
+	snapshot := p.directory.Load()
+	return !p.front.isStopping() && snapshot.Config != nil && snapshot.Listed
+}
+
+// ConfigVersion is that of the configuration in force, 0 without one.
+func (p *Process) ConfigVersion() int64 {
+	config := p.directory.Load().Config
+	if config == nil {
+		return 0
+	}
+	return config.Version
+}
+
+// IsScheduling reports whether this router holds the scheduler's lease.
+func (p *Process) IsScheduling() bool { return p.election.MayOrder() }
+
+// IsStopping reports whether a planned stop has begun.
+func (p *Process) IsStopping() bool { return p.front.isStopping() }
+
+// Metrics serves the counters and histograms.
+func (p *Process) Metrics() http.Handler { return p.metrics }
+
+// ReadyHandler answers whether the process is ready.
+func (p *Process) ReadyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.IsReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusOK)
 	})
-	return mux
 }
 
-// serveMetrics serves the metrics until ctx ends.
-func (p *Process) serveMetrics(ctx context.Context) {
+// serveAside serves readiness and metrics on addresses of their own, where the
+// settings name them, until ctx ends.
+func (p *Process) serveAside(ctx context.Context, group *errgroup.Group) error {
+	if p.settings.ReadyAddr != "" {
+		l, err := listen(p.settings.ReadyAddr)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return serveOne(ctx, l, "GET "+p.deps.Dialect.ReadyPath(), p.ReadyHandler()) })
+	}
 	if p.settings.MetricsAddr == "" {
-		return
+		return nil
 	}
 	l, err := listen(p.settings.MetricsAddr)
 	if err != nil {
 		p.deps.Log.Warn("metrics are not served", "err", err)
-		return
+		return nil
 	}
+	group.Go(func() error { return serveOne(ctx, l, "GET /metrics", p.metrics) })
+	return nil
+}
+
+// serveOne serves one pattern until ctx ends.
+func serveOne(ctx context.Context, l net.Listener, pattern string, handler http.Handler) error {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", p.metrics)
+	mux.Handle(pattern, handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // ends Serve
 	defer stop()
-	if err := serveHTTP(server, l); err != nil {
-		p.deps.Log.Warn("metrics are no longer served", "err", err)
-	}
+	return serveHTTP(server, l)
 }
 
 func listen(addr string) (net.Listener, error) {
@@ -279,7 +330,11 @@
 }
 
 func serveHTTP(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	serve := server.Serve
+	if server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
+	}
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/external/list_clients.go
+++ b/internal/external/hostlist_client.go
@@ -5,24 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/url"
 	"sync/atomic"
 )
 
-type weightClient struct{ *client }
-
-// NewWeightClient makes a client of the weight store.
-func NewWeightClient(o ClientOptions) WeightStore {
-	return &weightClient{newClient("weight store", o)}
-}
-
-// Stat implements WeightStore.
-func (w *weightClient) Stat(ctx context.Context, checkpoint string) (CheckpointInfo, error) {
-	var info CheckpointInfo
-	err := w.readJSON(ctx, "weight stat", "/v1/checkpoints/"+url.PathEscape(checkpoint), &info)
-	return info, err
-}
-
 type hostListClient struct {
 	*client
 	known atomic.Pointer[taggedListing]
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -22,7 +22,8 @@
 
 // Route maps requests to services.
 type Route struct {
-	Name   string
+	Name string
+	// Host is the name that callers ask; empty for any.
 	Host   string
 	Prefix string // begins and ends with a slash
 	Repeat Repeat
@@ -60,6 +61,15 @@
 	MemoryLoad time.Duration
 	// AdapterMB is the size of one adapter.
 	AdapterMB int64
+	// MaxReplicas bounds the copies of the model over all engines; 0 for no bound.
+	MaxReplicas int
+	// FailureDomains are those whose engines may hold the model; empty for all.
+	FailureDomains []string
+	// KeepAlive is the idle time after which a copy is unloaded; 0 keeps it until
+	// its memory is needed.
+	KeepAlive time.Duration
+	// MaxQueue bounds the requests that wait for the model; 0 for no bound.
+	MaxQueue int
 }
 
 // EngineSpec describes the model engines of a service.
@@ -71,7 +81,18 @@
 	// RemoteLoadsPerSecond is how many loads from the weight store may begin in
 	// a second, over all engines.
 	RemoteLoadsPerSecond float64
-	Models               map[string]Model
+	// RemoteLoadsAtOnce is how many of them run at full speed at the same time; 0
+	// if that is not known.
+	RemoteLoadsAtOnce int
+	// AdapterLoadsAtOnce bounds the adapters that are on their way to all engines
+	// together; 0 for no bound.
+	AdapterLoadsAtOnce int
+	// LookEvery is how often a load is looked at whose stated time is a guess; 0
+	// looks only at its stated end.
+	LookEvery time.Duration
+	// KeepAlive is that of models which are no longer configured; 0 keeps them.
+	KeepAlive time.Duration
+	Models    map[string]Model
 }
 
 // Service is a set of upstreams that serve the same requests.
@@ -117,15 +138,19 @@
 }
 
 // Match returns the route with the longest prefix of path among those of the
-// host; nil if there is none. host may carry a port.
+// host, else among those of any host; nil if there is none. host may carry a
+// port.
 func (c *Config) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	prefixes := c.byHost[strings.ToLower(host)]
-	if prefixes == nil {
-		return nil
+	if route := matchPrefix(c.byHost[strings.ToLower(host)], path); route != nil {
+		return route
 	}
+	return matchPrefix(c.byHost[""], path)
+}
+
+func matchPrefix(prefixes map[string]*Route, path string) *Route {
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
 		if route := prefixes[path[:end+1]]; route != nil {
 			return route
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -22,6 +22,10 @@
 	FailureDomain string
 	Slots         int
 	Draining      bool
+	// SetAside keeps new work away until an operator takes that back.
+	SetAside bool
+	// MemoryMB is the memory for weights; 0 if it is that of the service.
+	MemoryMB int64
 	// LeavesIn is set when the upstream is taken away at short notice.
 	LeavesIn time.Duration
 	// Sequence counts the descriptions of one incarnation.
@@ -35,6 +39,9 @@
 	InMemory []string
 }
 
+// TakesWork reports whether new work may be sent to the upstream.
+func (u *Upstream) TakesWork() bool { return !u.Draining && !u.SetAside }
+
 // Entry is the state of one id in the platform's list.
 type Entry struct {
 	ID string
@@ -60,7 +67,7 @@
 // router may not have heard of it yet.
 func (s *Snapshot) HasLeft(id string) bool {
 	if up := s.Upstreams[id]; up != nil {
-		return up.Draining
+		return !up.TakesWork()
 	}
 	_, removed := s.left[id]
 	return removed
@@ -69,7 +76,7 @@
 // Usable returns the upstream if new work may be sent to it.
 func (s *Snapshot) Usable(id string) (*Upstream, bool) {
 	up := s.Upstreams[id]
-	return up, up != nil && !up.Draining
+	return up, up != nil && up.TakesWork()
 }
 
 // Directory merges what the platform tells into snapshots. It is safe for
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -106,7 +106,9 @@
 		update, err := f.opts.Source.Config(callCtx, version, configWait)
 		cancel()
 		if err != nil {
-			retry.Sleep(ctx, outage.failed(err))
+			if ctx.Err() == nil {
+				retry.Sleep(ctx, outage.failed(err))
+			}
 			continue
 		}
 		outage.succeeded()
@@ -137,7 +139,9 @@
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
 		if err != nil {
-			retry.Sleep(ctx, outage.failed(err))
+			if ctx.Err() == nil {
+				retry.Sleep(ctx, outage.failed(err))
+			}
 			continue
 		}
 		if outage.succeeded() > lapseAfter {
--- /dev/null
+++ b/internal/native/deployment.go
@@ -0,0 +1,241 @@
+// Package native is the product's own interface: object sets in the table service
+// and the object store, a host list, engines that take the orders of
+// internal/external, and callers who speak the usual chat API. It translates
+// them for the core and decides nothing.
+package native
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/retry"
+)
+
+// Options configure a Deployment.
+type Options struct {
+	Table   external.TableService
+	Objects external.ObjectStore
+	Hosts   external.HostList
+	// Pool reaches the upstreams.
+	Pool *exchange.Pool
+	// PollEvery is the pace of reading the head row.
+	PollEvery time.Duration
+	// MaxBodyBytes bounds callers' bodies.
+	MaxBodyBytes int64
+}
+
+// Deployment reads what is published and listed, and reaches the engines. It
+// implements fleet.Source and fleet.Engines.
+type Deployment struct {
+	opts   Options
+	loader *config.Loader
+	// index is the object set that was read last; nil before the first.
+	index atomic.Pointer[config.Index]
+}
+
+// NewDeployment makes a deployment.
+func NewDeployment(opts Options) *Deployment {
+	return &Deployment{opts: opts, loader: config.NewLoader(opts.Objects)}
+}
+
+// Index returns the object set that was read last, nil before the first.
+func (d *Deployment) Index() *config.Index { return d.index.Load() }
+
+// Config implements fleet.Source. Versions are revisions.
+func (d *Deployment) Config(ctx context.Context, after int64, wait time.Duration) (fleet.ConfigUpdate, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		head, err := d.head(ctx)
+		if err != nil {
+			return fleet.ConfigUpdate{}, err
+		}
+		if revision := int64(head.GetRevision()); revision > after {
+			return d.load(ctx, head)
+		}
+		if !time.Now().Add(d.opts.PollEvery).Before(deadline) || !retry.Sleep(ctx, d.opts.PollEvery) {
+			return fleet.ConfigUpdate{Version: after}, ctx.Err()
+		}
+	}
+}
+
+// head reads the row of the revision in force; its revision is 0 before the
+// first.
+func (d *Deployment) head(ctx context.Context) (*apiv1.HeadRow, error) {
+	row, err := d.opts.Table.Get(ctx, external.HeadKey)
+	if err != nil {
+		return nil, err
+	}
+	head := &apiv1.HeadRow{}
+	if err := proto.Unmarshal(row.Value, head); err != nil {
+		return nil, fmt.Errorf("head row can't be read: %w (publish the set again)", err)
+	}
+	return head, nil
+}
+
+func (d *Deployment) load(ctx context.Context, head *apiv1.HeadRow) (fleet.ConfigUpdate, error) {
+	index, err := d.loader.Load(ctx, head)
+	if err != nil {
+		return fleet.ConfigUpdate{}, err
+	}
+	if known := d.index.Load(); known == nil || known.Revision < index.Revision {
+		d.index.Store(index)
+	}
+	return fleet.ConfigUpdate{Config: coreConfig(index, d.opts.MaxBodyBytes), Version: int64(index.Revision)}, nil
+}
+
+// Upstreams implements fleet.Source. It returns the whole list.
+func (d *Deployment) Upstreams(ctx context.Context, _ int64, _ time.Duration) (fleet.UpstreamUpdate, error) {
+	listing, err := d.opts.Hosts.Hosts(ctx)
+	if err != nil {
+		return fleet.UpstreamUpdate{}, err
+	}
+	drained, err := d.Drained(ctx)
+	if err != nil {
+		return fleet.UpstreamUpdate{}, err
+	}
+	update := fleet.UpstreamUpdate{Whole: true, Version: max(1, listing.Revision)}
+	for _, host := range listing.Hosts {
+		if host.Role == external.RoleUpstream {
+			update.Entries = append(update.Entries, entryOf(host, listing.Revision, drained[host.ID]))
+		}
+	}
+	return update, nil
+}
+
+// Drained returns the hosts that operators keep new work away from.
+func (d *Deployment) Drained(ctx context.Context) (map[string]bool, error) {
+	changes, err := d.opts.Table.Changes(ctx, external.DrainPrefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	drained := make(map[string]bool)
+	for _, row := range changes.Rows {
+		drain := &apiv1.DrainRow{}
+		if err := proto.Unmarshal(row.Value, drain); err != nil {
+			return nil, fmt.Errorf("row %s can't be read: %w (drain the host again)", row.Key, err)
+		}
+		drained[drain.GetHost()] = drain.GetDraining()
+	}
+	return drained, nil
+}
+
+func entryOf(host external.Host, revision int64, drained bool) fleet.Entry {
+	return fleet.Entry{ID: host.ID, Upstream: &fleet.Upstream{
+		ID:            host.ID,
+		Service:       serviceOf(host),
+		Addr:          host.Address,
+		FailureDomain: host.FailureDomain,
+		Draining:      host.State == external.HostLeaving,
+		SetAside:      drained,
+		MemoryMB:      int64(host.MemoryMiB),
+		Sequence:      revision,
+		StartedMs:     host.StartedUnixMs,
+	}}
+}
+
+// Names of the core's services: plain services and pools of engines.
+func plainService(name string) string { return "service " + name }
+
+func enginePool(pool string) string { return "pool " + pool }
+
+func serviceOf(host external.Host) string {
+	if host.Service != "" {
+		return plainService(host.Service)
+	}
+	return enginePool(host.Pool)
+}
+
+// Order implements fleet.Engines.
+func (d *Deployment) Order(ctx context.Context, up *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
+	body := external.Order{
+		Unload:         order.Unload,
+		Model:          order.Model,
+		Adapter:        order.Adapter,
+		ExpectedOrders: order.ExpectedOrders,
+		Holder:         order.Holder,
+		Fence:          order.Fence,
+	}
+	if !order.Unload && !d.addWeights(&body) {
+		return fleet.OrderInvalid, nil // it was unpublished meanwhile
+	}
+	request, err := exchange.NewJSON(external.PathOrders, upstreamHeader(up.ID), body)
+	if err != nil {
+		return fleet.OrderUnknown, err
+	}
+	status, _, err := d.opts.Pool.Fetch(ctx, up.Addr, request)
+	if err != nil {
+		return fleet.OrderUnknown, err
+	}
+	switch status {
+	case http.StatusAccepted:
+		return fleet.OrderAccepted, nil
+	case http.StatusOK:
+		return fleet.OrderHolds, nil
+	case http.StatusConflict, http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return fleet.OrderConflict, nil
+	case http.StatusPreconditionFailed:
+		return fleet.OrderFenced, nil
+	case http.StatusMisdirectedRequest:
+		return fleet.OrderWrongUpstream, nil
+	case http.StatusBadRequest, http.StatusInsufficientStorage:
+		return fleet.OrderInvalid, nil
+	}
+	return fleet.OrderUnknown, fmt.Errorf("order answered with status %d", status)
+}
+
+// addWeights adds where the weights of an order come from. It reports false for
+// weights that are not published.
+func (d *Deployment) addWeights(order *external.Order) bool {
+	index := d.index.Load()
+	if index == nil {
+		return false
+	}
+	version := index.Version(order.Model)
+	if order.Adapter == "" {
+		order.Checkpoint = version.GetCheckpoint()
+		order.MemoryMiB = version.GetMemoryMib()
+		return version != nil
+	}
+	adapter := index.Adapter(version.GetModel(), order.Adapter)
+	order.Checkpoint = adapter.GetCheckpoint()
+	order.MemoryMiB = adapter.GetMemoryMib()
+	return adapter != nil
+}
+
+// Inspect implements fleet.Engines.
+func (d *Deployment) Inspect(ctx context.Context, up *fleet.Upstream) (fleet.Inventory, error) {
+	var body external.Inventory
+	request := &exchange.Request{Method: http.MethodGet, URI: external.PathInventory, Header: upstreamHeader(up.ID)}
+	if err := d.opts.Pool.FetchJSON(ctx, up.Addr, request, &body); err != nil {
+		return fleet.Inventory{}, err
+	}
+	inventory := fleet.Inventory{
+		StartedMs: body.StartedUnixMs,
+		Busy:      body.Busy,
+		Orders:    body.Orders,
+		Running:   body.Running,
+		Waiting:   body.Waiting,
+		OnDisk:    body.OnDisk,
+		InMemory:  body.InMemory,
+	}
+	for _, model := range body.Models {
+		inventory.Models = append(inventory.Models, fleet.HeldModel{Name: model.Model, Adapters: model.Adapters})
+	}
+	for _, name := range body.Coming {
+		model, adapter := splitModel(name)
+		inventory.Coming = append(inventory.Coming, fleet.AdapterRef{Model: model, Adapter: adapter})
+	}
+	return inventory, nil
+}
+
+func upstreamHeader(id string) http.Header { return http.Header{external.HeaderUpstream: {id}} }
--- /dev/null
+++ b/internal/native/dialect.go
@@ -0,0 +1,240 @@
+package native
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/entry"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
+)
+
+const (
+	pathServices = "/services/"
+	pathReady    = "/readyz"
+
+	// headerPriority names a priority class.
+	headerPriority = "Ragwortdoor-Priority"
+
+	// bytesPerToken estimates the tokens of a text.
+	bytesPerToken = 4
+	// defaultMaxTokens is the length of an answer whose request sets none.
+	defaultMaxTokens = 256
+)
+
+// Dialect translates callers' requests and upstreams' answers. It implements
+// entry.Dialect.
+type Dialect struct {
+	// Host begins the ids of requests.
+	Host       string
+	Deployment *Deployment
+	// MaxBodyBytes bounds callers' bodies.
+	MaxBodyBytes int64
+}
+
+// ReadyPath implements entry.Dialect.
+func (Dialect) ReadyPath() string { return pathReady }
+
+// IDHeader implements entry.Dialect.
+func (Dialect) IDHeader() string { return external.HeaderRequestID }
+
+// ReadCall implements entry.Dialect.
+func (d Dialect) ReadCall(r *http.Request) entry.Call {
+	call := entry.Call{ID: d.Host + "-" + rand.Text()[:12], ResumeAfter: r.Header.Get(external.HeaderLastEvent)}
+	r.Header.Set(external.HeaderRequestID, call.ID)
+	if ms, err := strconv.ParseInt(r.Header.Get(external.HeaderDeadline), 10, 64); err == nil && ms > 0 {
+		call.Patience = time.Duration(ms) * time.Millisecond
+	}
+	index := d.Deployment.Index()
+	switch {
+	case index == nil:
+	case r.URL.Path == external.PathChat && r.Method != http.MethodPost:
+		call.Fault = &entry.Fault{Status: http.StatusMethodNotAllowed, Kind: "method_not_allowed", Text: "send a POST"}
+	case r.URL.Path == external.PathChat:
+		d.readChat(r, index, &call)
+	case strings.HasPrefix(r.URL.Path, pathServices):
+		readService(r, index, &call)
+	default:
+		call.Fault = notFound("unknown_path", fmt.Sprintf("no path %q: see docs/CALLERS.md", r.URL.Path))
+	}
+	return call
+}
+
+func notFound(kind, text string) *entry.Fault {
+	return &entry.Fault{Status: http.StatusNotFound, Kind: kind, Text: text}
+}
+
+type chatBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int64  `json:"max_tokens"`
+	Messages  []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+func (d Dialect) readChat(r *http.Request, index *config.Index, call *entry.Call) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, d.MaxBodyBytes+1))
+	r.Body = putBack(data, r.Body)
+	if err != nil || int64(len(data)) > d.MaxBodyBytes {
+		return // the core reads the body anew and answers that
+	}
+	var body chatBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		call.Fault = &entry.Fault{Status: http.StatusBadRequest, Kind: "bad_request", Text: "the body is no chat request: " + err.Error()}
+		return
+	}
+	target, known := index.Resolve(body.Model)
+	if !known {
+		call.Fault = notFound("unknown_model", fmt.Sprintf("no model %q: name a published one as MODEL or MODEL:ADAPTER; GET /v1/models lists them", body.Model))
+		return
+	}
+	call.Path = poolPath(index.Placement(target.Model.GetPlacement()).GetPool())
+	call.Model = target.Model.GetVersion()
+	call.Adapter = target.Adapter.GetName()
+	call.Whole = !body.Stream
+	call.MaxOutputTokens = body.MaxTokens
+	if body.MaxTokens <= 0 {
+		call.MaxOutputTokens = defaultMaxTokens
+	}
+	for _, message := range body.Messages {
+		part := entry.PromptPart{ID: strconv.FormatUint(xxhash.Sum64(message.Content), 16), Tokens: int64(len(message.Content)+bytesPerToken-1) / bytesPerToken}
+		call.Parts = append(call.Parts, part)
+		call.PromptTokens += part.Tokens
+	}
+	takeClass(classOf(r, index, target.Model), call)
+}
+
+// putBack makes a body of what was read of it and its rest.
+func putBack(read []byte, rest io.ReadCloser) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(read), rest), rest}
+}
+
+// classOf is the priority class that a request names, else that of its model.
+func classOf(r *http.Request, index *config.Index, model *apiv1.Model) *apiv1.PriorityClass {
+	if class := index.PriorityClass(r.Header.Get(headerPriority)); class != nil {
+		return class
+	}
+	return index.PriorityClass(model.GetPriorityClass())
+}
+
+func takeClass(class *apiv1.PriorityClass, call *entry.Call) {
+	call.Rank = &entry.Rank{Priority: maxPriority - int(class.GetPriority()), Ageing: milliseconds(class.GetAgeingMs())}
+	if call.Patience <= 0 {
+		call.Patience = milliseconds(class.GetDefaultDeadlineMs())
+	}
+}
+
+func readService(r *http.Request, index *config.Index, call *entry.Call) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathServices), "/")
+	service := index.Service(name)
+	if service == nil {
+		call.Fault = notFound("unknown_service", fmt.Sprintf("no service %q: name a published one", name))
+		return
+	}
+	call.Path = servicePath(name)
+	call.Target = "/" + rest
+	if r.URL.RawQuery != "" {
+		call.Target += "?" + r.URL.RawQuery
+	}
+	if call.Patience <= 0 {
+		call.Patience = milliseconds(service.GetDefaultDeadlineMs())
+	}
+	for _, c := range service.GetRepeatable() {
+		call.Repeatable = call.Repeatable || c.GetMethod() == r.Method && strings.HasPrefix("/"+rest, c.GetPathPrefix())
+	}
+}
+
+// Prepare implements entry.Dialect.
+func (Dialect) Prepare(h http.Header, attempt entry.Attempt) {
+	h.Del(headerPriority)
+	h.Set(external.HeaderUpstream, attempt.UpstreamID)
+	if attempt.Model != "" {
+		h.Set(external.HeaderModel, joinModel(attempt.Model, attempt.Adapter))
+	}
+	if attempt.TimeLeft > 0 {
+		h.Set(external.HeaderDeadline, strconv.FormatInt(max(1, attempt.TimeLeft.Milliseconds()), 10))
+	}
+	if attempt.Priority >= 0 {
+		h.Set(external.HeaderRank, strconv.Itoa(attempt.Priority))
+	}
+	h.Del(external.HeaderLastEvent)
+	if attempt.ResumeAfter != "" {
+		h.Set(external.HeaderLastEvent, attempt.ResumeAfter)
+	}
+}
+
+func joinModel(model, adapter string) string {
+	if adapter == "" {
+		return model
+	}
+	return model + ":" + adapter
+}
+
+func splitModel(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, ":")
+	return model, adapter
+}
+
+// ReadAnswer implements entry.Dialect.
+func (Dialect) ReadAnswer(status int, h http.Header) entry.Answer {
+	return entry.Answer{
+		Signed:        true, // the request's id tells whose answer it is
+		NotRun:        h.Get(external.HeaderOutcome) == external.OutcomeNotRun,
+		WrongUpstream: status == http.StatusMisdirectedRequest,
+	}
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Kind         string `json:"kind"`
+	Message      string `json:"message"`
+	RequestID    string `json:"request_id"`
+	Outcome      string `json:"outcome"`
+	RetryAfterMs int64  `json:"retry_after_ms"`
+}
+
+// WriteVerdict implements entry.Dialect.
+func (Dialect) WriteVerdict(h http.Header, verdict entry.Verdict) []byte {
+	outcome := external.OutcomeNotRun
+	if verdict.MayHaveRun {
+		outcome = external.OutcomeMayHaveRun
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set(external.HeaderOutcome, outcome)
+	if verdict.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(verdict.RetryAfter.Seconds()))))
+	}
+	if verdict.Status == http.StatusMethodNotAllowed {
+		h.Set("Allow", http.MethodPost)
+	}
+	body, err := json.Marshal(errorBody{errorDetail{
+		Kind:         verdict.Kind,
+		Message:      verdict.Text,
+		RequestID:    verdict.ID,
+		Outcome:      outcome,
+		RetryAfterMs: verdict.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		return []byte(verdict.Text) // strings and numbers always encode
+	}
+	return append(body, '\n')
+}
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -32,7 +32,7 @@
   2  wrong usage, or an object set with faults
   3  the object, revision, request or host is not known
   4  conflict: another operator came first
-  5  apply --wait: published, but some nodes have not confirmed it in time
+  5  apply --wait: published, but some routers have not confirmed it in time
 
 Several servers, separated by commas, are tried in turn.`
 
--- a/internal/operator/cli/config_commands.go
+++ b/internal/operator/cli/config_commands.go
@@ -65,7 +65,7 @@
 		&cli.StringFlag{Name: flagMessage, Aliases: []string{"m"}, Usage: "why the set changes"},
 		&cli.StringFlag{Name: flagAuthor, Value: os.Getenv("USER"), Usage: "who changes it"},
 		&cli.Uint64Flag{Name: flagExpect, HideDefault: true, Usage: "revision that the new one must follow; by default the one in force when the command starts"},
-		&cli.BoolFlag{Name: flagWait, Usage: "wait until every listed node has confirmed the revision"},
+		&cli.BoolFlag{Name: flagWait, Usage: "wait until every listed router has confirmed the revision"},
 		&cli.DurationFlag{Name: flagTimeout, Value: defaultWaitTimeout, Usage: "limit of --wait"},
 	}
 }
--- a/internal/operator/cli/exit.go
+++ b/internal/operator/cli/exit.go
@@ -41,7 +41,7 @@
 	return usage("%v: see --help", err)
 }
 
-// NotConfirmedError means that a revision is published, but that some nodes
+// NotConfirmedError means that a revision is published, but that some routers
 // have not confirmed it in time.
 type NotConfirmedError struct {
 	Revision uint64
@@ -52,7 +52,7 @@
 // Error names the nodes.
 func (e *NotConfirmedError) Error() string {
 	if e.Nodes == 0 {
-		return fmt.Sprintf("revision %d is published, but no node is listed: check the host list", e.Revision)
+		return fmt.Sprintf("revision %d is published, but no router is listed: check the host list", e.Revision)
 	}
 	names := make([]string, 0, len(e.Missing))
 	for _, node := range e.Missing {
@@ -62,16 +62,25 @@
 		}
 		names = append(names, name)
 	}
-	return fmt.Sprintf("revision %d is published, but %d of %d nodes have not confirmed it: %s; look at \"ragwortdoor status\"",
+	return fmt.Sprintf("revision %d is published, but %d of %d routers have not confirmed it: %s; look at \"ragwortdoor status\"",
 		e.Revision, len(e.Missing), e.Nodes, strings.Join(names, ", "))
 }
 
+// NotLoggedError means that no log line names a request.
+type NotLoggedError struct{ ID string }
+
+// Error implements error.
+func (e *NotLoggedError) Error() string {
+	return fmt.Sprintf("no line of these logs names request %q: name the log of the router that took it, and copy the whole id from the answer", e.ID)
+}
+
 // exitCode classifies an error.
 func exitCode(err error) int {
 	var (
 		wrongUsage  *UsageError
 		wrongFile   *settings.Error
 		unconfirmed *NotConfirmedError
+		notLogged   *NotLoggedError
 		failure     *operator.Error
 	)
 	switch {
@@ -79,6 +88,8 @@
 		return ExitUsage
 	case errors.As(err, &unconfirmed):
 		return ExitTimeout
+	case errors.As(err, &notLogged):
+		return ExitNotFound
 	case errors.As(err, &failure):
 		return exitCodeOf(failure.Kind)
 	default:
--- a/internal/operator/cli/node_commands.go
+++ b/internal/operator/cli/node_commands.go
@@ -43,33 +43,23 @@
 }
 
 func writeStatus(w io.Writer, reply *operator.StatusReply) {
-	writeRevision(w, reply.Revision)
-	records := reply.WaitRecords
-	fmt.Fprintf(w, "wait records: %d stored, %d buffered, %d lost\n", records.Stored, records.Buffered, records.Lost)
-	row(w, "HOST", "ROLE", "FAILURE DOMAIN", "ADDRESS", "REVISION", "BEHIND", "SEEN", "STATE", "PROBLEM")
+	fmt.Fprintf(w, "revision %d\n", reply.Revision)
+	row(w, "HOST", "ROLE", "FAILURE DOMAIN", "ADDRESS", "REVISION", "STATE", "PROBLEM")
 	for _, node := range reply.Nodes {
-		row(w, node.Host, node.Role, orDash(node.FailureDomain), orDash(node.Address), node.ConfigRevision,
-			behind(reply.Revision.Revision, node.ConfigRevision), seen(node.SeenAgoMs), nodeState(node), orDash(node.Problem))
-	}
-}
-
-func behind(head, confirmed uint64) uint64 {
-	if confirmed >= head {
-		return 0
-	}
-	return head - confirmed
-}
-
-func seen(agoMs int64) string {
-	if agoMs < 0 {
-		return "never"
+		revision := "-"
+		if node.IsRouter() {
+			revision = fmt.Sprint(node.ConfigRevision)
+		}
+		row(w, node.Host, node.Role, orDash(node.FailureDomain), orDash(node.Address), revision, nodeState(node), orDash(node.Problem))
 	}
-	return formatMs(agoMs) + " ago"
 }
 
 func nodeState(node operator.NodeStatus) string {
-	if node.Draining {
+	switch {
+	case node.Draining:
 		return "draining"
+	case node.Scheduler:
+		return "live, scheduler"
 	}
 	return "live"
 }
@@ -92,6 +82,6 @@
 			fmt.Fprintf(w, "%s takes new work again\n", reply.Host)
 			return
 		}
-		fmt.Fprintf(w, "%s takes no new work; it still holds %d slots\n", reply.Host, reply.SlotsHeld)
+		fmt.Fprintf(w, "%s takes no new work\n", reply.Host)
 	})
 }
--- a/internal/operator/cli/publish.go
+++ b/internal/operator/cli/publish.go
@@ -54,7 +54,7 @@
 	return publish(ctx, cmd, client, old.Set, message)
 }
 
-// publish puts a set in force and waits for the nodes if asked to.
+// publish puts a set in force and waits for the routers if asked to.
 func publish(ctx context.Context, cmd *cli.Command, client *operator.Client, set []byte, message string) error {
 	request := operator.ApplyRequest{Set: set, Author: cmd.String(flagAuthor), Message: message}
 	if cmd.IsSet(flagExpect) {
@@ -75,7 +75,7 @@
 	return waitConfirmed(ctx, cmd, client, reply.Revision.Revision)
 }
 
-// waitConfirmed returns once every listed node has confirmed a revision, or a
+// waitConfirmed returns once every listed router has confirmed a revision, or a
 // *NotConfirmedError after the timeout.
 func waitConfirmed(ctx context.Context, cmd *cli.Command, client *operator.Client, revision uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
@@ -86,9 +86,9 @@
 	for {
 		status, err := client.Status(ctx)
 		if err == nil {
-			last.Nodes, last.Missing = len(status.Nodes), status.Unconfirmed(revision)
+			last.Nodes, last.Missing = status.Routers(), status.Unconfirmed(revision)
 			if last.Nodes > 0 && len(last.Missing) == 0 {
-				fmt.Fprintf(cmd.Root().ErrWriter, "confirmed by %d nodes\n", last.Nodes)
+				fmt.Fprintf(cmd.Root().ErrWriter, "confirmed by %d routers\n", last.Nodes)
 				return nil
 			}
 		}
--- a/internal/operator/cli/wait_commands.go
+++ b/internal/operator/cli/wait_commands.go
@@ -9,109 +9,106 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/operator"
-	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/explain"
 )
 
 const (
+	flagLog   = "log"
 	flagSince = "since"
 	flagModel = "model"
-	flagClass = "class"
 	flagAbove = "above"
 )
 
-// barWidth is the length of the longest bar of a histogram.
-const barWidth = 40
+func logFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: flagLog, Required: true, Usage: "`FILE` with a router's standard output, - for standard input; may be given several times"}
+}
 
 func waitCommands() []*cli.Command {
 	return []*cli.Command{
 		{
-			Name: "explain", Usage: "tell why one request waited", ArgsUsage: "REQUEST_ID",
-			Description: "The id is in the Ragwortdoor-Request-Id header of the answer. A record is stored within a minute.",
-			Action:      explain,
+			Name: "explain", Usage: "tell from logs why one request waited", ArgsUsage: "REQUEST_ID",
+			Description: "The id is on the answer. Name the logs of the router that took the request and of the\n" +
+				"one that scheduled then; of several routers, all will do.",
+			Flags:  []cli.Flag{logFlag()},
+			Action: explainRequest,
 		},
 		{
-			Name: "late", Usage: "group late requests by what they waited for",
+			Name: "late", Usage: "group late requests of logs by what they waited for",
 			Flags: []cli.Flag{
-				&cli.DurationFlag{Name: flagSince, Value: time.Hour, Usage: "time range that ends now"},
-				&cli.StringFlag{Name: flagModel, Usage: "only this model, or \"services/NAME\""},
-				&cli.StringFlag{Name: flagClass, Usage: "only this priority class"},
-				&cli.DurationFlag{Name: flagAbove, Value: time.Second, Usage: "wait above which a request is late"},
+				logFlag(),
+				&cli.DurationFlag{Name: flagSince, Usage: "only requests that ended within this time from now; 0 takes all"},
+				&cli.StringFlag{Name: flagModel, Usage: "only this model"},
+				&cli.DurationFlag{Name: flagAbove, Value: time.Second, Usage: "time to the first byte above which a request is late"},
 			},
 			Action: late,
 		},
 	}
 }
 
-func explain(ctx context.Context, cmd *cli.Command) error {
+// readLogs reads the lines of all named files.
+func readLogs(cmd *cli.Command) ([]explain.Line, error) {
+	var all []explain.Line
+	for _, path := range cmd.StringSlice(flagLog) {
+		data, err := readFile(cmd, path)
+		if err != nil {
+			return nil, err
+		}
+		lines, skipped, err := explain.Read(strings.NewReader(string(data)))
+		if err != nil {
+			return nil, usage("%s: %v", path, err)
+		}
+		if skipped > 0 {
+			fmt.Fprintf(cmd.Root().ErrWriter, "%s: %d lines are no log lines\n", path, skipped)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func explainRequest(_ context.Context, cmd *cli.Command) error {
 	args, err := arguments(cmd, 1, 1)
 	if err != nil {
 		return err
 	}
-	client, err := newClient(cmd)
+	lines, err := readLogs(cmd)
 	if err != nil {
 		return err
 	}
-	reply, err := client.Explain(ctx, args[0])
-	if err != nil {
-		return err
+	story, found := explain.Request(lines, args[0])
+	if !found {
+		return &NotLoggedError{ID: args[0]}
 	}
-	return show(cmd, reply, func(w io.Writer) {
-		for _, line := range reply.Lines {
-			fmt.Fprintln(w, line)
+	return show(cmd, story, func(w io.Writer) {
+		for _, step := range story.Steps {
+			fmt.Fprintln(w, step)
 		}
-		fmt.Fprintf(w, "main cause: %s\n", reply.MainCause)
+		fmt.Fprintf(w, "main cause: %s\n", story.Cause)
 	})
 }
 
-func late(ctx context.Context, cmd *cli.Command) error {
+func late(_ context.Context, cmd *cli.Command) error {
 	if _, err := arguments(cmd, 0, 0); err != nil {
 		return err
 	}
-	if cmd.Duration(flagSince) <= 0 || cmd.Duration(flagAbove) < time.Millisecond {
+	filter := explain.Filter{Model: cmd.String(flagModel), Above: cmd.Duration(flagAbove)}
+	if filter.Above < time.Millisecond || cmd.Duration(flagSince) < 0 {
 		return usage("--since and --above must be positive durations such as 90m or 2s")
 	}
-	client, err := newClient(cmd)
-	if err != nil {
-		return err
+	if since := cmd.Duration(flagSince); since > 0 {
+		filter.Since = time.Now().Add(-since)
 	}
-	report, err := client.Late(ctx, operator.LateQuery{
-		Since: cmd.Duration(flagSince),
-		Model: cmd.String(flagModel),
-		Class: cmd.String(flagClass),
-		Late:  cmd.Duration(flagAbove),
-	})
+	lines, err := readLogs(cmd)
 	if err != nil {
 		return err
 	}
-	return show(cmd, report, func(w io.Writer) { writeLate(w, report) })
+	report := explain.Late(lines, filter)
+	return show(cmd, report, func(w io.Writer) { writeLate(w, report, filter.Above) })
 }
 
-func writeLate(w io.Writer, report *waitlog.LateReport) {
-	fmt.Fprintf(w, "%d of %d recorded requests waited longer than %s or were not served, from %s to %s\n",
-		report.Late, report.Records, formatMs(int64(report.LateMs)), formatTime(report.SinceUnixMs), formatTime(report.UntilUnixMs))
-	if report.BatchesRead < report.Batches {
-		fmt.Fprintf(w, "read %d of %d batches: the counts are those of this share; choose a shorter --since for all\n", report.BatchesRead, report.Batches)
-	}
-	if report.BatchesUnreadable > 0 {
-		fmt.Fprintf(w, "%d batches are damaged or have expired: their records are missing here\n", report.BatchesUnreadable)
-	}
-	for _, group := range report.Groups {
-		fmt.Fprintf(w, "\n%s: %d late, %d of them not served, p50 %s, p99 %s, longest %s\n", group.Cause, group.Count,
-			group.NotServed, formatMs(group.P50Ms), formatMs(group.P99Ms), formatMs(group.MaxMs))
-		writeHistogram(w, group.Histogram)
-		fmt.Fprintf(w, "  slowest: %s\n", strings.Join(group.Slowest, " "))
-	}
-}
-
-func writeHistogram(w io.Writer, buckets []waitlog.Bucket) {
-	most := int64(1)
-	for _, bucket := range buckets {
-		most = max(most, bucket.Count)
-	}
-	for _, bucket := range buckets {
-		// A bucket that is not empty shows at least one mark.
-		marks := (bucket.Count*barWidth + most - 1) / most
-		fmt.Fprintf(w, "  up to %8s %6d %s\n", formatMs(bucket.UpToMs), bucket.Count, strings.Repeat("#", int(marks)))
+func writeLate(w io.Writer, report explain.Report, above time.Duration) {
+	fmt.Fprintf(w, "%d of %d requests took longer than %s to their first byte or were not served\n", report.Late, report.Requests, above)
+	row(w, "CAUSE", "COUNT", "P50", "P99", "LONGEST", "SLOWEST")
+	for _, g := range report.Groups {
+		row(w, g.Cause, g.Count, g.P50, g.P99, g.Max, strings.Join(g.Slowest, " "))
 	}
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
 )
 
 // defaultCallTimeout bounds one try of a call at one server.
@@ -103,31 +101,9 @@
 	return call[DiffReply](ctx, c, request{method: http.MethodPost, path: "/v1/diff", query: query, body: set})
 }
 
-// Explain tells why a request waited.
-func (c *Client) Explain(ctx context.Context, requestID string) (*ExplainReply, error) {
-	path := "/v1/explain/" + url.PathEscape(requestID)
-	return call[ExplainReply](ctx, c, request{method: http.MethodGet, path: path})
-}
-
-// LateQuery chooses the requests of a late report.
-type LateQuery struct {
-	// Since is the length of the time range that ends now.
-	Since time.Duration
-	Model string
-	Class string
-	// Late is the wait above which a request counts; 0 takes the server's.
-	Late time.Duration
-}
-
-// Late groups the late requests by cause.
-func (c *Client) Late(ctx context.Context, q LateQuery) (*waitlog.LateReport, error) {
-	query := url.Values{
-		"since_ms": {strconv.FormatInt(q.Since.Milliseconds(), 10)},
-		"late_ms":  {strconv.FormatInt(q.Late.Milliseconds(), 10)},
-		"model":    {q.Model},
-		"class":    {q.Class},
-	}
-	return call[waitlog.LateReport](ctx, c, request{method: http.MethodGet, path: "/v1/late", query: query})
+// Self returns the state of the router that answers.
+func (c *Client) Self(ctx context.Context) (*NodeStatus, error) {
+	return call[NodeStatus](ctx, c, request{method: http.MethodGet, path: "/v1/self"})
 }
 
 // Drain tells a host to take no new work, or takes that back.
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -8,7 +8,6 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
-	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
 )
 
 // ErrorKind classifies a failed call of the operators' API.
@@ -79,8 +78,6 @@
 		invalid  *config.InvalidError
 		conflict *config.ConflictError
 		revision *config.RevisionError
-		notFound *waitlog.NotFoundError
-		badID    *waitlog.BadIDError
 	)
 	switch {
 	case errors.As(err, &own):
@@ -91,10 +88,6 @@
 		return toConflict(conflict)
 	case errors.As(err, &revision):
 		return &Error{Kind: KindNotFound, Message: revision.Error()}
-	case errors.As(err, &notFound):
-		return &Error{Kind: KindNotFound, Message: notFound.Error()}
-	case errors.As(err, &badID):
-		return badRequest(badID.Error(), "")
 	default:
 		return toPlatformError(err)
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"expvar"
 	"io"
 	"net/http"
 	"net/http/pprof"
@@ -15,40 +14,37 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
+	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
-	"github.com/ragwortdoor/ragwortdoor/internal/view"
-	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
 )
 
 // maxRequestBytes bounds the body of a request.
 const maxRequestBytes = 64 << 20
 
-// StatusSource knows the nodes of the deployment.
-type StatusSource interface {
-	Nodes(ctx context.Context) []NodeStatus
-}
-
 // ServerOptions configure the operators' API of one router.
 type ServerOptions struct {
 	Publisher *config.Publisher
-	Reader    *waitlog.Reader
-	// Writer holds the records that are not stored yet; nil when there is none.
-	Writer *waitlog.Writer
-	View   *view.Store
-	// Status is nil when no nodes are known.
-	Status StatusSource
-	// Table holds the drain rows.
+	// Table holds the drain rows, Hosts the list of hosts.
 	Table external.TableService
+	Hosts external.HostList
+	// Drained returns the hosts that are drained.
+	Drained func(ctx context.Context) (map[string]bool, error)
+	// Self is the state of this router.
+	Self func() NodeStatus
+	// Peers asks other routers for their state.
+	Peers *http.Client
+	// PeerScheme is "http" or "https".
+	PeerScheme string
 	// Commit is external.CommitSettled by default.
 	Commit config.CommitFunc
 	// Token is the bearer token that callers must send; nil demands none.
 	Token []byte
-	// Vars serves the metrics; expvar.Handler by default.
-	Vars http.Handler
+	// Metrics serves GET /metrics; nil serves none.
+	Metrics http.Handler
 	// Now is time.Now by default.
 	Now func() time.Time
 	// Log is discarded by default.
-	Log *log.Logger
+	Log *decisionlog.Logger
 }
 
 type server struct {
@@ -61,14 +57,11 @@
 	if s.Commit == nil {
 		s.Commit = external.CommitSettled
 	}
-	if s.Vars == nil {
-		s.Vars = expvar.Handler()
-	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
 	if s.Log == nil {
-		s.Log = log.New(io.Discard)
+		s.Log = decisionlog.New(log.FatalLevel)
 	}
 	return s.routes()
 }
@@ -82,12 +75,12 @@
 	guarded.HandleFunc("GET /v1/diff", s.reply(s.diffRevisions))
 	guarded.HandleFunc("POST /v1/diff", s.reply(s.diffSet))
 	guarded.HandleFunc("GET /v1/status", s.reply(s.status))
-	guarded.HandleFunc("GET /v1/state", s.reply(s.state))
-	guarded.HandleFunc("GET /v1/explain/{id}", s.reply(s.explain))
-	guarded.HandleFunc("GET /v1/late", s.reply(s.late))
+	guarded.HandleFunc("GET /v1/self", s.reply(s.self))
 	guarded.HandleFunc("POST /v1/drain/{host}", s.reply(s.drain))
 	guarded.HandleFunc("DELETE /v1/drain/{host}", s.reply(s.undrain))
-	guarded.Handle("GET /debug/vars", s.Vars)
+	if s.Metrics != nil {
+		guarded.Handle("GET /metrics", s.Metrics)
+	}
 	guarded.HandleFunc("GET /debug/pprof/", pprof.Index)
 	guarded.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 
--- a/internal/operator/server_config.go
+++ b/internal/operator/server_config.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,7 +21,7 @@
 	if err != nil {
 		return nil, badRequest(err.Error(), "send a smaller set")
 	}
-	return Validate(data, s.fleet()), nil
+	return Validate(data, s.fleet(r.Context())), nil
 }
 
 // Validate checks a set, given as JSON, against a fleet.
@@ -32,12 +33,15 @@
 	return &ValidateReply{Faults: config.Check(set, fleet), Warnings: config.Warnings(set, fleet)}
 }
 
-// fleet is what the router's host list tells about the pools.
-func (s *server) fleet() config.Fleet {
-	if s.View == nil {
+// fleet is what the host list tells about the pools. Sets are published without
+// it while it is away.
+func (s *server) fleet(ctx context.Context) config.Fleet {
+	listing, err := s.Hosts.Hosts(ctx)
+	if err != nil {
+		s.Log.Warn("object set is checked without the host list", "err", err)
 		return config.Fleet{}
 	}
-	return config.FleetOf(s.View.Load().Hosts)
+	return config.FleetOf(listing)
 }
 
 func (s *server) apply(r *http.Request) (any, error) {
@@ -58,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return ApplyReply{Revision: toRevision(row), Warnings: config.Warnings(set, s.fleet())}, nil
+	return ApplyReply{Revision: toRevision(row), Warnings: config.Warnings(set, s.fleet(r.Context()))}, nil
 }
 
 func (s *server) objects(r *http.Request) (any, error) {
--- a/internal/operator/server_nodes.go
+++ b/internal/operator/server_nodes.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
-	"github.com/ragwortdoor/ragwortdoor/internal/view"
 )
 
 // drainTries bounds how often a drain row is written anew after a conflict.
@@ -20,28 +22,75 @@
 // authorHeader names the operator who drains a host.
 const authorHeader = "Ragwortdoor-Author"
 
+// peerTimeout bounds the question to another router.
+const peerTimeout = time.Second
+
+func (s *server) self(*http.Request) (any, error) { return s.Self(), nil }
+
+// status lists this router and what the host list names. Other routers are asked
+// for their state.
 func (s *server) status(r *http.Request) (any, error) {
-	reply := StatusReply{Nodes: []NodeStatus{}}
-	if s.View != nil {
-		snapshot := s.View.Load()
-		reply.Revision = toRevision(snapshot.Head)
-		reply.TableRevision = snapshot.TableRevision
+	self := s.Self()
+	reply := StatusReply{Revision: self.ConfigRevision, Nodes: []NodeStatus{self}}
+	listing, err := s.Hosts.Hosts(r.Context())
+	if err != nil {
+		s.Log.Warn("status without the host list", "err", err)
+		return reply, nil
 	}
-	if s.Status != nil {
-		reply.Nodes = append(reply.Nodes, s.Status.Nodes(r.Context())...)
+	drained, err := s.Drained(r.Context())
+	if err != nil {
+		s.Log.Warn("status without the drains", "err", err)
 	}
-	if s.Writer != nil {
-		reply.WaitRecords = s.Writer.Stats()
+	for _, host := range listing.Hosts {
+		if host.ID == self.Host {
+			continue
+		}
+		reply.Nodes = append(reply.Nodes, NodeStatus{
+			Host:          host.ID,
+			Role:          string(host.Role),
+			FailureDomain: host.FailureDomain,
+			Address:       host.Address,
+			Draining:      host.State == external.HostLeaving || drained[host.ID],
+		})
 	}
+	s.askPeers(r.Context(), listing, reply.Nodes[1:])
 	return reply, nil
 }
 
+// askPeers fills in the state of the routers among the nodes.
+func (s *server) askPeers(ctx context.Context, listing external.HostListing, nodes []NodeStatus) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, host := range listing.Hosts {
+		i := slices.IndexFunc(nodes, func(n NodeStatus) bool { return n.Host == host.ID })
+		if i < 0 || !nodes[i].IsRouter() {
+			continue
+		}
+		client := NewClient(ClientOptions{Servers: []string{s.PeerScheme + "://" + host.OperatorAddress}, Token: s.Token, HTTP: s.Peers})
+		asked.Go(func() {
+			state, err := client.Self(ctx)
+			if err != nil {
+				nodes[i].Problem = err.Error()
+				return
+			}
+			state.Draining = state.Draining || nodes[i].Draining
+			nodes[i] = *state
+		})
+	}
+	asked.Wait()
+}
+
 func (s *server) drain(r *http.Request) (any, error) {
 	host := r.PathValue("host")
-	if !s.listed(host) {
+	listing, err := s.Hosts.Hosts(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	if !slices.ContainsFunc(listing.Hosts, func(h external.Host) bool { return h.ID == host }) {
 		return nil, &Error{
 			Kind:    KindNotFound,
-			Message: fmt.Sprintf("the platform's list names no host %q", host),
+			Message: fmt.Sprintf("the host list names no host %q", host),
 			Remedy:  "copy the host's id from \"ragwortdoor status\"",
 		}
 	}
@@ -52,21 +101,6 @@
 	return s.setDraining(r, r.PathValue("host"), false)
 }
 
-// listed reports whether the host list names a host. Any host counts while the
-// list was never read.
-func (s *server) listed(host string) bool {
-	snapshot := s.snapshot()
-	_, known := snapshot.ByHost[host]
-	return known || len(snapshot.ByHost) == 0
-}
-
-func (s *server) snapshot() *view.Snapshot {
-	if s.View == nil {
-		return &view.Snapshot{}
-	}
-	return s.View.Load()
-}
-
 func (s *server) setDraining(r *http.Request, host string, draining bool) (any, error) {
 	row := &apiv1.DrainRow{
 		Host:     host,
@@ -78,7 +112,7 @@
 		return nil, err
 	}
 	s.Log.Info("host drain changed", "host", host, "draining", draining, "author", row.GetAuthor())
-	return DrainReply{Host: host, Draining: draining, SlotsHeld: len(s.snapshot().SlotsOn(host))}, nil
+	return DrainReply{Host: host, Draining: draining}, nil
 }
 
 // errDrainRace means that others kept changing the same drain row.
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -1,12 +1,12 @@
 // Package operator serves and calls the operators' API: publishing object sets,
-// the state of the nodes, the reasons why requests waited, and draining hosts.
+// the state of the nodes, and draining hosts.
 package operator
 
 import (
 	"encoding/json"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
-	"github.com/ragwortdoor/ragwortdoor/internal/waitlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
 // Revision describes one published revision.
@@ -59,46 +59,33 @@
 	Changes []config.Change `json:"changes"`
 }
 
-// NodeStatus is the state of one router or sidecar as one router knows it.
+// NodeStatus is the state of one router or upstream host.
 type NodeStatus struct {
 	Host          string `json:"host"`
 	Role          string `json:"role"`
 	FailureDomain string `json:"failure_domain"`
 	Address       string `json:"address"`
-	// ConfigRevision is the revision that the node has confirmed; 0 is unknown.
+	// ConfigRevision is the revision in force on a router; 0 is unknown.
 	ConfigRevision uint64 `json:"config_revision"`
-	TableRevision  int64  `json:"table_revision"`
 	Draining       bool   `json:"draining"`
-	// SeenAgoMs is the age of this state; -1 means that the node was never seen.
-	SeenAgoMs int64 `json:"seen_ago_ms"`
+	// Scheduler is set on the router that schedules.
+	Scheduler bool `json:"scheduler"`
 	// Problem tells what is wrong with the node, or is empty.
 	Problem string `json:"problem"`
 }
 
+// IsRouter reports whether the node is a router.
+func (n NodeStatus) IsRouter() bool { return n.Role == string(external.RoleRouter) }
+
 // StatusReply is the answer of /v1/status.
 type StatusReply struct {
-	// Revision is the revision in force, as the answering router read it last.
-	Revision Revision `json:"revision"`
-	// TableRevision is that of the answering router's last read.
-	TableRevision int64         `json:"table_revision"`
-	Nodes         []NodeStatus  `json:"nodes"`
-	WaitRecords   waitlog.Stats `json:"wait_records"`
-}
-
-// ExplainReply is the answer of /v1/explain/ID.
-type ExplainReply struct {
-	// Record is the wait record, in the JSON form of its proto message.
-	Record    json.RawMessage `json:"record"`
-	MainCause waitlog.Cause   `json:"main_cause"`
-	// Lines is the timeline, one line for each step.
-	Lines []string `json:"lines"`
+	// Revision is the revision in force, as the answering router knows it.
+	Revision uint64       `json:"revision"`
+	Nodes    []NodeStatus `json:"nodes"`
 }
 
 // DrainReply is the answer of /v1/drain/HOST.
 type DrainReply struct {
 	Host     string `json:"host"`
 	Draining bool   `json:"draining"`
-	// SlotsHeld is the number of slots that the host still holds, as the
-	// answering router knows it.
-	SlotsHeld int `json:"slots_held"`
 }
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -1,5 +1,5 @@
 // Package sample holds object sets in the shape of the two first deployments,
-// for dev mode, load tests and benchmarks.
+// for dev mode, tests and benchmarks.
 package sample
 
 import (
@@ -141,8 +141,8 @@
 
 func (s Shape) placements() []*apiv1.Placement {
 	return []*apiv1.Placement{
-		{Name: singlePlacement, Pool: s.EnginePool, MinReplicas: 1, MaxReplicas: 1, TargetInFlight: 8},
-		{Name: spreadPlacement, Pool: s.EnginePool, MinReplicas: 1, MaxReplicas: 3, TargetInFlight: 4},
+		{Name: singlePlacement, Pool: s.EnginePool, MaxReplicas: 1, EngineSlots: 16},
+		{Name: spreadPlacement, Pool: s.EnginePool, MaxReplicas: 3, EngineSlots: 16},
 	}
 }
 
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -67,6 +67,10 @@
 	// settledAt is when the last order was settled; descriptions lag behind it.
 	settledAt  time.Time
 	inspecting bool
+	// reported is set by the first report, knownSince is when the engine was
+	// listed.
+	reported   bool
+	knownSince time.Time
 
 	// strikes counts failures in a row; until avoidUntil the engine is avoided.
 	strikes    int
@@ -213,6 +217,14 @@
 	w.doubted = true
 }
 
+// memoryMB is the engine's memory for weights.
+func (e *engine) memoryMB(spec *fleet.EngineSpec) int64 {
+	if e.up.MemoryMB > 0 {
+		return e.up.MemoryMB
+	}
+	return spec.MemoryMB
+}
+
 // usedMB is the memory that is held or promised.
 func (e *engine) usedMB(spec *fleet.EngineSpec) int64 {
 	var used int64
@@ -333,4 +345,4 @@
 }
 
 // usable reports whether new work may go to the engine at all.
-func (e *engine) usable() bool { return !e.up.Draining }
+func (e *engine) usable() bool { return e.up.TakesWork() }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -91,7 +91,7 @@
 
 // startLoad begins to load a model on an engine that has no plan.
 func (c *Cell) startLoad(now time.Time, e *engine, name, reason string) {
-	if !c.mayOrder || !e.isFree() || e.copies[name] != nil {
+	if !c.mayOrder || !e.isFree() || e.copies[name] != nil || !c.mayAdd(now, e, name) {
 		return
 	}
 	victims, _, ok := c.victims(now, e, name)
@@ -253,6 +253,9 @@
 
 func (c *Cell) waitForEnd(now time.Time, e *engine, expected time.Duration) {
 	e.order = pendingOrder{state: stepAccepted, changed: now, doneAt: now.Add(expected)}
+	if look := c.spec.LookEvery; look > 0 {
+		expected = min(expected, look)
+	}
 	c.inspect(e, expected)
 }
 
@@ -373,6 +376,7 @@
 	if inventory.StartedMs > e.up.StartedMs {
 		c.restarted(e, inventory)
 	}
+	e.reported = true
 	c.reconcile(now, e, inventory)
 	c.dispatch(now)
 	return c.take()
@@ -471,7 +475,7 @@
 		e.setCopies(inventory.Models, c.spec)
 		return
 	}
-	c.inspect(e, inspectEvery)
+	c.inspect(e, max(inspectEvery, c.spec.LookEvery))
 }
 
 // holds reports whether an inventory shows what a step is about.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -53,7 +53,7 @@
 		return
 	}
 	slices.SortStableFunc(c.waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), a.ask.Objective.Compare(b.ask.Objective))
+		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), a.ask.Objective.Compare(b.ask.Objective))
 	})
 	kept := c.waiting[:0]
 	stuck := make(map[string]bool) // models for which nothing can be done now
@@ -228,7 +228,7 @@
 	default:
 		return max(time.Millisecond, a.readyAt.Sub(now)), adapterComing, true
 	}
-	if !c.mayOrder || !e.isFree() || e.comingAdapters(now) >= maxComingAdapters {
+	if !c.mayOrder || !e.isFree() || e.comingAdapters(now) >= maxComingAdapters || !c.adapterLoadsAllowed(now) {
 		return 0, adapterNone, false
 	}
 	wait := c.modelOf(ask.Model).adapterDelay
@@ -242,7 +242,7 @@
 }
 
 func (c *Cell) adapterFits(e *engine, model string) bool {
-	return e.usedAdapterSlots() < c.spec.AdapterSlots && e.usedMB(c.spec)+c.spec.Models[model].AdapterMB <= c.spec.MemoryMB
+	return e.usedAdapterSlots() < c.spec.AdapterSlots && e.usedMB(c.spec)+c.spec.Models[model].AdapterMB <= e.memoryMB(c.spec)
 }
 
 // adapterVictim returns the idle adapter that was used longest ago. One that
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -29,7 +29,9 @@
 	}
 	c.preparedAt = now
 	c.replicate(now)
-	c.fetchAbsent(now)
+	if c.spec.KeepAlive <= 0 {
+		c.fetchAbsent(now)
+	}
 }
 
 // replicate adds replicas of models whose replicas are busy.
--- a/internal/scheduler/remote.go
+++ b/internal/scheduler/remote.go
@@ -18,6 +18,8 @@
 	active map[string]remoteLoad // by engine and model
 	begun  []time.Time
 	window time.Duration
+	// known is set when the limit is configured and need not be learned.
+	known bool
 	// perWindow is how many loads may begin in a window; 0 until it is known.
 	perWindow int
 }
@@ -37,6 +39,14 @@
 	l.perWindow = max(1, int(perSecond*l.window.Seconds()))
 }
 
+// setAtOnce takes over the configured limit on loads at once; 0 learns it.
+func (l *remoteLoads) setAtOnce(limit int) {
+	l.known = limit > 0
+	if l.known {
+		l.limit = limit
+	}
+}
+
 func (l *remoteLoads) tick(now time.Time) {
 	kept := l.begun[:0]
 	for _, at := range l.begun {
@@ -68,7 +78,7 @@
 		return
 	}
 	delete(l.active, key)
-	if stated <= 0 {
+	if stated <= 0 || l.known {
 		return
 	}
 	ratio := float64(now.Sub(load.since)) / float64(stated)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,6 +32,8 @@
 	OutputTokens int64
 	// Priority is the rank of the request, 0 first.
 	Priority int
+	// Ageing is the waiting time that improves the rank by one; 0 never does.
+	Ageing time.Duration
 	// Objective is when the first event should be there, GiveUp when the answer
 	// must be whole.
 	Objective time.Time
@@ -150,6 +152,7 @@
 	// trafficSeen is set by the first ask.
 	trafficSeen bool
 	preparedAt  time.Time
+	reapedAt    time.Time
 	index       index
 }
 
@@ -212,6 +215,10 @@
 	c.trafficSeen = true
 	c.modelOf(ask.Model).demand.addRequest(now)
 	w := &waiter{ask: ask, since: now}
+	if c.queueIsFull(ask.Model) {
+		c.refuse(w, roomPause, "the model's queue is full")
+		return c.take()
+	}
 	if !c.settle(now, w) {
 		c.waiting = append(c.waiting, w)
 	}
@@ -291,6 +298,7 @@
 	c.checkOrders(now)
 	c.dispatch(now)
 	c.prepare(now)
+	c.reap(now)
 	return c.take()
 }
 
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -21,6 +21,7 @@
 	first := c.spec == nil
 	c.spec = spec
 	c.remote.setRate(spec.RemoteLoadsPerSecond)
+	c.remote.setAtOnce(spec.RemoteLoadsAtOnce)
 	listed := make(map[string]bool, len(upstreams))
 	for _, up := range upstreams {
 		listed[up.ID] = true
@@ -57,13 +58,14 @@
 	}
 	if e == nil {
 		e = newEngine(up, c.spec)
+		e.knownSince = now
 		c.engines[up.ID] = e
 		if c.mayOrder {
 			c.inspect(e, 0)
 		}
 		return
 	}
-	if up.Sequence == e.up.Sequence && up.Draining == e.up.Draining {
+	if up.Sequence == e.up.Sequence && up.TakesWork() == e.up.TakesWork() {
 		return
 	}
 	e.up = up
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -25,7 +25,7 @@
 // the loss of the models that have to make room. ok is false while the engine
 // can't take the model.
 func (c *Cell) loadCost(now time.Time, e *engine, name string) (wait, cost time.Duration, ok bool) {
-	if !e.isFree() {
+	if !e.isFree() || !c.mayAdd(now, e, name) {
 		return 0, 0, false
 	}
 	victims, loss, ok := c.victims(now, e, name)
@@ -54,7 +54,7 @@
 // victims chooses the copies that make room for a model, the least valuable
 // first. ok is false if idle ones don't suffice.
 func (c *Cell) victims(now time.Time, e *engine, name string) (chosen []*weightCopy, loss float64, ok bool) {
-	free := c.spec.MemoryMB - e.usedMB(c.spec)
+	free := e.memoryMB(c.spec) - e.usedMB(c.spec)
 	need := c.spec.Models[name].MemoryMB
 	if free >= need {
 		return nil, 0, true
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -79,13 +79,6 @@
 	}
 }
 
-// optionalURL checks a base URL that may be left out.
-func (c *checker) optionalURL(field, value string) {
-	if value != "" {
-		c.baseURL(field, value)
-	}
-}
-
 // within checks the bounds of a whole number.
 func (c *checker) within(field string, value, low, high uint32) {
 	if c.faulty[field] || (value >= low && value <= high) {
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -9,29 +9,22 @@
 	defaultUpstreamRetries = 0.2
 	defaultMaxBodyBytes    = 1 << 20
 	defaultStopTimeoutMs   = 120_000
+	defaultStopLingerMs    = 3000
 	defaultLeaseTTLMs      = 5000
-	defaultDecisionShards  = 8
-	defaultTablePollMs     = 1000
-	defaultHostPollMs      = 1000
-	defaultLateMs          = 1000
-	defaultRecordSample    = 1.0
-	defaultRecordBuffer    = 20_000
-	defaultPermitTimeoutMs = 500
+	defaultTablePollMs     = 500
+	defaultCores           = 1.0
 	defaultLogLevel        = "info"
-	defaultLogFormat       = "logfmt"
 )
 
 // Bounds of the ranges that are checked.
 const (
-	minCallTimeoutMs, maxCallTimeoutMs     = 10, 60_000
-	minBodyBytes, maxBodyBytes             = 1024, 64 << 20
-	minStopTimeoutMs, maxStopTimeoutMs     = 1000, 3_600_000
-	minLeaseTTLMs, maxLeaseTTLMs           = 1000, 60_000
-	minDecisionShards, maxDecisionShards   = 1, 1024
-	minPollMs, maxPollMs                   = 50, 5000
-	minLateMs, maxLateMs                   = 1, 600_000
-	minRecordBuffer, maxRecordBuffer       = 100, 1_000_000
-	minPermitTimeoutMs, maxPermitTimeoutMs = 1, 60_000
+	minCallTimeoutMs, maxCallTimeoutMs = 10, 60_000
+	minBodyBytes, maxBodyBytes         = 1024, 64 << 20
+	minStopTimeoutMs, maxStopTimeoutMs = 1000, 3_600_000
+	minStopLingerMs, maxStopLingerMs   = 0, 60_000
+	minLeaseTTLMs, maxLeaseTTLMs       = 1000, 60_000
+	minPollMs, maxPollMs               = 50, 5000
+	maxCores                           = 1024
 )
 
 // setDefault sets *field to value unless the file sets it at path.
@@ -50,20 +43,11 @@
 	setDefault(present, "platform.retry_budget", &s.Platform.RetryBudget, defaultPlatformRetries)
 	setDefault(present, "max_body_bytes", &s.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(present, "stop_timeout_ms", &s.StopTimeoutMs, defaultStopTimeoutMs)
+	setDefault(present, "stop_linger_ms", &s.StopLingerMs, defaultStopLingerMs)
 	setDefault(present, "lease_ttl_ms", &s.LeaseTtlMs, defaultLeaseTTLMs)
-	setDefault(present, "decision_shards", &s.DecisionShards, defaultDecisionShards)
 	setDefault(present, "table_poll_ms", &s.TablePollMs, defaultTablePollMs)
-	setDefault(present, "host_poll_ms", &s.HostPollMs, defaultHostPollMs)
-	setDefault(present, "late_ms", &s.LateMs, defaultLateMs)
-	setDefault(present, "record_sample", &s.RecordSample, defaultRecordSample)
-	setDefault(present, "record_buffer", &s.RecordBuffer, defaultRecordBuffer)
 	setDefault(present, "retry_budget", &s.RetryBudget, defaultUpstreamRetries)
-}
-
-func defaultSidecar(s *apiv1.SidecarSettings, present map[string]bool) {
-	s.Log = defaultLog(s.GetLog(), present)
-	setDefault(present, "stop_timeout_ms", &s.StopTimeoutMs, defaultStopTimeoutMs)
-	setDefault(present, "permit_timeout_ms", &s.PermitTimeoutMs, defaultPermitTimeoutMs)
+	setDefault(present, "cores", &s.Cores, defaultCores)
 }
 
 func defaultLog(s *apiv1.LogSettings, present map[string]bool) *apiv1.LogSettings {
@@ -71,6 +55,5 @@
 		s = &apiv1.LogSettings{}
 	}
 	setDefault(present, "log.level", &s.Level, defaultLogLevel)
-	setDefault(present, "log.format", &s.Format, defaultLogFormat)
 	return s
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,4 @@
-// Package settings reads the settings files of the daemons. It reports every
+// Package settings reads the settings file of a router. It reports every
 // fault of a file at once, each with its remedy.
 package settings
 
@@ -22,16 +22,6 @@
 	return ParseRouter(path, data)
 }
 
-// LoadSidecar reads a sidecar's settings file and fills in the defaults. A file
-// that can't be used gives an *Error.
-func LoadSidecar(path string) (*apiv1.SidecarSettings, error) {
-	data, err := read(path)
-	if err != nil {
-		return nil, err
-	}
-	return ParseSidecar(path, data)
-}
-
 // ParseRouter reads a router's settings from JSON; path is for messages.
 func ParseRouter(path string, data []byte) (*apiv1.RouterSettings, error) {
 	s := &apiv1.RouterSettings{}
@@ -44,18 +34,6 @@
 	return s, nil
 }
 
-// ParseSidecar reads a sidecar's settings from JSON; path is for messages.
-func ParseSidecar(path string, data []byte) (*apiv1.SidecarSettings, error) {
-	s := &apiv1.SidecarSettings{}
-	c := decode(data, s)
-	defaultSidecar(s, c.present)
-	checkSidecar(c, s)
-	if err := c.err(path); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
 func read(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/standin/census.go
+++ b/internal/standin/census.go
@@ -48,24 +48,17 @@
 	return maps.Clone(c.models)
 }
 
-// PeakAdapterLoads is the highest number of adapter loads in flight at a time.
-func (c *Census) PeakAdapterLoads() int { return int(c.adapters.peak.Load()) }
-
-// loadStarted counts a load; firstOnEngine is false when the engine already
-// holds another version of the model.
-func (c *Census) loadStarted(model string, firstOnEngine bool) {
+func (c *Census) loadStarted(model string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.models[model]
 	m.Loads++
-	if firstOnEngine {
-		m.Held++
-	}
+	m.Held++
 	m.PeakHeld = max(m.PeakHeld, m.Held)
 	c.models[model] = m
 }
 
-// dropped counts that an engine holds no version of the model any more.
+// dropped counts that an engine holds the model no more.
 func (c *Census) dropped(model string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -28,15 +28,17 @@
 	Faults FaultBox
 	mux    *http.ServeMux
 
-	mu       sync.Mutex
-	knobs    HostKnobs
-	counts   HostCounts
+	mu     sync.Mutex
+	knobs  HostKnobs
+	counts HostCounts
+	// started is when the process of each host started, in Unix milliseconds.
+	started  map[string]int64
 	listings history[external.HostListing]
 }
 
 // NewHosts makes an empty list.
 func NewHosts(knobs HostKnobs) *Hosts {
-	h := &Hosts{knobs: knobs}
+	h := &Hosts{knobs: knobs, started: make(map[string]int64)}
 	h.listings.first.Hosts = []external.Host{}
 	protocol := http.NewServeMux()
 	protocol.HandleFunc("GET /v1/hosts", h.handleHosts)
@@ -87,6 +89,14 @@
 	})
 }
 
+// Started notes that the process of a host started.
+func (h *Hosts) Started(id string, unixMs int64) {
+	h.mu.Lock()
+	h.started[id] = unixMs
+	h.mu.Unlock()
+	h.change(func(hosts []external.Host) []external.Host { return hosts })
+}
+
 // Leave marks a host as leaving.
 func (h *Hosts) Leave(id string) {
 	h.change(func(hosts []external.Host) []external.Host {
@@ -116,6 +126,11 @@
 		Hosts:    edit(slices.Clone(last.Hosts)),
 		Revision: last.Revision + 1,
 	}
+	for i := range next.Hosts {
+		if at, known := h.started[next.Hosts[i].ID]; known {
+			next.Hosts[i].StartedUnixMs = at
+		}
+	}
 	h.listings.add(time.Now(), next)
 }
 
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -19,6 +20,14 @@
 	_ = json.NewEncoder(w).Encode(external.ErrorBody{Kind: kind.String(), Message: message})
 }
 
+// refuse answers that a request did not run.
+func refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set(external.HeaderOutcome, external.OutcomeNotRun)
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, message)
+}
+
 // readJSON decodes a call's body. It answers a bad one itself.
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	return decode(w, json.NewDecoder(r.Body), into)
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -85,9 +85,6 @@
 	return newStream(conn), nil
 }
 
-// Streams returns the number of open streams.
-func (s *Session) Streams() int { return s.mux.NumStreams() }
-
 // Close ends the session and its streams.
 func (s *Session) Close() error { return s.mux.Close() }
 
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -1,5 +1,5 @@
-// Package transport carries protobuf frames between routers and sidecars: one
-// yamux session for each pair of processes, one yamux stream for each call.
+// Package transport carries protobuf frames between routers: one yamux session
+// for each link, with a stream for each conversation.
 package transport
 
 import (
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -30,7 +29,6 @@
 
 	sendMu sync.Mutex
 	w      *bufio.Writer
-	sent   bool // whether a byte may have reached the peer; guarded by sendMu
 }
 
 const streamBufferBytes = 4 << 10
@@ -47,7 +45,6 @@
 func (s *Stream) Send(m proto.Message) error {
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
-	s.sent = true
 	if _, err := protodelim.MarshalTo(s.w, m); err != nil {
 		return cut("send", err)
 	}
@@ -71,16 +68,6 @@
 	return nil
 }
 
-// Sent reports whether a byte may have reached the peer.
-func (s *Stream) Sent() bool {
-	s.sendMu.Lock()
-	defer s.sendMu.Unlock()
-	return s.sent
-}
-
-// SetDeadline bounds all pending and later calls.
-func (s *Stream) SetDeadline(t time.Time) error { return s.conn.SetDeadline(t) }
-
 // Close ends the stream in both directions.
 func (s *Stream) Close() error { return s.conn.Close() }
 
