scheduler: a request whose engine failed fetches its model elsewhere, or is refused at once

Cause: a load from the weight store was ruled out while any host had the model at hand, also when the request had failed there and may not go back: it waited for a place until its deadline. Found by the process test of an engine crash. Ruled out: the retry budget (other streams of the test ended by it at once). Change: hosts that the request may not use count no more, and a request that no engine may take is refused. Two tests, both failed before.

Tests of the product's own interface: routers as processes against stand-ins, its translation, and the bounds in the scheduler.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -151,6 +151,8 @@
 	// testLeaseMs is the least that the settings allow.
 	testLeaseMs  = 2000
 	testLingerMs = 100
+	// testRetryBudget leaves few requests without a retry, since tests send few.
+	testRetryBudget = 1
 )
 
 // deploy starts the stand-ins and the routers, publishes the set and waits until
@@ -216,6 +218,7 @@
 		LeaseTtlMs:         testLeaseMs,
 		EnginesCheckFences: fences,
 		StopLingerMs:       testLingerMs,
+		RetryBudget:        testRetryBudget,
 		Security:           d.security,
 	}
 	d.routerSettings = append(d.routerSettings, cfg)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -98,10 +98,6 @@
 	if !ok {
 		return
 	}
-	estimate, ok := c.loadTime(now, e, name)
-	if !ok {
-		return
-	}
 	p := &plan{model: name, reason: reason, began: now, remote: e.tier[name] == tierRemote}
 	for _, v := range victims {
 		v.state = unloading
@@ -109,7 +105,7 @@
 	}
 	p.steps = append(p.steps, step{model: name})
 	e.copies[name] = &weightCopy{model: name, memoryMB: c.spec.Models[name].MemoryMB, state: loading, adapters: make(map[string]*adapterCopy), lastUsed: now}
-	e.loadEstimate = estimate + orderTime*time.Duration(len(p.steps))
+	e.loadEstimate = c.stated(e, name) + orderTime*time.Duration(len(p.steps))
 	if p.remote {
 		c.remote.start(now, remoteKey(e, name))
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -82,6 +82,9 @@
 	if now.Before(w.notBefore) {
 		return false
 	}
+	if len(w.ask.Tried) > 0 && !c.mayBeServed(w.ask) {
+		return c.refuse(w, roomPause, "every engine that may serve it has failed it")
+	}
 	if c.spec != nil && len(c.spec.Models) > 0 {
 		if _, known := c.spec.Models[w.ask.Model]; !known {
 			return c.refuse(w, roomPause, "model is not configured")
@@ -183,6 +186,31 @@
 	return tried != ask.MayMove
 }
 
+// mayBeServed reports whether any engine may take an ask.
+func (c *Cell) mayBeServed(ask *Ask) bool {
+	for _, e := range c.engines {
+		if c.mayServe(e, ask) {
+			return true
+		}
+	}
+	return false
+}
+
+// isAtHandFor reports whether an engine that may take the ask, and does not hold
+// its model, has the weights on its host. Others are then not fetched from the
+// weight store.
+func (c *Cell) isAtHandFor(ask *Ask) bool {
+	if len(ask.Tried) == 0 {
+		return c.isAtHand(ask.Model)
+	}
+	for _, e := range c.engines {
+		if c.mayServe(e, ask) && e.tier[ask.Model] != tierRemote && e.copies[ask.Model] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Cell) isFull(e *engine, ask *Ask) bool {
 	if len(e.runs) == 0 {
 		return false
@@ -281,6 +309,7 @@
 // already comes first.
 func (c *Cell) bestLoad(now time.Time, ask *Ask) (option, bool) {
 	read := c.modelOf(ask.Model).readTime(ask.PromptTokens) + firstEventTime
+	mayFetch := !c.isAtHandFor(ask)
 	var best option
 	var bestCost time.Duration
 	found := false
@@ -295,7 +324,7 @@
 		if !c.mayOrder || e.copies[ask.Model] != nil || now.Before(e.avoidUntil) {
 			continue
 		}
-		wait, cost, ok := c.loadCost(now, e, ask.Model)
+		wait, cost, ok := c.loadCost(now, e, ask.Model, mayFetch)
 		if !ok {
 			continue
 		}
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -82,7 +82,7 @@
 		if !ok || gain < loss*replicaGain {
 			continue
 		}
-		_, cost, ok := c.loadCost(now, e, name)
+		_, cost, ok := c.loadCost(now, e, name, !c.isAtHand(name))
 		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
 			best = e
 			bestCost = cost
@@ -120,7 +120,7 @@
 		if !e.usable() || now.Before(e.avoidUntil) {
 			continue
 		}
-		_, cost, ok := c.loadCost(now, e, name)
+		_, cost, ok := c.loadCost(now, e, name, true)
 		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
 			best = e
 			bestCost = cost
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -318,3 +318,34 @@
 	}
 	is.True(failed < 10)
 }
+
+// Pattern: a request's engine crashed, and only its host has the model at hand.
+// The request may not go back there.
+func TestModelIsFetchedWhenItsHostWasTried(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	tried := newFakeEngine("e1", spec)
+	tried.tiers["m0"] = tierDisk
+	tried.describe()
+	other := newFakeEngine("e2", spec)
+	w := newWorld(spec, tried, other)
+	w.run(50 * time.Millisecond)
+	key := w.askAgain("m0", true, "e1")
+	w.run(7 * time.Second)
+	g, ok := w.granted(key)
+	is.True(ok)
+	is.Equal(g.Upstream.ID, "e2")
+}
+
+// Pattern: every engine of a small service has failed a request.
+func TestRequestThatEveryEngineFailedIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	w := newWorld(spec, newFakeEngine("e1", spec, "m0"))
+	w.describeAll()
+	w.run(50 * time.Millisecond)
+	w.askAgain("m0", true, "e1")
+	is.Equal(len(w.refused), 1)
+	w.askAgain("m0", false, "gone") // may only go back to an engine that has left
+	is.Equal(len(w.refused), 2)
+}
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -23,8 +23,8 @@
 
 // loadCost returns how long a load on an engine takes, and what it costs with
 // the loss of the models that have to make room. ok is false while the engine
-// can't take the model.
-func (c *Cell) loadCost(now time.Time, e *engine, name string) (wait, cost time.Duration, ok bool) {
+// can't take the model. mayFetch allows loads from the weight store.
+func (c *Cell) loadCost(now time.Time, e *engine, name string, mayFetch bool) (wait, cost time.Duration, ok bool) {
 	if !e.isFree() || !c.mayAdd(now, e, name) {
 		return 0, 0, false
 	}
@@ -32,25 +32,15 @@
 	if !ok {
 		return 0, 0, false
 	}
-	wait, ok = c.loadTime(now, e, name)
-	if !ok {
+	if e.tier[name] == tierRemote && !(mayFetch && c.remote.mayStart(now)) {
 		return 0, 0, false
 	}
-	wait += orderTime*time.Duration(1+len(victims)) + reportLag
+	wait = c.stated(e, name) + orderTime*time.Duration(1+len(victims)) + reportLag
 	cost = wait + time.Duration(loss*float64(lossHorizon))
 	cost += time.Duration(c.engineWork(now, e) * engineLoad * float64(time.Second))
 	return wait, cost, true
 }
 
-// loadTime estimates the load itself. Loads from the weight store are only for
-// models that no host without the model has at hand.
-func (c *Cell) loadTime(now time.Time, e *engine, name string) (time.Duration, bool) {
-	if e.tier[name] == tierRemote && (c.isAtHand(name) || !c.remote.mayStart(now)) {
-		return 0, false
-	}
-	return c.stated(e, name), true
-}
-
 // victims chooses the copies that make room for a model, the least valuable
 // first. ok is false if idle ones don't suffice.
 func (c *Cell) victims(now time.Time, e *engine, name string) (chosen []*weightCopy, loss float64, ok bool) {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -363,6 +363,14 @@
 }
 
 // ask submits a request for a model or MODEL/ADAPTER.
+// askAgain asks for a request that failed on some engines.
+func (w *world) askAgain(model string, mayMove bool, tried ...string) uint64 {
+	w.nextKey++
+	ask := &Ask{Key: w.nextKey, Model: model, PromptTokens: 100, Objective: w.now.Add(time.Second), GiveUp: w.now.Add(20 * time.Second), FailureDomain: "a", Tried: tried, MayMove: mayMove}
+	w.carryOut(w.cell.Submit(w.now, ask))
+	return ask.Key
+}
+
 func (w *world) ask(model, adapter string, tokens int64) uint64 {
 	w.nextKey++
 	w.carryOut(w.cell.Submit(w.now, &Ask{
