Settings are reloaded on SIGHUP: stop times and retry share at once, the rest at the next start

Cause: SIGHUP ended a router under the product's own interface, and only checked the file on the platform. One function for both; tests with a good and a wrong file while a call runs.

--- a/cmd/ragwortdoord/entry.go
+++ b/cmd/ragwortdoord/entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/urfave/cli/v3"
@@ -40,35 +38,19 @@
 	}
 	logger := decisionlog.New(log.InfoLevel)
 	defer logger.Start(os.Stdout)()
-	go reloadOnHangup(ctx, path, logger)
 	store := platform.NewStore(settings.StoreAddr)
 	pool := platform.NewPool()
-	return entry.New(settings.Entry, entry.Deps{
+	process := entry.New(settings.Entry, entry.Deps{
 		Dialect: platform.Dialect{},
 		Table:   store,
 		Source:  store,
 		Engines: platform.NewEngines(pool),
 		Pool:    pool,
 		Log:     logger,
-	}).Run(ctx)
-}
-
-// reloadOnHangup checks the settings again on SIGHUP. Addresses and bounds are
-// those of the host and take effect at the next start.
-func reloadOnHangup(ctx context.Context, path string, logger *decisionlog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		if _, err := platform.LoadSettings(path); err != nil {
-			logger.Warn("reload", "outcome", "kept", "err", err)
-			continue
-		}
-		logger.Info("reload", "outcome", "checked", "settings", path)
-	}
+	})
+	go process.ReloadOnHangup(ctx, func() (entry.Settings, error) {
+		next, err := platform.LoadSettings(path)
+		return next.Entry, err
+	})
+	return process.Run(ctx)
 }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/entry"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
 )
@@ -139,6 +140,10 @@
 	if err != nil {
 		return err
 	}
+	go r.process.ReloadOnHangup(ctx, func() (entry.Settings, error) {
+		next, err := settings.LoadRouter(path)
+		return coreSettings(next), err
+	})
 	return r.Run(ctx)
 }
 
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -217,6 +220,28 @@
 	wantWhole(t, d.chat(1-stopping, "model-1", "next", 5), "model-1", "next", 5)
 }
 
+// Pattern: SIGHUP with a good and with a wrong settings file.
+func TestHangupEndsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, deploymentOptions{routers: 1, services: []standin.ServiceKnobs{{RunMS: 300}}, set: testSet(1)})
+	path := filepath.Join(d.dir, "router-0.json")
+	good, err := os.ReadFile(path)
+	is.NoErr(err)
+	for _, file := range [][]byte{good, []byte(`{"bogus": 1}`), good} {
+		is.NoErr(os.WriteFile(path, file, 0o600))
+		running := make(chan answer, 1)
+		go func() { running <- d.book(0, "{}") }()
+		d.eventually("the call runs", func() bool { return d.cluster.Services[0].Counts().Running == 1 })
+		d.routers[0].signal(syscall.SIGHUP)
+		is.Equal((<-running).status, http.StatusOK)
+	}
+	log, err := os.ReadFile(filepath.Join(d.dir, "router-0.log"))
+	is.NoErr(err)
+	is.Equal(bytes.Count(log, []byte("msg=reload outcome=applied")), 2)
+	is.Equal(bytes.Count(log, []byte("msg=reload outcome=kept")), 1)
+}
+
 // Pattern: idle models hold no accelerators, and a new version replaces the old
 // one.
 func TestIdleModelsAndOldVersionsAreUnloaded(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -236,3 +236,18 @@
 		is.True(strings.Contains(string(body), line+"\n"))
 	}
 }
+
+func TestReloadAppliesWhatCanChange(t *testing.T) {
+	is := is.New(t)
+	b := start(t, newUpstream(t, "plain-1", answer(200, "ok")))
+	next := b.process.settings
+	next.StopGrace = 20 * time.Second
+	next.RetryShare = 0
+	next.PeerAddr = "127.0.0.1:1"
+	is.Equal(b.process.Reload(next), []string{"peers' address"})
+	is.Equal(b.process.front.stopLinger(), 7*time.Second)
+	next.StopLinger = time.Second
+	b.process.Reload(next)
+	is.Equal(b.process.front.stopLinger(), time.Second)
+	is.Equal(b.send(t, "/again/a", "", patience).status, http.StatusOK)
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -38,6 +38,7 @@
 // Front takes callers' requests.
 type Front struct {
 	settings  Settings
+	live      atomic.Pointer[live]
 	dialect   Dialect
 	directory *fleet.Directory
 	pool      *exchange.Pool
@@ -66,7 +67,7 @@
 // NewFront makes a front.
 func NewFront(opts FrontOptions) *Front {
 	ending, end := context.WithCancel(context.Background())
-	return &Front{
+	f := &Front{
 		ending:    ending,
 		end:       end,
 		settings:  opts.Settings,
@@ -78,6 +79,8 @@
 		budget:    retry.NewBudget(opts.Settings.RetryShare*retryMargin, retryFloor),
 		log:       opts.Log,
 	}
+	f.live.Store(liveOf(opts.Settings))
+	return f
 }
 
 // job is one request of a caller.
@@ -142,10 +145,7 @@
 }
 
 func (f *Front) stopLinger() time.Duration {
-	if f.settings.StopLinger > 0 {
-		return f.settings.StopLinger
-	}
-	return time.Duration(stopLingerShare * float64(f.settings.StopGrace))
+	return f.live.Load().stopLinger
 }
 
 // prepare finds the route and reads the body; it answers the request and
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -216,7 +216,7 @@
 	p.front.stop()
 	p.client.Leave()
 	p.election.Resign()
-	deadline := began.Add(p.settings.StopGrace - stopMargin)
+	deadline := began.Add(p.front.live.Load().stopGrace - stopMargin)
 	quietSince := time.Now()
 	for time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -107,14 +107,3 @@
 		p.idle[addr] = kept
 	}
 }
-
-// Forget closes the idle connections to an upstream that is gone.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		_ = c.Conn.Close() // idle
-	}
-}
--- a/internal/external/outage_test.go
+++ b/internal/external/outage_test.go
@@ -62,7 +62,7 @@
 		})
 		return err
 	}
-	withBudget := func() *retry.Budget { return retry.NewBudget(retry.DefaultShare, retry.DefaultFloor) }
+	withBudget := func() *retry.Budget { return retry.NewBudget(0.1, 0.2) }
 	without := func() *retry.Budget { return nil }
 	for _, tc := range []struct {
 		name   string
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -15,18 +15,12 @@
 	tokenUnit = 1_000_000
 	// maxTokens is the number of retries that a budget saves up at most.
 	maxTokens = 10 * tokenUnit
-
-	// DefaultShare is the share of retries in calls.
-	DefaultShare = 0.1
-	// DefaultFloor is the number of retries a second that a budget allows
-	// however few calls there are.
-	DefaultFloor = 0.2
 )
 
 // Budget limits retries to a share of the calls, plus a small floor. It is safe
 // for concurrent use. A nil *Budget allows every retry.
 type Budget struct {
-	perCall int64
+	perCall atomic.Int64
 	tokens  atomic.Int64
 	floor   *rate.Limiter
 }
@@ -38,12 +32,14 @@
 	if floor <= 0 {
 		burst = 0
 	}
-	return &Budget{
-		perCall: int64(share * tokenUnit),
-		floor:   rate.NewLimiter(rate.Limit(floor), burst),
-	}
+	b := &Budget{floor: rate.NewLimiter(rate.Limit(floor), burst)}
+	b.SetShare(share)
+	return b
 }
 
+// SetShare changes the share of retries for each call from now on.
+func (b *Budget) SetShare(share float64) { b.perCall.Store(int64(share * tokenUnit)) }
+
 // Call records one call that is not a retry.
 func (b *Budget) Call() {
 	if b == nil {
@@ -52,7 +48,7 @@
 	// The check and the addition are not one step: racing calls may pass the
 	// cap by one addition each, which the next call leaves alone.
 	if b.tokens.Load() < maxTokens {
-		b.tokens.Add(b.perCall)
+		b.tokens.Add(b.perCall.Load())
 	}
 }
 
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -76,9 +76,6 @@
 	s.speed.full.Store(int64(s.knobs.FullSpeedLoads))
 }
 
-// PeakLoads is the highest number of loads at a time.
-func (s *Weights) PeakLoads() int { return int(s.speed.peak.Load()) }
-
 // read takes the time of a load.
 func (s *Weights) read(ctx context.Context, sizeMiB uint32) error {
 	if err := s.starts.Wait(ctx); err != nil {
