--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -108,8 +108,9 @@
 	// begun is set once a byte of the answer was written to the caller.
 	begun bool
 	// lastEvent is the id of the last whole event that the caller has.
-	lastEvent string
-	record    Record
+	lastEvent   string
+	lastEventAt time.Time
+	record      Record
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -33,6 +33,8 @@
 	FirstByte  time.Duration
 	FirstEvent time.Duration
 	Events     int
+	// MaxGap is the longest pause between events.
+	MaxGap time.Duration
 }
 
 // Log writes the decisions of an entry process.
@@ -55,7 +57,7 @@
 	}
 	if r.Model != "" {
 		keyvals = append(keyvals, "model", r.Model, "adapter", r.Adapter, "waited_ms", ms(r.Waited), "waited_for", r.WaitedFor,
-			"first_byte_ms", ms(r.FirstByte), "first_event_ms", ms(r.FirstEvent), "events", r.Events, "alone", r.Alone)
+			"first_byte_ms", ms(r.FirstByte), "first_event_ms", ms(r.FirstEvent), "events", r.Events, "max_gap_ms", ms(r.MaxGap), "alone", r.Alone)
 	}
 	if r.Reason != "" {
 		keyvals = append(keyvals, "reason", r.Reason, "retry_after_ms", ms(r.RetryAfter), "may_have_run", r.Unknown)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -159,6 +159,11 @@
 	if id := lastEventID(events); id != "" {
 		j.lastEvent = id
 	}
+	now := time.Now()
+	if !j.lastEventAt.IsZero() {
+		j.record.MaxGap = max(j.record.MaxGap, now.Sub(j.lastEventAt))
+	}
+	j.lastEventAt = now
 	j.record.Events += bytes.Count(events, eventEnd)
 	return nil
 }
