--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -44,6 +44,10 @@
 	strongerBy = 2
 	yieldAfter = 2 * time.Second
 	yieldFor   = 2 * time.Second
+	// proofEvery is the pace at which a much stronger host shows that it reaches
+	// the store, standingAge how long that counts.
+	proofEvery  = time.Second
+	standingAge = 2500 * time.Millisecond
 	// fencedPatience is how long a row must be unchanged before it is taken over
 	// where engines refuse orders of former holders: three renewals.
 	fencedPatience = 3 * renewEvery
@@ -85,6 +89,11 @@
 	// LinkedVersion is the version of the lease's row that the connected scheduler
 	// goes on from, 0 without one. Rows that are not newer don't replace it.
 	LinkedVersion func() int64
+	// SchedulerCores is the processor share of the connected scheduler's host, 0
+	// without one; OnStanding is called when this host, much stronger than that,
+	// has reached the store. Both may be nil.
+	SchedulerCores func() float64
+	OnStanding     func()
 	// OnElected and OnLost tell the beginning and the end of a tenure; OnHolder
 	// tells the address of another holder.
 	OnElected func(Tenure)
@@ -117,6 +126,7 @@
 	nextRead     time.Time
 	nextRenewal  time.Time
 	nextTake     time.Time
+	nextProof    time.Time
 	yieldUntil   time.Time
 	lastTick     time.Time
 	electedAt    time.Time
@@ -270,7 +280,11 @@
 
 // follow watches the lease of another router while no scheduler is connected.
 func (e *Election) follow(ctx context.Context, now time.Time) {
-	if e.opts.IsServed() || now.Before(e.nextRead) {
+	if e.opts.IsServed() {
+		e.prove(ctx, now)
+		return
+	}
+	if now.Before(e.nextRead) {
 		return
 	}
 	e.nextRead = now.Add(readEvery/2 + rand.N(readEvery))
@@ -293,7 +307,7 @@
 	if lease.GetHolder() == "" {
 		e.nextRead = e.nextTake
 	}
-	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" && !e.resigned.Load() {
+	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" && !e.resigned.Load() && !now.Before(e.yieldUntil) {
 		// An own takeover whose answer was lost came through.
 		e.elected(row.Version, now)
 		return
@@ -303,6 +317,27 @@
 	}
 }
 
+// prove reads the lease where this host is much stronger than the scheduler's. A
+// lease is only given up to a host that reaches the store: one that it turns away
+// could not keep it.
+func (e *Election) prove(ctx context.Context, now time.Time) {
+	if e.opts.SchedulerCores == nil || e.resigned.Load() || now.Before(e.nextProof) {
+		return
+	}
+	cores := e.opts.SchedulerCores()
+	if cores <= 0 || e.opts.Cores < strongerBy*cores {
+		return
+	}
+	e.nextProof = now.Add(proofEvery/2 + rand.N(proofEvery))
+	callCtx, cancel := e.callContext(ctx)
+	defer cancel()
+	if _, err := e.opts.Table.Get(callCtx, leaseKey); err != nil {
+		e.opts.Observer.LeaseFailed("prove", err)
+		return
+	}
+	e.opts.OnStanding()
+}
+
 func decodeLease(row external.Row) (*apiv1.SchedulerLease, error) {
 	lease := &apiv1.SchedulerLease{}
 	if row.Version == 0 {
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -314,3 +314,57 @@
 	heir.step(context.Background())
 	is.True(heir.holds())
 }
+
+// refusing turns all calls of one host away.
+type refusing struct{ external.TableService }
+
+func (refusing) Get(context.Context, string) (external.Row, error) {
+	return external.Row{}, &external.Error{Kind: external.KindOverloaded, Op: "get"}
+}
+
+func (refusing) Commit(context.Context, external.Txn) (external.TxnResult, error) {
+	return external.TxnResult{}, &external.Error{Kind: external.KindOverloaded, Op: "commit"}
+}
+
+// Pattern: the store turns the strongest host away. It shows no standing, so it
+// is no candidate.
+func TestStandingIsShownOnlyByHostsThatReachTheStore(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.opts.Cores, second.opts.Cores = 0.144, 0.8
+	shown := 0
+	second.served = true
+	second.opts.SchedulerCores = func() float64 { return 0.144 }
+	second.opts.OnStanding = func() { shown++ }
+	reached := second.opts.Table
+	second.opts.Table = refusing{reached}
+	a.run(4 * time.Second)
+	is.Equal(shown, 0)
+	second.opts.Table = reached
+	a.run(4 * time.Second)
+	is.True(shown >= 2)
+	is.True(shown <= 9) // one read in half a second at most
+	second.opts.SchedulerCores = func() float64 { return 0.8 }
+	before := shown
+	a.run(4 * time.Second)
+	is.Equal(shown, before) // no reads while it would change nothing
+}
+
+// Pattern: a lease was given up to a host that never renewed it. The row still
+// names the former holder, which must not take it for an own takeover at once.
+func TestYieldedLeaseIsNotTakenBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, first, second := holderOf(t, true)
+	first.opts.Cores, second.opts.Cores = 0.144, 0.8
+	first.opts.StrongestPeer = func() float64 { return 0.8 }
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	second.opts.Table = refusing{second.opts.Table}
+	for first.holds() {
+		a.run(electionTick)
+	}
+	tenures := len(first.tenures)
+	a.run(yieldFor - 2*electionTick)
+	is.Equal(len(first.tenures), tenures)
+	a.run(time.Second)
+	is.Equal(len(first.tenures), tenures+1) // nobody renews it
+}
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
@@ -23,11 +24,15 @@
 }
 
 func (s *Scheduler) handOver(offer Handover) bool {
+	now := time.Now()
 	var heir *session
 	for _, session := range s.sessions {
 		if session.leaving || session.address == "" || session.router == s.opts.Host {
 			continue
 		}
+		if offer.Wait && !session.reachesStore(now) {
+			continue
+		}
 		if heir == nil || session.cores > heir.cores || session.cores == heir.cores && session.router < heir.router {
 			heir = session
 		}
@@ -52,6 +57,9 @@
 	return true
 }
 
-// StrongestPeer is the processor share of the strongest connected router, in
-// cores.
+// reachesStore reports whether the router told so lately.
+func (s *session) reachesStore(now time.Time) bool { return now.Sub(s.standingAt) < standingAge }
+
+// StrongestPeer is the processor share of the strongest connected router that
+// reaches the store, in cores.
 func (s *Scheduler) StrongestPeer() float64 { return math.Float64frombits(s.strongest.Load()) }
--- a/internal/cell/link.go
+++ b/internal/cell/link.go
@@ -67,6 +67,7 @@
 	// read the configuration and the list of upstreams; listed is set once the
 	// whole list has come through this link.
 	configVersion    int64
+	schedulerCores   float64
 	leaseVersion     int64
 	configAt, listAt time.Time
 	listed           bool
@@ -162,6 +163,24 @@
 	return c.alive && now.Sub(c.lastBeat) < silenceLimit && now.Sub(c.renewedAt) < staleLease
 }
 
+// SchedulerCores is the processor share of the connected scheduler's host, 0
+// without one.
+func (c *Client) SchedulerCores() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.alive {
+		return 0
+	}
+	return c.schedulerCores
+}
+
+// TellStanding tells the scheduler that this router has just reached the store.
+func (c *Client) TellStanding() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Standing{Standing: &apiv1.RouterStanding{}}})
+}
+
 // LinkedVersion is the version of the lease's row that the connected scheduler
 // goes on from; 0 without one.
 func (c *Client) LinkedVersion() int64 {
@@ -307,6 +326,7 @@
 	c.renewedAt = c.lastBeat.Add(-microseconds(beat.GetRenewedAgoUs()))
 	c.configVersion = beat.GetConfigVersion()
 	c.leaseVersion = beat.GetLeaseVersion()
+	c.schedulerCores = beat.GetCores()
 	c.configAt = c.lastBeat.Add(-microseconds(beat.GetConfigAgeUs()))
 	c.listAt = c.lastBeat.Add(-microseconds(beat.GetListAgeUs()))
 	if c.alive {
--- a/internal/cell/link_test.go
+++ b/internal/cell/link_test.go
@@ -219,7 +219,16 @@
 		clients = append(clients, c)
 	}
 	time.Sleep(50 * time.Millisecond)
-	is.True(s.HandOver(Handover{Fence: 7}))
+	is.True(!s.HandOver(Handover{Fence: 6, Wait: true})) // none has shown that it reaches the store
+	for _, c := range clients {
+		if c.opts.Host == "strong" {
+			c.TellStanding()
+		}
+	}
+	for s.StrongestPeer() != 0.8 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(s.HandOver(Handover{Fence: 7, Wait: true}))
 	is.Equal(<-offers, "strong")
 	deadline := time.Now().Add(10 * time.Second)
 	for _, c := range clients {
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -19,11 +19,13 @@
 
 // session is one router's connection.
 type session struct {
-	owner   *Scheduler
-	number  uint64
-	router  string
-	cores   float64
-	address string
+	owner  *Scheduler
+	number uint64
+	router string
+	cores  float64
+	// standingAt is when the router last told that it reaches the store.
+	standingAt time.Time
+	address    string
 	// greeted is set by the hello; before it nothing is passed on.
 	greeted bool
 	// leaving is set once the router stops.
@@ -106,6 +108,8 @@
 		s.progress(now, from, body.Progress)
 	case *apiv1.SchedulerCall_Superseded:
 		s.opts.OnSuperseded(body.Superseded.GetAddress())
+	case *apiv1.SchedulerCall_Standing:
+		from.standingAt = now
 	case *apiv1.SchedulerCall_Leaving:
 		from.leaving = true
 	case *apiv1.SchedulerCall_Withdrawal:
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -36,6 +36,8 @@
 	Directory *fleet.Directory
 	Engines   fleet.Engines
 	Host      string
+	// Cores is the processor share of this host.
+	Cores float64
 	// LoadWindow is the window for which loads from the weight store are bounded.
 	LoadWindow time.Duration
 	// MayOrder is asked right before each order; RenewedAgo is told to routers.
@@ -290,17 +292,19 @@
 // beat sends a sign of life, with the ages of what this router has read.
 func (s *Scheduler) beat() {
 	strongest := 0.0
+	now := time.Now()
 	for _, session := range s.sessions {
-		if !session.leaving {
+		if !session.leaving && session.reachesStore(now) {
 			strongest = max(strongest, session.cores)
 		}
 	}
 	s.strongest.Store(math.Float64bits(strongest))
-	configAge, listAge := s.opts.Directory.ReadAges(time.Now())
+	configAge, listAge := s.opts.Directory.ReadAges(now)
 	beat := &apiv1.SchedulerBeat{
 		Fence:        s.tenure.Fence,
 		RenewedAgoUs: s.opts.RenewedAgo().Microseconds(),
 		LeaseVersion: s.opts.LeaseVersion(),
+		Cores:        s.opts.Cores,
 		ConfigAgeUs:  configAge.Microseconds(),
 		ListAgeUs:    listAge.Microseconds(),
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -349,3 +349,42 @@
 	w.askAgain("m0", false, "gone") // may only go back to an engine that has left
 	is.Equal(len(w.refused), 2)
 }
+
+// Pattern: demand shifts to a model with one replica and is more than two could
+// bear.
+func TestOverloadedModelGetsReplicas(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(8)
+	engines := []*fakeEngine{newFakeEngine("e0", spec, "m0")}
+	for i := 1; i < 8; i++ {
+		e := newFakeEngine(fmt.Sprintf("e%d", i), spec, fmt.Sprintf("m%d", i))
+		e.tiers["m0"] = tierDisk
+		engines = append(engines, e)
+	}
+	for _, e := range engines {
+		e.describe()
+	}
+	w := newWorld(spec, engines...)
+	w.run(50 * time.Millisecond)
+	for range 120 {
+		w.ask("m0", "", 8000) // 200 ms of prefill each 50 ms
+		w.run(50 * time.Millisecond)
+	}
+	replicas := 0
+	for _, e := range engines {
+		if e.models["m0"] != nil {
+			replicas++
+		}
+	}
+	is.True(replicas >= 4)
+	is.Equal(w.crashed(), nil)
+}
+
+// Pattern: demand is more than the replicas of a model and one more can bear.
+func TestEachMissingReplicaIsWorthALoad(t *testing.T) {
+	is := is.New(t)
+	for n := 1; n < 8; n++ {
+		is.True(queueing(8, n)-queueing(8, n+1) > replicaMargin)
+	}
+	is.True(queueing(0.1, 1)-queueing(0.1, 2) < replicaMargin)
+}
