--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -15,9 +15,6 @@
 	// keeps it finite at a replica that is always busy.
 	queueLoss  = 0.5
 	busyMargin = 0.05
-	// overloadLoss is the delay of a request, in seconds, for each replica's worth of
-	// work that is missing: what piles up in lossHorizon, halved.
-	overloadLoss = 4.0
 	// spareLoss is the loss of a replica that nobody needs.
 	spareLoss = 0.005
 	// engineLoad weighs the load of the models that share an engine, s.
@@ -90,11 +87,10 @@
 }
 
 // queueing estimates the delay of a request, in seconds, at one of n replicas
-// that share an amount of work a second. What they can't bear piles up.
+// that share an amount of work a second.
 func queueing(work float64, n int) float64 {
-	share := work / float64(n)
-	busy := min(1, share)
-	return queueLoss*busy*busy/(1+busyMargin-busy) + max(0, share-1)*overloadLoss
+	share := min(1, work/float64(n))
+	return queueLoss * share * share / (1 + busyMargin - share)
 }
 
 // engineWork is the share of an engine's time that the models on it need.
