--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -52,6 +52,10 @@
 	pending map[uint64]*run
 	// freeAt is when the known prompts are expected to be read.
 	freeAt time.Time
+	// readingSince is when prompts began to be read without a break, held the time
+	// to read the prompts that wait for their turn.
+	readingSince time.Time
+	held         time.Duration
 	// maxGap is the shortest MaxGap of the requests that were sent here; 0 before.
 	maxGap time.Duration
 	// kvTokens is the memory that the runs need at most.
@@ -259,6 +263,7 @@
 func (e *engine) addRun(now time.Time, r *run) {
 	e.runs[r.ask.Key] = r
 	e.pending[r.ask.Key] = r
+	e.noteReading(now)
 	if e.freeAt.Before(now) {
 		e.freeAt = now
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,6 +37,8 @@
 	// cost is first with what the choice costs other requests.
 	cost    time.Duration
 	adapter adapterNeed
+	// turn is the time until the engine takes the prompt, read that to read it.
+	turn, read time.Duration
 }
 
 type adapterNeed int
@@ -49,6 +51,7 @@
 
 // dispatch tries to place every waiting ask, the most urgent first.
 func (c *Cell) dispatch(now time.Time) {
+	c.releaseTurns()
 	if len(c.waiting) == 0 {
 		return
 	}
@@ -66,7 +69,7 @@
 			continue
 		}
 		kept = append(kept, w)
-		if w.ask.Adapter == "" && len(w.ask.Tried) == 0 {
+		if w.ask.Adapter == "" && len(w.ask.Tried) == 0 && w.reason != waitsForTurn {
 			stuck[w.ask.Model] = true
 		}
 	}
@@ -110,6 +113,9 @@
 	return false
 }
 
+// waitsForTurn is why a request waits though its model is there.
+const waitsForTurn = "turn at the engine"
+
 // minPatience is the wait for a loaded model below which no load is considered.
 const minPatience = 100 * time.Millisecond
 
@@ -138,6 +144,11 @@
 		return false
 	case adapterNone:
 	}
+	if o.turn > 0 {
+		w.reason = waitsForTurn
+		c.holdTurn(o.engine, o.read)
+		return false
+	}
 	r := c.startRun(now, w.ask, o.engine)
 	c.actions.Grants = append(c.actions.Grants, Grant{
 		Key:      w.ask.Key,
@@ -231,7 +242,9 @@
 		}
 	}
 	read := c.modelOf(ask.Model).readTime(e.cache.uncached(ask))
-	o.first = max(o.wait, e.backlog(now)) + read + firstEventTime + time.Duration(len(e.runs))*perRun
+	o.read = read
+	o.turn = e.turn(now, read)
+	o.first = max(o.wait, e.backlog(now)+e.held, o.turn+e.held) + read + firstEventTime + time.Duration(len(e.runs))*perRun
 	if now.Before(e.avoidUntil) {
 		o.first += avoidPenalty
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,7 +153,9 @@
 	trafficSeen bool
 	preparedAt  time.Time
 	reapedAt    time.Time
-	index       index
+	// holding is set while prompts wait for their turn at an engine.
+	holding bool
+	index   index
 }
 
 // waiter is an ask that has no place yet.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -349,3 +349,45 @@
 	w.askAgain("m0", false, "gone") // may only go back to an engine that has left
 	is.Equal(len(w.refused), 2)
 }
+
+// Pattern: long prompts one after the other on an engine where chats stream.
+func TestLongPromptsLeaveBreaksForStreams(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	submit := func(tokens int64) uint64 {
+		w.nextKey++
+		w.carryOut(w.cell.Submit(w.now, &Ask{
+			Key: w.nextKey, Model: "m0", PromptTokens: tokens, OutputTokens: 100, MaxGap: 600 * time.Millisecond,
+			Objective: w.now.Add(5 * time.Second), GiveUp: w.now.Add(20 * time.Second), FailureDomain: "a",
+		}))
+		return w.nextKey
+	}
+	chat := submit(100)
+	w.run(50 * time.Millisecond)
+	w.carryOut(w.cell.Progress(w.now, chat, Started))
+	began := w.now
+	for range 12 {
+		submit(4000) // 100 ms of reading
+	}
+	granted := len(w.grants)
+	is.True(granted < 7) // the rest waits for a break
+	var pauses int
+	last := w.now
+	for range 40 {
+		w.run(60 * time.Millisecond) // a tick every 50 ms
+		if len(w.grants) > granted {
+			if w.now.Sub(last) > 300*time.Millisecond {
+				pauses++
+			}
+			granted = len(w.grants)
+			last = w.now
+		}
+	}
+	is.Equal(len(w.grants), 13) // none is given up
+	is.True(pauses >= 2)
+	is.True(last.Sub(began) < 1500*time.Millisecond) // breaks cost little
+}
