--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -18,6 +18,10 @@
 		return 0
 	}
 	open := e.freeAt.Add(e.breakTime())
+	if e.held > 0 {
+		// A small prompt does not overtake a larger one that waits.
+		return max(time.Millisecond, open.Sub(now))
+	}
 	if !now.Before(open) || e.freeAt.Add(read).Sub(e.readingSince) <= e.maxGap*readPercent/100 {
 		return 0
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -391,3 +391,35 @@
 	is.True(pauses >= 2)
 	is.True(last.Sub(began) < 1500*time.Millisecond) // breaks cost little
 }
+
+// Pattern: small prompts keep coming while a large one waits for a break.
+func TestSmallPromptsDoNotOvertakeALargeOne(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	submit := func(tokens int64) uint64 {
+		w.nextKey++
+		w.carryOut(w.cell.Submit(w.now, &Ask{
+			Key: w.nextKey, Model: "m0", PromptTokens: tokens, OutputTokens: 100, MaxGap: 600 * time.Millisecond,
+			Objective: w.now.Add(5 * time.Second), GiveUp: w.now.Add(20 * time.Second), FailureDomain: "a",
+		}))
+		return w.nextKey
+	}
+	chat := submit(100)
+	w.run(60 * time.Millisecond)
+	w.carryOut(w.cell.Progress(w.now, chat, Started))
+	submit(8000) // 200 ms of reading
+	large := submit(10_000)
+	began := w.now
+	for range 40 {
+		submit(1000)
+		w.run(60 * time.Millisecond)
+		if _, ok := w.granted(large); ok {
+			break
+		}
+	}
+	is.True(w.now.Sub(began) < 600*time.Millisecond) // the next break
+}
