--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -251,3 +251,15 @@
 	is.Equal(b.process.front.stopLinger(), time.Second)
 	is.Equal(b.send(t, "/again/a", "", patience).status, http.StatusOK)
 }
+
+// Pattern: callers leave a silent stream long before its timeout, and there is no
+// place. They hear a refusal while they are still there.
+func TestRefusalReachesACallerBeforeItLeaves(t *testing.T) {
+	is := is.New(t)
+	b := start(t, newUpstream(t, "engine-1", events(1, 1, true)))
+	began := time.Now()
+	got := b.send(t, "/impatient/a", "absent", 30*time.Second) // fits nowhere
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(time.Since(began) < 10*time.Second)
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -226,6 +226,7 @@
 	{Name: "again", Host: "h", Prefix: "/again/", Repeat: fleet.RunAgain, Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Attempts: 1, Timeout: 300 * time.Millisecond, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Stream: true, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
+	{Name: "impatient", Host: "h", Prefix: "/impatient/", Stream: true, Attempts: 2, Objective: time.Second, Silence: 400 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "resume", Host: "h", Prefix: "/resume/", Stream: true, Resumable: true, Repeat: fleet.RunAgain, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -68,8 +68,10 @@
 func (j *job) place() (cell.Placement, error) {
 	began := time.Now()
 	defer func() { j.record.Waited += time.Since(began) }()
+	ctx, cancel := context.WithDeadline(j.ctx, j.callerStays())
+	defer cancel()
 	for {
-		place, err := j.front.scheduler.Place(j.ctx, j.ask())
+		place, err := j.front.scheduler.Place(ctx, j.ask())
 		if !errors.Is(err, cell.ErrNoScheduler) {
 			j.record.WaitedFor = place.Reason
 			return place, err
@@ -78,12 +80,32 @@
 		if place, ok := j.placeAlone(); ok {
 			return place, nil
 		}
-		if err := j.front.scheduler.WaitLinked(j.ctx); err != nil {
+		if err := j.front.scheduler.WaitLinked(ctx); err != nil {
 			return cell.Placement{}, err
 		}
 	}
 }
 
+// silenceShare is the part of the time that callers stay silent streams for which a
+// place is waited, so that a refusal still reaches them.
+const silenceShare = 0.9
+
+// callerStays is until when the caller is expected to wait for the next event.
+func (j *job) callerStays() time.Time {
+	if j.route.Silence <= 0 {
+		return j.giveUp
+	}
+	since := j.arrived
+	if !j.lastEventAt.IsZero() {
+		since = j.lastEventAt
+	}
+	leaves := since.Add(time.Duration(silenceShare * float64(j.route.Silence)))
+	if leaves.Before(j.giveUp) {
+		return leaves
+	}
+	return j.giveUp
+}
+
 func (j *job) ask() *apiv1.PlacementAsk {
 	ask := &apiv1.PlacementAsk{
 		RequestId:     j.call.ID,
@@ -94,7 +116,7 @@
 		OutputTokens:  j.call.MaxOutputTokens,
 		Priority:      int32(min(math.MaxInt32, j.rank.Priority)),
 		ObjectiveUs:   time.Until(j.objective).Microseconds(),
-		GiveUpUs:      j.timeLeft().Microseconds(),
+		GiveUpUs:      time.Until(j.callerStays()).Microseconds(),
 		FailureDomain: j.front.settings.FailureDomain,
 		Tried:         slices.Clone(j.tried),
 		MayMove:       j.mayMove(),
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -37,6 +37,9 @@
 	Objective time.Duration
 	// MaxGap is the longest pause between events that callers expect; 0 if any.
 	MaxGap time.Duration
+	// Silence is how long callers of a stream wait for its next event, the first
+	// one included, before they leave; 0 if they stay until the timeout.
+	Silence time.Duration
 	// Attempts is the number of upstreams that one request may be sent to.
 	Attempts int
 	// Priority is the rank of the route's requests, 0 is the most urgent.
