--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -27,6 +27,10 @@
 	// doubted is set when the engine denied that it holds the model; it counts
 	// until a report settles it.
 	doubted bool
+	// retiringFor is the model for which this copy has to make room; it takes no new
+	// requests until retireUntil.
+	retiringFor string
+	retireUntil time.Time
 }
 
 // adapterCopy is an adapter of a model on an engine. It takes a place in every
@@ -193,7 +197,7 @@
 // ready returns the copy of a model that can take requests; nil if there is none.
 func (e *engine) ready(model string) *weightCopy {
 	w := e.copies[model]
-	if w == nil || w.state != present || w.doubted {
+	if w == nil || w.state != present || w.doubted || w.retiringFor != "" {
 		return nil
 	}
 	return w
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -103,6 +103,7 @@
 	}
 	if !loads {
 		w.reason = "no room"
+		c.retire(now, w.ask)
 		return false
 	}
 	if now.Add(other.first).After(w.ask.GiveUp) {
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -28,6 +28,7 @@
 		return
 	}
 	c.preparedAt = now
+	c.endRetirements(now)
 	c.replicate(now)
 	if c.spec.KeepAlive <= 0 {
 		c.fetchAbsent(now)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -423,3 +423,40 @@
 	}
 	is.True(w.now.Sub(began) < 600*time.Millisecond) // the next break
 }
+
+// Pattern: the only host with a model at hand holds busy models, which others hold
+// too.
+func TestBusyCopyMakesRoomForAModelThatIsNowhere(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(4)
+	full, other := newFakeEngine("e1", spec, "m1", "m2"), newFakeEngine("e2", spec, "m1", "m2")
+	full.tiers["m0"] = tierDisk
+	full.describe()
+	other.describe()
+	w := newWorld(spec, full, other)
+	w.run(60 * time.Millisecond)
+	var running []uint64
+	busy := func() { // each model runs somewhere on e1 at any time, unless it retires there
+		for _, m := range []string{"m1", "m2"} {
+			running = append(running, w.ask(m, "", 100))
+		}
+		w.run(100 * time.Millisecond)
+		if len(running) > 12 {
+			for _, key := range running[:2] {
+				w.end(key)
+			}
+			running = running[2:]
+		}
+	}
+	for range 10 {
+		busy()
+	}
+	key := w.ask("m0", "", 100)
+	for range 60 {
+		busy()
+	}
+	g, ok := w.granted(key)
+	is.True(ok)
+	is.Equal(g.Upstream.ID, "e1")
+	is.Equal(w.crashed(), nil)
+}
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -55,7 +55,13 @@
 	}
 	var idle []candidate
 	for _, w := range e.copies {
-		if w.state == present && w.running == 0 && !c.isWanted(w.model, "") {
+		switch {
+		case w.state != present || w.running > 0:
+		case w.retiringFor != "":
+			if w.retiringFor == name {
+				idle = append(idle, candidate{w, 0})
+			}
+		case !c.isWanted(w.model, ""):
 			idle = append(idle, candidate{w, c.lossOf(now, w)})
 		}
 	}
@@ -65,7 +71,7 @@
 	for _, v := range idle {
 		chosen = append(chosen, v.copy)
 		loss += v.loss
-		free += v.copy.memoryMB + int64(len(v.copy.adapters))*c.spec.Models[v.copy.model].AdapterMB
+		free += v.copy.sizeMB(c.spec)
 		if free >= need {
 			return chosen, loss, true
 		}
