--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -309,7 +309,7 @@
 		return
 	}
 	delete(e.pending, r.ask.Key)
-	e.freeAt = now
+	e.freeAt = now.Add(-firstEventTime) // since then the next prompt is read
 	for _, other := range e.pending {
 		e.freeAt = e.freeAt.Add(other.work)
 	}
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -6,7 +6,7 @@
 	// readPercent is the part of the longest pause of an engine's streams for which
 	// prompts may be read without a break, breakPercent the length of the break, in
 	// which each stream gets on by an event.
-	readPercent  = 60
+	readPercent  = 70
 	breakPercent = 8
 )
 
@@ -38,6 +38,12 @@
 	}
 }
 
+// canWait reports whether a prompt that waits for its turn is likely to be read in
+// time. Only a dispatch knows who goes first.
+func (c *Cell) canWait(now time.Time, w *waiter, o option) bool {
+	return !c.dispatching || !now.Add(o.first).After(w.ask.GiveUp)
+}
+
 // holdTurn notes that a prompt waits for its turn at an engine.
 func (c *Cell) holdTurn(e *engine, read time.Duration) {
 	e.held += read
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -52,6 +52,8 @@
 // dispatch tries to place every waiting ask, the most urgent first.
 func (c *Cell) dispatch(now time.Time) {
 	c.releaseTurns()
+	c.dispatching = true
+	defer func() { c.dispatching = false }()
 	if len(c.waiting) == 0 {
 		return
 	}
@@ -146,6 +148,9 @@
 	case adapterNone:
 	}
 	if o.turn > 0 {
+		if !c.canWait(now, w, o) {
+			return c.refuse(w, o.first, "the engines are too busy")
+		}
 		w.reason = waitsForTurn
 		c.holdTurn(o.engine, o.read)
 		return false
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -155,7 +155,9 @@
 	reapedAt    time.Time
 	// holding is set while prompts wait for their turn at an engine.
 	holding bool
-	index   index
+	// dispatching is set while all waiting asks are tried in their order.
+	dispatching bool
+	index       index
 }
 
 // waiter is an ask that has no place yet.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -460,3 +460,31 @@
 	is.Equal(g.Upstream.ID, "e1")
 	is.Equal(w.crashed(), nil)
 }
+
+// Pattern: far more prompts for one engine than it reads before callers leave.
+func TestPromptsThatCannotBeReadInTimeAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	e.describe()
+	w := newWorld(spec, e)
+	w.run(50 * time.Millisecond)
+	submit := func(tokens int64) uint64 {
+		w.nextKey++
+		w.carryOut(w.cell.Submit(w.now, &Ask{
+			Key: w.nextKey, Model: "m0", PromptTokens: tokens, OutputTokens: 10, MaxGap: 600 * time.Millisecond,
+			Objective: w.now.Add(time.Second), GiveUp: w.now.Add(2 * time.Second), FailureDomain: "a",
+		}))
+		return w.nextKey
+	}
+	chat := submit(100)
+	w.run(60 * time.Millisecond)
+	w.carryOut(w.cell.Progress(w.now, chat, Started))
+	for range 20 {
+		submit(9000) // 225 ms of reading each, 4.5 s in all
+	}
+	w.run(100 * time.Millisecond)
+	is.True(len(w.refused) >= 8)
+	is.True(w.refused[0].RetryAfter > time.Second)
+	is.True(len(w.refused) <= 14) // the others are read in time
+}
