--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -428,7 +428,7 @@
 // too.
 func TestBusyCopyMakesRoomForAModelThatIsNowhere(t *testing.T) {
 	is := is.New(t)
-	spec := testSpec(4)
+	spec := testSpec(3)
 	full, other := newFakeEngine("e1", spec, "m1", "m2"), newFakeEngine("e2", spec, "m1", "m2")
 	full.tiers["m0"] = tierDisk
 	full.describe()
@@ -437,22 +437,22 @@
 	w.run(60 * time.Millisecond)
 	var running []uint64
 	busy := func() { // each model runs somewhere on e1 at any time, unless it retires there
-		for _, m := range []string{"m1", "m2"} {
+		for _, m := range []string{"m1", "m2", "m2", "m1"} {
 			running = append(running, w.ask(m, "", 100))
 		}
 		w.run(100 * time.Millisecond)
-		if len(running) > 12 {
-			for _, key := range running[:2] {
+		if len(running) > 40 {
+			for _, key := range running[:4] {
 				w.end(key)
 			}
-			running = running[2:]
+			running = running[4:]
 		}
 	}
-	for range 10 {
+	for range 30 {
 		busy()
 	}
 	key := w.ask("m0", "", 100)
-	for range 60 {
+	for range 80 {
 		busy()
 	}
 	g, ok := w.granted(key)
