--- a/internal/operator/cli/output.go
+++ b/internal/operator/cli/output.go
@@ -42,10 +42,6 @@
 	return time.UnixMilli(unixMs).UTC().Format(time.RFC3339)
 }
 
-func formatMs(ms int64) string {
-	return (time.Duration(ms) * time.Millisecond).String()
-}
-
 func writeRevision(w io.Writer, r operator.Revision) {
 	fmt.Fprintf(w, "revision %d by %s at %s: %s\n", r.Revision, orDash(r.Author), formatTime(r.UnixMs), orDash(r.Message))
 }
