--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,88 @@
+package decisionlog
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+)
+
+// stalled is a reader that takes nothing until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	lines   bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lines.Write(p)
+}
+
+// Pattern: whoever reads standard output stops reading while requests go on.
+func TestStalledReaderCostsLinesNotTime(t *testing.T) {
+	is := is.New(t)
+	out := &stalled{release: make(chan struct{})}
+	l := New(log.InfoLevel)
+	stop := l.Start(out)
+	kinds := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	const lines = 20_000
+	began := time.Now()
+	for i := range lines {
+		l.Info(kinds[i%len(kinds)], "n", i)
+	}
+	is.True(time.Since(began) < 20*time.Second) // it would hang otherwise
+	dropped := l.dropped.Load()
+	is.True(dropped >= lines-queueLines-uint64(1))
+	l.reportDrops()
+	close(out.release)
+	stop()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	written := strings.Count(out.lines.String(), "\n")
+	is.True(uint64(written) <= lines-dropped+1)
+}
+
+// Pattern: one kind of line is written far too often.
+func TestRateOfOneKindLeavesOthersAlone(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := New(log.InfoLevel)
+	for range 3 * burstLines {
+		l.Info("noisy")
+	}
+	l.Info("rare", "id", "r-1")
+	l.reportDrops()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	l.Run(ctx, &out)
+	text := out.String()
+	is.True(strings.Count(text, "noisy") < 2*burstLines)
+	is.Equal(strings.Count(text, "msg=rare id=r-1"), 1)
+	is.True(strings.Contains(text, `msg="log lines dropped" count=`)) // and says so
+}
+
+// BenchmarkLine measures a line of a request, within the rate of its kind and
+// beyond it.
+func BenchmarkLine(b *testing.B) {
+	for name, limit := range map[string]rate.Limit{"written": rate.Inf, "dropped": 0} {
+		b.Run(name, func(b *testing.B) {
+			l := New(log.InfoLevel)
+			l.limits["request"] = rate.NewLimiter(limit, 0)
+			defer l.Start(io.Discard)()
+			for b.Loop() {
+				l.Info("request", "id", "0123456789abcdef", "outcome", "served", "status", 200, "route", "r-1", "service", "s", "config", 3,
+					"upstream", "i-0123456789", "sends", 1, "took_ms", 12.5, "model", "m", "waited_ms", 0.4, "events", 40)
+			}
+		})
+	}
+}
--- a/internal/decisionlog/writer.go
+++ b/internal/decisionlog/writer.go
@@ -112,9 +112,6 @@
 	}
 }
 
-// Dropped returns the lines dropped since the last report.
-func (l *Logger) Dropped() uint64 { return l.dropped.Load() }
-
 func (l *Logger) allow(kind string) bool {
 	l.mu.Lock()
 	limit := l.limits[kind]
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -90,6 +90,10 @@
 // place is waited, so that a refusal still reaches them.
 const silenceShare = 0.9
 
+// refusalLead is how much earlier the scheduler gives an ask up than the router, so
+// that its reason and Retry-After reach the caller.
+const refusalLead = 50 * time.Millisecond
+
 // callerStays is until when the caller is expected to wait for the next event.
 func (j *job) callerStays() time.Time {
 	if j.route.Silence <= 0 {
@@ -116,7 +120,7 @@
 		OutputTokens:  j.call.MaxOutputTokens,
 		Priority:      int32(min(math.MaxInt32, j.rank.Priority)),
 		ObjectiveUs:   time.Until(j.objective).Microseconds(),
-		GiveUpUs:      time.Until(j.callerStays()).Microseconds(),
+		GiveUpUs:      (time.Until(j.callerStays()) - refusalLead).Microseconds(),
 		FailureDomain: j.front.settings.FailureDomain,
 		Tried:         slices.Clone(j.tried),
 		MayMove:       j.mayMove(),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -82,7 +82,7 @@
 // settle grants or refuses a waiting ask; it reports false if the ask waits on.
 func (c *Cell) settle(now time.Time, w *waiter) bool {
 	if !now.Before(w.ask.GiveUp) {
-		return c.refuse(w, roomPause, "deadline passed")
+		return c.refuse(w, roomPause, "no place in time"+w.waitedFor())
 	}
 	if now.Before(w.notBefore) {
 		return false
@@ -119,6 +119,14 @@
 // waitsForTurn is why a request waits though its model is there.
 const waitsForTurn = "turn at the engine"
 
+// waitedFor tells what a request waited for, for the reason of its refusal.
+func (w *waiter) waitedFor() string {
+	if w.reason == "" {
+		return ""
+	}
+	return ", waited for: " + w.reason
+}
+
 // minPatience is the wait for a loaded model below which no load is considered.
 const minPatience = 100 * time.Millisecond
 
