--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -64,7 +64,7 @@
 	bodies  []string
 }
 
-func newUpstream(t *testing.T, id string, scripts ...http.HandlerFunc) *upstream {
+func newUpstream(t testing.TB, id string, scripts ...http.HandlerFunc) *upstream {
 	t.Helper()
 	u := &upstream{id: id, scripts: scripts}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -211,7 +211,7 @@
 	done    chan error
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -230,7 +230,7 @@
 	{Name: "resume", Host: "h", Prefix: "/resume/", Stream: true, Resumable: true, Repeat: fleet.RunAgain, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 }
 
-func start(t *testing.T, upstreams ...*upstream) *bed {
+func start(t testing.TB, upstreams ...*upstream) *bed {
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
@@ -259,7 +259,7 @@
 	return b
 }
 
-func (b *bed) await(t *testing.T, cond func() bool) {
+func (b *bed) await(t testing.TB, cond func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
 	for !cond() {
@@ -277,7 +277,7 @@
 	err    error // set when the body was cut
 }
 
-func (b *bed) send(t *testing.T, path, model string, patience time.Duration) reply {
+func (b *bed) send(t testing.TB, path, model string, patience time.Duration) reply {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader("the body"))
 	if err != nil {
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -68,3 +68,32 @@
 		w.cell.Tick(w.now)
 	}
 }
+
+// BenchmarkTickWithTurns measures a tick while 200 requests with 20 adapters wait
+// for their turn at two busy engines, or for places for their adapters.
+func BenchmarkTickWithTurns(b *testing.B) {
+	w := benchWorld()
+	for _, e := range w.cell.engines {
+		if e.up.ID != "e0" && e.up.ID != "e1" {
+			delete(e.copies, "m0")
+		}
+	}
+	for n := range 230 {
+		ask := benchAsk(w, uint64(n+1), "m0")
+		if n%2 == 1 {
+			ask.Adapter = fmt.Sprintf("a%d", n%20)
+		}
+		ask.MaxGap = 600 * time.Millisecond
+		ask.GiveUp = w.now.Add(1000 * time.Hour)
+		w.carryOut(w.cell.Submit(w.now, ask))
+		if n < 4 {
+			w.carryOut(w.cell.Progress(w.now, uint64(n+1), Started))
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.now = w.now.Add(time.Microsecond)
+		w.cell.Tick(w.now)
+	}
+	b.ReportMetric(float64(w.cell.Waiting()), "waiting")
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -61,18 +61,11 @@
 		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), a.ask.Objective.Compare(b.ask.Objective))
 	})
 	kept := c.waiting[:0]
-	stuck := make(map[string]bool) // models for which nothing can be done now
+	pass := c.newPass(now)
 	for _, w := range c.waiting {
-		if stuck[w.ask.Model] && now.Before(w.ask.GiveUp) {
+		if pass.skips(now, w) || !c.settle(now, w) {
+			pass.note(w)
 			kept = append(kept, w)
-			continue
-		}
-		if c.settle(now, w) {
-			continue
-		}
-		kept = append(kept, w)
-		if w.ask.Adapter == "" && len(w.ask.Tried) == 0 && w.reason != waitsForTurn {
-			stuck[w.ask.Model] = true
 		}
 	}
 	clear(c.waiting[len(kept):])
@@ -124,7 +117,7 @@
 	if w.reason == "" {
 		return ""
 	}
-	return ", waited for: " + w.reason
+	return " (" + w.reason + ")"
 }
 
 // minPatience is the wait for a loaded model below which no load is considered.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,6 +153,7 @@
 	trafficSeen bool
 	preparedAt  time.Time
 	reapedAt    time.Time
+	fullPassAt  time.Time
 	// holding is set while prompts wait for their turn at an engine.
 	holding bool
 	// dispatching is set while all waiting asks are tried in their order.
