--- a/internal/scheduler/retire.go
+++ b/internal/scheduler/retire.go
@@ -56,10 +56,7 @@
 	}
 	var candidates []candidate
 	for _, w := range e.copies {
-		if w.state != present || w.retiringFor != "" {
-			continue
-		}
-		if c.isReadyElsewhere(e, w.model) || !c.isWanted(w.model, "") {
+		if w.state == present && w.retiringFor == "" && c.isReadyElsewhere(e, w.model) {
 			candidates = append(candidates, candidate{w, c.lossOf(now, w)})
 		}
 	}
