scheduler: one choice of victims, one search for the cheapest load

Cause: reading the change again showed four pieces that stood twice: - victims and retirees sorted candidates and took them until a model fits; leastValuable now does it for both; - replicateModel and fetch searched the engines for the cheapest load; cheapestLoad now does it for both, with what suits as a function; - queueIsFull counted the waiting asks that waitingFor counts; - usedMB added up what sizeMB of a copy says.

Errors that are dropped on purpose in transport, external, operator, config and the stand-ins now have the reason beside them.

Behaviour stays as it is; no test was changed.

--- a/internal/config/codec.go
+++ b/internal/config/codec.go
@@ -20,7 +20,8 @@
 // maxBodyBytes bounds a decompressed body.
 const maxBodyBytes = 256 << 20
 
-// Both are safe for concurrent use by EncodeAll and DecodeAll.
+// Both are safe for concurrent use by EncodeAll and DecodeAll. Only options out
+// of range fail, and these are constants.
 var (
 	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxBodyBytes))
--- a/internal/external/call.go
+++ b/internal/external/call.go
@@ -44,7 +44,7 @@
 		return resp, nil
 	}
 	if resp.StatusCode/100 != 2 {
-		defer func() { _ = resp.Body.Close() }()
+		defer func() { _ = resp.Body.Close() }() // it has been read
 		return nil, c.refused(k.op, readRefusal(resp))
 	}
 	return resp, nil
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // it has been read
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBody))
 	if err != nil {
 		return nil, c.unavailable(k.op, true, fmt.Errorf("answer cut: %w", err))
--- a/internal/external/hostlist_client.go
+++ b/internal/external/hostlist_client.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return HostListing{}, err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() { _ = resp.Body.Close() }() // it has been read
 	if resp.StatusCode == http.StatusNotModified {
 		return known.listing, nil
 	}
--- a/internal/external/wire.go
+++ b/internal/external/wire.go
@@ -45,6 +45,7 @@
 // may come from a balancer, so it leaves the outcome unknown, but for those
 // that say that the call itself was wrong.
 func readRefusal(resp *http.Response) refusal {
+	// A body that is cut has no ErrorBody, so the status decides.
 	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	var body ErrorBody
 	if json.Unmarshal(raw, &body) == nil {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -86,7 +86,7 @@
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "ok\n")
+		_, _ = io.WriteString(w, "ok\n") // a caller that left gets nothing
 	})
 	mux.Handle("/", Authorize(s.Token, guarded))
 	return mux
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -33,6 +33,11 @@
 	retireUntil time.Time
 }
 
+// sizeMB is what a copy takes with its adapters.
+func (w *weightCopy) sizeMB(spec *fleet.EngineSpec) int64 {
+	return w.memoryMB + int64(len(w.adapters))*spec.Models[w.model].AdapterMB
+}
+
 // adapterCopy is an adapter of a model on an engine. It takes a place in every
 // state.
 type adapterCopy struct {
@@ -237,7 +242,7 @@
 func (e *engine) usedMB(spec *fleet.EngineSpec) int64 {
 	var used int64
 	for _, w := range e.copies {
-		used += w.memoryMB + int64(len(w.adapters))*spec.Models[w.model].AdapterMB
+		used += w.sizeMB(spec)
 	}
 	return used
 }
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -40,13 +40,7 @@
 	if c.spec == nil || c.spec.Models[name].MaxQueue <= 0 {
 		return false
 	}
-	n := 0
-	for _, w := range c.waiting {
-		if w.ask.Model == name {
-			n++
-		}
-	}
-	return n >= c.spec.Models[name].MaxQueue
+	return c.waitingFor(name) >= c.spec.Models[name].MaxQueue
 }
 
 // rank is the place of a waiting ask in the queue, 0 first. Waiting improves it.
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -71,27 +71,33 @@
 	if gain < replicaMargin {
 		return
 	}
-	best, bestCost := (*engine)(nil), time.Duration(0)
-	for _, e := range c.engines {
-		if !e.usable() || e.copies[name] != nil || now.Before(e.avoidUntil) {
-			continue
-		}
-		if e.tier[name] == tierRemote && gain < remoteReplicaGain {
-			continue
+	isWorth := func(e *engine) bool {
+		if e.copies[name] != nil || e.tier[name] == tierRemote && gain < remoteReplicaGain {
+			return false
 		}
 		_, loss, ok := c.victims(now, e, name)
-		if !ok || gain < loss*replicaGain {
+		return ok && gain >= loss*replicaGain
+	}
+	if e := c.cheapestLoad(now, name, !c.isAtHand(name), isWorth); e != nil {
+		c.startLoad(now, e, name, "replica")
+	}
+}
+
+// cheapestLoad chooses among the engines that suit the one where a load costs
+// least, or nil. mayFetch allows loads from the weight store.
+func (c *Cell) cheapestLoad(now time.Time, name string, mayFetch bool, suits func(*engine) bool) *engine {
+	best, bestCost := (*engine)(nil), time.Duration(0)
+	for _, e := range c.engines {
+		if !e.usable() || now.Before(e.avoidUntil) || !suits(e) {
 			continue
 		}
-		_, cost, ok := c.loadCost(now, e, name, !c.isAtHand(name))
+		_, cost, ok := c.loadCost(now, e, name, mayFetch)
 		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
 			best = e
 			bestCost = cost
 		}
 	}
-	if best != nil {
-		c.startLoad(now, best, name, "replica")
-	}
+	return best
 }
 
 // fetchAbsent loads models from the weight store that no host has at hand, so
@@ -111,23 +117,10 @@
 		if !c.remote.mayStart(now) {
 			return
 		}
-		c.fetch(now, name)
-	}
-}
-
-func (c *Cell) fetch(now time.Time, name string) {
-	best, bestCost := (*engine)(nil), time.Duration(0)
-	for _, e := range c.engines {
-		if !e.usable() || now.Before(e.avoidUntil) {
-			continue
+		if e := c.cheapestLoad(now, name, true, anyEngine); e != nil {
+			c.startLoad(now, e, name, "absent model")
 		}
-		_, cost, ok := c.loadCost(now, e, name, true)
-		if ok && (best == nil || cost < bestCost || cost == bestCost && e.up.ID < best.up.ID) {
-			best = e
-			bestCost = cost
-		}
-	}
-	if best != nil {
-		c.startLoad(now, best, name, "absent model")
 	}
 }
+
+func anyEngine(*engine) bool { return true }
--- a/internal/scheduler/retire.go
+++ b/internal/scheduler/retire.go
@@ -1,12 +1,6 @@
 package scheduler
 
-import (
-	"cmp"
-	"slices"
-	"time"
-
-	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-)
+import "time"
 
 const (
 	// retireTime is how long a copy takes no new requests so that it becomes idle,
@@ -50,33 +44,14 @@
 func (c *Cell) retirees(now time.Time, e *engine, name string) (chosen []*weightCopy, loss float64, ok bool) {
 	free := e.memoryMB(c.spec) - e.usedMB(c.spec)
 	need := c.spec.Models[name].MemoryMB
-	type candidate struct {
-		copy *weightCopy
-		loss float64
-	}
 	var candidates []candidate
 	for _, w := range e.copies {
 		if w.state == present && w.retiringFor == "" && c.isReadyElsewhere(e, w.model) {
 			candidates = append(candidates, candidate{w, c.lossOf(now, w)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.copy.model, b.copy.model))
-	})
-	for _, v := range candidates {
-		if free >= need {
-			break
-		}
-		chosen = append(chosen, v.copy)
-		loss += v.loss
-		free += v.copy.sizeMB(c.spec)
-	}
-	return chosen, loss, free >= need && len(chosen) > 0
-}
-
-// sizeMB is what a copy takes with its adapters.
-func (w *weightCopy) sizeMB(spec *fleet.EngineSpec) int64 {
-	return w.memoryMB + int64(len(w.adapters))*spec.Models[w.model].AdapterMB
+	chosen, loss, ok = c.leastValuable(candidates, need-free)
+	return chosen, loss, ok && len(chosen) > 0
 }
 
 // isReadyElsewhere reports whether another usable engine can take requests for a
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -49,10 +49,6 @@
 	if free >= need {
 		return nil, 0, true
 	}
-	type candidate struct {
-		copy *weightCopy
-		loss float64
-	}
 	var idle []candidate
 	for _, w := range e.copies {
 		switch {
@@ -65,18 +61,30 @@
 			idle = append(idle, candidate{w, c.lossOf(now, w)})
 		}
 	}
-	slices.SortFunc(idle, func(a, b candidate) int {
+	return c.leastValuable(idle, need-free)
+}
+
+// candidate is a copy that may go, and what its loss would bring; see lossOf.
+type candidate struct {
+	copy *weightCopy
+	loss float64
+}
+
+// leastValuable chooses the copies with the least loss that free an amount of
+// memory. ok is false if all of them don't suffice.
+func (c *Cell) leastValuable(candidates []candidate, needMB int64) (chosen []*weightCopy, loss float64, ok bool) {
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.copy.model, b.copy.model))
 	})
-	for _, v := range idle {
+	for _, v := range candidates {
+		if needMB <= 0 {
+			break
+		}
 		chosen = append(chosen, v.copy)
 		loss += v.loss
-		free += v.copy.sizeMB(c.spec)
-		if free >= need {
-			return chosen, loss, true
-		}
+		needMB -= v.copy.sizeMB(c.spec)
 	}
-	return nil, 0, false
+	return chosen, loss, needMB <= 0
 }
 
 // lossOf is the delay, in seconds a second over all requests, that the loss of
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -13,7 +13,7 @@
 func Token(model, adapter, prompt string, i int) string {
 	d := xxhash.New()
 	for _, part := range []string{model, adapter, prompt, strconv.Itoa(i)} {
-		_, _ = fmt.Fprintf(d, "%d:%s", len(part), part)
+		_, _ = fmt.Fprintf(d, "%d:%s", len(part), part) // a Digest never fails
 	}
 	return fmt.Sprintf("%08x ", uint32(d.Sum64()))
 }
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -134,7 +134,7 @@
 			service.Close()
 		}
 		for _, server := range c.servers {
-			_ = server.Close()
+			_ = server.Close() // the test is over
 		}
 		c.serving.Wait()
 	})
--- a/internal/standin/engine_chat.go
+++ b/internal/standin/engine_chat.go
@@ -208,13 +208,13 @@
 		delta := map[string]any{"content": Token(g.model, g.adapter, g.prompt, i)}
 		event := g.describe("chat.completion.chunk", map[string]any{"index": 0, "delta": delta, "finish_reason": nil})
 		data, _ := json.Marshal(event) // maps of plain values
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data) // Flush reports a caller that left
 		if flush.Flush() != nil {
 			hangUp()
 		}
 		e.count(func(c *EngineCounts) { c.Tokens++ })
 	}
-	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", g.total)
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", g.total) // a caller that left gets nothing
 }
 
 func (e *Engine) count(change func(*EngineCounts)) {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -11,13 +11,13 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	_ = json.NewEncoder(w).Encode(v) // a caller that left gets nothing
 }
 
 func writeError(w http.ResponseWriter, kind external.Kind, message string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(external.StatusOf(kind))
-	_ = json.NewEncoder(w).Encode(external.ErrorBody{Kind: kind.String(), Message: message})
+	_ = json.NewEncoder(w).Encode(external.ErrorBody{Kind: kind.String(), Message: message}) // as in writeJSON
 }
 
 // refuse answers that a request did not run.
@@ -25,7 +25,7 @@
 	w.Header().Set(external.HeaderOutcome, external.OutcomeNotRun)
 	w.Header().Set("Content-Type", "text/plain")
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, message)
+	_, _ = io.WriteString(w, message) // as in writeJSON
 }
 
 // readJSON decodes a call's body. It answers a bad one itself.
@@ -86,7 +86,7 @@
 
 // writeHalf sends half of an answer and closes the connection.
 func writeHalf(w http.ResponseWriter, v any) {
-	body, _ := json.Marshal(v)
+	body, _ := json.Marshal(v) // the types of the protocol
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body[:len(body)/2])
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -46,7 +46,7 @@
 	if creds.Client != nil {
 		conn = tls.Client(conn, clientConfig(creds.Client, addr))
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the proof
 	err = proveToken(conn, creds.Token, sideClient, sideServer)
 	if !stop() {
 		err = errors.Join(ctx.Err(), err)
@@ -125,7 +125,7 @@
 
 // Serve accepts sessions until ctx is done or Close is called.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // ends Accept
 	defer stop()
 	for {
 		conn, err := s.listener.Accept()
@@ -146,16 +146,16 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	if err := proveToken(conn, s.creds.Token, sideServer, sideClient); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // the peer reports the failure
 		return
 	}
 	mux, err := yamux.Server(conn, yamuxConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // the peer reports the failure
 		return
 	}
 	if !s.track(mux) {
-		_ = mux.Close()
+		_ = mux.Close() // the server has been closed
 		return
 	}
 	defer s.untrack(mux)
@@ -167,7 +167,7 @@
 func (s *Server) serveStreams(ctx context.Context, mux *yamux.Session) {
 	var streams sync.WaitGroup
 	defer streams.Wait()
-	defer func() { _ = mux.Close() }()
+	defer func() { _ = mux.Close() }() // it has ended already
 	for {
 		conn, err := mux.AcceptStream()
 		if err != nil {
@@ -208,7 +208,7 @@
 	s.mu.Unlock()
 	err := s.listener.Close()
 	for _, mux := range open {
-		_ = mux.Close()
+		_ = mux.Close() // the peers see the end either way
 	}
 	if errors.Is(err, net.ErrClosed) {
 		return nil
