--- a/internal/standin/engine_chat.go
+++ b/internal/standin/engine_chat.go
@@ -207,7 +207,7 @@
 		}
 		delta := map[string]any{"content": Token(g.model, g.adapter, g.prompt, i)}
 		event := g.describe("chat.completion.chunk", map[string]any{"index": 0, "delta": delta, "finish_reason": nil})
-		data, _ := json.Marshal(event) // maps of plain values
+		data, _ := json.Marshal(event)                         // maps of plain values
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data) // Flush reports a caller that left
 		if flush.Flush() != nil {
 			hangUp()
