tests: one source of free ports, below those of outgoing connections

The harness of internal/entry took a port that the kernel then gave to an outgoing connection. internal/daemon had the mended choice already; it moves to internal/testaddr and serves all harnesses. await now tells why a process ended. 30 repeats of both tests pass.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -8,13 +8,11 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +24,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
+	"github.com/ragwortdoor/ragwortdoor/internal/testaddr"
 )
 
 // binary and client are the programs that the tests start, built by TestMain.
@@ -210,10 +209,10 @@
 }
 
 func (d *deployment) addRouter(i int, fences bool) {
-	host := external.Host{ID: fmt.Sprintf("router-%d", i), Role: external.RoleRouter, Address: freeAddress(d.t), OperatorAddress: freeAddress(d.t), FailureDomain: "a"}
+	host := external.Host{ID: fmt.Sprintf("router-%d", i), Role: external.RoleRouter, Address: testaddr.Free(d.t), OperatorAddress: testaddr.Free(d.t), FailureDomain: "a"}
 	d.cluster.Hosts.Add(host)
 	cfg := &apiv1.RouterSettings{
-		Host: host.ID, FailureDomain: "a", Listen: freeAddress(d.t), OperatorListen: host.OperatorAddress, PeerListen: host.Address,
+		Host: host.ID, FailureDomain: "a", Listen: testaddr.Free(d.t), OperatorListen: host.OperatorAddress, PeerListen: host.Address,
 		Platform:           &apiv1.PlatformSettings{TableUrl: d.cluster.TableURL, ObjectUrl: d.cluster.ObjectURL, HostListUrl: d.cluster.HostListURL},
 		LeaseTtlMs:         testLeaseMs,
 		EnginesCheckFences: fences,
@@ -284,46 +283,6 @@
 	}
 }
 
-// Ports of the daemons lie below those that the system gives to outgoing
-// connections, which could take a port between its choice and its use.
-const (
-	firstPort = 20_000
-	portCount = 12_000
-)
-
-// portsUsed starts at a place of its own in each test process.
-var portsUsed atomic.Int64
-
-func init() { portsUsed.Store(int64(os.Getpid()) * 101) }
-
-// freeAddress returns an address of the loopback interface that nobody listens
-// on with TCP or UDP.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed.Add(1)%portCount)
-		if isFree(address) {
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
-func isFree(address string) bool {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = listener.Close() }()
-	conn, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 // answer is what a caller got.
 type answer struct {
 	status  int
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
+	"github.com/ragwortdoor/ragwortdoor/internal/testaddr"
 )
 
 // testDialect uses header names of its own.
@@ -211,16 +212,6 @@
 	done    chan error
 }
 
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 var testRoutes = []fleet.Route{
 	{Name: "once", Host: "h", Prefix: "/once/", Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "again", Host: "h", Prefix: "/again/", Repeat: fleet.RunAgain, Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
@@ -235,7 +226,7 @@
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
 	settings := Settings{
-		Host: "entry-1", FailureDomain: "a", CallerAddr: freeAddr(t), ReadyAddr: freeAddr(t), PeerAddr: freeAddr(t), MetricsAddr: freeAddr(t),
+		Host: "entry-1", FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
 		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
 	}
 	logger := decisionlog.New(log.ErrorLevel)
@@ -264,6 +255,12 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for !cond() {
 		if time.Now().After(deadline) {
+			select {
+			case err := <-b.done:
+				b.done <- nil
+				t.Fatalf("condition was not met; the process ended: %v", err)
+			default:
+			}
 			t.Fatal("condition was not met")
 		}
 		time.Sleep(5 * time.Millisecond)
