entry: a line for each sending, before it goes out and with what its answer told

Now 'sending' is written before the first byte, 'sent' tells connection, its use, the answer's status, whether it bears the request's id and how many answers to other requests were skipped; 'granted' names the router that asked; sends_total counts by result. No decision changes.

--- a/internal/cell/link_test.go
+++ b/internal/cell/link_test.go
@@ -16,7 +16,7 @@
 
 type quietLog struct{}
 
-func (quietLog) Granted(string, scheduler.Grant)                                              {}
+func (quietLog) Granted(string, string, scheduler.Grant)                                      {}
 func (quietLog) Refused(string, scheduler.Refusal)                                            {}
 func (quietLog) Ordered(string, scheduler.OrderCall, fleet.OrderResult, time.Duration, error) {}
 func (quietLog) Inspected(string, fleet.Inventory, error)                                     {}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -55,7 +55,7 @@
 
 // DecisionLog takes a line for each decision. Calls must not block.
 type DecisionLog interface {
-	Granted(service string, grant scheduler.Grant)
+	Granted(service, router string, grant scheduler.Grant)
 	Refused(service string, refusal scheduler.Refusal)
 	Ordered(service string, call scheduler.OrderCall, result fleet.OrderResult, took time.Duration, err error)
 	Inspected(upstreamID string, inventory fleet.Inventory, err error)
@@ -209,7 +209,7 @@
 
 func (s *Scheduler) carryOut(service string, actions scheduler.Actions) {
 	for _, grant := range actions.Grants {
-		s.opts.Log.Granted(service, grant)
+		s.opts.Log.Granted(service, s.routerOf(grant.Key), grant)
 		s.answer(grant.Key, &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Grant{Grant: &apiv1.PlacementGrant{
 			Number:     grant.Key & (1<<sessionShift - 1),
 			UpstreamId: grant.Upstream.ID,
@@ -234,6 +234,14 @@
 	}
 }
 
+// routerOf names the router that asked, empty once its link is gone.
+func (s *Scheduler) routerOf(key uint64) string {
+	if session := s.sessions[key>>sessionShift]; session != nil {
+		return session.router
+	}
+	return ""
+}
+
 func (s *Scheduler) answer(key uint64, reply *apiv1.SchedulerReply) {
 	if session := s.sessions[key>>sessionShift]; session != nil {
 		session.reply(reply)
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
@@ -65,6 +66,54 @@
 	l.out.Info("request", keyvals...)
 }
 
+// Result is what is known of a sending once the head of its answer was read.
+type Result string
+
+// Values of Result.
+const (
+	// ResultAnswered means that the upstream answered; what it did is in its answer.
+	ResultAnswered Result = "answered"
+	// ResultRefused means that the upstream said that the request did not run.
+	ResultRefused Result = "refused"
+	// ResultUnsent means that no byte of the request left.
+	ResultUnsent Result = "unsent"
+	// ResultUnknown means that the request may have run.
+	ResultUnknown Result = "unknown"
+)
+
+// Sending is what is logged of one sending of a request.
+type Sending struct {
+	ID string
+	// Number counts the sendings of the request.
+	Number     int
+	Upstream   string
+	Address    string
+	Repeatable bool
+	Result     Result
+	Status     int
+	Trace      exchange.Trace
+	Took       time.Duration
+	Err        error
+}
+
+// SendingBegins logs a sending before a byte of it goes out.
+func (l *Log) SendingBegins(s *Sending) {
+	l.out.Info("sending", "id", s.ID, "send", s.Number, "upstream", s.Upstream, "addr", s.Address, "repeatable", s.Repeatable)
+}
+
+// SendingEnded logs what became of a sending until the head of its answer.
+func (l *Log) SendingEnded(s *Sending) {
+	l.metrics.sending(s)
+	keyvals := []any{
+		"id", s.ID, "send", s.Number, "upstream", s.Upstream, "result", string(s.Result), "status", s.Status, "conn", s.Trace.Conn,
+		"use", s.Trace.Use, "skipped", s.Trace.Skipped, "identified", s.Trace.Identified, "took_ms", ms(s.Took),
+	}
+	if s.Err != nil {
+		keyvals = append(keyvals, "err", s.Err)
+	}
+	l.out.Info("sent", keyvals...)
+}
+
 // ConfigInForce implements fleet.Observer.
 func (l *Log) ConfigInForce(version int64) { l.out.Info("config in force", "version", version) }
 
@@ -115,8 +164,8 @@
 }
 
 // Granted implements cell.DecisionLog.
-func (l *Log) Granted(service string, g scheduler.Grant) {
-	l.out.Info("granted", "id", g.Ask.RequestID, "service", service, "model", g.Ask.Model, "adapter", g.Ask.Adapter,
+func (l *Log) Granted(service, router string, g scheduler.Grant) {
+	l.out.Info("granted", "id", g.Ask.RequestID, "router", router, "service", service, "model", g.Ask.Model, "adapter", g.Ask.Adapter,
 		"upstream", g.Upstream.ID, "waited_ms", ms(g.Waited), "waited_for", g.Reason, "expected_ms", ms(g.Expected),
 		"entry", g.Upstream.Sequence)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,12 +19,16 @@
 
 // Metrics are the counters and histograms of an entry process.
 type Metrics struct {
-	outcomes    *expvar.Map
-	sends       expvar.Int
-	orders      expvar.Int
-	inspections expvar.Int
-	listChanges expvar.Int
-	upstreams   expvar.Int
+	outcomes *expvar.Map
+	// results counts sendings by what is known of them.
+	results *expvar.Map
+	// skipped counts answers to other requests, unidentified those without an id.
+	skipped      expvar.Int
+	unidentified expvar.Int
+	orders       expvar.Int
+	inspections  expvar.Int
+	listChanges  expvar.Int
+	upstreams    expvar.Int
 
 	mu    sync.Mutex
 	times map[string]*hdrhistogram.Histogram // microseconds
@@ -32,12 +36,11 @@
 
 // NewMetrics makes empty metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), times: make(map[string]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), times: make(map[string]*hdrhistogram.Histogram)}
 }
 
 func (m *Metrics) request(r *Record, took time.Duration) {
 	m.outcomes.Add(string(r.Outcome), 1)
-	m.sends.Add(int64(r.Sends))
 	m.observe("request_seconds", took)
 	if r.Model == "" {
 		return
@@ -48,6 +51,14 @@
 	}
 }
 
+func (m *Metrics) sending(s *Sending) {
+	m.results.Add(string(s.Result), 1)
+	m.skipped.Add(int64(s.Trace.Skipped))
+	if s.Err == nil && !s.Trace.Identified {
+		m.unidentified.Add(1)
+	}
+}
+
 func (m *Metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -66,11 +77,15 @@
 	m.outcomes.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(w, "requests_total{outcome=%q} %s\n", kv.Key, kv.Value)
 	})
+	m.results.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "sends_total{result=%q} %s\n", kv.Key, kv.Value)
+	})
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
 	}{
-		{"sends_total", &m.sends},
+		{"skipped_answers_total", &m.skipped},
+		{"unidentified_answers_total", &m.unidentified},
 		{"orders_total", &m.orders},
 		{"reports_total", &m.inspections},
 		{"upstream_changes_total", &m.listChanges},
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -171,21 +171,15 @@
 	report := func(outcome apiv1.PlacementOutcome) { j.front.scheduler.Report(place.Number, outcome) }
 	release := j.front.balancer.begin(place.UpstreamID)
 	defer release()
-	j.sends++
-	if !slices.Contains(j.tried, place.UpstreamID) {
-		j.tried = append(j.tried, place.UpstreamID)
-	}
-	j.record.Upstream = place.UpstreamID
-	j.record.Sends = j.sends
+	j.noteSending(place.UpstreamID)
 	ctx, cancel := context.WithCancel(j.ctx)
 	defer cancel()
 	sentAt := time.Now()
-	resp, err := j.front.pool.Send(ctx, place.Address, j.request(place.UpstreamID, j.rank.Priority))
+	resp, answer, err := j.send(ctx, place.UpstreamID, place.Address, j.rank.Priority)
 	if err != nil {
 		return j.sendFailed(err, report)
 	}
 	defer resp.Close()
-	answer := j.front.dialect.ReadAnswer(resp.Status, resp.Header)
 	switch {
 	case answer.NotRun:
 		drain(resp)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -51,19 +51,15 @@
 func (j *job) sendPlain(up *fleet.Upstream) bool {
 	done := j.front.balancer.begin(up.ID)
 	defer done()
-	j.tried = append(j.tried, up.ID)
-	j.sends++
-	j.record.Upstream = up.ID
-	j.record.Sends = j.sends
+	j.noteSending(up.ID)
 	ctx, cancel := j.attemptContext()
 	defer cancel()
 	began := time.Now()
-	resp, err := j.front.pool.Send(ctx, up.Addr, j.request(up.ID, -1))
+	resp, answer, err := j.send(ctx, up.ID, up.Addr, noPriority)
 	if err != nil {
 		return j.plainFailed(up, err)
 	}
 	defer resp.Close()
-	answer := j.front.dialect.ReadAnswer(resp.Status, resp.Header)
 	j.front.balancer.learnLoad(up.ID, answer.Load)
 	switch {
 	case answer.NotRun:
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -16,6 +16,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// number names the connection within its pool, uses counts its exchanges.
+	number, uses uint64
 	// written counts the bytes that the kernel took.
 	written atomic.Int64
 	// idleSince and idleLimit belong to the pool while the connection is idle.
@@ -23,8 +25,8 @@
 	idleLimit time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdleLimit}
+func newConn(c net.Conn, number uint64) *conn {
+	return &conn{Conn: c, number: number, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdleLimit}
 }
 
 // Write implements io.Writer.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,7 @@
 	Length int64
 	// Delimited is false when only the end of the connection ends the body.
 	Delimited bool
+	Trace     Trace
 
 	body io.ReadCloser
 	done func(reusable bool)
@@ -64,9 +65,21 @@
 	Sent bool
 	// Garbled is set when the upstream answered with bytes that are no answer.
 	Garbled bool
+	Trace   Trace
 	Err     error
 }
 
+// Trace tells how an exchange went, for logs.
+type Trace struct {
+	// Conn numbers the connection within the pool, 0 without one. Use is how many
+	// exchanges it has carried, this one included.
+	Conn, Use uint64
+	// Skipped is the number of answers to other requests that were read first.
+	Skipped int
+	// Identified is set when the answer bears the request's id.
+	Identified bool
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Sent {
@@ -90,6 +103,8 @@
 		return nil, &Error{Err: err}
 	}
 	before := c.written.Load()
+	c.uses++
+	trace := Trace{Conn: c.number, Use: c.uses}
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() }) // unblocks reads and writes
 	fail := func(err error, garbled bool) (*Response, error) {
 		stop()
@@ -97,12 +112,12 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: c.written.Load() > before, Garbled: garbled, Err: err}
+		return nil, &Error{Sent: c.written.Load() > before, Garbled: garbled, Trace: trace, Err: err}
 	}
 	if err := writeRequest(c, req); err != nil {
 		return fail(err, false)
 	}
-	resp, err := p.readHead(c, req)
+	resp, err := p.readHead(c, req, &trace)
 	if err != nil {
 		return fail(err, c.reader.Buffered() > 0)
 	}
@@ -112,6 +127,7 @@
 		Header:    resp.Header,
 		Length:    resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Trace:     trace,
 		body:      resp.Body,
 	}
 	out.done = func(reusable bool) {
@@ -149,8 +165,8 @@
 
 // readHead returns the answer that carries the request's id. Late answers to
 // earlier requests on the connection are skipped.
-func (p *Pool) readHead(c *conn, req *Request) (*http.Response, error) {
-	for strays := 0; strays <= maxStrayAnswers; {
+func (p *Pool) readHead(c *conn, req *Request, trace *Trace) (*http.Response, error) {
+	for trace.Skipped <= maxStrayAnswers {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
@@ -159,12 +175,13 @@
 			continue // informational
 		}
 		if p.opts.IDHeader == "" || resp.Header.Get(p.opts.IDHeader) == req.ID {
+			trace.Identified = true
 			return resp, nil
 		}
 		if resp.Header.Get(p.opts.IDHeader) == "" {
 			return resp, nil // not every answer repeats the id
 		}
-		strays++
+		trace.Skipped++
 		if err := skip(resp); err != nil {
 			return nil, err
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -203,7 +203,7 @@
 	go func() { defer close(done); io.Copy(&b, server) }()
 	req := request("r1")
 	req.URI = "/a%2Fb//c?x=%20"
-	is.NoErr(writeRequest(newConn(client), req))
+	is.NoErr(writeRequest(newConn(client, 1), req))
 	client.Close()
 	<-done
 	is.Equal(b.String(), "POST /a%2Fb//c?x=%20 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody")
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -76,8 +76,7 @@
 		p.stats.failures.Add(1)
 		return nil, err
 	}
-	p.stats.dials.Add(1)
-	return newConn(c), nil
+	return newConn(c, p.stats.dials.Add(1)), nil
 }
 
 func (p *Pool) put(addr string, c *conn) {
