--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -183,7 +183,7 @@
 		service, models := "plain", []fleet.HeldModel(nil)
 		if strings.HasPrefix(u.id, "engine") {
 			service = "llm"
-			models = []fleet.HeldModel{{Name: "m", Version: 1}}
+			models = []fleet.HeldModel{heldModel}
 		}
 		update.Entries = append(update.Entries, fleet.Entry{ID: u.id, Upstream: &fleet.Upstream{
 			ID: u.id, Service: service, Addr: u.addr, FailureDomain: "a", Slots: 8, Sequence: s.version, StartedMs: 1, Models: models, Draining: s.draining[u.id],
@@ -192,7 +192,10 @@
 	return update, nil
 }
 
-// engines holds exactly model m and takes no orders.
+// heldModel is what every engine holds.
+var heldModel = fleet.HeldModel{Name: "m", Version: 1, Adapters: []string{"a"}}
+
+// engines holds exactly model m with adapter a and takes no orders.
 type engines struct{}
 
 func (engines) Order(context.Context, *fleet.Upstream, fleet.Order) (fleet.OrderResult, error) {
@@ -200,7 +203,7 @@
 }
 
 func (engines) Inspect(context.Context, *fleet.Upstream) (fleet.Inventory, error) {
-	return fleet.Inventory{StartedMs: 1, Models: []fleet.HeldModel{{Name: "m", Version: 1}}}, nil
+	return fleet.Inventory{StartedMs: 1, Models: []fleet.HeldModel{heldModel}}, nil
 }
 
 type bed struct {
@@ -217,13 +220,14 @@
 	{Name: "again", Host: "h", Prefix: "/again/", Repeat: fleet.RunAgain, Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Attempts: 1, Timeout: 300 * time.Millisecond, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Stream: true, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
+	{Name: "single", Host: "h", Prefix: "/single/", Stream: true, Attempts: 1, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "impatient", Host: "h", Prefix: "/impatient/", Stream: true, Attempts: 2, Objective: time.Second, Silence: 400 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "resume", Host: "h", Prefix: "/resume/", Stream: true, Resumable: true, Repeat: fleet.RunAgain, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 }
 
 func start(t testing.TB, upstreams ...*upstream) *bed {
 	t.Helper()
-	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
+	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
 	settings := Settings{
 		Host: "entry-1", FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
@@ -274,6 +278,7 @@
 	err    error // set when the body was cut
 }
 
+// send sends a request for a model, or for one of its adapters as MODEL/ADAPTER.
 func (b *bed) send(t testing.TB, path, model string, patience time.Duration) reply {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader("the body"))
@@ -283,8 +288,9 @@
 	req.Host = "h"
 	req.Header.Set("Id", "r-1")
 	req.Header.Set("Patience", strconv.FormatInt(patience.Milliseconds(), 10))
-	if model != "" {
+	if model, adapter, _ := strings.Cut(model, "/"); model != "" {
 		req.Header.Set("Model", model)
+		req.Header.Set("Adapter", adapter)
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
--- /dev/null
+++ b/internal/exchange/late_test.go
@@ -0,0 +1,105 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/faultyserver"
+)
+
+// startRepeater runs an upstream that answers its n-th request with the n-th answer,
+// and sends each answer once more where the next one on its connection is expected.
+func startRepeater(t *testing.T, answers ...faultyserver.Answer) (addr string, requests *atomic.Int64) {
+	requests = &atomic.Int64{}
+	server := faultyserver.Start(t, func(r *http.Request) faultyserver.Answer {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Error(err)
+		}
+		answer := answers[min(int(requests.Add(1)), len(answers))-1]
+		if answer.Header != nil {
+			answer.Header = answer.Header.Clone()
+			answer.Header.Set("Id", r.Header.Get("Id"))
+		}
+		// The copy and the answer come in pieces.
+		answer.Faults = faultyserver.Faults{Again: faultyserver.Late, Segment: 20, SegmentPause: time.Millisecond}
+		return answer
+	})
+	return server.Addr, requests
+}
+
+var (
+	refusal  = faultyserver.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Run": {"1"}}}
+	served   = faultyserver.Answer{Status: http.StatusOK, Header: http.Header{}}
+	accepted = faultyserver.Answer{Status: http.StatusAccepted, Header: http.Header{}}
+	conflict = faultyserver.Answer{Status: http.StatusConflict, Header: http.Header{}}
+	// misdirected bears no id.
+	misdirected = faultyserver.Answer{Status: http.StatusMisdirectedRequest}
+)
+
+func status(p *Pool, addr, id string) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Send(ctx, addr, request(id))
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Close()
+	_, err = io.Copy(io.Discard, resp)
+	return resp.Status, err
+}
+
+// Guards against a request that runs while its caller is told that it did not, and
+// against a second run: the refusal of the first sending, sent once more, was taken
+// for the answer to the second.
+func TestRepeatedRefusalIsNotTheAnswerToTheNextSending(t *testing.T) {
+	is := is.New(t)
+	addr, requests := startRepeater(t, refusal, served)
+	p := NewPool(Options{IDHeader: "Id"})
+	got, err := status(p, addr, "r1")
+	is.NoErr(err)
+	is.Equal(got, http.StatusServiceUnavailable)
+	got, err = status(p, addr, "r1") // sent once more
+	is.NoErr(err)
+	is.Equal(got, http.StatusOK) // the run's own answer
+	is.Equal(requests.Load(), int64(2))
+}
+
+// Guards against a refusal by an answer that can't be told to be the request's: a
+// late copy of the answer to a call without an id.
+func TestAnswerWithoutAnIDProvesNothing(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startRepeater(t, misdirected, served)
+	p := NewPool(Options{IDHeader: "Id"})
+	c, err := p.dial(context.Background(), addr)
+	is.NoErr(err)
+	// An exchange before, whose answer bore no id either.
+	_, err = io.WriteString(c, "GET /report HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	p.put(addr, c)
+	got, err := status(p, addr, "r1")
+	is.True(err != nil || got == http.StatusOK) // unknown, or the run's own answer
+}
+
+// Guards against an order that is believed accepted though it was not: the answer
+// to the order before, sent once more.
+func TestRepeatedAnswerIsNotTheAnswerToTheNextOrder(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startRepeater(t, accepted, conflict)
+	p := NewPool(Options{IDHeader: "Id"})
+	for _, want := range []int{http.StatusAccepted, http.StatusConflict} {
+		order, err := NewJSON("/order", http.Header{}, struct{}{})
+		is.NoErr(err)
+		got, _, err := p.Fetch(context.Background(), addr, order)
+		is.NoErr(err)
+		is.Equal(got, want)
+	}
+}
--- /dev/null
+++ b/internal/faultyserver/faultyserver.go
@@ -0,0 +1,268 @@
+// Package faultyserver is an HTTP/1.1 server for tests. It does on the wire what
+// faulty upstreams do: answers in late pieces, answers sent twice, cut, spoiled,
+// without a length or before the request is in.
+package faultyserver
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Again is when an answer is sent a second time.
+type Again int
+
+// Values of Again.
+const (
+	Never Again = iota
+	// AtOnce sends the copy right behind the answer.
+	AtOnce
+	// Late sends it where the next answer on the connection is expected.
+	Late
+)
+
+// Faults are what goes wrong with one answer.
+type Faults struct {
+	Again Again
+	// Segment splits what is sent into so many bytes each, 0 does not. The server
+	// pauses for SegmentPause before each but the first.
+	Segment      int
+	SegmentPause time.Duration
+	// Before and After are bytes that belong to no request, around the answer.
+	Before, After string
+	// Cut ends the connection after so many bytes, 0 does not; Lost sends nothing.
+	Cut  int
+	Lost bool
+	// Reset ends the connection with a reset where Cut or Lost end it; Silent keeps
+	// it open there and sends nothing more.
+	Reset  bool
+	Silent bool
+	// Unframed names no length: the end of the connection ends the body.
+	Unframed bool
+	// Close announces and makes the end of the connection.
+	Close bool
+}
+
+// Answer is what a request gets.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Parts make the body. The server pauses for Pause after each; more than one
+	// part is sent in chunks.
+	Parts  []string
+	Pause  time.Duration
+	Faults Faults
+}
+
+// Handler answers a request. One that does not read the body has its answer sent
+// before the body is in; the body is read and dropped afterwards.
+type Handler func(r *http.Request) Answer
+
+// Server is a running server.
+type Server struct {
+	// Addr is where it listens, "IP:PORT".
+	Addr    string
+	handler Handler
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// Start runs a server until the test ends.
+func Start(t testing.TB, handler Handler) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Addr: l.Addr().String(), handler: handler, conns: make(map[net.Conn]bool)}
+	t.Cleanup(func() {
+		_ = l.Close() // ends accept
+		s.ResetConnections()
+	})
+	go s.accept(l)
+	return s
+}
+
+// ResetConnections ends all connections with a reset.
+func (s *Server) ResetConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		reset(c)
+	}
+	clear(s.conns)
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the end is an orderly one
+	}
+	_ = c.Close() // nothing is expected on it
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close() // it has ended
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	var held []byte // a second copy of an answer
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer := s.handler(req)
+		out := &wire{conn: c, faults: answer.Faults}
+		if out.plain(held) != nil || out.send(answer) != nil {
+			return
+		}
+		held = nil
+		if answer.Faults.Again == Late {
+			held = out.sent
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+	}
+}
+
+// errEnds means that the connection ends where its faults say so.
+var errEnds = fmt.Errorf("the connection ends here")
+
+// wire sends one answer with its faults.
+type wire struct {
+	conn   net.Conn
+	faults Faults
+	sent   []byte
+}
+
+// plain sends bytes as they are, apart from the segments.
+func (w *wire) plain(b []byte) error {
+	for len(b) > 0 {
+		n := len(b)
+		if w.faults.Segment > 0 {
+			n = min(n, w.faults.Segment)
+		}
+		if _, err := w.conn.Write(b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
+		if len(b) > 0 {
+			time.Sleep(w.faults.SegmentPause)
+		}
+	}
+	return nil
+}
+
+// part sends a part of the answer, up to where it is cut.
+func (w *wire) part(b []byte) error {
+	ends := w.faults.Cut > 0 && len(w.sent)+len(b) >= w.faults.Cut
+	if ends {
+		b = b[:w.faults.Cut-len(w.sent)]
+	}
+	w.sent = append(w.sent, b...)
+	if err := w.plain(b); err != nil {
+		return err
+	}
+	if ends {
+		return w.end()
+	}
+	return nil
+}
+
+func (w *wire) end() error {
+	if w.faults.Reset {
+		reset(w.conn)
+	}
+	if w.faults.Silent {
+		_, _ = io.Copy(io.Discard, w.conn) // until the other side gives up
+	}
+	return errEnds
+}
+
+func (w *wire) send(a Answer) error {
+	if w.faults.Lost {
+		return w.end()
+	}
+	if err := w.plain([]byte(w.faults.Before)); err != nil {
+		return err
+	}
+	if err := w.part(w.head(a)); err != nil {
+		return err
+	}
+	for _, p := range a.Parts {
+		if err := w.part(w.frame(a, p)); err != nil {
+			return err
+		}
+		time.Sleep(a.Pause)
+	}
+	if w.isChunked(a) {
+		if err := w.part([]byte("0\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	if w.faults.Unframed || w.faults.Close {
+		return errEnds
+	}
+	rest := w.faults.After
+	if w.faults.Again == AtOnce {
+		rest += string(w.sent)
+	}
+	return w.plain([]byte(rest))
+}
+
+func (w *wire) isChunked(a Answer) bool { return len(a.Parts) > 1 && !w.faults.Unframed }
+
+func (w *wire) head(a Answer) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
+	header := a.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	switch {
+	case w.faults.Unframed:
+	case w.isChunked(a):
+		header.Set("Transfer-Encoding", "chunked")
+	default:
+		header.Set("Content-Length", strconv.Itoa(len(strings.Join(a.Parts, ""))))
+	}
+	if w.faults.Close {
+		header.Set("Connection", "close")
+	}
+	_ = header.Write(&b) // a buffer takes everything
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func (w *wire) frame(a Answer, part string) []byte {
+	if !w.isChunked(a) {
+		return []byte(part)
+	}
+	return fmt.Appendf(nil, "%x\r\n%s\r\n", len(part), part)
+}
