exchange: an answer counts only for the sending that it must belong to

Cause: answers were matched to requests by id, and the id is the request's, not the sending's. A request for an adapter that an engine refuses is sent to it again, with the same id, on the connection used last, the one of the first sending. A faulty server may send an answer once more, late, in front of the next: a copy of the first refusal then refused the second sending, which ran. The router sent it a third time (TWICE) or refused it (REFUSED). Of the same kind: an answer without an id was taken for anybody's, and orders, reports and requests shared connections; the answer to an order was whatever came next.

Now a connection carries an id once, and an answer has to bear the request's id. Calls of the router's own get ids; where the answer lacks it, the connection carries only reads of state afterwards, whose answers tell the count of orders and the start. Ruled out: a pause before the next sending, since a copy may come at any time.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 )
 
 const (
@@ -54,7 +57,7 @@
 func (m *Metrics) sending(s *Sending) {
 	m.results.Add(string(s.Result), 1)
 	m.skipped.Add(int64(s.Trace.Skipped))
-	if s.Err == nil && !s.Trace.Identified {
+	if errors.Is(s.Err, exchange.ErrUnidentified) {
 		m.unidentified.Add(1)
 	}
 }
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -12,12 +12,22 @@
 	"time"
 )
 
-// conn is one connection to an upstream. It carries one exchange at a time.
+// maxUses bounds the exchanges of a connection, and so the ids that it remembers.
+const maxUses = 256
+
+// conn is one connection to an upstream. It carries one exchange at a time, and no
+// request twice: an upstream may send an answer once more in front of a later one,
+// and the id that tells them apart is that of the request, not of its sending.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// number names the connection within its pool, uses counts its exchanges.
-	number, uses uint64
+	// number names the connection within its pool.
+	number uint64
+	// carried holds the ids of the requests that were sent on the connection.
+	carried map[string]struct{}
+	// unnamed is set once an answer on it bore no id. A copy of that could come in
+	// front of any later answer, so only reads of state follow on the connection.
+	unnamed bool
 	// written counts the bytes that the kernel took.
 	written atomic.Int64
 	// idleSince and idleLimit belong to the pool while the connection is idle.
@@ -26,7 +36,16 @@
 }
 
 func newConn(c net.Conn, number uint64) *conn {
-	return &conn{Conn: c, number: number, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdleLimit}
+	return &conn{Conn: c, number: number, carried: make(map[string]struct{}), reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: defaultIdleLimit}
+}
+
+// uses is the number of exchanges so far.
+func (c *conn) uses() int { return len(c.carried) }
+
+// mayCarry reports whether no copy of an earlier answer can be taken for that to req.
+func (c *conn) mayCarry(req *Request) bool {
+	_, before := c.carried[req.ID]
+	return !before && (!c.unnamed || req.purpose == forState)
 }
 
 // Write implements io.Writer.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -37,12 +37,27 @@
 	ID     string
 	Method string
 	// URI is the request target, unchanged from the caller.
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
+	URI     string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	purpose purpose
 }
 
+// purpose is what a request is for; it decides which connections may carry it and
+// whether its answer may lack the id.
+type purpose int
+
+const (
+	// forCaller requests have an answer that bears their id.
+	forCaller purpose = iota
+	// forChange requests are the router's own. Their answers may lack the id.
+	forChange
+	// forState requests are the router's own, too, and only read. Their answers may
+	// lack the id and tell by themselves how old they are.
+	forState
+)
+
 // Response is the head of an answer with its body to be read. Close must be
 // called; a body that was not read to its end costs the connection.
 type Response struct {
@@ -72,12 +87,11 @@
 // Trace tells how an exchange went, for logs.
 type Trace struct {
 	// Conn numbers the connection within the pool, 0 without one. Use is how many
-	// exchanges it has carried, this one included.
-	Conn, Use uint64
+	// requests it has carried, this one included.
+	Conn uint64
+	Use  int
 	// Skipped is the number of answers to other requests that were read first.
 	Skipped int
-	// Identified is set when the answer bears the request's id.
-	Identified bool
 }
 
 // Error implements error.
@@ -94,17 +108,21 @@
 // ErrStray means that an upstream answered other requests than the one asked.
 var ErrStray = errors.New("answer belongs to another request")
 
-// Send sends a request to addr, "IP:PORT", and reads the head of its answer.
+// ErrUnidentified means that an answer does not tell which request it belongs to.
+var ErrUnidentified = errors.New("answer bears no request's id")
+
+// Send sends a request to addr, "IP:PORT", and reads the head of its answer, which
+// has to bear the request's id.
 // Errors are of type *Error. Ending ctx closes the connection, also while the
 // body is read.
 func (p *Pool) Send(ctx context.Context, addr string, req *Request) (*Response, error) {
-	c, err := p.take(ctx, addr)
+	c, err := p.take(ctx, addr, req)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
 	before := c.written.Load()
-	c.uses++
-	trace := Trace{Conn: c.number, Use: c.uses}
+	c.carried[req.ID] = struct{}{}
+	trace := Trace{Conn: c.number, Use: c.uses()}
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() }) // unblocks reads and writes
 	fail := func(err error, garbled bool) (*Response, error) {
 		stop()
@@ -174,12 +192,15 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // informational
 		}
-		if p.opts.IDHeader == "" || resp.Header.Get(p.opts.IDHeader) == req.ID {
-			trace.Identified = true
+		switch resp.Header.Get(p.opts.IDHeader) {
+		case req.ID:
+			return resp, nil
+		case "":
+			if req.purpose == forCaller {
+				return nil, ErrUnidentified
+			}
+			c.unnamed = true
 			return resp, nil
-		}
-		if resp.Header.Get(p.opts.IDHeader) == "" {
-			return resp, nil // not every answer repeats the id
 		}
 		trace.Skipped++
 		if err := skip(resp); err != nil {
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,9 +22,18 @@
 	return &Request{Method: http.MethodPost, URI: path, Header: header, Body: encoded}, nil
 }
 
-// Fetch sends a request without an id and reads the whole answer.
+// Fetch sends a request of the router's own that changes something, and reads the
+// whole answer.
 func (p *Pool) Fetch(ctx context.Context, addr string, req *Request) (status int, body []byte, err error) {
+	return p.fetch(ctx, addr, req, forChange)
+}
+
+// fetch sends a request under a new id.
+func (p *Pool) fetch(ctx context.Context, addr string, req *Request, purpose purpose) (status int, body []byte, err error) {
 	req.Host = addr
+	req.ID = rand.Text()
+	req.Header.Set(p.opts.IDHeader, req.ID)
+	req.purpose = purpose
 	resp, err := p.Send(ctx, addr, req)
 	if err != nil {
 		return 0, nil, err
@@ -36,9 +46,10 @@
 	return resp.Status, body, nil
 }
 
-// FetchJSON is Fetch for an answer with status 200 and a JSON body.
+// FetchJSON sends a request of the router's own that reads a state which tells its
+// own age. The answer has status 200 and a JSON body.
 func (p *Pool) FetchJSON(ctx context.Context, addr string, req *Request, into any) error {
-	status, body, err := p.Fetch(ctx, addr, req)
+	status, body, err := p.fetch(ctx, addr, req, forState)
 	if err != nil {
 		return err
 	}
--- a/internal/exchange/late_test.go
+++ b/internal/exchange/late_test.go
@@ -34,10 +34,8 @@
 }
 
 var (
-	refusal  = faultyserver.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Run": {"1"}}}
-	served   = faultyserver.Answer{Status: http.StatusOK, Header: http.Header{}}
-	accepted = faultyserver.Answer{Status: http.StatusAccepted, Header: http.Header{}}
-	conflict = faultyserver.Answer{Status: http.StatusConflict, Header: http.Header{}}
+	refusal = faultyserver.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Not-Run": {"1"}}}
+	served  = faultyserver.Answer{Status: http.StatusOK, Header: http.Header{}}
 	// misdirected bears no id.
 	misdirected = faultyserver.Answer{Status: http.StatusMisdirectedRequest}
 )
@@ -92,14 +90,37 @@
 // Guards against an order that is believed accepted though it was not: the answer
 // to the order before, sent once more.
 func TestRepeatedAnswerIsNotTheAnswerToTheNextOrder(t *testing.T) {
+	for name, header := range map[string]http.Header{"with the order's id": {}, "without an id": nil} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answers := []faultyserver.Answer{{Status: http.StatusAccepted, Header: header}, {Status: http.StatusConflict, Header: header}}
+			addr, _ := startRepeater(t, answers...)
+			p := NewPool(Options{IDHeader: "Id"})
+			for _, want := range answers {
+				order, err := NewJSON("/order", http.Header{}, struct{}{})
+				is.NoErr(err)
+				got, _, err := p.Fetch(context.Background(), addr, order)
+				is.NoErr(err)
+				is.Equal(got, want.Status)
+			}
+		})
+	}
+}
+
+// Reads of state share a connection, whatever it carried, and take none that
+// requests of callers can use.
+func TestReadsKeepToOneConnection(t *testing.T) {
 	is := is.New(t)
-	addr, _ := startRepeater(t, accepted, conflict)
+	u := serve(t, okA, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 	p := NewPool(Options{IDHeader: "Id"})
-	for _, want := range []int{http.StatusAccepted, http.StatusConflict} {
-		order, err := NewJSON("/order", http.Header{}, struct{}{})
-		is.NoErr(err)
-		got, _, err := p.Fetch(context.Background(), addr, order)
-		is.NoErr(err)
-		is.Equal(got, want)
+	_, err := get(p, u.addr, "r1")
+	is.NoErr(err)
+	for range 2 {
+		var state struct{}
+		is.NoErr(p.FetchJSON(context.Background(), u.addr, &Request{Method: http.MethodGet, URI: "/report", Header: http.Header{}}, &state))
 	}
+	is.Equal(u.conns.Load(), int64(1))
+	_, err = get(p, u.addr, "r2")
+	is.NoErr(err)
+	is.Equal(u.conns.Load(), int64(2))
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,8 +11,7 @@
 
 // Options configure a Pool.
 type Options struct {
-	// IDHeader is the header in which upstreams repeat a request's id; empty
-	// switches the check off.
+	// IDHeader is the header in which upstreams repeat a request's id.
 	IDHeader string
 }
 
@@ -40,10 +40,11 @@
 	return Stats{Dials: p.stats.dials.Load(), Reuses: p.stats.reuses.Load(), DialFailures: p.stats.failures.Load()}
 }
 
-// take returns the idle connection that was used last, or a new one.
-func (p *Pool) take(ctx context.Context, addr string) (*conn, error) {
+// take returns the idle connection that was used last and may carry req, or a new
+// one.
+func (p *Pool) take(ctx context.Context, addr string, req *Request) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, req)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -55,15 +56,22 @@
 	}
 }
 
-func (p *Pool) pop(addr string) *conn {
+func (p *Pool) pop(addr string, req *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	found := -1
+	for i, c := range list {
+		// Reads leave connections that others can use alone.
+		if c.mayCarry(req) && (found < 0 || !list[found].unnamed) {
+			found = i
+		}
+	}
+	if found < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
+	c := list[found]
+	p.idle[addr] = slices.Delete(list, found, found+1)
 	return c
 }
 
@@ -79,10 +87,17 @@
 	return newConn(c, p.stats.dials.Add(1)), nil
 }
 
+// put keeps a connection for later exchanges, unless it has carried enough. One
+// for reads of state is enough for an address.
 func (p *Pool) put(addr string, c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	hasUnnamed := slices.ContainsFunc(p.idle[addr], func(other *conn) bool { return other.unnamed })
+	if c.uses() >= maxUses || c.unnamed && hasUnnamed {
+		_ = c.Conn.Close() // nothing is expected on it
+		return
+	}
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -52,7 +52,7 @@
 // Faults don't apply to /admin.
 func adminMux(faults *FaultBox, counts func() any, protocol http.Handler) *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.Handle("/", faults.wrap(protocol))
+	mux.Handle("/", echoID(faults.wrap(protocol)))
 	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, faults.Get())
 	})
@@ -84,6 +84,16 @@
 	})
 }
 
+// echoID repeats a request's id in its answer, whatever that is.
+func echoID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(external.HeaderRequestID); id != "" {
+			w.Header().Set(external.HeaderRequestID, id)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // writeHalf sends half of an answer and closes the connection.
 func writeHalf(w http.ResponseWriter, v any) {
 	body, _ := json.Marshal(v) // the types of the protocol
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -142,7 +142,6 @@
 	if cut {
 		writeHalf(w, answer)
 	}
-	w.Header().Set(external.HeaderRequestID, answer.RequestID)
 	writeJSON(w, answer)
 }
 
