entry: each sending notes itself whether it may have run; refusals ask that note

Callers of calls and streams that may be repeated were told 'not run' after a run: an upstream's own 500 was tried elsewhere, the next upstream refused, and the router refused with 503. Each path to a refusal kept its own notes, and these two forgot.

Now the one function that sends sets may_have_run unless the result proves that the request did not run (no byte left, or the upstream's refusal), refuse() turns into a failure where it is set, and one function decides about a further sending for plain services and engines alike.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -250,8 +250,13 @@
 	j.servePlain()
 }
 
-// refuse answers that the request did not run, and when to come back.
+// refuse answers that the request did not run, and when to come back. One that may
+// have run fails instead.
 func (j *job) refuse(retryAfter time.Duration, reason string) {
+	if j.record.MayHaveRun {
+		j.fail(reason)
+		return
+	}
 	j.record.Outcome = OutcomeRefused
 	j.record.Reason = reason
 	retryAfter = max(retryAfter, minPause)
@@ -273,11 +278,11 @@
 	}
 	if !time.Now().Before(j.giveUp) {
 		j.record.Outcome = OutcomeTimeout
-		j.answer(Verdict{Status: http.StatusGatewayTimeout, Kind: "deadline", Text: reason, MayHaveRun: j.record.Unknown})
+		j.answer(Verdict{Status: http.StatusGatewayTimeout, Kind: "deadline", Text: reason, MayHaveRun: j.record.MayHaveRun})
 		return
 	}
 	j.record.Outcome = OutcomeFailed
-	j.answer(Verdict{Status: http.StatusBadGateway, Kind: "upstream_failed", Text: reason, MayHaveRun: j.record.Unknown})
+	j.answer(Verdict{Status: http.StatusBadGateway, Kind: "upstream_failed", Text: reason, MayHaveRun: j.record.MayHaveRun})
 }
 
 func (j *job) callerLeft() bool { return j.r.Context().Err() != nil }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -28,8 +28,8 @@
 	WaitedFor string
 	// Alone is set when the router chose without the scheduler.
 	Alone bool
-	// Unknown is set when a sending may have run without an answer.
-	Unknown bool
+	// MayHaveRun is set by a sending that is not proved not to have run. It stays.
+	MayHaveRun bool
 	// FirstByte is counted from the arrival, FirstEvent from the sending.
 	FirstByte  time.Duration
 	FirstEvent time.Duration
@@ -61,7 +61,7 @@
 			"first_byte_ms", ms(r.FirstByte), "first_event_ms", ms(r.FirstEvent), "events", r.Events, "max_gap_ms", ms(r.MaxGap), "alone", r.Alone)
 	}
 	if r.Reason != "" {
-		keyvals = append(keyvals, "reason", r.Reason, "retry_after_ms", ms(r.RetryAfter), "may_have_run", r.Unknown)
+		keyvals = append(keyvals, "reason", r.Reason, "retry_after_ms", ms(r.RetryAfter), "may_have_run", r.MayHaveRun)
 	}
 	l.out.Info("request", keyvals...)
 }
@@ -81,6 +81,9 @@
 	ResultUnknown Result = "unknown"
 )
 
+// provesNotRun reports whether the sending did not run and never will.
+func (r Result) provesNotRun() bool { return r == ResultUnsent || r == ResultRefused }
+
 // Sending is what is logged of one sending of a request.
 type Sending struct {
 	ID string
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -39,29 +40,19 @@
 			return
 		}
 	}
-	j.giveUpModel()
-}
-
-func (j *job) giveUpModel() {
-	if j.begun || j.record.Unknown {
-		j.fail("no upstream answered")
-		return
-	}
 	j.refuse(againPause, "upstreams refused the request")
 }
 
 func (j *job) failPlacement(err error) {
 	var refused *cell.RefusedError
-	if errors.As(err, &refused) && !j.begun && !j.record.Unknown {
+	switch {
+	case errors.As(err, &refused):
 		j.refuse(refused.RetryAfter, refused.Reason)
-		return
-	}
-	if j.begun || j.record.Unknown || j.callerLeft() {
+	case j.callerLeft():
 		j.fail("no place: " + err.Error())
-		return
+	default:
+		j.refuse(againPause, "no place: "+err.Error())
 	}
-	// Nothing was sent.
-	j.refuse(againPause, "no place: "+err.Error())
 }
 
 // place asks the scheduler, or chooses alone while there is none.
@@ -192,45 +183,18 @@
 		return j.relayFailure(resp, report)
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
-	return j.retryOrFail("the upstream's answer is not valid")
+	return j.again("the upstream's answer is not valid")
 }
 
 func (j *job) sendFailed(err error, report func(apiv1.PlacementOutcome)) bool {
 	if j.ctx.Err() != nil {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
-		j.record.Unknown = true
 		j.fail("no answer in time: " + err.Error())
 		return true
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
 	j.front.balancer.failed(j.record.Upstream)
-	var failure *exchange.Error
-	if errors.As(err, &failure) && !failure.Sent {
-		return j.again("upstream not reached")
-	}
-	return j.retryOrFail(err.Error())
-}
-
-// again follows a sending that did not run: the request is placed once more if
-// its route allows it, else the caller is told when to come back.
-func (j *job) again(reason string) bool {
-	j.record.Reason = reason
-	if len(j.tried) < j.route.Attempts && j.front.budget.Retry() {
-		return false
-	}
-	j.giveUpModel()
-	return true
-}
-
-// retryOrFail follows a sending of unknown outcome.
-func (j *job) retryOrFail(reason string) bool {
-	j.record.Unknown = true
-	j.record.Reason = reason
-	if j.repeatable && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry() {
-		return false
-	}
-	j.fail(reason)
-	return true
+	return j.again(err.Error())
 }
 
 func (j *job) notRun(answer Answer, report func(apiv1.PlacementOutcome)) bool {
@@ -251,7 +215,7 @@
 func (j *job) wholeAnswer(resp *exchange.Response, sentAt time.Time, report func(apiv1.PlacementOutcome)) bool {
 	if err := j.relayPlain(resp); err != nil {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
-		return j.retryOrFail("the answer broke off: " + err.Error())
+		return j.again("the answer broke off: " + err.Error())
 	}
 	j.record.FirstEvent = time.Since(sentAt)
 	j.front.balancer.recovered(j.record.Upstream)
@@ -274,7 +238,6 @@
 	}
 	if j.ctx.Err() != nil {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
-		j.record.Unknown = true
 		j.fail("stopped: " + j.ctx.Err().Error())
 		return true
 	}
@@ -283,7 +246,7 @@
 		j.fail("the stream broke off: " + err.Error())
 		return true
 	}
-	return j.retryOrFail("the stream broke off: " + err.Error())
+	return j.again("the stream broke off: " + err.Error())
 }
 
 // relayFailure passes an upstream's own failure on.
@@ -293,11 +256,11 @@
 		j.fail("the upstream failed with status " + httpStatus(resp.Status))
 		return true
 	}
-	if j.repeatable && resp.Status >= 500 && len(j.tried) < j.route.Attempts && j.front.budget.Retry() {
+	if resp.Status >= http.StatusInternalServerError && j.mayMoveOn() {
 		return false
 	}
 	if err := j.relayPlain(resp); err != nil {
-		return j.retryOrFail(err.Error())
+		return j.again(err.Error())
 	}
 	j.record.Outcome = OutcomeRelayed
 	return true
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
@@ -19,7 +17,7 @@
 	for {
 		up := j.pickPlain()
 		if up == nil {
-			j.plainGiveUp("no upstream is known")
+			j.refuse(againPause, "no upstream is known")
 			return
 		}
 		if j.sendPlain(up) {
@@ -38,14 +36,6 @@
 	return j.front.balancer.pick(candidates)
 }
 
-func (j *job) plainGiveUp(reason string) {
-	if j.record.Unknown {
-		j.fail(reason)
-		return
-	}
-	j.refuse(againPause, reason)
-}
-
 // sendPlain sends the request to an upstream; it reports false if another one
 // may get it.
 func (j *job) sendPlain(up *fleet.Upstream) bool {
@@ -65,18 +55,18 @@
 	case answer.NotRun:
 		j.front.balancer.refused(up.ID)
 		drain(resp)
-		return j.plainAgain("the upstream refused the request")
+		return j.again("the upstream refused the request")
 	case !answer.Signed || isPromise(resp.Status):
 		j.front.balancer.failed(up.ID)
-		return j.plainRetry("the upstream's answer is not valid")
-	case resp.Status >= http.StatusInternalServerError && j.mayRepeat():
+		return j.again("the upstream's answer is not valid")
+	case resp.Status >= http.StatusInternalServerError && j.mayMoveOn():
 		j.front.balancer.failed(up.ID)
 		drain(resp)
 		return false
 	}
 	if err := j.relayPlain(resp); err != nil {
 		j.front.balancer.failed(up.ID)
-		return j.plainRetry("answer broke off: " + err.Error())
+		return j.again("answer broke off: " + err.Error())
 	}
 	j.front.balancer.succeeded(up.ID, time.Since(began))
 	j.record.Outcome = OutcomeServed
@@ -86,11 +76,6 @@
 	return true
 }
 
-// mayRepeat takes a retry out of the budget if the request may run once more.
-func (j *job) mayRepeat() bool {
-	return j.repeatable && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry()
-}
-
 // attemptContext bounds the first sending of a request that may be sent once
 // more, so that time is left for that.
 func (j *job) attemptContext() (context.Context, context.CancelFunc) {
@@ -102,33 +87,9 @@
 
 func (j *job) plainFailed(up *fleet.Upstream, err error) bool {
 	if j.callerLeft() {
-		j.record.Unknown = true
 		j.fail("the caller left")
 		return true
 	}
 	j.front.balancer.failed(up.ID)
-	var failure *exchange.Error
-	if errors.As(err, &failure) && !failure.Sent {
-		return j.plainAgain("upstream not reached")
-	}
-	return j.plainRetry(err.Error())
-}
-
-func (j *job) plainAgain(reason string) bool {
-	j.record.Reason = reason
-	if len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry() {
-		return false
-	}
-	j.plainGiveUp(reason)
-	return true
-}
-
-func (j *job) plainRetry(reason string) bool {
-	j.record.Unknown = true
-	j.record.Reason = reason
-	if j.mayRepeat() {
-		return false
-	}
-	j.fail(reason)
-	return true
+	return j.again(err.Error())
 }
--- a/internal/entry/sending.go
+++ b/internal/entry/sending.go
@@ -51,6 +51,27 @@
 			sending.Result = ResultUnsent
 		}
 	}
+	if !sending.Result.provesNotRun() {
+		j.record.MayHaveRun = true
+	}
 	j.front.log.SendingEnded(&sending)
 	return resp, answer, err
 }
+
+// again follows a sending that brought no answer for the caller. It reports false if
+// the request may be sent to another upstream; otherwise it answers the caller.
+func (j *job) again(reason string) bool {
+	j.record.Reason = reason
+	if j.mayMoveOn() {
+		return false
+	}
+	j.refuse(againPause, reason)
+	return true
+}
+
+// mayMoveOn takes a retry out of the budget if the request may be sent to another
+// upstream: no sending before may have run, or it may run again.
+func (j *job) mayMoveOn() bool {
+	mayRun := j.repeatable || !j.record.MayHaveRun
+	return mayRun && len(j.tried) < j.route.Attempts && j.ctx.Err() == nil && j.front.budget.Retry()
+}
