exchange: the rest of a refusal is awaited for 20 ms at most

A caller whose request an upstream had refused heard nothing until its deadline, 30 s in TestRefusalThatDoesNotEndIsNotAwaited: the router read the refusal's body to its end, which a faulty server may cut and keep the connection, or name no length for. The refusal is proved by its head; the body matters to the connection only.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -173,7 +173,7 @@
 	defer resp.Close()
 	switch {
 	case answer.NotRun:
-		drain(resp)
+		resp.Discard()
 		return j.notRun(answer, report)
 	case resp.Status < 300 && answer.Signed && j.call.Whole:
 		return j.wholeAnswer(resp, sentAt, report)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -54,14 +54,14 @@
 	switch {
 	case answer.NotRun:
 		j.front.balancer.refused(up.ID)
-		drain(resp)
+		resp.Discard()
 		return j.again("the upstream refused the request")
 	case !answer.Signed || isPromise(resp.Status):
 		j.front.balancer.failed(up.ID)
 		return j.again("the upstream's answer is not valid")
 	case resp.Status >= http.StatusInternalServerError && j.mayMoveOn():
 		j.front.balancer.failed(up.ID)
-		drain(resp)
+		resp.Discard()
 		return false
 	}
 	if err := j.relayPlain(resp); err != nil {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,12 +52,6 @@
 	return body, false, nil
 }
 
-// drain reads a short answer that is not passed on, so that its connection can
-// be used again.
-func drain(resp *exchange.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp, relayBuffer)) // a failure costs the connection only
-}
-
 // copyHead writes the head of an upstream's answer. length is -1 if unknown.
 func (j *job) copyHead(resp *exchange.Response, length int64) {
 	h := j.w.Header()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -26,6 +26,10 @@
 	// idleShare is the part of an announced idle timeout that is used, so that a
 	// request does not cross the upstream's close.
 	idleShare = 0.7
+	// discardTime and discardBytes bound what is read of a body that is not wanted:
+	// a new connection costs about as much.
+	discardTime  = 20 * time.Millisecond
+	discardBytes = 16 << 10
 	// maxStrayAnswers bounds the answers to earlier requests that are skipped.
 	maxStrayAnswers = 2
 	// maxStrayBytes bounds the body of a skipped answer.
@@ -70,6 +74,7 @@
 	Trace     Trace
 
 	body io.ReadCloser
+	conn *conn
 	done func(reusable bool)
 	ok   bool // the body was read to its end
 }
@@ -147,6 +152,7 @@
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		Trace:     trace,
 		body:      resp.Body,
+		conn:      c,
 	}
 	out.done = func(reusable bool) {
 		// A stop that comes too late means that the connection was closed.
@@ -233,6 +239,22 @@
 	return n, err
 }
 
+// Discard ends the exchange of an answer whose body is not wanted. A short body that
+// is there in time leaves the connection to later exchanges.
+func (r *Response) Discard() {
+	defer r.Close()
+	if !r.Delimited || r.conn.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	// A body that is longer or breaks off costs the connection.
+	if _, err := io.Copy(io.Discard, io.LimitReader(r, discardBytes)); err != nil {
+		return
+	}
+	if r.conn.SetReadDeadline(time.Time{}) != nil {
+		r.ok = false
+	}
+}
+
 // Close ends the exchange.
 func (r *Response) Close() {
 	if r.done == nil {
