Ages and stop times follow the steady clock, also where they are stored

A router that stops would take requests past its linger and cut them, or refuse early; a scheduler would tell routers that its configuration is fresh while it is not. Durations are now differences of times that carry the steady clock's reading. A directory that was never read counts as an hour old in place of 56 years.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -169,6 +169,15 @@
 	b.done <- nil
 }
 
+// Guards against requests that a stopping router takes too long, or refuses too early,
+// because the time of day jumped since the signal.
+func TestStopDoesNotFollowTheTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	b := start(t, newUpstream(t, "plain-1", answer(200, "ok")))
+	b.process.front.stop()
+	is.True(strings.Contains(b.process.front.stopAt.Load().String(), " m=")) // the steady clock's reading
+}
+
 func TestLargeBodyIsRefused(t *testing.T) {
 	is := is.New(t)
 	u := newUpstream(t, "plain-1", answer(200, "ok"))
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -46,8 +46,9 @@
 	balancer  *balancer
 	budget    *retry.Budget
 	log       *Log
-	// stopAt is when the process began to stop, in Unix nanoseconds; 0 before.
-	stopAt   atomic.Int64
+	// stopAt is when the process began to stop, nil before. It keeps the reading of
+	// the steady clock.
+	stopAt   atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 	// ending is cancelled when requests under way have to be answered at once.
 	ending context.Context
@@ -134,15 +135,18 @@
 
 // stop makes the front unready. Requests are still taken, since callers go on
 // using their connections.
-func (f *Front) stop() { f.stopAt.Store(time.Now().UnixNano()) }
+func (f *Front) stop() {
+	now := time.Now()
+	f.stopAt.Store(&now)
+}
 
-func (f *Front) isStopping() bool { return f.stopAt.Load() != 0 }
+func (f *Front) isStopping() bool { return f.stopAt.Load() != nil }
 
 // stopsSoon reports whether a request that is taken now could be cut by the end
 // of the process.
 func (f *Front) stopsSoon() bool {
 	at := f.stopAt.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) > f.stopLinger()
+	return at != nil && time.Since(*at) > f.stopLinger()
 }
 
 func (f *Front) stopLinger() time.Duration {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -84,10 +84,10 @@
 type Directory struct {
 	config    atomic.Pointer[Config]
 	upstreams atomic.Pointer[upstreamSet]
-	// configRead and listRead are when the platform was last read, in Unix
-	// nanoseconds.
-	configRead atomic.Int64
-	listRead   atomic.Int64
+	// configRead and listRead are when the platform was last read; nil before the
+	// first time. They keep the reading of the steady clock.
+	configRead atomic.Pointer[time.Time]
+	listRead   atomic.Pointer[time.Time]
 
 	mu sync.Mutex // serializes changes
 	// held are removed entries that are kept until the time given, since the
@@ -258,13 +258,24 @@
 	return len(d.held) > 0
 }
 
+// neverRead is the age of what was not read yet.
+const neverRead = time.Hour
+
 // ReadAges returns the time since the configuration and the list of upstreams
 // were last read from the platform.
 func (d *Directory) ReadAges(now time.Time) (config, list time.Duration) {
-	age := func(at int64) time.Duration { return now.Sub(time.Unix(0, at)) }
+	age := func(at *time.Time) time.Duration {
+		if at == nil {
+			return neverRead
+		}
+		return now.Sub(*at)
+	}
 	return age(d.configRead.Load()), age(d.listRead.Load())
 }
 
+// noteRead sets one of the times that ReadAges tells.
+func noteRead(at *atomic.Pointer[time.Time], now time.Time) { at.Store(&now) }
+
 func newUpstreamSet(byID map[string]*Upstream) *upstreamSet {
 	set := &upstreamSet{byID: byID, byService: make(map[string][]*Upstream), listed: true}
 	for _, up := range byID {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		outage.succeeded()
-		f.opts.Directory.configRead.Store(time.Now().UnixNano())
+		noteRead(&f.opts.Directory.configRead, time.Now())
 		version = update.Version
 		if update.Config != nil && f.opts.Directory.SetConfig(update.Config) {
 			f.opts.Observer.ConfigInForce(update.Config.Version)
@@ -148,7 +148,7 @@
 			graceUntil = time.Now().Add(lapseGrace)
 		}
 		version = update.Version
-		f.opts.Directory.listRead.Store(time.Now().UnixNano())
+		noteRead(&f.opts.Directory.listRead, time.Now())
 		f.merge(update, time.Until(graceUntil))
 		retry.Sleep(ctx, upstreamPeriod-time.Since(began))
 	}
