--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -20,6 +20,8 @@
 	kindGranted = "granted"
 	kindRefused = "refused"
 	kindOrdered = "ordered"
+	kindSending = "sending"
+	kindSent    = "sent"
 
 	outcomeServed = "served"
 )
@@ -102,7 +104,14 @@
 		}
 	}
 	slices.SortStableFunc(mine, func(a, b Line) int { return a.At.Compare(b.At) })
-	return mine
+	return slices.DeleteFunc(mine, func(l Line) bool { return l.Kind == kindSending && hasEnd(lines, l) })
+}
+
+// hasEnd reports whether the lines tell what became of a sending.
+func hasEnd(lines []Line, sending Line) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool {
+		return l.Kind == kindSent && l.Fields["id"] == sending.Fields["id"] && l.Fields["send"] == sending.Fields["send"]
+	})
 }
 
 func describe(l Line) string {
@@ -118,6 +127,10 @@
 			what = "unload"
 		}
 		return fmt.Sprintf("ordered %s to %s %s%s: %s", f["upstream"], what, f["model"], after(":", f["adapter"]), f["result"])
+	case kindSending:
+		return fmt.Sprintf("sending %s to %s; what became of it is not in these logs", f["send"], f["upstream"])
+	case kindSent:
+		return fmt.Sprintf("sending %s to %s: %s with status %s after %s ms, connection %s, its request %s", f["send"], f["upstream"], f["result"], f["status"], f["took_ms"], f["conn"], f["use"])
 	case kindRequest:
 		return describeEnd(l)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,6 +45,24 @@
 	is.True(!found)
 }
 
+// Guards against a request that ran and is not explained: its router ended, so that it
+// has no line of its own, only that of a sending.
+func TestSendingsAreToldWithoutTheRequestsLine(t *testing.T) {
+	is := is.New(t)
+	lines, _, err := Read(strings.NewReader(`
+time=2026-12-04T04:00:01.000Z level=info msg=sending id=r-4 send=1 upstream=e-1
+time=2026-12-04T04:00:01.004Z level=info msg=sent id=r-4 send=1 upstream=e-1 result=refused status=503 conn=4 use=21 took_ms=4
+time=2026-12-04T04:00:01.010Z level=info msg=sending id=r-4 send=2 upstream=e-1
+`))
+	is.NoErr(err)
+	story, found := Request(lines, "r-4")
+	is.True(found)
+	is.Equal(story.Steps, []string{
+		"+0.004 s  sending 1 to e-1: refused with status 503 after 4 ms, connection 4, its request 21",
+		"+0.010 s  sending 2 to e-1; what became of it is not in these logs",
+	})
+}
+
 func TestLate(t *testing.T) {
 	is := is.New(t)
 	report := Late(readAll(t), Filter{Above: time.Second})
