--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 )
 
@@ -22,13 +23,13 @@
 		for via, url := range map[string]string{"direct": "http://" + u.addr, "router": router.url} {
 			b.Run(bench.name+"/"+via, func(b *testing.B) {
 				b.ReportAllocs()
-				for b.Loop() {
+				for n := 0; b.Loop(); n++ {
 					req, err := http.NewRequest(http.MethodPost, url+bench.path, nil)
 					if err != nil {
 						b.Fatal(err)
 					}
 					req.Host = "h"
-					req.Header.Set("Id", "r-1")
+					req.Header.Set("Id", "r-"+strconv.Itoa(n))
 					req.Header.Set("Model", bench.model)
 					resp, err := http.DefaultClient.Do(req)
 					if err != nil {
