--- a/internal/faultyserver/faultyserver.go
+++ b/internal/faultyserver/faultyserver.go
@@ -27,11 +27,14 @@
 	AtOnce
 	// Late sends it where the next answer on the connection is expected.
 	Late
+	// Soon sends it after a time, between answers.
+	Soon
 )
 
 // Faults are what goes wrong with one answer.
 type Faults struct {
-	Again Again
+	Again      Again
+	AgainAfter time.Duration // for Soon
 	// Segment splits what is sent into so many bytes each, 0 does not. The server
 	// pauses for SegmentPause before each but the first.
 	Segment      int
@@ -130,7 +133,8 @@
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
-	var held []byte // a second copy of an answer
+	var held []byte        // a second copy of an answer
+	var writing sync.Mutex // one answer at a time
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -138,12 +142,23 @@
 		}
 		answer := s.handler(req)
 		out := &wire{conn: c, faults: answer.Faults}
-		if out.plain(held) != nil || out.send(answer) != nil {
+		writing.Lock()
+		ended := out.plain(held) != nil || out.send(answer) != nil
+		writing.Unlock()
+		if ended {
 			return
 		}
 		held = nil
-		if answer.Faults.Again == Late {
+		switch answer.Faults.Again {
+		case Late:
 			held = out.sent
+		case Soon:
+			time.AfterFunc(answer.Faults.AgainAfter, func() {
+				writing.Lock()
+				defer writing.Unlock()
+				_, _ = c.Write(out.sent) // the connection may have ended
+			})
+		case Never, AtOnce:
 		}
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
