exchange: the first answer on a connection may lack the id

A first answer can be nobody else's, so it counts; the connection then carries reads only. TestUpstreamThatRepeatsNoIDs got no answer before; on a connection that carried others the id is still required.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -53,7 +53,8 @@
 type purpose int
 
 const (
-	// forCaller requests have an answer that bears their id.
+	// forCaller requests are those of callers. An answer without their id counts only
+	// on a connection that has carried nothing else.
 	forCaller purpose = iota
 	// forChange requests are the router's own. Their answers may lack the id.
 	forChange
@@ -116,8 +117,8 @@
 // ErrUnidentified means that an answer does not tell which request it belongs to.
 var ErrUnidentified = errors.New("answer bears no request's id")
 
-// Send sends a request to addr, "IP:PORT", and reads the head of its answer, which
-// has to bear the request's id.
+// Send sends a request to addr, "IP:PORT", and reads the head of its answer. On a
+// connection that has carried others, the answer has to bear the request's id.
 // Errors are of type *Error. Ending ctx closes the connection, also while the
 // body is read.
 func (p *Pool) Send(ctx context.Context, addr string, req *Request) (*Response, error) {
@@ -202,7 +203,7 @@
 		case req.ID:
 			return resp, nil
 		case "":
-			if req.purpose == forCaller {
+			if req.purpose == forCaller && c.uses() > 1 {
 				return nil, ErrUnidentified
 			}
 			c.unnamed = true
