exchange: requests without an id go out on connections of their own

A caller may send none. Its answer bears none, and the connection went back to all uses: a copy of that answer could be credited to an order.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -43,9 +43,10 @@
 func (c *conn) uses() int { return len(c.carried) }
 
 // mayCarry reports whether no copy of an earlier answer can be taken for that to req.
+// A request without an id needs a new connection.
 func (c *conn) mayCarry(req *Request) bool {
 	_, before := c.carried[req.ID]
-	return !before && (!c.unnamed || req.purpose == forState)
+	return req.ID != "" && !before && (!c.unnamed || req.purpose == forState)
 }
 
 // Write implements io.Writer.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -45,7 +45,7 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	purpose purpose
+	purpose purpose // forCaller where nothing else is set
 }
 
 // purpose is what a request is for; it decides which connections may carry it and
@@ -188,8 +188,8 @@
 	return nil
 }
 
-// readHead returns the answer that carries the request's id. Late answers to
-// earlier requests on the connection are skipped.
+// readHead returns the head of the answer to req. Late answers to earlier requests on
+// the connection are skipped.
 func (p *Pool) readHead(c *conn, req *Request, trace *Trace) (*http.Response, error) {
 	for trace.Skipped <= maxStrayAnswers {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
@@ -199,15 +199,14 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // informational
 		}
-		switch resp.Header.Get(p.opts.IDHeader) {
-		case req.ID:
-			return resp, nil
-		case "":
-			if req.purpose == forCaller && c.uses() > 1 {
-				return nil, ErrUnidentified
-			}
+		switch id := resp.Header.Get(p.opts.IDHeader); {
+		case id == "" && req.purpose == forCaller && c.uses() > 1:
+			return nil, ErrUnidentified
+		case id == "":
 			c.unnamed = true
 			return resp, nil
+		case id == req.ID:
+			return resp, nil
 		}
 		trace.Skipped++
 		if err := skip(resp); err != nil {
--- a/internal/exchange/late_test.go
+++ b/internal/exchange/late_test.go
@@ -97,6 +97,21 @@
 	is.Equal(got, http.StatusOK)
 }
 
+// Guards against an order that is credited with the answer to a request without an id,
+// sent once more.
+func TestOrdersDoNotFollowRequestsWithoutAnID(t *testing.T) {
+	is := is.New(t)
+	addr, _ := startRepeater(t, misdirected, faultyserver.Answer{Status: http.StatusConflict})
+	p := NewPool(Options{IDHeader: "Id"})
+	_, err := status(p, addr, "")
+	is.NoErr(err)
+	order, err := NewJSON("/order", http.Header{}, struct{}{})
+	is.NoErr(err)
+	got, _, err := p.Fetch(context.Background(), addr, order)
+	is.NoErr(err)
+	is.Equal(got, http.StatusConflict)
+}
+
 // Upstreams that never repeat ids are served, each request over a connection of its own.
 func TestUpstreamThatRepeatsNoIDs(t *testing.T) {
 	is := is.New(t)
