entry: what was not sent is refused also when time or the process runs out

A sending whose connection was not up when the request's time or the router's grace ended was answered 502 or 504. No byte had left, so the caller may hear that.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -255,9 +255,9 @@
 }
 
 // refuse answers that the request did not run, and when to come back. One that may
-// have run fails instead.
+// have run, or whose caller left, fails instead.
 func (j *job) refuse(retryAfter time.Duration, reason string) {
-	if j.record.MayHaveRun {
+	if j.record.MayHaveRun || j.callerLeft() {
 		j.fail(reason)
 		return
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -45,14 +45,11 @@
 
 func (j *job) failPlacement(err error) {
 	var refused *cell.RefusedError
-	switch {
-	case errors.As(err, &refused):
+	if errors.As(err, &refused) {
 		j.refuse(refused.RetryAfter, refused.Reason)
-	case j.callerLeft():
-		j.fail("no place: " + err.Error())
-	default:
-		j.refuse(againPause, "no place: "+err.Error())
+		return
 	}
+	j.refuse(againPause, "no place: "+err.Error())
 }
 
 // place asks the scheduler, or chooses alone while there is none.
@@ -189,7 +186,7 @@
 func (j *job) sendFailed(err error, report func(apiv1.PlacementOutcome)) bool {
 	if j.ctx.Err() != nil {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
-		j.fail("no answer in time: " + err.Error())
+		j.refuse(againPause, "no answer in time: "+err.Error())
 		return true
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
