--- a/internal/exchange/late_test.go
+++ b/internal/exchange/late_test.go
@@ -53,6 +53,16 @@
 	return resp.Status, err
 }
 
+// order sends an order and returns the status of its answer.
+func order(p *Pool, addr string) (int, error) {
+	req, err := NewJSON("/order", http.Header{}, struct{}{})
+	if err != nil {
+		return 0, err
+	}
+	got, _, err := p.Fetch(context.Background(), addr, req)
+	return got, err
+}
+
 // Guards against a request that runs while its caller is told that it did not, and
 // against a second run: the refusal of the first sending, sent once more, was taken
 // for the answer to the second.
@@ -88,9 +98,7 @@
 	is := is.New(t)
 	addr, _ := startRepeater(t, misdirected, served)
 	p := NewPool(Options{IDHeader: "Id"})
-	order, err := NewJSON("/order", http.Header{}, struct{}{})
-	is.NoErr(err)
-	_, _, err = p.Fetch(context.Background(), addr, order)
+	_, err := order(p, addr)
 	is.NoErr(err)
 	got, err := status(p, addr, "r1")
 	is.NoErr(err)
@@ -105,9 +113,7 @@
 	p := NewPool(Options{IDHeader: "Id"})
 	_, err := status(p, addr, "")
 	is.NoErr(err)
-	order, err := NewJSON("/order", http.Header{}, struct{}{})
-	is.NoErr(err)
-	got, _, err := p.Fetch(context.Background(), addr, order)
+	got, err := order(p, addr)
 	is.NoErr(err)
 	is.Equal(got, http.StatusConflict)
 }
@@ -135,9 +141,7 @@
 			addr, _ := startRepeater(t, answers...)
 			p := NewPool(Options{IDHeader: "Id"})
 			for _, want := range answers {
-				order, err := NewJSON("/order", http.Header{}, struct{}{})
-				is.NoErr(err)
-				got, _, err := p.Fetch(context.Background(), addr, order)
+				got, err := order(p, addr)
 				is.NoErr(err)
 				is.Equal(got, want.Status)
 			}
