explain: whether a sending's end is told is looked up among the request's own lines

Each begin of a sending searched all lines of all logs for its end, though the lines of the request had just been picked. What is told stays the same.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -104,14 +104,19 @@
 		}
 	}
 	slices.SortStableFunc(mine, func(a, b Line) int { return a.At.Compare(b.At) })
-	return slices.DeleteFunc(mine, func(l Line) bool { return l.Kind == kindSending && hasEnd(lines, l) })
+	return withoutEndedSendings(mine)
 }
 
-// hasEnd reports whether the lines tell what became of a sending.
-func hasEnd(lines []Line, sending Line) bool {
-	return slices.ContainsFunc(lines, func(l Line) bool {
-		return l.Kind == kindSent && l.Fields["id"] == sending.Fields["id"] && l.Fields["send"] == sending.Fields["send"]
-	})
+// withoutEndedSendings leaves out the begins of a request's sendings whose ends are
+// told.
+func withoutEndedSendings(mine []Line) []Line {
+	ended := make(map[string]bool)
+	for _, l := range mine {
+		if l.Kind == kindSent {
+			ended[l.Fields["send"]] = true
+		}
+	}
+	return slices.DeleteFunc(mine, func(l Line) bool { return l.Kind == kindSending && ended[l.Fields["send"]] })
 }
 
 func describe(l Line) string {
