--- a/internal/faultyserver/faultyserver.go
+++ b/internal/faultyserver/faultyserver.go
@@ -100,12 +100,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		reset(c)
+		Reset(c)
 	}
 	clear(s.conns)
 }
 
-func reset(c net.Conn) {
+// Reset ends a connection with a reset.
+func Reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // without it the end is an orderly one
 	}
@@ -212,7 +213,7 @@
 
 func (w *wire) end() error {
 	if w.faults.Reset {
-		reset(w.conn)
+		Reset(w.conn)
 	}
 	if w.faults.Silent {
 		_, _ = io.Copy(io.Discard, w.conn) // until the other side gives up
