--- a/internal/operator/cli/cli_test.go
+++ b/internal/operator/cli/cli_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
@@ -38,6 +39,9 @@
 	hosts *standin.Hosts
 	// revision is the revision in force on the router.
 	revision uint64
+	// The router delays its status by statusDelay, or fails it.
+	statusDelay time.Duration
+	statusFails bool
 }
 
 func startServer(t *testing.T, handler http.Handler) string {
@@ -57,7 +61,7 @@
 	f := &fixture{t: t, dir: t.TempDir(), hosts: standin.NewHosts(standin.HostListConfig{})}
 	table, objects, hosts := external.NewTableClient(clientOptions(standin.NewTable())), external.NewObjectClient(clientOptions(standin.NewObjects())), external.NewHostListClient(clientOptions(f.hosts))
 	f.hosts.Add(external.Host{ID: "lm-01", Role: external.RoleUpstream, Pool: "lm-pool"})
-	f.url = startServer(t, operator.NewServer(operator.ServerOptions{
+	f.url = startServer(t, f.disturbStatus(operator.NewServer(operator.ServerOptions{
 		Publisher: config.NewPublisher(table, objects, config.PublisherOptions{}),
 		Table:     table,
 		Hosts:     hosts,
@@ -67,7 +71,7 @@
 		},
 		PeerHTTP: httpClient, PeerScheme: "http",
 		Token: []byte(testToken),
-	}))
+	})))
 	f.writeFile("token", testToken)
 	f.writeFile("router.log", routerLog)
 	f.writeSet("good.json", func(*apiv1.ObjectSet) {})
@@ -76,6 +80,20 @@
 	return f
 }
 
+// disturbStatus delays or fails the status queries to a router.
+func (f *fixture) disturbStatus(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/status" {
+			time.Sleep(f.statusDelay)
+			if f.statusFails {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (f *fixture) writeFile(name, text string) string {
 	f.t.Helper()
 	path := filepath.Join(f.dir, name)
@@ -224,6 +242,17 @@
 	f.runSteps([]step{{"apply --wait --timeout 1m DIR/good.json", ExitOK, "published revision 3", "confirmed by 1 routers"}})
 }
 
+// A status that arrives after the timeout of --wait must still name the routers, and
+// without one the error must not claim that none is listed.
+func TestWaitWithoutStatus(t *testing.T) {
+	f := newFixture(t)
+	f.hosts.Add(external.Host{ID: "r2", Role: external.RoleRouter, OperatorAddress: "127.0.0.1:1"})
+	f.statusDelay = 50 * time.Millisecond
+	f.runSteps([]step{{"apply --wait --timeout 10ms DIR/good.json", ExitTimeout, "published revision 1", "2 of 2 routers have not confirmed it: r1 (at 0), r2"}})
+	f.statusFails = true
+	f.runSteps([]step{{"apply --wait --timeout 10ms DIR/good.json", ExitTimeout, "published revision 2", "revision 2 is published, but no status was received: "}})
+}
+
 func TestDrain(t *testing.T) {
 	newFixture(t).runSteps([]step{
 		{"drain lm-01", ExitOK, "lm-01 takes no new work", ""},
--- a/internal/operator/cli/exit.go
+++ b/internal/operator/cli/exit.go
@@ -48,10 +48,18 @@
 	// Routers is the number of routers in the last status.
 	Routers     int
 	Unconfirmed []operator.NodeStatus
+	// StatusErr is why the last status query failed, or nil.
+	StatusErr error
 }
 
+// Unwrap returns the error of the last status query.
+func (e *NotConfirmedError) Unwrap() error { return e.StatusErr }
+
 // Error lists the unconfirmed routers.
 func (e *NotConfirmedError) Error() string {
+	if e.Routers == 0 && e.StatusErr != nil {
+		return fmt.Sprintf("revision %d is published, but no status was received: %v", e.Revision, e.StatusErr)
+	}
 	if e.Routers == 0 {
 		return fmt.Sprintf("revision %d is published, but the status lists no router: check the host list", e.Revision)
 	}
--- a/internal/operator/cli/publish.go
+++ b/internal/operator/cli/publish.go
@@ -14,6 +14,10 @@
 // confirmPollInterval is the interval of the status queries of apply --wait.
 const confirmPollInterval = 500 * time.Millisecond
 
+// minStatusTimeout is the least time that the first of these queries gets. A router
+// answers it after a second at most, even if others don't respond to it.
+const minStatusTimeout = 10 * time.Second
+
 func apply(ctx context.Context, cmd *cli.Command) error {
 	args, err := arguments(cmd, 1, 1)
 	if err != nil {
@@ -77,15 +81,21 @@
 }
 
 // waitForConfirmation returns once every listed router has confirmed a revision,
-// or a *NotConfirmedError after the timeout.
+// or a *NotConfirmedError after the timeout. The first status query may outlast a
+// short timeout, so that the error can name the routers.
 func waitForConfirmation(ctx context.Context, cmd *cli.Command, client *operator.Client, revision uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
-	defer cancel()
+	timeout := cmd.Duration(flagTimeout)
+	waitCtx, cancelWait := context.WithTimeout(ctx, timeout)
+	defer cancelWait()
+	queryCtx, cancelFirst := context.WithTimeout(ctx, max(timeout, minStatusTimeout))
+	defer cancelFirst()
 	ticker := time.NewTicker(confirmPollInterval)
 	defer ticker.Stop()
 	notConfirmed := &NotConfirmedError{Revision: revision}
 	for {
-		status, err := client.Status(ctx)
+		status, err := client.Status(queryCtx)
+		queryCtx = waitCtx
+		notConfirmed.StatusErr = err
 		if err == nil {
 			notConfirmed.Routers, notConfirmed.Unconfirmed = status.RouterCount(), status.Unconfirmed(revision)
 			if notConfirmed.Routers > 0 && len(notConfirmed.Unconfirmed) == 0 {
@@ -94,7 +104,7 @@
 			}
 		}
 		select {
-		case <-ctx.Done():
+		case <-waitCtx.Done():
 			return notConfirmed
 		case <-ticker.C:
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -238,3 +239,21 @@
 	is.Equal(len(status.Unconfirmed(2)), 3)
 	is.True(status.Unconfirmed(1)[0].Problem != "")
 }
+
+// Queries to routers that refuse at once end while those of the other routers are
+// still being started.
+func TestStatusOfManyStoppedRouters(t *testing.T) {
+	const routers = 200
+	is := is.New(t)
+	p := newPlatform(t)
+	for i := range routers {
+		p.hosts.Add(external.Host{ID: fmt.Sprintf("stopped-%03d", i), Role: external.RoleRouter, OperatorAddress: "127.0.0.1:1"})
+	}
+	status, err := newTestClient(t, p.newRouter(t, noMiddleware).url).Status(context.Background())
+	is.NoErr(err)
+	is.Equal(status.RouterCount(), routers+1)
+	is.Equal(len(status.Unconfirmed(1)), routers)
+	for _, node := range status.Unconfirmed(1) {
+		is.True(node.Problem != "")
+	}
+}
--- a/internal/operator/server_nodes.go
+++ b/internal/operator/server_nodes.go
@@ -62,21 +62,26 @@
 func (s *server) queryPeers(ctx context.Context, listing external.HostListing, nodes []NodeStatus) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
+	addresses := make(map[string]string, len(listing.Hosts))
 	for _, host := range listing.Hosts {
-		i := slices.IndexFunc(nodes, func(n NodeStatus) bool { return n.Host == host.ID })
-		if i < 0 || !nodes[i].IsRouter() {
+		addresses[host.ID] = host.OperatorAddress
+	}
+	var wg sync.WaitGroup
+	for i := range nodes {
+		// The queries that already run write to the other elements of nodes.
+		node := &nodes[i]
+		if !node.IsRouter() {
 			continue
 		}
-		client := NewClient(ClientOptions{Servers: []string{s.PeerScheme + "://" + host.OperatorAddress}, Token: s.Token, HTTP: s.PeerHTTP})
+		client := NewClient(ClientOptions{Servers: []string{s.PeerScheme + "://" + addresses[node.Host]}, Token: s.Token, HTTP: s.PeerHTTP})
 		wg.Go(func() {
 			state, err := client.Self(ctx)
 			if err != nil {
-				nodes[i].Problem = err.Error()
+				node.Problem = err.Error()
 				return
 			}
-			state.Draining = state.Draining || nodes[i].Draining
-			nodes[i] = *state
+			state.Draining = state.Draining || node.Draining
+			*node = *state
 		})
 	}
 	wg.Wait()
