cell: a request that overtakes the directory's change is no longer refused

A router is ready as soon as its directory has the configuration and the list. The scheduler on it makes its cells by an event that is queued after that, so the first request could find no cell and was refused with "the scheduler does not know the service yet". The scheduler now applies the directory before it refuses. TestRequestOvertakesDirectoryChange fails before the change.

--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -139,6 +139,36 @@
 	is.True(errors.Is(err, ErrNoScheduler))
 }
 
+// The first request of a router that has just become ready arrives before the event by
+// which the scheduler learns of the directory's change.
+func TestRequestOvertakesDirectoryChange(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, addr := newScheduler(t, ctx)
+	client := newClient("r1", "boot")
+	go client.Run(ctx)
+	client.Follow(addr)
+	is.NoErr(client.WaitLinked(ctx))
+	services := map[string]fleet.Service{"added": s.opts.Directory.Load().Config.Services["s"]}
+	s.opts.Directory.SetConfig(fleet.NewConfig(2, nil, services, fleet.Limits{}))
+	s.opts.Directory.Merge(time.Now(), fleet.Change{Registrations: []fleet.Registration{{ID: "e2", Upstream: &fleet.Upstream{
+		ID: "e2", Service: "added", Addr: "127.0.0.1:1", Slots: 1, StartedMs: 1, Models: []fleet.LoadedModel{{Name: "m"}},
+	}}}})
+	for {
+		req := placementRequest()
+		req.Service = "added"
+		placement, err := client.Place(ctx, req)
+		if errors.Is(err, ErrNoScheduler) { // a busy host confirms late
+			is.NoErr(client.WaitLinked(ctx))
+			continue
+		}
+		is.NoErr(err)
+		is.Equal(placement.UpstreamID, "e2")
+		return
+	}
+}
+
 func TestWithdrawnRequestIsRemoved(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -147,7 +147,7 @@
 }
 
 func (s *Scheduler) handleRequest(now time.Time, from *session, req *apiv1.PlacementAsk) {
-	cell := s.cells[req.GetService()]
+	cell := s.cellForRequest(req.GetService())
 	if cell == nil {
 		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Refusal{Refusal: &apiv1.PlacementRefusal{
 			Number:       req.GetNumber(),
@@ -165,6 +165,21 @@
 	s.apply(req.GetService(), actions)
 }
 
+// cellForRequest returns the cell of a service, nil if the directory does not have the
+// service. The router becomes ready with the directory, so a request may overtake the
+// event that applies a change of it.
+func (s *Scheduler) cellForRequest(service string) *scheduler.Cell {
+	if cell := s.cells[service]; cell != nil {
+		return cell
+	}
+	config := s.opts.Directory.Load().Config
+	if config == nil || config.Services[service].Engine == nil {
+		return nil
+	}
+	s.refresh()
+	return s.cells[service]
+}
+
 func decodeRequest(now time.Time, from *session, req *apiv1.PlacementAsk) *scheduler.Request {
 	out := &scheduler.Request{
 		Key:           from.key(req.GetNumber()),
