exchange, entry: bytes without end no longer collect in memory or hold a request to its deadline

An upstream in trouble may send bytes that never become a response head, or a body that never becomes an event. http.ReadResponse collects a line and a header block of any length, and the loop over informational responses had no end. The heads of one exchange are now limited to 64 KiB. A stream's event is limited to 256 KiB (1 MiB before: 184 such streams fill the smallest host of the users), empty lines are relayed only with an event, and complete lines without a field end the attempt instead of being relayed as events.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,13 +18,20 @@
 	// are relayed; larger ones are relayed as they arrive.
 	maxBufferedBytes = 1 << 20
 	relayBufferBytes = 16 << 10
-	// maxEventBytes limits one event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes limits one event of a stream, which is collected before it is
+	// relayed.
+	maxEventBytes = 256 << 10
 )
 
 // errTruncated means that a stream ended within an event.
 var errTruncated = errors.New("the upstream's response ended within an event")
 
+// errEventTooLarge means that a stream sends bytes that never become an event.
+var errEventTooLarge = fmt.Errorf("an event of the upstream's response is larger than %d bytes", maxEventBytes)
+
+// errNoEvent means that a stream contains bytes that are not an event.
+var errNoEvent = errors.New("the upstream's response contains bytes that are not an event")
+
 // errEncoded means that a response has a Content-Encoding: its bytes are not the upstream's
 // own body.
 var errEncoded = errors.New("the upstream's response has a Content-Encoding that was not requested")
@@ -110,7 +118,8 @@
 	for {
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
+		end, eventErr := completeEvents(pending)
+		if end > 0 {
 			if first {
 				onFirst()
 				first = false
@@ -120,22 +129,29 @@
 			}
 			pending = append(pending[:0], pending[end:]...)
 		}
+		if eventErr != nil {
+			return eventErr
+		}
 		if errors.Is(err, io.EOF) {
-			return cr.endStream(resp, pending)
+			return cr.endStream(resp, pending, flusher)
 		}
 		if err != nil {
 			return err
 		}
 		if len(pending) > maxEventBytes {
-			return errors.New("an event of the upstream's response is larger than 1 MiB")
+			return errEventTooLarge
 		}
 	}
 }
 
-func (cr *callerRequest) endStream(resp *exchange.Response, rest []byte) error {
-	if len(rest) > 0 {
+// endStream ends a response after its last event; rest is what follows that event.
+func (cr *callerRequest) endStream(resp *exchange.Response, rest []byte, flusher http.Flusher) error {
+	if len(bytes.TrimSpace(rest)) > 0 || len(rest) > 0 && !bytes.HasSuffix(rest, eventEnd) {
 		return errTruncated
 	}
+	if len(rest) > 0 {
+		return cr.writeEvents(resp, rest, flusher) // empty lines
+	}
 	if !cr.responseStarted {
 		cr.writeHead(resp, resp.Length)
 	}
@@ -164,15 +180,30 @@
 	return nil
 }
 
-var eventEnd = []byte("\n\n")
+var (
+	eventEnd = []byte("\n\n")
+	fieldEnd = []byte(":")
+)
 
-// lastEventEnd returns the index after the last complete event, 0 if there is none.
-func lastEventEnd(b []byte) int {
-	i := bytes.LastIndex(b, eventEnd)
-	if i < 0 {
-		return 0
+// completeEvents returns the index after the last complete event, 0 if there is none.
+// Empty lines count only in front of an event. The error is errNoEvent if the event is
+// followed by complete lines without a field.
+func completeEvents(b []byte) (end int, err error) {
+	for at := 0; ; {
+		length := bytes.Index(b[at:], eventEnd)
+		if length < 0 {
+			return end, nil
+		}
+		event := b[at : at+length]
+		at += length + len(eventEnd)
+		switch {
+		case len(bytes.TrimSpace(event)) == 0:
+		case !bytes.Contains(event, fieldEnd):
+			return end, errNoEvent
+		default:
+			end = at
+		}
 	}
-	return i + len(eventEnd)
 }
 
 // lastEventID returns the id of the last event that has one, "" if none has.
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +23,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headLimit is between the connection and reader.
+	headLimit *headLimiter
 	// number identifies the connection within its pool.
 	number uint64
 	// sentIDs holds the IDs of the requests sent on the connection.
@@ -36,7 +40,38 @@
 }
 
 func newConn(c net.Conn, number uint64) *conn {
-	return &conn{Conn: c, number: number, sentIDs: make(map[string]struct{}), reader: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	limit := &headLimiter{r: c}
+	return &conn{Conn: c, number: number, sentIDs: make(map[string]struct{}), reader: bufio.NewReaderSize(limit, readBufferBytes), headLimit: limit, idleTimeout: defaultIdleTimeout}
+}
+
+// errHeadTooLarge means that an upstream sent more than maxHeadBytes without
+// completing the head of its response.
+var errHeadTooLarge = fmt.Errorf("no complete response head within %d bytes", maxHeadBytes)
+
+// headLimiter bounds the bytes that are read for the heads of one exchange:
+// http.ReadResponse itself collects a line or a header of any length.
+type headLimiter struct {
+	r         io.Reader
+	active    bool
+	remaining int
+}
+
+// begin starts to count; end stops it, before the body is read.
+func (l *headLimiter) begin() { l.active, l.remaining = true, maxHeadBytes }
+
+func (l *headLimiter) end() { l.active = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.active {
+		return l.r.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // uses returns the number of exchanges so far.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -19,6 +19,9 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the head of a response, together with the informational
+	// responses before it.
+	maxHeadBytes = 64 << 10
 	// dialTimeout covers several round trips inside a region. TCP retransmits a lost
 	// handshake packet only after a second.
 	dialTimeout = 400 * time.Millisecond
@@ -198,13 +201,10 @@
 // responses to earlier requests on the connection.
 func (p *Pool) readHead(c *conn, req *Request, trace *Trace) (*http.Response, error) {
 	for trace.Skipped <= maxSkippedResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readFinalHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // informational response
-		}
 		switch id := resp.Header.Get(p.opts.IDHeader); {
 		case id == "" && req.purpose == purposeCaller && c.uses() > 1:
 			return nil, ErrUnidentified
@@ -222,6 +222,18 @@
 	return nil, ErrMismatchedResponse
 }
 
+// readFinalHead reads the head of the next response that is not informational.
+func (c *conn) readFinalHead(method string) (*http.Response, error) {
+	c.headLimit.begin()
+	defer c.headLimit.end()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
 func skipBody(resp *http.Response) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return ErrMismatchedResponse // the body extends to the end of the connection
