cell: handovers between stopping routers, and reports of rows from before a handover

- A router told only its present scheduler that it stops.
Each scheduler is now told with the hello.
- A stopping router ignored a lease that crossed its own stop.
It now marks the row as vacant, so that another router takes it at once.
Reports and redirections now carry the version of the row they are based on; one that is not newer than the term is ignored.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -79,6 +79,11 @@
 	configAt, listAt time.Time
 	listReceived     bool
 	linkUp           chan struct{} // closed and replaced when connected is set
+	// draining is set by ReportDraining.
+	draining bool
+	// handedOverVersion is the version of the lease row at the last handover. That
+	// row and older ones name a holder that no longer schedules.
+	handedOverVersion int64
 }
 
 // ClientObserver logs the beginning and the end of connections to the scheduler.
@@ -120,41 +125,52 @@
 	}
 }
 
-// Follow connects to the scheduler at address instead of the previous one. A
-// previous scheduler on another router is notified that it was superseded.
-func (c *Client) Follow(address string) {
+// Follow connects to the scheduler at address instead of the previous one, which is
+// notified that it was superseded. leaseVersion is the version of the lease row that
+// names the new one; a row from before a handover is ignored.
+func (c *Client) Follow(address string, leaseVersion int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.followLocked(address)
+	if leaseVersion > c.handedOverVersion {
+		c.followLocked(address, leaseVersion)
+	}
+}
+
+// FollowLocal connects to the scheduler of this process, which began a term that is
+// based on leaseVersion.
+func (c *Client) FollowLocal(leaseVersion int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.followLocked(localTarget, leaseVersion)
 }
 
-func (c *Client) followLocked(address string) {
+func (c *Client) followLocked(address string, leaseVersion int64) {
 	if c.target == address {
 		return
 	}
-	if c.target != localTarget && address != localTarget {
-		c.sendLocked(supersededCall(address))
-	} else if address == localTarget {
-		c.sendLocked(supersededCall(c.opts.Address))
+	successor := address
+	if address == localTarget {
+		successor = c.opts.Address
+	}
+	if c.target != localTarget {
+		c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Superseded{Superseded: &apiv1.SchedulerSuperseded{Address: successor, LeaseVersion: leaseVersion}}})
 	}
 	c.target = address
 	c.dropLinkLocked(errors.New("another router holds the lease"))
 }
 
-func supersededCall(address string) *apiv1.SchedulerCall {
-	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Superseded{Superseded: &apiv1.SchedulerSuperseded{Address: address}}}
-}
-
-// ReportDraining notifies the scheduler that this router is stopping and can't take
-// over the lease.
+// ReportDraining notifies the scheduler, and each later one, that this router is
+// stopping and can't take over the lease.
 func (c *Client) ReportDraining() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Leaving{Leaving: &apiv1.RouterLeaving{}}})
+	c.draining = true
+	c.sendLocked(leavingCall())
 }
 
-// FollowLocal connects to the scheduler of this process.
-func (c *Client) FollowLocal() { c.Follow(localTarget) }
+func leavingCall() *apiv1.SchedulerCall {
+	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Leaving{Leaving: &apiv1.RouterLeaving{}}}
+}
 
 // UnfollowLocal closes the link to the scheduler of this process, if there is one.
 func (c *Client) UnfollowLocal() {
@@ -278,6 +294,9 @@
 	if link.send(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Hello{Hello: hello}}) != nil {
 		return false
 	}
+	if c.draining && link.send(leavingCall()) != nil {
+		return false
+	}
 	c.link = link
 	c.lastReceived = time.Now()
 	c.listReceived = false
@@ -371,7 +390,8 @@
 		c.opts.OnHandover(Handover{Fence: h.GetFence(), Version: h.GetVersion(), BootID: h.GetBootId(), WaitLeaseTime: h.GetWaitLeaseTime()})
 		return
 	case *apiv1.SchedulerReply_Moved:
-		c.followLocked(body.Moved.GetAddress())
+		c.handedOverVersion = body.Moved.GetLeaseVersion()
+		c.followLocked(body.Moved.GetAddress(), c.handedOverVersion)
 		return
 	case *apiv1.SchedulerReply_List:
 		c.listReceived = true
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -43,10 +43,10 @@
 // newScheduler runs an active scheduler with one engine that has loaded model m.
 func newScheduler(t *testing.T, ctx context.Context) (*Scheduler, string) {
 	t.Helper()
-	return newSchedulerWith(t, ctx, func(string) {})
+	return newSchedulerWith(t, ctx, func(string, int64) {})
 }
 
-func newSchedulerWith(t *testing.T, ctx context.Context, onSuperseded func(string)) (*Scheduler, string) {
+func newSchedulerWith(t *testing.T, ctx context.Context, onSuperseded func(string, int64)) (*Scheduler, string) {
 	t.Helper()
 	directory := fleet.NewDirectory()
 	spec := &fleet.EngineSpec{Slots: 1, KVTokens: 1000, MemoryMB: 10, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}}}
@@ -97,7 +97,7 @@
 	go client.Run(ctx)
 	_, err := client.Place(ctx, placementRequest())
 	is.True(errors.Is(err, ErrNoScheduler)) // at once, so that the router can choose an engine itself
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
 	is.True(client.HasActiveScheduler())
 	placement := mustPlace(t, ctx, client)
@@ -112,7 +112,7 @@
 
 	// A new holder is informed of the running request.
 	next, addr := newScheduler(t, ctx)
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
 	runs := make(chan int, 1)
 	next.post(func() { runs <- next.cells["s"].Running() })
@@ -132,7 +132,7 @@
 	go server.Serve(ctx)
 	client := newClient("r1", "boot")
 	go client.Run(ctx)
-	client.Follow(server.Addr())
+	client.Follow(server.Addr(), 1)
 	time.Sleep(400 * time.Millisecond)
 	is.True(!client.HasActiveScheduler())
 	_, err = client.Place(ctx, placementRequest())
@@ -148,7 +148,7 @@
 	s, addr := newScheduler(t, ctx)
 	client := newClient("r1", "boot")
 	go client.Run(ctx)
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
 	services := map[string]fleet.Service{"added": s.opts.Directory.Load().Config.Services["s"]}
 	s.opts.Directory.SetConfig(fleet.NewConfig(2, nil, services, fleet.Limits{}))
@@ -176,7 +176,7 @@
 	s, addr := newScheduler(t, ctx)
 	client := newClient("r1", "boot")
 	go client.Run(ctx)
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
 	first := mustPlace(t, ctx, client)
 	shortCtx, cancelShort := context.WithTimeout(ctx, 30*time.Millisecond)
@@ -208,7 +208,7 @@
 	routerCtx, stopRouter := context.WithCancel(ctx)
 	client := newClient("r1", "boot")
 	go client.Run(routerCtx)
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
 	mustPlace(t, ctx, client)
 	stopRouter()
@@ -224,7 +224,7 @@
 	is.Equal(count(), [2]int{0, 1}) // the engine may still run it
 	restarted := newClient("r1", "boot-2")
 	go restarted.Run(ctx)
-	restarted.Follow(addr)
+	restarted.Follow(addr, 1)
 	is.NoErr(restarted.WaitLinked(ctx))
 	is.Equal(count(), [2]int{1, 0}) // the restarted router lists none
 }
@@ -243,7 +243,7 @@
 		c.opts.Cores = cores
 		c.opts.OnHandover = func(h Handover) { offers <- host }
 		go c.Run(ctx)
-		c.Follow(addr)
+		c.Follow(addr, 1)
 		is.NoErr(c.WaitLinked(ctx))
 		if host == "leaving" {
 			c.ReportDraining()
@@ -287,11 +287,73 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	reported := make(chan string, 1)
-	_, addr := newSchedulerWith(t, ctx, func(address string) { reported <- address })
+	versions := make(chan int64, 1)
+	_, addr := newSchedulerWith(t, ctx, func(address string, version int64) { reported <- address; versions <- version })
 	client := newClient("r1", "boot")
 	go client.Run(ctx)
-	client.Follow(addr)
+	client.Follow(addr, 1)
 	is.NoErr(client.WaitLinked(ctx))
-	client.Follow("127.0.0.1:1")
+	client.Follow("127.0.0.1:1", 7)
 	is.Equal(<-reported, "127.0.0.1:1")
+	is.Equal(<-versions, int64(7))
 }
+
+// A stopping router that connects to the next scheduler must not be offered the lease.
+func TestStoppingRouterIsNotOfferedTheLeaseByTheNextScheduler(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	client := newClient("leaving", "boot")
+	client.opts.OnHandover = func(Handover) { t.Error("a stopping router was offered the lease") }
+	go client.Run(ctx)
+	_, addr := newScheduler(t, ctx)
+	client.Follow(addr, 1)
+	is.NoErr(client.WaitLinked(ctx))
+	client.ReportDraining()
+	next, addr := newScheduler(t, ctx)
+	client.Follow(addr, 2)
+	is.NoErr(client.WaitLinked(ctx))
+	for draining := make(chan bool, 1); ; {
+		next.post(func() {
+			known := false
+			for _, session := range next.sessions {
+				known = known || session.router == "leaving"
+			}
+			draining <- known
+		})
+		if <-draining {
+			break
+		}
+	}
+	is.True(!next.HandOver(Handover{Fence: 7}))
+}
+
+// After a handover the row still names the previous holder. A router that reads it
+// before it is connected to the successor must not turn back.
+func TestRowFromBeforeTheHandoverIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	client := newClient("r1", "boot")
+	client.Follow("previous:1", 4)
+	link := &recordingLink{}
+	is.True(client.install("previous:1", link))
+	client.handleReply(link, &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Moved{Moved: &apiv1.SchedulerMoved{Address: "successor:1", LeaseVersion: 5}}})
+	is.Equal(client.target, "successor:1")
+	next := &recordingLink{}
+	is.True(client.install("successor:1", next))
+	client.Follow("previous:1", 5)
+	is.Equal(client.target, "successor:1")
+	is.Equal(len(next.calls), 1) // the hello: the successor is not told that it was superseded
+	client.Follow("third:1", 6)
+	is.Equal(client.target, "third:1")
+	is.Equal(next.calls[1].GetSuperseded().GetLeaseVersion(), int64(6))
+}
+
+// recordingLink records the calls to a scheduler.
+type recordingLink struct{ calls []*apiv1.SchedulerCall }
+
+func (l *recordingLink) send(call *apiv1.SchedulerCall) error {
+	l.calls = append(l.calls, call)
+	return nil
+}
+
+func (l *recordingLink) close() {}
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -112,10 +112,11 @@
 	SchedulerCores   func() float64
 	OnStoreReachable func()
 	// OnElected and OnLost are called at the beginning and the end of a lease term,
-	// OnHolder when another holder is known; its host may be empty.
+	// OnHolder when another holder is known, with the version of the lease row that
+	// names it; its host may be empty.
 	OnElected func(LeaseTerm)
 	OnLost    func(reason string)
-	OnHolder  func(host, address string)
+	OnHolder  func(host, address string, leaseVersion int64)
 	// HandOver offers the lease to a connected router and reports whether there
 	// is one. May be nil.
 	HandOver func(offer Handover) bool
@@ -161,8 +162,8 @@
 	// fenced is set when an engine rejected an order because it has seen a higher
 	// fence.
 	fenced atomic.Bool
-	// supersededBy is the address of a new holder, as reported by a router.
-	supersededBy atomic.Pointer[string]
+	// supersededBy is a new holder, as reported by a router.
+	supersededBy atomic.Pointer[successor]
 	// leaseVersion is the version of the row that this router's term is based on.
 	leaseVersion atomic.Int64
 	// cancelStoreCall cancels the store call in progress.
@@ -213,13 +214,15 @@
 	if e.fenced.Swap(false) && e.fence != 0 {
 		e.lose("an engine has seen a higher fence")
 	}
-	if address := e.supersededBy.Swap(nil); address != nil && e.fence != 0 {
+	if next := e.supersededBy.Swap(nil); next != nil && e.fence != 0 {
 		e.lose("a router follows another holder")
-		e.opts.OnHolder("", *address)
+		e.opts.OnHolder("", next.address, next.leaseVersion)
 	}
 	offer := e.offeredLease.Swap(nil)
 	switch {
-	case e.fence == 0 && offer != nil && !e.resigned.Load():
+	case e.fence == 0 && offer != nil && e.resigned.Load():
+		e.declineHandover(ctx, *offer)
+	case e.fence == 0 && offer != nil:
 		e.acceptHandover(*offer, now)
 	case e.fence == 0:
 		e.watchLease(ctx, now)
@@ -397,7 +400,7 @@
 		return // the row is not newer than the connected scheduler's term
 	}
 	if e.row.GetHolder() != "" && e.row.GetBootId() != e.opts.BootID {
-		e.opts.OnHolder(e.row.GetHolder(), e.row.GetAddress())
+		e.opts.OnHolder(e.row.GetHolder(), e.row.GetAddress(), e.version)
 	}
 }
 
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -46,7 +46,7 @@
 			HasActiveScheduler: func() bool { return c.hasScheduler },
 			OnElected:          func(t LeaseTerm) { c.terms = append(c.terms, t) },
 			OnLost:             func(string) { c.lost++ },
-			OnHolder:           func(host, _ string) { c.holder = host },
+			OnHolder:           func(host, _ string, _ int64) { c.holder = host },
 			Observer:           noopObserver{},
 			Now:                func() time.Time { return sim.now },
 		})
@@ -266,15 +266,47 @@
 	sim, first, second := newSimulationWithHolder(t, true)
 	sim.run(6*time.Second, first)
 	is.True(second.holdsLease())
-	first.ReportSuperseded("b:1")
+	first.ReportSuperseded("b:1", second.LeaseVersion())
 	is.True(!first.MayOrder())
 	first.step(context.Background())
 	is.Equal(first.lost, 1)
-	first.ReportSuperseded("b:1") // repeated report
+	first.ReportSuperseded("b:1", second.LeaseVersion()) // repeated report
 	first.step(context.Background())
 	is.Equal(first.lost, 1)
 }
 
+// A router that still sees the row from before a handover reports its holder to the
+// successor. The successor must not give up the lease for that.
+func TestReportOfAnOldRowDoesNotEndTheTerm(t *testing.T) {
+	is := is.New(t)
+	sim, first, second := newSimulationWithHolder(t, true)
+	sim.table.SetFault(tabletest.Down)
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	first.Resign()
+	sim.run(time.Second)
+	is.True(second.holdsLease())
+	second.ReportSuperseded("a:1", first.LeaseVersion())
+	is.True(second.MayOrder())
+	second.step(context.Background())
+	is.True(second.holdsLease())
+	is.Equal(second.lost, 0)
+}
+
+// The lease is handed over to a router that has begun to stop in the same moment. The
+// others must not wait until its lease has run out.
+func TestStoppingRouterDeclinesTheLease(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(false, "a", "b", "c")
+	first, second, third := sim.contenders[0], sim.contenders[1], sim.contenders[2]
+	sim.run(time.Second, second, third)
+	is.True(first.holdsLease())
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	second.Resign()
+	first.Resign()
+	sim.run(1200 * time.Millisecond)
+	is.True(third.holdsLease())
+}
+
 // After a handover without the store, the row still names the previous holder. A
 // router that is connected to the successor must not follow that row.
 func TestPreviousHoldersRowIsNotFollowed(t *testing.T) {
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -48,7 +48,7 @@
 	}}})
 	for _, session := range s.sessions {
 		if session != successor {
-			session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Moved{Moved: &apiv1.SchedulerMoved{Address: successor.address}}})
+			session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Moved{Moved: &apiv1.SchedulerMoved{Address: successor.address, LeaseVersion: offer.Version}}})
 		}
 	}
 	// The routers disconnect once they have received these messages.
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -108,7 +108,7 @@
 	case *apiv1.SchedulerCall_Progress:
 		s.handleProgress(now, from, body.Progress)
 	case *apiv1.SchedulerCall_Superseded:
-		s.opts.OnSuperseded(body.Superseded.GetAddress())
+		s.opts.OnSuperseded(body.Superseded.GetAddress(), body.Superseded.GetLeaseVersion())
 	case *apiv1.SchedulerCall_Standing:
 		from.storeReachedAt = now
 	case *apiv1.SchedulerCall_Leaving:
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -53,9 +53,9 @@
 	// OnFenced is called when an engine rejects an order because it has seen a
 	// higher fence.
 	OnFenced func()
-	// OnSuperseded is called with the new holder's address when a router reports
-	// that another one holds the lease.
-	OnSuperseded func(address string)
+	// OnSuperseded is called when a router reports that another one holds the lease,
+	// with its address and the version of the lease row that names it.
+	OnSuperseded func(address string, leaseVersion int64)
 	Log          DecisionLog
 }
 
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -27,8 +27,20 @@
 	e.interruptStoreCall()
 }
 
-// ReportSuperseded reports that the router at address has taken over the lease.
-func (e *Election) ReportSuperseded(address string) { e.supersededBy.Store(&address) }
+// successor is a router that has taken over the lease.
+type successor struct {
+	address      string
+	leaseVersion int64
+}
+
+// ReportSuperseded reports that a version of the lease row names the router at address
+// as the holder. A row that is not newer than this router's term proves nothing: after
+// a handover it still names the previous holder.
+func (e *Election) ReportSuperseded(address string, leaseVersion int64) {
+	if leaseVersion > e.leaseVersion.Load() {
+		e.supersededBy.Store(&successor{address, leaseVersion})
+	}
+}
 
 // LeaseVersion returns the version of the lease row on which this router's term is
 // based.
@@ -106,6 +118,20 @@
 	e.nextRenewal = now
 }
 
+// declineHandover marks a lease that was handed over to this stopping router as vacant,
+// so that another one takes it at once.
+func (e *Election) declineHandover(ctx context.Context, offer Handover) {
+	e.version = offer.Version
+	result, err := e.commit(ctx, &apiv1.SchedulerLease{})
+	if err != nil {
+		e.opts.Observer.LeaseFailed("decline", err)
+		return
+	}
+	if result.Committed {
+		e.version = result.Version
+	}
+}
+
 // beginTerm begins a lease term. Orders are held back for the lease time if wait
 // is set or engines don't check fences.
 func (e *Election) beginTerm(version, fence int64, sent time.Time, wait bool) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -221,7 +222,7 @@
 	restarted := newUpstream(t, "engine-1", refuseMissingModel)
 	good := newUpstream(t, "engine-2", events(1, 1, true))
 	router := start(t, restarted, good)
-	router.process.client.Follow("127.0.0.1:1") // no scheduler listens there
+	router.process.client.Follow("127.0.0.1:1", math.MaxInt64) // no scheduler listens there
 	served := 0
 	for range 12 {
 		if got := router.send(t, "/stream/a", "m", callerTimeout); got.status == http.StatusOK {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -86,7 +86,7 @@
 		RenewedAgo:   func() time.Duration { return p.election.RenewedAgo() },
 		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
 		OnFenced:     func() { p.election.ReportFenced() },
-		OnSuperseded: func(address string) { p.election.ReportSuperseded(address) },
+		OnSuperseded: func(address string, leaseVersion int64) { p.election.ReportSuperseded(address, leaseVersion) },
 		Log:          p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
@@ -116,7 +116,7 @@
 		HandOver:              p.scheduler.HandOver,
 		OnElected:             p.onElected,
 		OnLost:                p.onLost,
-		OnHolder:              func(_, address string) { p.client.Follow(address) },
+		OnHolder:              func(_, address string, leaseVersion int64) { p.client.Follow(address, leaseVersion) },
 		Observer:              p.log,
 	})
 	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.onDirectoryChange, Observer: p.log, Peer: p.client})
@@ -127,7 +127,7 @@
 func (p *Process) onElected(term cell.LeaseTerm) {
 	p.log.SchedulingChanged(true, term.Fence, "lease taken")
 	p.scheduler.Start(term)
-	p.client.FollowLocal()
+	p.client.FollowLocal(p.election.LeaseVersion())
 }
 
 func (p *Process) onLost(reason string) {
