transport: reads end when their session begins to close, instead of polling until it has

yamux.Stream.Read polls without a pause from the moment its session begins to shut down until the session has ended the stream.

The connection under a session now ends the pending reads itself when yamux closes it.

--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -33,7 +33,8 @@
 
 // Session is the dialing end of a connection to one peer.
 type Session struct {
-	mux *yamux.Session
+	mux  *yamux.Session
+	conn *muxConn
 }
 
 // Dial connects to the peer at addr, "IP:PORT".
@@ -54,11 +55,20 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("dial %s: %w", addr, err), conn.Close())
 	}
-	mux, err := yamux.Client(conn, yamuxConfig())
+	session, err := newSession(conn)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("dial %s: %w", addr, err), conn.Close())
 	}
-	return &Session{mux: mux}, nil
+	return session, nil
+}
+
+func newSession(conn net.Conn) (*Session, error) {
+	tracked := newMuxConn(conn)
+	mux, err := yamux.Client(tracked, yamuxConfig())
+	if err != nil {
+		return nil, err
+	}
+	return &Session{mux: mux, conn: tracked}, nil
 }
 
 // clientTLSConfig sets the server name for certificate verification to the host of
@@ -78,11 +88,11 @@
 
 // Open opens a stream. Nothing reaches the peer before its first Send.
 func (s *Session) Open() (*Stream, error) {
-	conn, err := s.mux.OpenStream()
+	stream, err := s.mux.OpenStream()
 	if err != nil {
 		return nil, wrapDisconnected("open stream", err)
 	}
-	return newStream(conn), nil
+	return s.conn.newStream(stream), nil
 }
 
 // Close closes the session and its streams.
@@ -149,7 +159,8 @@
 		_ = conn.Close() // the peer reports the failure
 		return
 	}
-	mux, err := yamux.Server(conn, yamuxConfig())
+	tracked := newMuxConn(conn)
+	mux, err := yamux.Server(tracked, yamuxConfig())
 	if err != nil {
 		_ = conn.Close() // the peer reports the failure
 		return
@@ -161,22 +172,22 @@
 	defer s.untrack(mux)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.serveStreams(ctx, mux)
+	s.serveStreams(ctx, mux, tracked)
 }
 
-func (s *Server) serveStreams(ctx context.Context, mux *yamux.Session) {
+func (s *Server) serveStreams(ctx context.Context, mux *yamux.Session, conn *muxConn) {
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	defer func() { _ = mux.Close() }() // the session has ended already
 	for {
-		conn, err := mux.AcceptStream()
+		stream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		streams.Add(1)
 		go func() {
 			defer streams.Done()
-			s.handler(ctx, newStream(conn))
+			s.handler(ctx, conn.newStream(stream))
 		}()
 	}
 }
