cell: the lease is taken over sooner, and orders resume sooner where engines don't check fences

- The wait begins at the last renewal that the scheduler's heartbeats reported, if the row has not changed since, not when the row is first read.
- A host that restarts after a long term of its own, and the first holder of all, wait for nobody's orders.

The lease's clock now also runs while the host is suspended: time.Now does not show a suspension, so a resumed holder could have ordered on a renewal from before it. Tests: TestUnfencedOrdersAreTheLeaseTimeApart, TestRestartedHolderOrdersAtOnceAfterALongTerm, TestFirstHolderOrdersAtOnce.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -221,6 +221,14 @@
 	return c.leaseVersion
 }
 
+// SchedulerRenewal returns the version of the lease row at the last renewal that a
+// scheduler reported, and the age of that renewal. The link may be lost by now.
+func (c *Client) SchedulerRenewal() (version int64, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaseVersion, time.Since(c.renewedAt)
+}
+
 // Fresh implements fleet.Peer: a scheduler on another router relays what it reads.
 // ok is false if the scheduler runs in this process.
 func (c *Client) Fresh() (configVersion int64, ok bool) {
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -59,7 +59,7 @@
 		MayOrder: func() bool { return true }, RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }, OnFenced: func() {}, OnSuperseded: onSuperseded, Log: noopLog{},
 	})
 	go s.Run(ctx)
-	s.Start(LeaseTerm{Fence: 1, OrdersAllowedFrom: time.Now()})
+	s.Start(LeaseTerm{Fence: 1})
 	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, s.Serve)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -16,8 +16,6 @@
 import (
 	"context"
 	crand "crypto/rand"
-	"math"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -58,13 +56,17 @@
 	// that could replace a weaker holder. A check counts for storeCheckTTL.
 	storeCheckInterval = time.Second
 	storeCheckTTL      = 2500 * time.Millisecond
-	// fencedTakeoverWait is how long the row must be unchanged before a takeover
-	// where engines check fences.
-	fencedTakeoverWait = 3 * renewInterval
-	// takeoverMargin is added to the lease time before a takeover where engines
-	// don't check fences. A holder stops ordering this long before the lease time
-	// ends.
-	takeoverMargin = 500 * time.Millisecond
+	// renewalTimeout is how long the row must be unchanged before a takeover.
+	renewalTimeout = 3 * renewInterval
+	// Where engines check fences, a holder that can't renew stops ordering
+	// fencedOrderMargin before the lease time ends; elsewhere unfencedOrderWindow
+	// after its last renewal, so that its successor may order soon.
+	fencedOrderMargin   = 500 * time.Millisecond
+	unfencedOrderWindow = 1200 * time.Millisecond
+	// ownTermFactor is how many lease times the previous term of this host must have
+	// lasted for orders right after a restart. Renewals that got no reply are counted
+	// too, so that the term may have been shorter than its renewals suggest.
+	ownTermFactor = 3
 	// orderMargin is added to the lease time before a new holder's first order, for
 	// orders of the previous holder that are still in flight.
 	orderMargin = 200 * time.Millisecond
@@ -77,9 +79,9 @@
 type LeaseTerm struct {
 	// Fence is the fencing token of the term's orders.
 	Fence int64
-	// OrdersAllowedFrom is the time from which orders may be sent, because those of
-	// the previous holder can no longer take effect.
-	OrdersAllowedFrom time.Time
+	// OrdersHeldBack is the time from the beginning of the term until orders may be
+	// sent, because those of the previous holder can no longer take effect.
+	OrdersHeldBack time.Duration
 }
 
 // ElectionOptions configure an Election.
@@ -106,6 +108,9 @@
 	// scheduler's term is based, 0 without one. Only newer rows replace that
 	// scheduler. May be nil.
 	SchedulerLeaseVersion func() int64
+	// SchedulerRenewal returns the version of the last renewal that a connected
+	// scheduler reported, and its age. The link may be lost by now. May be nil.
+	SchedulerRenewal func() (version int64, age time.Duration)
 	// SchedulerCores is the processor share of the connected scheduler's host, 0
 	// without one. If this host is strong enough to replace it, OnStoreReachable
 	// is called after each successful store check. Both may be nil.
@@ -121,7 +126,8 @@
 	// is one. May be nil.
 	HandOver func(offer Handover) bool
 	Observer Observer
-	// Now returns the time with a monotonic reading; nil means time.Now.
+	// Now returns the time on a clock that also runs while the host is suspended; nil
+	// means the clock of the kernel.
 	Now func() time.Time
 }
 
@@ -147,10 +153,12 @@
 	nextRead         time.Time
 	nextRenewal      time.Time
 	earliestTakeover time.Time
-	nextStoreCheck   time.Time
-	noTakeoverUntil  time.Time
-	lastTick         time.Time
-	electedAt        time.Time
+	// silentAt is when the holder counts as unable to renew, if the row does not change.
+	silentAt        time.Time
+	nextStoreCheck  time.Time
+	noTakeoverUntil time.Time
+	lastTick        time.Time
+	electedAt       time.Time
 	// storeFailing is set if the last read or commit failed.
 	storeFailing atomic.Bool
 	// lastRenewal is when the last successful renewal was sent, in nanoseconds of
@@ -180,7 +188,7 @@
 // NewElection returns an election that does nothing until Run is called.
 func NewElection(opts ElectionOptions) *Election {
 	if opts.Now == nil {
-		opts.Now = time.Now
+		opts.Now = newBootClock()
 	}
 	now := opts.Now()
 	return &Election{opts: opts, row: &apiv1.SchedulerLease{}, startedAt: now, lastTick: now}
@@ -209,6 +217,7 @@
 		e.mustRenew.Store(true)
 		e.nextRenewal = now
 		e.unchangedSince = now
+		e.silentAt = now.Add(renewalTimeout)
 	}
 	e.lastTick = now
 	if e.fenced.Swap(false) && e.fence != 0 {
@@ -253,10 +262,10 @@
 	if e.mustRenew.Load() || e.fenced.Load() || e.supersededBy.Load() != nil {
 		return false
 	}
-	if e.RenewedAgo() < e.opts.LeaseTime-takeoverMargin {
-		return true
+	if !e.opts.EnginesCheckFence {
+		return e.RenewedAgo() < unfencedOrderWindow
 	}
-	return e.opts.EnginesCheckFence && e.storeFailing.Load()
+	return e.RenewedAgo() < e.opts.LeaseTime-fencedOrderMargin || e.storeFailing.Load()
 }
 
 func (e *Election) recordRenewal(sent time.Time) {
@@ -279,9 +288,9 @@
 	if result.Committed {
 		e.row = row
 		e.version = result.Version
-		e.leaseVersion.Store(result.Version)
 		e.previousBootID = ""
 		e.recordRenewal(now)
+		e.leaseVersion.Store(result.Version) // after the renewal: readers pair the two
 		e.nextRenewal = now.Add(renewInterval)
 		return
 	}
@@ -305,148 +314,6 @@
 	e.reportHolder()
 }
 
-// watchLease reads the lease row while no active scheduler is connected. It takes
-// the lease over when it is vacant or its holder stops renewing it.
-func (e *Election) watchLease(ctx context.Context, now time.Time) {
-	if e.opts.HasActiveScheduler() {
-		e.checkStore(ctx, now)
-		return
-	}
-	if now.Before(e.nextRead) {
-		return
-	}
-	e.nextRead = now.Add(leaseReadInterval/2 + rand.N(leaseReadInterval))
-	callCtx, cancel := e.callContext(ctx)
-	defer cancel()
-	row, err := e.opts.Table.Get(callCtx, leaseKey)
-	e.storeFailing.Store(err != nil)
-	if err != nil {
-		e.opts.Observer.LeaseFailed("read", err)
-		// The holder may have been unable to renew as well, so the wait starts over.
-		e.unchangedSince = e.opts.Now()
-		return
-	}
-	lease, err := decodeLease(row)
-	if err != nil {
-		e.opts.Observer.LeaseFailed("decode", err)
-		return
-	}
-	e.observeRow(lease, row.Version)
-	if lease.GetHolder() == "" {
-		e.nextRead = e.earliestTakeover
-	}
-	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" && !e.resigned.Load() && !now.Before(e.noTakeoverUntil) {
-		// A takeover of this router was committed, but its reply was lost.
-		e.elected(row.Version, now)
-		return
-	}
-	if e.mayTakeOver(e.opts.Now()) {
-		e.takeOver(ctx)
-	}
-}
-
-// checkStore reads the lease row if this host is strong enough to replace the
-// scheduler's. A running holder hands the lease over only to a router that
-// reaches the store: any other could not renew it.
-func (e *Election) checkStore(ctx context.Context, now time.Time) {
-	if e.opts.SchedulerCores == nil || e.resigned.Load() || now.Before(e.nextStoreCheck) {
-		return
-	}
-	cores := e.opts.SchedulerCores()
-	if cores <= 0 || e.opts.Cores < yieldCoresFactor*cores {
-		return
-	}
-	e.nextStoreCheck = now.Add(storeCheckInterval/2 + rand.N(storeCheckInterval))
-	callCtx, cancel := e.callContext(ctx)
-	defer cancel()
-	if _, err := e.opts.Table.Get(callCtx, leaseKey); err != nil {
-		e.opts.Observer.LeaseFailed("prove", err)
-		return
-	}
-	e.opts.OnStoreReachable()
-}
-
-func decodeLease(row external.Row) (*apiv1.SchedulerLease, error) {
-	lease := &apiv1.SchedulerLease{}
-	if row.Version == 0 {
-		return lease, nil
-	}
-	return lease, proto.Unmarshal(row.Value, lease)
-}
-
-// observeRow records the current lease row if its version is new.
-func (e *Election) observeRow(row *apiv1.SchedulerLease, version int64) {
-	if version == e.version && !e.unchangedSince.IsZero() {
-		return
-	}
-	e.row = row
-	e.version = version
-	e.unchangedSince = e.opts.Now()
-	e.earliestTakeover = e.unchangedSince.Add(e.takeoverDelay() + rand.N(takeoverJitter))
-	e.opts.Observer.LeaseRead(row.GetHolder(), version)
-	e.reportHolder()
-}
-
-// takeoverDelay is shorter on stronger hosts.
-func (e *Election) takeoverDelay() time.Duration {
-	if e.opts.Cores <= 0 {
-		return baseTakeoverDelay
-	}
-	return min(maxTakeoverDelay, time.Duration(float64(baseTakeoverDelay)/math.Pow(e.opts.Cores, takeoverDelayExponent)))
-}
-
-func (e *Election) reportHolder() {
-	if e.opts.SchedulerLeaseVersion != nil && e.version <= e.opts.SchedulerLeaseVersion() {
-		return // the row is not newer than the connected scheduler's term
-	}
-	if e.row.GetHolder() != "" && e.row.GetBootId() != e.opts.BootID {
-		e.opts.OnHolder(e.row.GetHolder(), e.row.GetAddress(), e.version)
-	}
-}
-
-func (e *Election) mayTakeOver(now time.Time) bool {
-	if now.Before(e.earliestTakeover) || now.Before(e.noTakeoverUntil) || e.resigned.Load() {
-		return false
-	}
-	if e.row.GetHolder() == "" {
-		return true
-	}
-	if e.row.GetHolder() == e.opts.Host && e.row.GetBootId() != e.opts.BootID {
-		return true // the holder was an earlier process on this host
-	}
-	return now.Sub(e.unchangedSince) >= e.takeoverWait()
-}
-
-func (e *Election) takeoverWait() time.Duration {
-	if e.opts.EnginesCheckFence {
-		return fencedTakeoverWait
-	}
-	return e.opts.LeaseTime + takeoverMargin
-}
-
-func (e *Election) takeOver(ctx context.Context) {
-	now := e.opts.Now()
-	row := &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
-	result, err := e.commit(ctx, row)
-	if err != nil {
-		e.opts.Observer.LeaseFailed("take", err)
-		e.unchangedSince = e.opts.Now()
-		e.earliestTakeover = e.unchangedSince.Add(renewRetryDelay)
-		return
-	}
-	if !result.Committed {
-		e.observeRow(e.conflictingRow(result))
-		return
-	}
-	e.row = row
-	e.elected(result.Version, now)
-}
-
-func (e *Election) elected(version int64, sent time.Time) {
-	e.previousBootID = ""
-	e.beginTerm(version, version<<handoverCountBits, sent, false)
-}
-
 func (e *Election) commit(ctx context.Context, row *apiv1.SchedulerLease) (external.TxnResult, error) {
 	value, err := proto.Marshal(row)
 	if err != nil {
@@ -463,6 +330,14 @@
 	return result, err
 }
 
+func decodeLease(row external.Row) (*apiv1.SchedulerLease, error) {
+	lease := &apiv1.SchedulerLease{}
+	if row.Version == 0 {
+		return lease, nil
+	}
+	return lease, proto.Unmarshal(row.Value, lease)
+}
+
 // conflictingRow returns the lease row that made a commit fail.
 func (e *Election) conflictingRow(result external.TxnResult) (*apiv1.SchedulerLease, int64) {
 	if len(result.Conflicts) == 0 {
--- a/internal/cell/election_test.go
+++ b/internal/cell/election_test.go
@@ -24,8 +24,9 @@
 	*Election
 	host         string
 	terms        []LeaseTerm
-	lost         int    // calls of OnLost
-	holder       string // as last passed to OnHolder
+	ordersFrom   []time.Time // of each term
+	lost         int         // calls of OnLost
+	holder       string      // as last passed to OnHolder
 	hasScheduler bool
 }
 
@@ -44,11 +45,14 @@
 			Table: sim.table, Host: host, BootID: "boot-" + host, Address: host + ":1",
 			LeaseTime: 3 * time.Second, EnginesCheckFence: fenced,
 			HasActiveScheduler: func() bool { return c.hasScheduler },
-			OnElected:          func(t LeaseTerm) { c.terms = append(c.terms, t) },
-			OnLost:             func(string) { c.lost++ },
-			OnHolder:           func(host, _ string, _ int64) { c.holder = host },
-			Observer:           noopObserver{},
-			Now:                func() time.Time { return sim.now },
+			OnElected: func(t LeaseTerm) {
+				c.terms = append(c.terms, t)
+				c.ordersFrom = append(c.ordersFrom, sim.now.Add(t.OrdersHeldBack))
+			},
+			OnLost:   func(string) { c.lost++ },
+			OnHolder: func(host, _ string, _ int64) { c.holder = host },
+			Observer: noopObserver{},
+			Now:      func() time.Time { return sim.now },
 		})
 		sim.contenders = append(sim.contenders, c)
 	}
@@ -112,11 +116,73 @@
 		is.True(second.terms[0].Fence > first.terms[0].Fence)
 		if !fenced {
 			// The orders of two holders are the lease time apart.
-			is.True(second.terms[0].OrdersAllowedFrom.Sub(before) > 3*time.Second)
+			is.True(second.ordersFrom[0].Sub(before) > 3*time.Second)
 		}
 	}
 }
 
+// Where engines don't check fences, the first order of a successor must be the lease
+// time after the last one that the previous holder may send, and no later than needed.
+func TestUnfencedOrdersAreTheLeaseTimeApart(t *testing.T) {
+	for name, backdated := range map[string]bool{"found by its row": false, "known by its heartbeats": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim, first, second := newSimulationWithHolder(t, false)
+			second.hasScheduler = true
+			second.opts.SchedulerRenewal = func() (int64, time.Duration) {
+				if !backdated {
+					return 0, 0
+				}
+				return first.LeaseVersion(), first.RenewedAgo()
+			}
+			sim.run(2 * time.Second)
+			died := sim.now
+			second.hasScheduler = false
+			var lastOrder time.Time
+			for !second.holdsLease() {
+				sim.run(electionTickInterval, first)
+				if first.MayOrder() {
+					lastOrder = sim.now
+				}
+			}
+			is.True(sim.now.Sub(died) < 3*time.Second) // placements don't wait for the lease time
+			is.True(!first.MayOrder())
+			apart := second.ordersFrom[0].Sub(lastOrder)
+			is.True(apart >= 3*time.Second+engineTimeout)
+			is.True(apart < 5*time.Second)
+			if backdated {
+				is.True(sim.now.Sub(died) < 1700*time.Millisecond)
+			}
+		})
+	}
+}
+
+// A holder whose host restarts takes the lease back. It need not wait for the orders of
+// other hosts if its previous term was long, and must wait if that term had just begun.
+func TestRestartedHolderOrdersAtOnceAfterALongTerm(t *testing.T) {
+	for _, tc := range []struct {
+		term  time.Duration
+		waits bool
+	}{{10 * time.Second, false}, {time.Second, true}} {
+		is := is.New(t)
+		sim, first, _ := newSimulationWithHolder(t, false)
+		sim.run(tc.term)
+		opts := first.opts
+		opts.BootID = "second boot"
+		first.Election = NewElection(opts) // the process restarts
+		sim.run(700 * time.Millisecond)
+		is.True(first.holdsLease())
+		is.Equal(first.ordersFrom[1].Sub(sim.now) > 3*time.Second, tc.waits)
+	}
+}
+
+// The first holder of all has no predecessor whose orders it must wait for.
+func TestFirstHolderOrdersAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, first, _ := newSimulationWithHolder(t, false)
+	is.Equal(first.terms[0].OrdersHeldBack, time.Duration(0))
+}
+
 // The holder is suspended while the reply to its renewal is in flight, and resumes
 // after another router has taken over. It must send no orders on the strength of that
 // old renewal.
@@ -219,7 +285,7 @@
 	is.Equal(first.holder, "b")
 	is.Equal(len(second.terms), 1)
 	// Both keep running, so their orders are the lease time apart.
-	is.True(second.terms[0].OrdersAllowedFrom.Sub(before) > 3*time.Second)
+	is.True(second.ordersFrom[0].Sub(before) > 3*time.Second)
 }
 
 // The holder is stopped while the store is unreachable: the handover must work
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -76,10 +76,12 @@
 	events chan func()
 	ctx    context.Context
 
-	term     LeaseTerm
-	active   bool
-	cells    map[string]*scheduler.Cell
-	sessions map[uint64]*session
+	term LeaseTerm
+	// ordersFrom is the time of the term's first order.
+	ordersFrom time.Time
+	active     bool
+	cells      map[string]*scheduler.Cell
+	sessions   map[uint64]*session
 	// relayed holds each upstream as it was last relayed to the routers.
 	relayed     map[string]*apiv1.ListedUpstream
 	lastSession uint64 // number of the newest session
@@ -135,12 +137,11 @@
 
 // Start begins a lease term.
 func (s *Scheduler) Start(term LeaseTerm) {
+	began := time.Now()
 	s.post(func() {
 		s.term = term
 		s.fence.Store(term.Fence)
-		if syncedAt := time.Now().Add(initialSyncWait); s.term.OrdersAllowedFrom.Before(syncedAt) {
-			s.term.OrdersAllowedFrom = syncedAt
-		}
+		s.ordersFrom = began.Add(max(initialSyncWait, term.OrdersHeldBack))
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.disconnected = nil
@@ -203,7 +204,7 @@
 		if !idle && cell.Waiting() == 0 {
 			continue
 		}
-		if !now.Before(s.term.OrdersAllowedFrom) {
+		if !now.Before(s.ordersFrom) {
 			s.apply(name, cell.AllowOrders(now))
 		}
 		s.apply(name, cell.Tick(now))
@@ -316,10 +317,12 @@
 	}
 	s.strongest.Store(math.Float64bits(strongest))
 	configAge, listAge := s.opts.Directory.ReadAges(now)
+	// Read before the age: the age must not be that of an earlier renewal.
+	leaseVersion := s.opts.LeaseVersion()
 	heartbeat := &apiv1.SchedulerBeat{
 		Fence:        s.term.Fence,
 		RenewedAgoUs: s.opts.RenewedAgo().Microseconds(),
-		LeaseVersion: s.opts.LeaseVersion(),
+		LeaseVersion: leaseVersion,
 		Cores:        s.opts.Cores,
 		ConfigAgeUs:  configAge.Microseconds(),
 		ListAgeUs:    listAge.Microseconds(),
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -114,7 +114,7 @@
 func (e *Election) acceptHandover(offer Handover, now time.Time) {
 	e.row = &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
 	e.previousBootID = offer.BootID
-	e.beginTerm(offer.Version, offer.Fence, now, offer.WaitLeaseTime)
+	e.beginTerm(offer.Version, offer.Fence, now, e.handoverOrdersFrom(offer.WaitLeaseTime))
 	e.nextRenewal = now
 }
 
@@ -132,18 +132,24 @@
 	}
 }
 
-// beginTerm begins a lease term. Orders are held back for the lease time if wait
-// is set or engines don't check fences.
-func (e *Election) beginTerm(version, fence int64, sent time.Time, wait bool) {
+// handoverOrdersFrom returns the time of the first order in a term that begins while the
+// previous holder may still have sent orders a moment ago. Where engines don't check
+// fences, or if the previous holder keeps running, the lease time must pass.
+func (e *Election) handoverOrdersFrom(wait bool) time.Time {
+	if wait || !e.opts.EnginesCheckFence {
+		return e.opts.Now().Add(e.opts.LeaseTime + orderMargin)
+	}
+	return e.opts.Now()
+}
+
+// beginTerm begins a lease term that may send orders from ordersFrom.
+func (e *Election) beginTerm(version, fence int64, sent, ordersFrom time.Time) {
 	e.version = version
-	e.leaseVersion.Store(version)
 	e.fence = fence
-	e.electedAt = e.opts.Now()
+	now := e.opts.Now()
+	e.electedAt = now
 	e.recordRenewal(sent)
+	e.leaseVersion.Store(version)
 	e.nextRenewal = sent.Add(renewInterval)
-	term := LeaseTerm{Fence: fence, OrdersAllowedFrom: e.opts.Now()}
-	if wait || !e.opts.EnginesCheckFence {
-		term.OrdersAllowedFrom = term.OrdersAllowedFrom.Add(e.opts.LeaseTime + orderMargin)
-	}
-	e.opts.OnElected(term)
+	e.opts.OnElected(LeaseTerm{Fence: fence, OrdersHeldBack: max(0, ordersFrom.Sub(now))})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -110,6 +110,7 @@
 		EnginesCheckFence:     settings.EnginesCheckFence,
 		HasActiveScheduler:    p.client.HasActiveScheduler,
 		SchedulerLeaseVersion: p.client.SchedulerLeaseVersion,
+		SchedulerRenewal:      p.client.SchedulerRenewal,
 		SchedulerCores:        p.client.SchedulerCores,
 		OnStoreReachable:      p.client.ReportStoreReachable,
 		StrongestPeerCores:    p.scheduler.StrongestPeerCores,
