entry: a request that is still being read when the router exits gets an answer

At the end of a planned stop the router closed all connections at once. A request whose head had arrived in part, or that arrived between the last look at the requests in flight and the close, was cut off without an answer. The router now closes its listener and the idle connections first and waits up to a second, within the grace, for the others. http.Server.Shutdown does not serve here: it drops a request that it reads after its beginning. TestRequestReadDuringTheExitIsAnswered fails without the change.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -173,6 +175,31 @@
 
 // Guards against a drain delay that is too long or too short because the wall clock was
 // stepped after the stop signal.
+// Guards against a request that is cut off because the router exits while it reads it.
+func TestRequestReadDuringTheExitIsAnswered(t *testing.T) {
+	is := is.New(t)
+	router := start(t, newUpstream(t, "plain-1", respond(200, "the body")))
+	addr := strings.TrimPrefix(router.url, "http://")
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\nId: r-1\r\n")
+	is.NoErr(err)
+	router.stop()
+	router.waitUntil(t, func() bool { // the exit has begun
+		other, err := net.Dial("tcp", addr)
+		if err == nil {
+			other.Close()
+		}
+		return err != nil
+	})
+	_, err = io.WriteString(c, "Content-Length: 0\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+}
+
 func TestStopUsesTheMonotonicClock(t *testing.T) {
 	is := is.New(t)
 	router := start(t, newUpstream(t, "plain-1", respond(200, "ok")))
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -191,22 +191,22 @@
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, background := errgroup.WithContext(background)
-	callerServer := &http.Server{Handler: p.callerHandler(), TLSConfig: p.deps.CallerTLS, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	group.Go(func() error { return serveHTTP(callerServer, callers) })
+	callerServer := newCallerServer(p.callerHandler(), p.deps.CallerTLS, callers)
+	group.Go(callerServer.serve)
 	group.Go(func() error { return peers.Serve(background) })
 	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep} {
 		group.Go(func() error { run(background); return nil })
 	}
 	if err := p.serveReadyAndMetrics(background, group); err != nil {
 		end()
-		return errors.Join(err, callerServer.Close(), group.Wait())
+		return errors.Join(err, callerServer.close(time.Now()), group.Wait())
 	}
 	select {
 	case <-ctx.Done():
 		p.drain()
 	case <-background.Done():
 	}
-	err = callerServer.Close()
+	err = callerServer.close(p.closeDeadline())
 	end()
 	err = errors.Join(err, group.Wait())
 	p.deps.Log.Info("stop", "host", p.settings.Host)
@@ -340,7 +340,7 @@
 	if server.TLSConfig != nil {
 		serve = func(l net.Listener) error { return server.ServeTLS(l, "", "") }
 	}
-	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
