scheduler: a break between prompts lasts as long as an event

Within one event of a stream two or three series of prompts were read. Change: routers report the mean time between events of a finished stream, the scheduler keeps about the shortest, and a break lasts 1.1 of it if that is longer than before. TestBreakLastsAsLongAsAnEvent fails without the change.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -422,7 +422,7 @@
 	}
 	if reply.GetGrant() != nil {
 		// The request was withdrawn before the grant arrived.
-		c.sendLocked(progressCall(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED))
+		c.sendLocked(progressCall(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0))
 	}
 }
 
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -117,7 +117,7 @@
 	runs := make(chan int, 1)
 	next.post(func() { runs <- next.cells["s"].Running() })
 	is.Equal(<-runs, 1)
-	client.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
+	client.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED, 0)
 	mustPlace(t, ctx, client)
 }
 
--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -112,8 +112,9 @@
 }
 
 // ReportOutcome reports the progress of a placed request to the scheduler. Each
-// outcome but STARTED ends the request.
-func (c *Client) ReportOutcome(number uint64, outcome apiv1.PlacementOutcome) {
+// outcome but STARTED ends the request. eventInterval is the mean time between the
+// events of a finished stream, 0 if unknown.
+func (c *Client) ReportOutcome(number uint64, outcome apiv1.PlacementOutcome, eventInterval time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if outcome == apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED {
@@ -123,9 +124,10 @@
 	} else {
 		delete(c.running, number)
 	}
-	c.sendLocked(progressCall(number, outcome))
+	c.sendLocked(progressCall(number, outcome, eventInterval))
 }
 
-func progressCall(number uint64, outcome apiv1.PlacementOutcome) *apiv1.SchedulerCall {
-	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Progress{Progress: &apiv1.PlacementProgress{Number: number, Outcome: outcome}}}
+func progressCall(number uint64, outcome apiv1.PlacementOutcome, eventInterval time.Duration) *apiv1.SchedulerCall {
+	progress := &apiv1.PlacementProgress{Number: number, Outcome: outcome, EventIntervalUs: eventInterval.Microseconds()}
+	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Progress{Progress: progress}}
 }
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -214,6 +214,7 @@
 	if outcome != scheduler.Started {
 		delete(from.serviceByKey, key)
 	}
+	cell.LearnEventInterval(microseconds(progress.GetEventIntervalUs()))
 	s.apply(service, cell.Progress(now, key, outcome))
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -112,8 +112,9 @@
 	responseStarted bool
 	// lastEventID is the id of the last complete event sent to the caller.
 	lastEventID string
-	lastEventAt time.Time
-	record      RequestRecord
+	// firstEventAt and lastEventAt are when events were sent to the caller.
+	firstEventAt, lastEventAt time.Time
+	record                    RequestRecord
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -32,7 +32,7 @@
 		}
 		if cr.handler.directory.Load().KnownUnusable(placement.UpstreamID) {
 			// The scheduler does not know yet that the upstream is draining or removed.
-			cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+			cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0)
 			cr.tried = append(cr.tried, placement.UpstreamID)
 			continue
 		}
@@ -161,7 +161,9 @@
 // sendTo sends the request to the engine of a placement. It reports false if another
 // placement may be tried.
 func (cr *callerRequest) sendTo(placement cell.Placement) bool {
-	report := func(outcome apiv1.PlacementOutcome) { cr.handler.scheduler.ReportOutcome(placement.Number, outcome) }
+	report := func(outcome apiv1.PlacementOutcome) {
+		cr.handler.scheduler.ReportOutcome(placement.Number, outcome, cr.eventInterval())
+	}
 	release := cr.handler.balancer.begin(placement.UpstreamID)
 	defer release()
 	cr.recordAttempt(placement.UpstreamID)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -172,7 +172,9 @@
 		cr.lastEventID = id
 	}
 	now := time.Now()
-	if !cr.lastEventAt.IsZero() {
+	if cr.lastEventAt.IsZero() {
+		cr.firstEventAt = now
+	} else {
 		cr.record.MaxGap = max(cr.record.MaxGap, now.Sub(cr.lastEventAt))
 	}
 	cr.lastEventAt = now
@@ -180,6 +182,18 @@
 	return nil
 }
 
+// minIntervalEvents is the number of events from which their mean interval is reported.
+const minIntervalEvents = 4
+
+// eventInterval returns the mean time between the events of a response from a single
+// attempt, 0 if there were few.
+func (cr *callerRequest) eventInterval() time.Duration {
+	if cr.attempts > 1 || cr.record.Events < minIntervalEvents {
+		return 0
+	}
+	return cr.lastEventAt.Sub(cr.firstEventAt) / time.Duration(cr.record.Events-1)
+}
+
 var (
 	eventEnd = []byte("\n\n")
 	fieldEnd = []byte(":")
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -277,7 +277,6 @@
 func (e *engine) addRun(now time.Time, r *run) {
 	e.runs[r.req.Key] = r
 	e.pending[r.req.Key] = r
-	e.notePrefill(now)
 	if e.prefillDoneAt.Before(now) {
 		e.prefillDoneAt = now
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -257,7 +257,7 @@
 	}
 	prefill := c.modelOf(req.Model).prefillTime(e.cache.uncached(req))
 	o.prefill = prefill
-	o.prefillDelay = e.prefillDelay(now, prefill)
+	o.prefillDelay = c.prefillDelay(now, e, prefill)
 	o.firstEvent = max(o.wait, e.backlog(now)+e.queuedPrefill, o.prefillDelay+e.queuedPrefill) + prefill + firstEventDelay + time.Duration(len(e.runs))*perRunDelay
 	if now.Before(e.ejectedUntil) {
 		o.firstEvent += ejectedPenalty
--- a/internal/scheduler/prefill.go
+++ b/internal/scheduler/prefill.go
@@ -8,17 +8,35 @@
 	// of the break, which lets each stream emit an event.
 	maxPrefillPercent = 70
 	breakPercent      = 8
+	// breakEvents is the length of a break in event intervals of an idle engine, if
+	// that is longer: streams next to others take a little longer for an event.
+	breakEvents = 1.1
+	// intervalRise is the share by which the shortest known event interval follows
+	// longer ones.
+	intervalRise = 0.002
 )
 
+// LearnEventInterval takes a sample of the time between events of a stream. The
+// shortest samples are from engines that ran little else.
+func (c *Cell) LearnEventInterval(sample time.Duration) {
+	switch {
+	case sample <= 0:
+	case c.eventInterval == 0 || sample < c.eventInterval:
+		c.eventInterval = sample
+	default:
+		c.eventInterval += time.Duration(intervalRise * float64(sample-c.eventInterval))
+	}
+}
+
 // prefillDelay returns how long a prompt has to wait for a prefill slot. Streams
 // progress slowly while prompts are prefilled one after the other, so prompts to
 // an engine with streams are paced: a break is due before the streams exceed
 // their maximal gap.
-func (e *engine) prefillDelay(now time.Time, prefill time.Duration) time.Duration {
+func (c *Cell) prefillDelay(now time.Time, e *engine, prefill time.Duration) time.Duration {
 	if e.maxGap <= 0 || e.streaming() == 0 {
 		return 0
 	}
-	slotAt := e.prefillDoneAt.Add(e.breakTime())
+	slotAt := e.prefillDoneAt.Add(c.breakTime(e))
 	if e.queuedPrefill > 0 {
 		// A small prompt must not overtake a larger one that waits.
 		return max(time.Millisecond, slotAt.Sub(now))
@@ -29,12 +47,15 @@
 	return slotAt.Sub(now)
 }
 
-func (e *engine) breakTime() time.Duration { return e.maxGap * breakPercent / 100 }
+// breakTime is the length of a break between prefills on an engine.
+func (c *Cell) breakTime(e *engine) time.Duration {
+	return max(e.maxGap*breakPercent/100, time.Duration(breakEvents*float64(c.eventInterval)))
+}
 
 // notePrefill records that a prompt is about to be sent. The first one after a
 // break starts a new series.
-func (e *engine) notePrefill(now time.Time) {
-	if !now.Before(e.prefillDoneAt.Add(e.breakTime())) {
+func (c *Cell) notePrefill(now time.Time, e *engine) {
+	if !now.Before(e.prefillDoneAt.Add(c.breakTime(e))) {
 		e.prefillSince = now
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -166,6 +166,9 @@
 	runs    map[uint64]*run
 	remote  remoteLoads
 	actions Actions
+	// eventInterval is the time between two events of a stream on an engine that runs
+	// little else; 0 while unknown.
+	eventInterval time.Duration
 	// mayOrder is false until AllowOrders: before, orders of the previous holder may
 	// still take effect.
 	mayOrder bool
@@ -350,6 +353,7 @@
 	}
 	c.runs[req.Key] = r
 	c.modelOf(req.Model).demand.addWork(now, r.prefill)
+	c.notePrefill(now, e)
 	e.addRun(now, r)
 	return r
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -392,6 +392,51 @@
 	is.True(last.Sub(began) < 1500*time.Millisecond) // breaks add little delay
 }
 
+// An event holds several tokens, so that it takes long even on an idle engine. A break
+// between prompts must be long enough for one, or streams exceed their maximal gap.
+func TestBreakLastsAsLongAsAnEvent(t *testing.T) {
+	is := is.New(t)
+	const interval, maxGap, tick = 40 * time.Millisecond, 200 * time.Millisecond, 5 * time.Millisecond
+	spec := testSpec(1)
+	e := newFakeEngine("e1", spec, "m0")
+	e.heartbeat()
+	sim := newSimulation(spec, e)
+	sim.run(60 * time.Millisecond)
+	submit := func(tokens int64) uint64 {
+		sim.nextKey++
+		sim.carryOut(sim.cell.Submit(sim.now, &Request{
+			Key: sim.nextKey, Model: "m0", PromptTokens: tokens, OutputTokens: 100, MaxGap: maxGap,
+			Objective: sim.now.Add(5 * time.Second), Deadline: sim.now.Add(20 * time.Second), FailureDomain: "a",
+		}))
+		return sim.nextKey
+	}
+	chat := submit(100)
+	sim.run(60 * time.Millisecond)
+	sim.carryOut(sim.cell.Progress(sim.now, chat, Started))
+	sim.cell.LearnEventInterval(3 * interval) // of a busy engine
+	sim.cell.LearnEventInterval(interval)
+	for range 20 {
+		submit(1000) // 25 ms of prefill
+	}
+	// prefill is the time until the prompts that were sent are prefilled.
+	prefill := func() time.Duration { return max(0, sim.cell.engines["e1"].prefillDoneAt.Sub(sim.now)) }
+	idle, breaks := time.Duration(0), 0
+	for len(sim.grants) < 21 {
+		before := len(sim.grants)
+		sim.now = sim.now.Add(tick)
+		sim.carryOut(sim.cell.Tick(sim.now))
+		switch {
+		case len(sim.grants) > before && idle > 0:
+			is.True(idle >= interval-tick)
+			breaks++
+			idle = 0
+		case prefill() == 0:
+			idle += tick
+		}
+	}
+	is.True(breaks >= 3)
+}
+
 // Small prompts keep arriving while a large one waits for a break.
 func TestSmallPromptsDoNotOvertakeALargeOne(t *testing.T) {
 	is := is.New(t)
