fleet, cell: an old relayed list does not bring back upstreams that have left

Found by reading, after the operators' report that a server that had left was in use again after a restart. A scheduler that can't reach the store relays its last list; a router that restarts, or connects anew, and has read a later list itself took the old one over, and the upstreams that had left with it. Relayed lists now carry their age, and one that is older than the router's own last read is ignored. A new holder that has no list yet relayed an empty one, which made its routers ready without an upstream; it relays none now. TestRelayedListDoesNotBringBackRemovedUpstreams and TestUnknownListIsNotRelayed fail without the changes.

--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -169,6 +169,33 @@
 	}
 }
 
+// A new holder that has not read the upstream list yet must not relay an empty one: its
+// routers would count as ready without an upstream.
+func TestUnknownListIsNotRelayed(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(SchedulerOptions{
+		Directory: fleet.NewDirectory(), Engines: stubEngines{}, Host: "h", MayOrder: func() bool { return true },
+		RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }, Log: noopLog{},
+	})
+	s.active = true
+	var replies []*apiv1.SchedulerReply
+	session := &session{owner: s, reply: func(r *apiv1.SchedulerReply) { replies = append(replies, r) }, serviceByKey: make(map[uint64]string)}
+	s.sessions[1] = session
+	s.handleHello(time.Now(), session, &apiv1.SchedulerHello{Router: "r1"})
+	for _, r := range replies {
+		is.True(r.GetList() == nil)
+	}
+	s.opts.Directory.Merge(time.Now(), fleet.Change{Complete: true})
+	s.handleHello(time.Now(), session, &apiv1.SchedulerHello{Router: "r1"})
+	lists := 0
+	for _, r := range replies {
+		if r.GetList().GetWhole() {
+			lists++
+		}
+	}
+	is.Equal(lists, 1)
+}
+
 func TestWithdrawnRequestIsRemoved(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -183,7 +210,7 @@
 	defer cancelShort()
 	_, err := client.Place(shortCtx, placementRequest())
 	is.True(errors.Is(err, context.DeadlineExceeded))
-	client.ReportOutcome(first.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED)
+	client.ReportOutcome(first.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FINISHED, 0)
 	counts := make(chan [2]int, 1)
 	deadline := time.Now().Add(10 * time.Second)
 	for {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -30,7 +30,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	reply := listReply(&apiv1.UpstreamList{Upstreams: changed})
+	reply := s.listReply(&apiv1.UpstreamList{Upstreams: changed})
 	for _, session := range s.sessions {
 		if session.synced {
 			session.reply(reply)
@@ -47,7 +47,10 @@
 	return all
 }
 
-func listReply(list *apiv1.UpstreamList) *apiv1.SchedulerReply {
+// listReply sets the age of the list.
+func (s *Scheduler) listReply(list *apiv1.UpstreamList) *apiv1.SchedulerReply {
+	_, age := s.opts.Directory.ReadAges(time.Now())
+	list.AgeUs = age.Microseconds()
 	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_List{List: list}}
 }
 
@@ -81,7 +84,7 @@
 
 // decodeList converts a relayed list to a directory change.
 func decodeList(list *apiv1.UpstreamList) fleet.Change {
-	change := fleet.Change{Complete: list.GetWhole()}
+	change := fleet.Change{Complete: list.GetWhole(), Age: microseconds(list.GetAgeUs())}
 	for _, listed := range list.GetUpstreams() {
 		change.Registrations = append(change.Registrations, decodeUpstream(listed))
 	}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -142,7 +142,9 @@
 		cell.Adopt(now, req, r.GetUpstreamId(), r.GetStarted())
 	}
 	from.synced = true
-	from.reply(listReply(&apiv1.UpstreamList{Whole: true, Upstreams: s.relayedList()}))
+	if s.opts.Directory.Load().UpstreamListKnown {
+		from.reply(s.listReply(&apiv1.UpstreamList{Whole: true, Upstreams: s.relayedList()}))
+	}
 	s.sendHeartbeats()
 }
 
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -143,12 +143,20 @@
 	// ExpiryGrace is how long removed registrations stay usable: after the list was
 	// unavailable, they may only have expired. 0 removes them at once.
 	ExpiryGrace time.Duration
+	// Age is the time since a relayed batch was read from the platform; 0 for one that
+	// this process has read itself.
+	Age time.Duration
 }
 
-// Merge applies a batch and returns the ids whose state changed.
+// Merge applies a batch and returns the ids whose state changed. A relayed batch that is
+// older than this process's own last read is ignored: it may list upstreams that have
+// been removed since.
 func (d *Directory) Merge(now time.Time, change Change) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if read := d.listRead.Load(); change.Age > 0 && read != nil && read.After(now.Add(-change.Age)) {
+		return nil
+	}
 	old := d.upstreams.Load()
 	next := maps.Clone(old.byID)
 	if next == nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -121,3 +121,25 @@
 	is.True(d.Load().Upstreams["a"] != nil)
 	is.True(!d.HasRetained())
 }
+
+// A router restarts while its scheduler can't reach the platform. The scheduler relays a
+// list with an upstream that has left since; the router has read a later list itself.
+func TestRelayedListDoesNotBringBackRemovedUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := NewDirectory()
+	d.Merge(now, Change{Complete: true, Registrations: []Registration{registration("stays", 1, 5, false)}})
+	recordRead(&d.listRead, now)
+	now = now.Add(time.Second)
+	relayed := Change{Complete: true, Registrations: []Registration{registration("left", 1, 5, false), registration("stays", 1, 4, false)}, Age: 3 * time.Second}
+	d.Merge(now, relayed)
+	is.Equal(len(d.Load().Upstreams), 1)
+	_, usable := d.Load().Usable("left")
+	is.True(!usable)
+
+	// Once the scheduler reads the platform again, its list counts.
+	relayed = Change{Registrations: []Registration{registration("new", 1, 1, false)}, Age: 10 * time.Millisecond}
+	d.Merge(now, relayed)
+	_, usable = d.Load().Usable("new")
+	is.True(usable)
+}
