entry: streams that stand still continue elsewhere while their caller waits

Change: an attempt without an event for half the time that callers wait for one counts as stalled; bytes that complete no event do not count. It ends if the request may continue on another upstream. If it may not, it is left alone, and a caller that leaves it counts against the engine.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -114,7 +114,9 @@
 	lastEventID string
 	// firstEventAt and lastEventAt are when events were sent to the caller.
 	firstEventAt, lastEventAt time.Time
-	record                    RequestRecord
+	// stall watches the attempt at an engine that is under way.
+	stall  *stallWatch
+	record RequestRecord
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -223,6 +223,7 @@
 	{Name: "stream", Host: "h", Prefix: "/stream/", Stream: true, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "single", Host: "h", Prefix: "/single/", Stream: true, Attempts: 1, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "impatient", Host: "h", Prefix: "/impatient/", Stream: true, Attempts: 2, Objective: time.Second, CallerEventTimeout: 400 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
+	{Name: "impatient-resume", Host: "h", Prefix: "/impatient-resume/", Stream: true, Resumable: true, Repeat: fleet.Repeatable, Attempts: 2, Objective: time.Second, CallerEventTimeout: 400 * time.Millisecond, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 	{Name: "resume", Host: "h", Prefix: "/resume/", Stream: true, Resumable: true, Repeat: fleet.Repeatable, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -167,8 +167,10 @@
 	release := cr.handler.balancer.begin(placement.UpstreamID)
 	defer release()
 	cr.recordAttempt(placement.UpstreamID)
-	ctx, cancel := context.WithCancel(cr.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(cr.ctx)
+	defer cancel(nil)
+	cr.stall = cr.watchStalls(placement.Expected, cancel)
+	defer cr.stall.stop()
 	sentAt := time.Now()
 	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority)
 	if err != nil {
@@ -192,7 +194,7 @@
 
 func (cr *callerRequest) handleSendError(err error, report func(apiv1.PlacementOutcome)) bool {
 	if cr.ctx.Err() != nil {
-		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+		report(cr.cancelledOutcome())
 		cr.refuse(attemptRetryDelay, "no answer in time: "+err.Error())
 		return true
 	}
@@ -228,6 +230,15 @@
 	return true
 }
 
+// cancelledOutcome returns the outcome of an attempt whose caller disconnected or whose
+// deadline passed. If the upstream sent nothing for long before, that is its failure.
+func (cr *callerRequest) cancelledOutcome() apiv1.PlacementOutcome {
+	if cr.stall.stalled.Load() {
+		return apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED
+	}
+	return apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED
+}
+
 // handleStream relays an event stream.
 func (cr *callerRequest) handleStream(resp *exchange.Response, sentAt time.Time, report func(apiv1.PlacementOutcome)) bool {
 	err := cr.relayStream(resp, func() {
@@ -241,7 +252,7 @@
 		return true
 	}
 	if cr.ctx.Err() != nil {
-		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+		report(cr.cancelledOutcome())
 		cr.fail("stopped: " + cr.ctx.Err().Error())
 		return true
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -120,6 +120,7 @@
 		pending = append(pending, buffer[:n]...)
 		end, eventErr := completeEvents(pending)
 		if end > 0 {
+			cr.stall.event()
 			if first {
 				onFirst()
 				first = false
@@ -135,6 +136,9 @@
 		if errors.Is(err, io.EOF) {
 			return cr.endStream(resp, pending, flusher)
 		}
+		if err != nil && cr.stall.stalled.Load() {
+			return errStalled
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -143,7 +143,7 @@
 		stop()
 		_ = c.Conn.Close() // the original error is returned
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, &Error{Sent: c.bytesWritten.Load() > writtenBefore, Malformed: malformed, Trace: trace, Err: err}
 	}
