cell, fleet: routers that connect are sent only what their list lacks

The hello now names the version of the router's list; the scheduler keeps the version with which each registration changed and sends the later ones, removals included. A list from before the scheduler's term, and one of a platform without such versions, is still sent whole. TestRouterIsSentWhatItsListLacks.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -108,6 +108,9 @@
 	// Local is the scheduler of this process.
 	Local    *Scheduler
 	Observer ClientObserver
+	// ListVersion returns the version of the upstream list that this router has, 0
+	// without one.
+	ListVersion func() int64
 	// OnUpstreamList is called with each list that the scheduler relays, OnHandover
 	// with a lease that it hands over to this router. They must not call the client.
 	OnUpstreamList func(fleet.Change)
@@ -295,7 +298,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion()}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,7 +28,7 @@
 func newClient(host, bootID string) *Client {
 	return NewClient(ClientOptions{
 		Host: host, BootID: bootID, Address: host + ":1", Cores: 1, Observer: noopObserver{},
-		OnUpstreamList: func(fleet.Change) {}, OnHandover: func(Handover) {},
+		ListVersion: func() int64 { return 0 }, OnUpstreamList: func(fleet.Change) {}, OnHandover: func(Handover) {},
 	})
 }
 
@@ -196,6 +198,49 @@
 	is.Equal(lists, 1)
 }
 
+// All routers connect at once when the holder changes. One that has read the list itself
+// must be sent only what changed since, removals included.
+func TestRouterIsSentWhatItsListLacks(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	s := NewScheduler(SchedulerOptions{Directory: directory, RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }})
+	s.active = true
+	s.relayed = make(map[string]relayedUpstream)
+	merge := func(version int64, registrations ...fleet.Registration) {
+		directory.Merge(time.Now(), fleet.Change{Registrations: registrations, Version: version})
+		s.relayList(directory.Load())
+	}
+	registration := func(id string, draining bool) fleet.Registration {
+		return fleet.Registration{ID: id, Upstream: &fleet.Upstream{ID: id, Service: "s", Draining: draining, StartedMs: 1}}
+	}
+	merge(5, registration("a", false), registration("b", false), registration("c", false))
+	merge(7, registration("b", true))
+	merge(9, fleet.Registration{ID: "c"})
+	for _, tc := range []struct {
+		version int64
+		whole   bool
+		ids     string
+	}{
+		{0, true, "ab"},  // a router without a list
+		{4, true, "ab"},  // from before the term
+		{5, false, "bc"}, // lacks the drain and the removal
+		{7, false, "c"},
+		{8, false, "c"},
+		{9, false, ""},
+		{12, false, ""}, // has read later than the scheduler
+	} {
+		list := s.relayedList(tc.version)
+		is.Equal(list.GetWhole(), tc.whole)
+		var ids []string
+		for _, up := range list.GetUpstreams() {
+			is.Equal(up.GetRemoved(), up.GetId() == "c")
+			ids = append(ids, up.GetId())
+		}
+		slices.Sort(ids)
+		is.Equal(strings.Join(ids, ""), tc.ids)
+	}
+}
+
 func TestWithdrawnRequestIsRemoved(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -9,24 +9,36 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
+// relayedUpstream is a registration as it was last relayed. Removed ones are kept.
+type relayedUpstream struct {
+	listed *apiv1.ListedUpstream
+	// version is that of the list with which the registration changed.
+	version int64
+}
+
 // relayList sends changes of the upstream list to all routers. A registration in
 // which only the sequence number has changed, a mere heartbeat, is not relayed.
 func (s *Scheduler) relayList(snapshot *fleet.Snapshot) {
+	if len(s.relayed) == 0 {
+		s.relayedSince = snapshot.ListVersion
+	}
 	var changed []*apiv1.ListedUpstream
+	relay := func(listed *apiv1.ListedUpstream) {
+		s.relayed[listed.GetId()] = relayedUpstream{listed, snapshot.ListVersion}
+		changed = append(changed, listed)
+	}
 	for id, up := range snapshot.Upstreams {
 		listed := encodeUpstream(up)
-		if previous := s.relayed[id]; previous != nil && equalExceptSequence(previous, listed) {
-			continue
+		if previous, ok := s.relayed[id]; !ok || !equalExceptSequence(previous.listed, listed) {
+			relay(listed)
 		}
-		s.relayed[id] = listed
-		changed = append(changed, listed)
 	}
-	for id := range s.relayed {
-		if snapshot.Upstreams[id] == nil {
-			delete(s.relayed, id)
-			changed = append(changed, &apiv1.ListedUpstream{Id: id, Removed: true})
+	for id, previous := range s.relayed {
+		if snapshot.Upstreams[id] == nil && !previous.listed.GetRemoved() {
+			relay(&apiv1.ListedUpstream{Id: id, Removed: true})
 		}
 	}
+	s.relayedVersion = snapshot.ListVersion
 	if len(changed) == 0 {
 		return
 	}
@@ -38,19 +50,23 @@
 	}
 }
 
-// relayedList returns all upstreams as they were last relayed.
-func (s *Scheduler) relayedList() []*apiv1.ListedUpstream {
-	all := make([]*apiv1.ListedUpstream, 0, len(s.relayed))
-	for _, listed := range s.relayed {
-		all = append(all, listed)
+// relayedList returns what a router that has a version of the list lacks. The full list
+// is large on a large fleet, and all routers connect at once when the holder changes.
+func (s *Scheduler) relayedList(version int64) *apiv1.UpstreamList {
+	list := &apiv1.UpstreamList{Whole: version == 0 || version < s.relayedSince}
+	for _, relayed := range s.relayed {
+		if list.Whole && !relayed.listed.GetRemoved() || !list.Whole && relayed.version > version {
+			list.Upstreams = append(list.Upstreams, relayed.listed)
+		}
 	}
-	return all
+	return list
 }
 
-// listReply sets the age of the list.
+// listReply sets the age and the version of the list.
 func (s *Scheduler) listReply(list *apiv1.UpstreamList) *apiv1.SchedulerReply {
 	_, age := s.opts.Directory.ReadAges(time.Now())
 	list.AgeUs = age.Microseconds()
+	list.Version = s.relayedVersion
 	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_List{List: list}}
 }
 
@@ -84,7 +100,7 @@
 
 // decodeList converts a relayed list to a directory change.
 func decodeList(list *apiv1.UpstreamList) fleet.Change {
-	change := fleet.Change{Complete: list.GetWhole(), Age: microseconds(list.GetAgeUs())}
+	change := fleet.Change{Complete: list.GetWhole(), Age: microseconds(list.GetAgeUs()), Version: list.GetVersion()}
 	for _, listed := range list.GetUpstreams() {
 		change.Registrations = append(change.Registrations, decodeUpstream(listed))
 	}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -143,7 +143,7 @@
 	}
 	from.synced = true
 	if s.opts.Directory.Load().UpstreamListKnown {
-		from.reply(s.listReply(&apiv1.UpstreamList{Whole: true, Upstreams: s.relayedList()}))
+		from.reply(s.listReply(s.relayedList(hello.GetListVersion())))
 	}
 	s.sendHeartbeats()
 }
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -82,9 +82,11 @@
 	active     bool
 	cells      map[string]*scheduler.Cell
 	sessions   map[uint64]*session
-	// relayed holds each upstream as it was last relayed to the routers.
-	relayed     map[string]*apiv1.ListedUpstream
-	lastSession uint64 // number of the newest session
+	// relayed holds the upstream list as it was last relayed to the routers, by id, in
+	// its version relayedVersion. Changes are known since version relayedSince.
+	relayed                      map[string]relayedUpstream
+	relayedVersion, relayedSince int64
+	lastSession                  uint64 // number of the newest session
 	// disconnected holds the requests of disconnected routers. Their upstreams may
 	// still run them.
 	disconnected  []disconnectedRequest
@@ -145,7 +147,7 @@
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.disconnected = nil
-		s.relayed = make(map[string]*apiv1.ListedUpstream)
+		s.relayed = make(map[string]relayedUpstream)
 		s.refresh()
 	})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -97,6 +97,7 @@
 		Credentials:    deps.Credentials,
 		Local:          p.scheduler,
 		Observer:       p.log,
+		ListVersion:    func() int64 { return p.directory.Load().ListVersion },
 		OnUpstreamList: p.onRelayedUpstreams,
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
 	})
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -60,6 +60,9 @@
 	ByService map[string][]*Upstream
 	// UpstreamListKnown is set after the first read of the upstream list.
 	UpstreamListKnown bool
+	// ListVersion is the version of the platform's list that the upstreams are
+	// complete for; 0 if unknown.
+	ListVersion int64
 
 	removedAt map[string]time.Time
 }
@@ -101,6 +104,7 @@
 	byID      map[string]*Upstream
 	byService map[string][]*Upstream
 	listKnown bool
+	version   int64
 	// removedAt maps the ids of recently removed upstreams to the time of removal.
 	removedAt map[string]time.Time
 }
@@ -120,7 +124,7 @@
 // read atomically together; neither depends on the other.
 func (d *Directory) Load() *Snapshot {
 	set := d.upstreams.Load()
-	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, removedAt: set.removedAt}
+	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removedAt: set.removedAt}
 }
 
 // SetConfig puts a configuration in force. It returns false and changes nothing
@@ -146,6 +150,10 @@
 	// Age is the time since a relayed batch was read from the platform; 0 for one that
 	// this process has read itself.
 	Age time.Duration
+	// Version is the version of the platform's list that the directory is complete for
+	// once the batch is applied. Each change of a registration has a higher one. 0 if the
+	// platform has no such version.
+	Version int64
 }
 
 // Merge applies a batch and returns the ids whose state changed. A relayed batch that is
@@ -180,6 +188,7 @@
 	changed = append(changed, d.dropExpired(now, next)...)
 	set := newUpstreamSet(next)
 	set.removedAt = recentRemovals(now, old, next)
+	set.version = max(old.version, change.Version)
 	d.upstreams.Store(set)
 	return changed
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -32,6 +32,8 @@
 	Registrations []Registration
 	Complete      bool
 	Version       int64
+	// ListVersion is as Change.Version.
+	ListVersion int64
 }
 
 const (
@@ -184,7 +186,7 @@
 	if len(update.Registrations) == 0 && !update.Complete && !f.opts.Directory.HasRetained() {
 		return
 	}
-	changed := f.opts.Directory.Merge(time.Now(), Change{Registrations: update.Registrations, Complete: update.Complete, ExpiryGrace: max(0, grace)})
+	changed := f.opts.Directory.Merge(time.Now(), Change{Registrations: update.Registrations, Complete: update.Complete, ExpiryGrace: max(0, grace), Version: update.ListVersion})
 	if len(changed) == 0 && !update.Complete {
 		return
 	}
