fleet: a change that is relayed during a read is not lost

Cause, by reading: relayed lists were ignored if they were older than the end of the router's own last read. On a weak host a read of 3,000 registrations lasts long, and a drain that was read and relayed meanwhile was ignored though the router's read did not contain it; the router then reads no more, as its scheduler is fresh. Change: lists are compared by their versions; where the platform has none, by the beginning of the read. TestChangeRelayedDuringAReadIsNotLost fails without the change.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -93,6 +93,8 @@
 	// before the first. They include the monotonic clock reading.
 	configRead atomic.Pointer[time.Time]
 	listRead   atomic.Pointer[time.Time]
+	// listReadBegan is when the last successful read of the list was begun.
+	listReadBegan atomic.Pointer[time.Time]
 
 	mu sync.Mutex // serializes writers
 	// retained maps the ids of removed registrations to the time until which they
@@ -157,12 +159,12 @@
 }
 
 // Merge applies a batch and returns the ids whose state changed. A relayed batch that is
-// older than this process's own last read is ignored: it may list upstreams that have
-// been removed since.
+// older than the directory is ignored: it may list upstreams that have been removed
+// since.
 func (d *Directory) Merge(now time.Time, change Change) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if read := d.listRead.Load(); change.Age > 0 && read != nil && read.After(now.Add(-change.Age)) {
+	if d.isOutdated(now, change) {
 		return nil
 	}
 	old := d.upstreams.Load()
@@ -193,6 +195,20 @@
 	return changed
 }
 
+// isOutdated reports whether a relayed batch is older than the directory. Without a
+// version it is older if it was read before this process began its own last read: a read
+// may take long, and what was relayed meanwhile is not in it.
+func (d *Directory) isOutdated(now time.Time, change Change) bool {
+	if change.Age <= 0 {
+		return false
+	}
+	if version := d.upstreams.Load().version; version > 0 && change.Version > 0 {
+		return change.Version < version
+	}
+	began := d.listReadBegan.Load()
+	return began != nil && began.After(now.Add(-change.Age))
+}
+
 func (d *Directory) mergeRegistration(now time.Time, next map[string]*Upstream, registration Registration, grace time.Duration) bool {
 	if registration.Err != nil {
 		// Another process may have written an invalid registration; the last valid
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -125,21 +125,51 @@
 // A router restarts while its scheduler can't reach the platform. The scheduler relays a
 // list with an upstream that has left since; the router has read a later list itself.
 func TestRelayedListDoesNotBringBackRemovedUpstreams(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(100, 0)
-	d := NewDirectory()
-	d.Merge(now, Change{Complete: true, Registrations: []Registration{registration("stays", 1, 5, false)}})
-	recordRead(&d.listRead, now)
-	now = now.Add(time.Second)
-	relayed := Change{Complete: true, Registrations: []Registration{registration("left", 1, 5, false), registration("stays", 1, 4, false)}, Age: 3 * time.Second}
-	d.Merge(now, relayed)
-	is.Equal(len(d.Load().Upstreams), 1)
-	_, usable := d.Load().Usable("left")
-	is.True(!usable)
+	for name, versions := range map[string]struct{ own, old, next int64 }{
+		"platform with list versions": {20, 15, 21},
+		"platform without":            {0, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(100, 0)
+			d := NewDirectory()
+			d.Merge(now, Change{Complete: true, Registrations: []Registration{registration("stays", 1, 5, false)}, Version: versions.own})
+			recordRead(&d.listReadBegan, now)
+			now = now.Add(time.Second)
+			d.Merge(now, Change{
+				Complete: true, Age: 3 * time.Second, Version: versions.old,
+				Registrations: []Registration{registration("left", 1, 5, false), registration("stays", 1, 4, false)},
+			})
+			is.Equal(len(d.Load().Upstreams), 1)
+			_, usable := d.Load().Usable("left")
+			is.True(!usable)
+
+			// Once the scheduler reads the platform again, its list counts.
+			d.Merge(now, Change{Registrations: []Registration{registration("new", 1, 1, false)}, Age: 10 * time.Millisecond, Version: versions.next})
+			_, usable = d.Load().Usable("new")
+			is.True(usable)
+		})
+	}
+}
 
-	// Once the scheduler reads the platform again, its list counts.
-	relayed = Change{Registrations: []Registration{registration("new", 1, 1, false)}, Age: 10 * time.Millisecond}
-	d.Merge(now, relayed)
-	_, usable = d.Load().Usable("new")
-	is.True(usable)
+// On a weak host a read of a large list lasts seconds. The scheduler reads and relays a
+// drain meanwhile, which the read does not contain.
+func TestChangeRelayedDuringAReadIsNotLost(t *testing.T) {
+	for name, versions := range map[string]struct{ own, relayed int64 }{
+		"platform with list versions": {20, 21},
+		"platform without":            {0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began := time.Unix(100, 0)
+			ended := began.Add(2 * time.Second)
+			d := NewDirectory()
+			recordRead(&d.listReadBegan, began)
+			recordRead(&d.listRead, ended)
+			d.Merge(ended, Change{Complete: true, Registrations: []Registration{registration("a", 1, 5, false)}, Version: versions.own})
+			d.Merge(ended.Add(100*time.Millisecond), Change{Registrations: []Registration{registration("a", 1, 6, true)}, Age: time.Second, Version: versions.relayed})
+			_, usable := d.Load().Usable("a")
+			is.True(!usable)
+		})
+	}
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -154,6 +154,7 @@
 			graceUntil = time.Now().Add(expiryGrace)
 		}
 		version = update.Version
+		recordRead(&f.opts.Directory.listReadBegan, started)
 		recordRead(&f.opts.Directory.listRead, time.Now())
 		f.merge(update, time.Until(graceUntil))
 		retry.Sleep(ctx, upstreamPollInterval-time.Since(started))
