fleet, platform: the read of a large list is finished, also where it takes long

Reading the complete list had the time limit of reading its changes, 0.9 s for all its pages together. With thousands of servers it does not fit on a link of 20 Mbit/s, nor while all routers start and share the store's link; each failed read was begun again from the first page. Where the history is gone the follower reads the list anew by itself: TestUpstreamsReadFeedAndTableAfterHistoryGap asked the adapter to do that within the limit of one call; it now checks the same in the two calls that the follower makes. TestSlowReadOfALargeListIsFinished fails without the change.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -15,10 +16,15 @@
 	// the update means that nothing changed.
 	Config(ctx context.Context, after int64, wait time.Duration) (ConfigUpdate, error)
 	// Upstreams returns the registrations that changed after version after, or the
-	// complete list if after is 0.
+	// complete list if after is 0. It returns ErrHistoryGone if the changes are no
+	// longer known, and must return early if the platform does not respond.
 	Upstreams(ctx context.Context, after int64, wait time.Duration) (UpstreamUpdate, error)
 }
 
+// ErrHistoryGone means that the platform no longer retains the changes since a version,
+// so that the complete list has to be read.
+var ErrHistoryGone = errors.New("the platform no longer retains the changes since this version")
+
 // ConfigUpdate is the result of Source.Config.
 type ConfigUpdate struct {
 	Config *Config
@@ -47,6 +53,9 @@
 	// sending new requests to a draining upstream.
 	upstreamPollInterval = 500 * time.Millisecond
 	upstreamTimeout      = 900 * time.Millisecond
+	// completeListTimeout is when the read of a complete list is abandoned. On a large
+	// fleet it takes several calls and seconds, most of all while many routers start.
+	completeListTimeout = 15 * time.Second
 	// peerPollInterval is how often a router whose peer is fresh checks that it
 	// still is.
 	peerPollInterval = 50 * time.Millisecond
@@ -141,9 +150,17 @@
 			continue
 		}
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, upstreamTimeout)
+		timeout := upstreamTimeout
+		if version == 0 {
+			timeout = completeListTimeout
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
+		if errors.Is(err, ErrHistoryGone) {
+			version = 0
+			continue
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				retry.Sleep(ctx, outage.failed(err))
