scheduler: demand counts the streams, not only the prompts

A model's demand was the time its prompts take to be read. Change: a stream counts for its duration divided by the engine's slots. TestModelWithLongStreamsGetsReplica fails without the change.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -70,6 +70,15 @@
 	d.work += work.Seconds() / demandWindow.Seconds()
 }
 
+// addDecodeWork adds the share of the engine's time that a stream took after its first
+// event: it occupied one of the slots.
+func (c *Cell) addDecodeWork(now time.Time, r *run) {
+	if r.startedAt.IsZero() || c.spec == nil || c.spec.Slots <= 0 {
+		return
+	}
+	c.modelOf(r.req.Model).demand.addWork(now, now.Sub(r.startedAt)/time.Duration(c.spec.Slots))
+}
+
 func (c *Cell) modelOf(name string) *model {
 	m := c.models[name]
 	if m == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -204,6 +204,8 @@
 	uncached    int64
 	soloPrefill bool
 	started     bool
+	// startedAt is when the first event arrived, zero if that is not known.
+	startedAt time.Time
 }
 
 // New returns a cell without engines. It sends no orders until AllowOrders.
@@ -293,6 +295,7 @@
 	case Started:
 		c.learnPrefillTime(now, r)
 		r.started = true
+		r.startedAt = now
 		r.engine.dropPending(now, r)
 		r.engine.recordSuccess()
 		return c.takeActions()
@@ -361,4 +364,5 @@
 func (c *Cell) endRun(now time.Time, r *run) {
 	delete(c.runs, r.req.Key)
 	r.engine.removeRun(now, r)
+	c.addDecodeWork(now, r)
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -176,6 +176,31 @@
 	is.Equal(sim.crashedEngines(), nil)
 }
 
+// Many callers hold long chats with short prompts: the engine spends its time on the
+// streams, of which it can run only so many.
+func TestModelWithLongStreamsGetsReplica(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(2)
+	e1, e2 := newFakeEngine("e1", spec, "m0"), newFakeEngine("e2", spec, "m1")
+	e2.tiers["m0"] = tierDisk
+	e1.heartbeat()
+	e2.heartbeat()
+	sim := newSimulation(spec, e1, e2)
+	sim.run(60 * time.Millisecond)
+	var running []uint64
+	for range 200 {
+		key := sim.submit("m0", "", 50)
+		sim.run(60 * time.Millisecond)
+		sim.carryOut(sim.cell.Progress(sim.now, key, Started))
+		if running = append(running, key); len(running) > 40 { // streams of 2.4 s
+			sim.carryOut(sim.cell.Progress(sim.now, running[0], Finished))
+			running = running[1:]
+		}
+	}
+	is.True(e2.models["m0"] != nil)
+	is.Equal(sim.crashedEngines(), nil)
+}
+
 // An engine reports a model missing that the cell counts as loaded.
 func TestModelReportedMissingIsCountedUntilInventory(t *testing.T) {
 	is := is.New(t)
