--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -18,6 +18,9 @@
 	// time.
 	minSampleTokens = 400
 	sampleWeight    = 0.3 // of a new sample in the average
+	// tolerantEvents is the number of events of an idle engine in a maximal gap from
+	// which streams bear any neighbours. With half as many they bear few.
+	tolerantEvents = 15
 
 	// defaultAdapterDelay is the assumed load time of an adapter until refusals show
 	// that it is longer.
@@ -71,12 +74,15 @@
 }
 
 // addDecodeWork adds the share of the engine's time that a stream took after its first
-// event: it occupied one of the slots.
+// event: it occupied one of the slots. Only streams whose maximal gap is short for the
+// time that an event takes count: others bear many neighbours.
 func (c *Cell) addDecodeWork(now time.Time, r *run) {
-	if r.startedAt.IsZero() || c.spec == nil || c.spec.Slots <= 0 {
+	if r.startedAt.IsZero() || c.spec == nil || c.spec.Slots <= 0 || r.req.MaxGap <= 0 {
 		return
 	}
-	c.modelOf(r.req.Model).demand.addWork(now, now.Sub(r.startedAt)/time.Duration(c.spec.Slots))
+	weight := tolerantEvents*float64(c.eventInterval)/float64(r.req.MaxGap) - 1
+	share := float64(now.Sub(r.startedAt)) / float64(c.spec.Slots)
+	c.modelOf(r.req.Model).demand.addWork(now, time.Duration(max(0, min(1, weight))*share))
 }
 
 func (c *Cell) modelOf(name string) *model {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -187,9 +187,15 @@
 	e2.heartbeat()
 	sim := newSimulation(spec, e1, e2)
 	sim.run(60 * time.Millisecond)
+	sim.cell.LearnEventInterval(40 * time.Millisecond)
 	var running []uint64
 	for range 200 {
-		key := sim.submit("m0", "", 50)
+		sim.nextKey++
+		key := sim.nextKey
+		sim.carryOut(sim.cell.Submit(sim.now, &Request{
+			Key: key, Model: "m0", PromptTokens: 50, OutputTokens: 50, MaxGap: 200 * time.Millisecond,
+			Objective: sim.now.Add(time.Second), Deadline: sim.now.Add(10 * time.Second), FailureDomain: "a",
+		}))
 		sim.run(60 * time.Millisecond)
 		sim.carryOut(sim.cell.Progress(sim.now, key, Started))
 		if running = append(running, key); len(running) > 40 { // streams of 2.4 s
