cell: the inventories of a large fleet are read in turn

A new holder read the inventories of all engines at once, each with 500 ms: on a large fleet and a small host the reads slow each other down until they time out, and each one that does counts as a failure of its engine. At most 64 are read at a time now. TestInventoriesOfALargeFleetAreReadInTurn fails without the change.

--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -22,6 +22,10 @@
 	engineTimeout = 500 * time.Millisecond
 	// eventQueueSize bounds the events that wait for the scheduler's goroutine.
 	eventQueueSize = 16384
+	// maxInspections bounds the inventories that are read at the same time. A new holder
+	// reads all of them: without a bound the reads of thousands of engines slow each
+	// other down until they time out.
+	maxInspections = 64
 	// initialSyncWait is how long a new holder sends no orders, until the routers
 	// have reported their running requests: models and adapters in use must not be
 	// unloaded.
@@ -75,6 +79,8 @@
 	opts   SchedulerOptions
 	events chan func()
 	ctx    context.Context
+	// inspections holds an element for each inventory that is being read.
+	inspections chan struct{}
 
 	term LeaseTerm
 	// ordersFrom is the time of the term's first order.
@@ -102,10 +108,11 @@
 // NewScheduler returns an inactive scheduler; Run and Start make it active.
 func NewScheduler(opts SchedulerOptions) *Scheduler {
 	return &Scheduler{
-		opts:     opts,
-		events:   make(chan func(), eventQueueSize),
-		cells:    make(map[string]*scheduler.Cell),
-		sessions: make(map[uint64]*session),
+		opts:        opts,
+		events:      make(chan func(), eventQueueSize),
+		inspections: make(chan struct{}, maxInspections),
+		cells:       make(map[string]*scheduler.Cell),
+		sessions:    make(map[uint64]*session),
 	}
 }
 
@@ -285,9 +292,7 @@
 
 func (s *Scheduler) readInventory(service string, term LeaseTerm, call scheduler.InspectCall) {
 	retry.Sleep(s.ctx, call.After)
-	ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
-	defer cancel()
-	inventory, err := s.opts.Engines.Inspect(ctx, call.Upstream)
+	inventory, err := s.inspect(call.Upstream)
 	s.opts.Log.Inspected(call.Upstream.ID, inventory, err)
 	s.post(func() {
 		if cell := s.cellOf(service, term); cell != nil {
@@ -296,6 +301,19 @@
 	})
 }
 
+// inspect reads an inventory once fewer than maxInspections are being read.
+func (s *Scheduler) inspect(up *fleet.Upstream) (fleet.Inventory, error) {
+	select {
+	case s.inspections <- struct{}{}:
+	case <-s.ctx.Done():
+		return fleet.Inventory{}, s.ctx.Err()
+	}
+	defer func() { <-s.inspections }()
+	ctx, cancel := context.WithTimeout(s.ctx, engineTimeout)
+	defer cancel()
+	return s.opts.Engines.Inspect(ctx, up)
+}
+
 func (s *Scheduler) cellOf(service string, term LeaseTerm) *scheduler.Cell {
 	if !s.active || s.term.Fence != term.Fence {
 		return nil
