fleet: routers that lose their scheduler read on from the relayed list, and not all at once

By reading: when the scheduler is lost, all routers read the list themselves in the same moment, each from the version of its own last read, which may be that of its start; that is most of the list, and it does not fit into 0.9 s for all of them, nor does the next try. Change: a read begins at the version that was relayed last; routers that don't schedule wait up to 0.33 ms for each upstream (at most 1 s) before it, unless a scheduler is back; the first read may take twice as long. TestReadsContinueFromTheRelayedList and TestRoutersWithoutSchedulerSpreadTheirReads.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -243,6 +243,13 @@
 	return c.configVersion, ok
 }
 
+// Schedules implements fleet.Peer.
+func (c *Client) Schedules() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.target == localTarget
+}
+
 // Run maintains a link to the scheduler until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -53,6 +53,14 @@
 	// sending new requests to a draining upstream.
 	upstreamPollInterval = 500 * time.Millisecond
 	upstreamTimeout      = 900 * time.Millisecond
+	// catchUpTimeout applies to the first read after a peer relayed the list: it returns
+	// much more than the later ones.
+	catchUpTimeout = 2 * upstreamTimeout
+	// Routers that lose their scheduler wait for a random time before they read the list
+	// themselves, so that their reads together fit into the platform's link: up to
+	// catchUpDelayPerUpstream for each upstream, and maxCatchUpDelay.
+	catchUpDelayPerUpstream = 330 * time.Microsecond
+	maxCatchUpDelay         = time.Second
 	// completeListTimeout is when the read of a complete list is abandoned. On a large
 	// fleet it takes several calls and seconds, most of all while many routers start.
 	completeListTimeout = 15 * time.Second
@@ -87,6 +95,9 @@
 	// Fresh reports whether the peer's upstream list and configuration are recent,
 	// and returns the version of its configuration.
 	Fresh() (configVersion int64, ok bool)
+	// Schedules reports whether this router schedules itself, so that the others
+	// depend on what it reads.
+	Schedules() bool
 }
 
 // Observer is notified of what a Follower reads and of outages of its Source.
@@ -144,14 +155,25 @@
 	var version int64
 	var graceUntil time.Time
 	outage := outageTracker{what: "upstream list", observer: f.opts.Observer}
+	relayed := false
 	for ctx.Err() == nil {
 		if f.canSkipRead(false) {
+			relayed = true
 			retry.Sleep(ctx, peerPollInterval)
 			continue
 		}
+		if relayed && f.waitToCatchUp(ctx) {
+			continue
+		}
 		started := time.Now()
 		timeout := upstreamTimeout
-		if version == 0 {
+		if relayed {
+			timeout = catchUpTimeout
+		}
+		relayed = false
+		if version > 0 {
+			version = max(version, f.opts.Directory.Load().ListVersion)
+		} else {
 			timeout = completeListTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -178,6 +200,24 @@
 	}
 }
 
+// waitToCatchUp waits before the first read without a peer. It reports true if a fresh
+// peer has made the read unnecessary meanwhile.
+func (f *Follower) waitToCatchUp(ctx context.Context) bool {
+	until := time.Now().Add(rand.N(catchUpDelay(len(f.opts.Directory.Load().Upstreams)) + 1))
+	for !f.canSkipRead(false) {
+		if ctx.Err() != nil || f.opts.Peer.Schedules() || !time.Now().Before(until) {
+			return false
+		}
+		retry.Sleep(ctx, min(peerPollInterval, time.Until(until)))
+	}
+	return true
+}
+
+// catchUpDelay is the longest wait before the first read without a peer.
+func catchUpDelay(upstreams int) time.Duration {
+	return min(maxCatchUpDelay, time.Duration(upstreams)*catchUpDelayPerUpstream)
+}
+
 // canSkipRead reports whether a fresh peer makes a read of the configuration, or
 // else of the upstream list, unnecessary: its updates have arrived here.
 func (f *Follower) canSkipRead(config bool) bool {
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,3 +68,53 @@
 	is.True(directory.Load().UpstreamListKnown)
 	is.Equal(directory.Load().ListVersion, int64(5))
 }
+
+// stubPeer is a scheduler that relays the list until it is lost.
+type stubPeer struct{ lost, schedules atomic.Bool }
+
+func (p *stubPeer) Fresh() (int64, bool) { return 0, !p.lost.Load() }
+func (p *stubPeer) Schedules() bool      { return p.schedules.Load() }
+
+// The scheduler of a large fleet is lost. Its routers read on from the version of the
+// list that it relayed last, not from the one that they read themselves at their start.
+func TestReadsContinueFromTheRelayedList(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	source := &slowSource{version: 5, calls: make(chan int64)}
+	directory := NewDirectory()
+	peer := &stubPeer{}
+	peer.lost.Store(true)
+	follower := NewFollower(FollowerOptions{Source: source, Directory: directory, OnChange: func() {}, Observer: quietObserver{}, Peer: peer})
+	go follower.RunUpstreams(ctx)
+	is.Equal(<-source.calls, int64(0))
+	is.Equal(<-source.calls, int64(5))
+	peer.lost.Store(false)
+	directory.Merge(time.Now(), Change{Registrations: []Registration{registration("a", 1, 1, false)}, Age: time.Millisecond, Version: 50})
+	time.Sleep(2 * upstreamPollInterval) // the follower notices the peer
+	peer.lost.Store(true)
+	is.Equal(<-source.calls, int64(50))
+}
+
+// Routers that lose their scheduler at the same time don't read all at once; one that
+// schedules itself does not wait.
+func TestRoutersWithoutSchedulerSpreadTheirReads(t *testing.T) {
+	is := is.New(t)
+	is.Equal(catchUpDelay(3000), 990*time.Millisecond)
+	is.Equal(catchUpDelay(11_000), time.Second)
+	is.True(catchUpDelay(59) < 20*time.Millisecond)
+	directory := NewDirectory()
+	change := Change{Complete: true}
+	for i := range 11_000 {
+		change.Registrations = append(change.Registrations, registration(fmt.Sprint(i), 1, 1, false))
+	}
+	directory.Merge(time.Now(), change)
+	peer := &stubPeer{}
+	peer.lost.Store(true)
+	peer.schedules.Store(true)
+	follower := NewFollower(FollowerOptions{Directory: directory, Peer: peer})
+	is.True(!follower.waitToCatchUp(context.Background()))
+	peer.schedules.Store(false)
+	peer.lost.Store(false)
+	is.True(follower.waitToCatchUp(context.Background())) // a fresh peer is back
+}
