cell: the first list of a term tells routers that connected before it of removals

A router that said hello before a new holder had read the upstream list was sent the holder's first list as changes, which do not name what was removed before; and versions of the term before were still in force. The router would have gone on with upstreams that had left. What is relayed is now one value of a term; with the first list each connected router is sent what its own lacks, as with a hello. TestFirstListOfATermReachesRoutersThatConnectedBefore fails without the change. TestUnknownListIsNotRelayed checks the same one list, which now comes without a second hello.

--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -9,6 +9,13 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
+// relayedList is an upstream list as it was relayed to the routers.
+type relayedList struct {
+	upstreams map[string]relayedUpstream // by id
+	// version is the version of the list. Changes are known since version since.
+	version, since int64
+}
+
 // relayedUpstream is a registration as it was last relayed. Removed ones are kept.
 type relayedUpstream struct {
 	listed *apiv1.ListedUpstream
@@ -16,45 +23,58 @@
 	version int64
 }
 
-// relayList sends changes of the upstream list to all routers. A registration in
-// which only the sequence number has changed, a mere heartbeat, is not relayed.
+// relayList sends changes of the upstream list to all routers, and at first in a term
+// what their lists lack.
 func (s *Scheduler) relayList(snapshot *fleet.Snapshot) {
-	if len(s.relayed) == 0 {
-		s.relayedSince = snapshot.ListVersion
+	first := s.relayed == nil
+	if first {
+		s.relayed = &relayedList{upstreams: make(map[string]relayedUpstream), since: snapshot.ListVersion}
+	}
+	changed := s.relayed.update(snapshot)
+	if len(changed) == 0 && !first {
+		return
+	}
+	reply := s.listReply(&apiv1.UpstreamList{Upstreams: changed})
+	for _, session := range s.sessions {
+		if !session.synced {
+			continue
+		}
+		if first {
+			reply = s.listReply(s.relayed.lackedBy(session.listVersion))
+		}
+		session.reply(reply)
 	}
+}
+
+// update takes over a list and returns what has changed. A registration in which only
+// the sequence number has changed, a mere heartbeat, counts as unchanged.
+func (r *relayedList) update(snapshot *fleet.Snapshot) []*apiv1.ListedUpstream {
 	var changed []*apiv1.ListedUpstream
-	relay := func(listed *apiv1.ListedUpstream) {
-		s.relayed[listed.GetId()] = relayedUpstream{listed, snapshot.ListVersion}
+	change := func(listed *apiv1.ListedUpstream) {
+		r.upstreams[listed.GetId()] = relayedUpstream{listed, snapshot.ListVersion}
 		changed = append(changed, listed)
 	}
 	for id, up := range snapshot.Upstreams {
 		listed := encodeUpstream(up)
-		if previous, ok := s.relayed[id]; !ok || !equalExceptSequence(previous.listed, listed) {
-			relay(listed)
+		if previous, ok := r.upstreams[id]; !ok || !equalExceptSequence(previous.listed, listed) {
+			change(listed)
 		}
 	}
-	for id, previous := range s.relayed {
+	for id, previous := range r.upstreams {
 		if snapshot.Upstreams[id] == nil && !previous.listed.GetRemoved() {
-			relay(&apiv1.ListedUpstream{Id: id, Removed: true})
-		}
-	}
-	s.relayedVersion = snapshot.ListVersion
-	if len(changed) == 0 {
-		return
-	}
-	reply := s.listReply(&apiv1.UpstreamList{Upstreams: changed})
-	for _, session := range s.sessions {
-		if session.synced {
-			session.reply(reply)
+			change(&apiv1.ListedUpstream{Id: id, Removed: true})
 		}
 	}
+	r.version = snapshot.ListVersion
+	return changed
 }
 
-// relayedList returns what a router that has a version of the list lacks. The full list
-// is large on a large fleet, and all routers connect at once when the holder changes.
-func (s *Scheduler) relayedList(version int64) *apiv1.UpstreamList {
-	list := &apiv1.UpstreamList{Whole: version == 0 || version < s.relayedSince}
-	for _, relayed := range s.relayed {
+// lackedBy returns what a router lacks that has a version of the list, 0 for none. The
+// full list is large on a large fleet, and all routers connect at once when the holder
+// changes.
+func (r *relayedList) lackedBy(version int64) *apiv1.UpstreamList {
+	list := &apiv1.UpstreamList{Whole: version == 0 || version < r.since}
+	for _, relayed := range r.upstreams {
 		if list.Whole && !relayed.listed.GetRemoved() || !list.Whole && relayed.version > version {
 			list.Upstreams = append(list.Upstreams, relayed.listed)
 		}
@@ -66,7 +86,7 @@
 func (s *Scheduler) listReply(list *apiv1.UpstreamList) *apiv1.SchedulerReply {
 	_, age := s.opts.Directory.ReadAges(time.Now())
 	list.AgeUs = age.Microseconds()
-	list.Version = s.relayedVersion
+	list.Version = s.relayed.version
 	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_List{List: list}}
 }
 
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -29,7 +30,7 @@
 		is.True(r.GetList() == nil)
 	}
 	s.opts.Directory.Merge(time.Now(), fleet.Change{Complete: true})
-	s.handleHello(time.Now(), session, &apiv1.SchedulerHello{Router: "r1"})
+	s.relayList(s.opts.Directory.Load())
 	lists := 0
 	for _, r := range replies {
 		if r.GetList().GetWhole() {
@@ -46,7 +47,6 @@
 	directory := fleet.NewDirectory()
 	s := NewScheduler(SchedulerOptions{Directory: directory, RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }})
 	s.active = true
-	s.relayed = make(map[string]relayedUpstream)
 	merge := func(version int64, registrations ...fleet.Registration) {
 		directory.Merge(time.Now(), fleet.Change{Registrations: registrations, Version: version})
 		s.relayList(directory.Load())
@@ -70,7 +70,7 @@
 		{9, false, ""},
 		{12, false, ""}, // has read later than the scheduler
 	} {
-		list := s.relayedList(tc.version)
+		list := s.relayed.lackedBy(tc.version)
 		is.Equal(list.GetWhole(), tc.whole)
 		var ids []string
 		for _, up := range list.GetUpstreams() {
@@ -81,3 +81,54 @@
 		is.Equal(strings.Join(ids, ""), tc.ids)
 	}
 }
+
+// Routers connect to a new holder before it has read the upstream list, and an upstream is
+// removed meanwhile. The holder's first list must tell them, and must not rest on what it
+// relayed in an earlier term.
+func TestFirstListOfATermReachesRoutersThatConnectedBefore(t *testing.T) {
+	is := is.New(t)
+	directory := fleet.NewDirectory()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := NewScheduler(SchedulerOptions{Directory: directory, Engines: stubEngines{}, RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }, Log: noopLog{}})
+	s.ctx = ctx
+	runEvents := func() {
+		for len(s.events) > 0 {
+			(<-s.events)()
+		}
+	}
+	directory.SetConfig(fleet.NewConfig(1, nil, nil, fleet.Limits{}))
+	upstream := func(id string) fleet.Registration {
+		return fleet.Registration{ID: id, Upstream: &fleet.Upstream{ID: id, Service: "s", StartedMs: 1}}
+	}
+	s.Start(LeaseTerm{Fence: 1})
+	directory.Merge(time.Now(), fleet.Change{Complete: true, Version: 5, Registrations: []fleet.Registration{upstream("stays"), upstream("leaves")}})
+	s.Refresh()
+	s.Stop()
+	runEvents()
+
+	s.opts.Directory = fleet.NewDirectory() // as after a restart
+	s.opts.Directory.SetConfig(fleet.NewConfig(1, nil, nil, fleet.Limits{}))
+	s.Start(LeaseTerm{Fence: 2})
+	runEvents()
+	lists := make(map[string][]*apiv1.UpstreamList)
+	for number, hello := range []*apiv1.SchedulerHello{{Router: "has version 7", ListVersion: 7}, {Router: "has version 9", ListVersion: 9}, {Router: "has none"}} {
+		session := &session{owner: s, number: uint64(number + 1), serviceByKey: make(map[uint64]string), reply: func(r *apiv1.SchedulerReply) {
+			if r.GetList() != nil {
+				lists[hello.GetRouter()] = append(lists[hello.GetRouter()], r.GetList())
+			}
+		}}
+		s.sessions[session.number] = session
+		s.handleHello(time.Now(), session, hello)
+	}
+	is.Equal(len(lists), 0)
+	s.opts.Directory.Merge(time.Now(), fleet.Change{Complete: true, Version: 8, Registrations: []fleet.Registration{upstream("stays")}})
+	s.Refresh()
+	runEvents()
+	for router, whole := range map[string]bool{"has version 7": true, "has version 9": false, "has none": true} {
+		is.Equal(len(lists[router]), 1)
+		is.Equal(lists[router][0].GetWhole(), whole)
+		is.Equal(lists[router][0].GetVersion(), int64(8))
+		is.Equal(len(lists[router][0].GetUpstreams()) == 1, whole)
+	}
+}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -27,9 +27,10 @@
 	// storeReachedAt is when the router last reported that it reaches the store.
 	storeReachedAt time.Time
 	address        string
-	// synced is set once the hello is handled and the complete upstream list sent;
-	// changes are relayed only afterwards.
-	synced bool
+	// synced is set once the hello is handled; the upstream list is relayed only
+	// afterwards. listVersion is the version that the router had then.
+	synced      bool
+	listVersion int64
 	// draining is set when the router is stopping.
 	draining   bool
 	reply      func(*apiv1.SchedulerReply)
@@ -141,9 +142,10 @@
 		from.serviceByKey[req.Key] = service
 		cell.Adopt(now, req, r.GetUpstreamId(), r.GetStarted())
 	}
+	from.listVersion = hello.GetListVersion()
 	from.synced = true
-	if s.opts.Directory.Load().UpstreamListKnown {
-		from.reply(s.listReply(s.relayedList(hello.GetListVersion())))
+	if s.relayed != nil {
+		from.reply(s.listReply(s.relayed.lackedBy(from.listVersion)))
 	}
 	s.sendHeartbeats()
 }
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -88,11 +88,9 @@
 	active     bool
 	cells      map[string]*scheduler.Cell
 	sessions   map[uint64]*session
-	// relayed holds the upstream list as it was last relayed to the routers, by id, in
-	// its version relayedVersion. Changes are known since version relayedSince.
-	relayed                      map[string]relayedUpstream
-	relayedVersion, relayedSince int64
-	lastSession                  uint64 // number of the newest session
+	// relayed is the upstream list as it was last relayed in this term; nil before.
+	relayed     *relayedList
+	lastSession uint64 // number of the newest session
 	// disconnected holds the requests of disconnected routers. Their upstreams may
 	// still run them.
 	disconnected  []disconnectedRequest
@@ -154,7 +152,7 @@
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.disconnected = nil
-		s.relayed = make(map[string]relayedUpstream)
+		s.relayed = nil
 		s.refresh()
 	})
 }
