--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -165,21 +165,15 @@
 		if relayed && f.waitToCatchUp(ctx) {
 			continue
 		}
-		started := time.Now()
-		timeout := upstreamTimeout
-		if relayed {
-			timeout = catchUpTimeout
-		}
-		relayed = false
 		if version > 0 {
 			version = max(version, f.opts.Directory.Load().ListVersion)
-		} else {
-			timeout = completeListTimeout
 		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		started := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, listTimeout(version, relayed))
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
-		if errors.Is(err, ErrHistoryGone) {
+		relayed = false
+		if errors.Is(err, ErrHistoryGone) && version > 0 {
 			version = 0
 			continue
 		}
@@ -200,6 +194,18 @@
 	}
 }
 
+// listTimeout is when a read of the changes since a version, or of the complete list if
+// that is 0, is abandoned. relayed is set for the first read after a peer.
+func listTimeout(version int64, relayed bool) time.Duration {
+	switch {
+	case version == 0:
+		return completeListTimeout
+	case relayed:
+		return catchUpTimeout
+	}
+	return upstreamTimeout
+}
+
 // waitToCatchUp waits before the first read without a peer. It reports true if a fresh
 // peer has made the read unnecessary meanwhile.
 func (f *Follower) waitToCatchUp(ctx context.Context) bool {
