exchange: reads after a cancellation return its cause

Send did so already; the relay of streams guessed the cause from the watch over stalls, and named it for streams that broke off by themselves after a pause. TestReadAfterACancellationReturnsItsCause fails without the change.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -136,9 +136,6 @@
 		if errors.Is(err, io.EOF) {
 			return cr.endStream(resp, pending, flusher)
 		}
-		if err != nil && cr.stall.stalled.Load() {
-			return errStalled
-		}
 		if err != nil {
 			return err
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -80,6 +80,7 @@
 	Delimited bool
 	Trace     Trace
 
+	ctx      context.Context // of the exchange
 	body     io.ReadCloser
 	conn     *conn
 	release  func(reusable bool)
@@ -161,6 +162,7 @@
 		Length:    resp.ContentLength,
 		Delimited: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		Trace:     trace,
+		ctx:       ctx,
 		body:      resp.Body,
 		conn:      c,
 	}
@@ -248,11 +250,15 @@
 	return nil
 }
 
-// Read implements io.Reader. io.EOF means that the body is complete.
+// Read implements io.Reader. io.EOF means that the body is complete. After a cancellation
+// the error is its cause.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		r.complete = true
+	case err != nil && r.ctx.Err() != nil:
+		err = context.Cause(r.ctx)
 	}
 	return n, err
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -210,6 +210,19 @@
 	is.Equal(b.String(), "POST /a%2Fb//c?x=%20 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody")
 }
 
+func TestReadAfterACancellationReturnsItsCause(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nhi")
+	ctx, cancel := context.WithCancelCause(context.Background())
+	resp, err := NewPool(Options{IDHeader: "Id"}).Send(ctx, s.addr, request("a"))
+	is.NoErr(err)
+	defer resp.Close()
+	cause := errors.New("given up")
+	cancel(cause)
+	_, err = io.ReadAll(resp)
+	is.Equal(err, cause)
+}
+
 func TestCancelEndsTheExchange(t *testing.T) {
 	is := is.New(t)
 	s := serve(t, "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nhi", okResponse)
