--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -163,6 +163,16 @@
 	}
 }
 
+// submitStream submits a request for a stream of model m0 with a maximal gap.
+func (sim *simulation) submitStream(tokens int64, maxGap time.Duration) uint64 {
+	sim.nextKey++
+	sim.carryOut(sim.cell.Submit(sim.now, &Request{
+		Key: sim.nextKey, Model: "m0", PromptTokens: tokens, OutputTokens: 100, MaxGap: maxGap,
+		Objective: sim.now.Add(5 * time.Second), Deadline: sim.now.Add(20 * time.Second), FailureDomain: "a",
+	}))
+	return sim.nextKey
+}
+
 // finish completes the current order, unless an unload waits for running
 // requests.
 func (e *fakeEngine) finish() {
