--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -120,7 +120,10 @@
 }
 
 // ConfigInForce implements fleet.Observer.
-func (l *Log) ConfigInForce(version int64) { l.out.Info("config in force", "version", version) }
+func (l *Log) ConfigInForce(version int64) {
+	l.metrics.configVersion.Set(version)
+	l.out.Info("config in force", "version", version)
+}
 
 // UpstreamsChanged implements fleet.Observer.
 func (l *Log) UpstreamsChanged(ids []string, known int) {
@@ -138,11 +141,21 @@
 	l.out.Warn("entry names no upstream", "id", id, "err", err)
 }
 
+// SourceRead implements fleet.Observer.
+func (l *Log) SourceRead(what string, result fleet.ReadResult, took time.Duration) {
+	l.metrics.sourceRead(what, result, took)
+}
+
 // SourceLost implements fleet.Observer.
 func (l *Log) SourceLost(what string, err error) {
 	l.out.Warn("dependency lost", "what", what, "err", err)
 }
 
+// SourceStillLost implements fleet.Observer.
+func (l *Log) SourceStillLost(what string, failures int, outage time.Duration, err error) {
+	l.out.Warn("dependency still lost", "what", what, "failures", failures, "away_ms", ms(outage), "err", err)
+}
+
 // SourceRegained implements fleet.Observer.
 func (l *Log) SourceRegained(what string, downtime time.Duration) {
 	l.out.Info("dependency regained", "what", what, "away_ms", ms(downtime))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
 const (
@@ -33,6 +34,9 @@
 	inspections  expvar.Int
 	listChanges  expvar.Int
 	upstreams    expvar.Int
+	// sourceReads counts the reads of the platform's lists by list and result.
+	sourceReads   *expvar.Map
+	configVersion expvar.Int
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram // microseconds
@@ -40,7 +44,7 @@
 
 // NewMetrics returns metrics that are all zero.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), sourceReads: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
 }
 
 func (m *Metrics) request(r *RequestRecord, took time.Duration) {
@@ -63,6 +67,11 @@
 	}
 }
 
+func (m *Metrics) sourceRead(what string, result fleet.ReadResult, took time.Duration) {
+	m.sourceReads.Add(fmt.Sprintf("what=%q,result=%q", what, string(result)), 1)
+	m.observe("source_read_seconds", took)
+}
+
 func (m *Metrics) observe(name string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -84,6 +93,9 @@
 	m.results.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(w, "sends_total{result=%q} %s\n", kv.Key, kv.Value)
 	})
+	m.sourceReads.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "source_reads_total{%s} %s\n", kv.Key, kv.Value)
+	})
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
@@ -94,6 +106,7 @@
 		{"reports_total", &m.inspections},
 		{"upstream_changes_total", &m.listChanges},
 		{"upstreams", &m.upstreams},
+		{"config_version", &m.configVersion},
 	} {
 		fmt.Fprintf(w, "%s %s\n", counter.name, counter.value)
 	}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -69,6 +69,8 @@
 	peerPollInterval = 50 * time.Millisecond
 	firstRetryDelay  = 50 * time.Millisecond
 	maxRetryDelay    = 500 * time.Millisecond
+	// outageLogInterval is the time between two reports of the same outage.
+	outageLogInterval = time.Second
 	// expiryOutage is how long the list must have been unavailable for missing
 	// registrations to count as expired rather than removed.
 	expiryOutage = 2 * time.Second
@@ -105,10 +107,38 @@
 	ConfigInForce(version int64)
 	UpstreamsChanged(ids []string, known int)
 	RegistrationInvalid(id string, err error)
+	// SourceRead is called after each read, with its result.
+	SourceRead(what string, result ReadResult, took time.Duration)
+	// SourceLost is called when an outage begins, SourceStillLost at intervals while it
+	// lasts; failures counts the reads that have failed.
 	SourceLost(what string, err error)
+	SourceStillLost(what string, failures int, outage time.Duration, err error)
 	SourceRegained(what string, outage time.Duration)
 }
 
+// ReadResult is how a read of a Source ended.
+type ReadResult string
+
+// Values of ReadResult.
+const (
+	ReadOK          ReadResult = "ok"
+	ReadTimedOut    ReadResult = "timeout"
+	ReadHistoryGone ReadResult = "history gone"
+	ReadFailed      ReadResult = "failed"
+)
+
+func readResult(err error) ReadResult {
+	switch {
+	case err == nil:
+		return ReadOK
+	case errors.Is(err, ErrHistoryGone):
+		return ReadHistoryGone
+	case errors.Is(err, context.DeadlineExceeded):
+		return ReadTimedOut
+	}
+	return ReadFailed
+}
+
 // Follower keeps a Directory up to date.
 type Follower struct {
 	opts FollowerOptions
@@ -128,9 +158,11 @@
 			retry.Sleep(ctx, peerPollInterval)
 			continue
 		}
+		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, configTimeout)
 		update, err := f.opts.Source.Config(callCtx, version, configWait)
 		cancel()
+		f.opts.Observer.SourceRead(outage.what, readResult(err), time.Since(started))
 		if err != nil {
 			if ctx.Err() == nil {
 				retry.Sleep(ctx, outage.failed(err))
@@ -172,6 +204,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout(version, relayed))
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
+		f.opts.Observer.SourceRead(outage.what, readResult(err), time.Since(started))
 		relayed = false
 		if errors.Is(err, ErrHistoryGone) && version > 0 {
 			version = 0
@@ -264,14 +297,20 @@
 	what     string
 	observer Observer
 	since    time.Time // of the first failure
+	reported time.Time
 	failures int
 }
 
 // failed records a failure and returns the retry delay.
 func (o *outageTracker) failed(err error) time.Duration {
-	if o.failures == 0 {
-		o.since = time.Now()
+	now := time.Now()
+	switch {
+	case o.failures == 0:
+		o.since, o.reported = now, now
 		o.observer.SourceLost(o.what, err)
+	case now.Sub(o.reported) >= outageLogInterval:
+		o.reported = now
+		o.observer.SourceStillLost(o.what, o.failures+1, now.Sub(o.since), err)
 	}
 	delay := min(maxRetryDelay, firstRetryDelay<<min(o.failures, 4))
 	o.failures++
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -45,11 +45,13 @@
 
 type quietObserver struct{}
 
-func (quietObserver) ConfigInForce(int64)                  {}
-func (quietObserver) UpstreamsChanged([]string, int)       {}
-func (quietObserver) RegistrationInvalid(string, error)    {}
-func (quietObserver) SourceLost(string, error)             {}
-func (quietObserver) SourceRegained(string, time.Duration) {}
+func (quietObserver) ConfigInForce(int64)                               {}
+func (quietObserver) UpstreamsChanged([]string, int)                    {}
+func (quietObserver) RegistrationInvalid(string, error)                 {}
+func (quietObserver) SourceRead(string, ReadResult, time.Duration)      {}
+func (quietObserver) SourceLost(string, error)                          {}
+func (quietObserver) SourceStillLost(string, int, time.Duration, error) {}
+func (quietObserver) SourceRegained(string, time.Duration)              {}
 
 // All routers of a large fleet start at once: reading the list takes each of them longer
 // than reading its changes may. It must not be begun again and again. The changes since
