--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -120,3 +120,47 @@
 	peer.lost.Store(false)
 	is.True(follower.waitToCatchUp(context.Background())) // a fresh peer is back
 }
+
+// cutOffSource stands for a store with a slow link behind it: it was out of reach while
+// the configuration changed often. Reading each change since takes too long; reading the
+// configuration as it is now does not.
+type cutOffSource struct{ cut atomic.Bool }
+
+func (s *cutOffSource) Config(ctx context.Context, after int64, _ time.Duration) (ConfigUpdate, error) {
+	if s.cut.Load() && after == 0 {
+		return ConfigUpdate{Config: NewConfig(90, nil, nil, Limits{}), Version: 90}, nil
+	}
+	if !s.cut.Load() && after == 0 {
+		s.cut.Store(true)
+		return ConfigUpdate{Config: NewConfig(1, nil, nil, Limits{}), Version: 1}, nil
+	}
+	<-ctx.Done()
+	return ConfigUpdate{}, ctx.Err()
+}
+
+func (s *cutOffSource) Upstreams(ctx context.Context, _ int64, _ time.Duration) (UpstreamUpdate, error) {
+	<-ctx.Done()
+	return UpstreamUpdate{}, ctx.Err()
+}
+
+// Guards against a router that is stuck with an old configuration after a cut: it read
+// all changes that it had missed, could not finish in time, and began anew with more.
+func TestConfigurationIsReadAsItIsAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	directory := NewDirectory()
+	changed := make(chan struct{}, 2)
+	follower := NewFollower(FollowerOptions{Source: &cutOffSource{}, Directory: directory, OnChange: func() { changed <- struct{}{} }, Observer: quietObserver{}})
+	go follower.RunConfig(ctx)
+	<-changed
+	is.Equal(directory.Load().Config.Version, int64(1))
+	select {
+	case <-changed:
+	case <-time.After(stuckAfter):
+	}
+	is.Equal(directory.Load().Config.Version, int64(90))
+}
+
+// stuckAfter is when a test gives up on a follower that makes no progress.
+const stuckAfter = 20 * time.Second
