fleet, platform: reads that still bring data are finished; after an outage the configuration is read as it is

Cause: a router that was cut off from the store read on from the version that it had. The response has each configuration since, over 1 MB, the host's link carries 10 Mbit/s, and the read was abandoned after a second in all. The next one began at the first byte, with more to carry, until the history of the store had passed (20 s).

The pages of the upstream list had the same limit.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -9,7 +9,9 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
-// Source reads the platform's configuration and upstream list.
+// Source reads the platform's configuration and upstream list. Its methods return early if
+// the platform does not respond; they finish a response that keeps arriving, until ctx is
+// done.
 type Source interface {
 	// Config returns the configuration if it changed after version after, or the
 	// current one if after is 0. It waits up to wait for a change. A nil Config in
@@ -17,7 +19,7 @@
 	Config(ctx context.Context, after int64, wait time.Duration) (ConfigUpdate, error)
 	// Upstreams returns the registrations that changed after version after, or the
 	// complete list if after is 0. It returns ErrHistoryGone if the changes are no
-	// longer known, and must return early if the platform does not respond.
+	// longer known.
 	Upstreams(ctx context.Context, after int64, wait time.Duration) (UpstreamUpdate, error)
 }
 
@@ -46,24 +48,18 @@
 	// configWait is how long one read waits for a change. It limits how long an
 	// unresponsive connection delays a new configuration.
 	configWait = 600 * time.Millisecond
-	// configTimeout is when a read on an unresponsive connection is abandoned.
-	configTimeout = configWait + 400*time.Millisecond
 	// upstreamPollInterval is the interval between reads of the upstream list. Twice
 	// this plus one call must stay below the time within which routers have to stop
 	// sending new requests to a draining upstream.
 	upstreamPollInterval = 500 * time.Millisecond
-	upstreamTimeout      = 900 * time.Millisecond
-	// catchUpTimeout applies to the first read after a peer relayed the list: it returns
-	// much more than the later ones.
-	catchUpTimeout = 2 * upstreamTimeout
 	// Routers that lose their scheduler wait for a random time before they read the list
 	// themselves, so that their reads together fit into the platform's link: up to
 	// catchUpDelayPerUpstream for each upstream, and maxCatchUpDelay.
 	catchUpDelayPerUpstream = 330 * time.Microsecond
 	maxCatchUpDelay         = time.Second
-	// completeListTimeout is when the read of a complete list is abandoned. On a large
-	// fleet it takes several calls and seconds, most of all while many routers start.
-	completeListTimeout = 15 * time.Second
+	// readTimeout is when a read is abandoned although data still arrives: a read that is
+	// begun anew starts at its first byte, with more to transfer than before.
+	readTimeout = 15 * time.Second
 	// peerPollInterval is how often a router whose peer is fresh checks that it
 	// still is.
 	peerPollInterval = 50 * time.Millisecond
@@ -159,11 +155,14 @@
 			continue
 		}
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, configTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		update, err := f.opts.Source.Config(callCtx, version, configWait)
 		cancel()
 		f.opts.Observer.SourceRead(outage.what, readResult(err), time.Since(started))
 		if err != nil {
+			// The next read is of the configuration as it is, which costs the same however
+			// many changes were missed.
+			version = 0
 			if ctx.Err() == nil {
 				retry.Sleep(ctx, outage.failed(err))
 			}
@@ -201,7 +200,7 @@
 			version = max(version, f.opts.Directory.Load().ListVersion)
 		}
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout(version, relayed))
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
 		f.opts.Observer.SourceRead(outage.what, readResult(err), time.Since(started))
@@ -227,18 +226,6 @@
 	}
 }
 
-// listTimeout is when a read of the changes since a version, or of the complete list if
-// that is 0, is abandoned. relayed is set for the first read after a peer.
-func listTimeout(version int64, relayed bool) time.Duration {
-	switch {
-	case version == 0:
-		return completeListTimeout
-	case relayed:
-		return catchUpTimeout
-	}
-	return upstreamTimeout
-}
-
 // waitToCatchUp waits before the first read without a peer. It reports true if a fresh
 // peer has made the read unnecessary meanwhile.
 func (f *Follower) waitToCatchUp(ctx context.Context) bool {
