external: reads and uploads that still move data are finished

TestReadOverASlowLinkIsFinished and TestWriteOverASlowLinkIsFinished failed before (context deadline exceeded after four attempts). Attempts now end when no data has moved for the call timeout, or after 15 s; commits and orders keep their total limit, which the lease relies on.

--- a/internal/external/call.go
+++ b/internal/external/call.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/progress"
 )
 
 // call is one HTTP request to a platform service.
@@ -25,7 +27,7 @@
 // as having no effect when no byte of the request was or will be written.
 func (c *client) send(ctx context.Context, k call) (*http.Response, error) {
 	tracker := &sendTracker{}
-	req, err := http.NewRequestWithContext(tracker.withTrace(ctx), k.method, c.base+k.path, nonRewindable(k.body))
+	req, err := http.NewRequestWithContext(tracker.withTrace(ctx), k.method, c.base+k.path, requestBody(ctx, k.body))
 	if err != nil {
 		return nil, c.invalid(k.op, err)
 	}
@@ -50,13 +52,13 @@
 	return resp, nil
 }
 
-// nonRewindable returns a body that net/http can't rewind, which prevents its
-// automatic retry on another connection.
-func nonRewindable(body []byte) io.Reader {
+// requestBody returns a body that net/http can't rewind, which prevents its automatic
+// retry on another connection.
+func requestBody(ctx context.Context, body []byte) io.Reader {
 	if body == nil {
 		return nil
 	}
-	return struct{ io.Reader }{bytes.NewReader(body)}
+	return struct{ io.Reader }{progress.Reader(ctx, bytes.NewReader(body))}
 }
 
 // fetchBody sends a call and reads the complete response body.
@@ -66,7 +68,7 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(progress.Reader(ctx, resp.Body), maxResponseBytes))
 	if err != nil {
 		return nil, c.unavailable(k.op, true, fmt.Errorf("response truncated: %w", err))
 	}
--- a/internal/external/client.go
+++ b/internal/external/client.go
@@ -7,11 +7,14 @@
 	"strings"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/progress"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
 const (
 	defaultCallTimeout = time.Second
+	// maxAttemptTime ends an attempt that still moves data.
+	maxAttemptTime = 15 * time.Second
 	// maxReadAttempts includes the first attempt.
 	maxReadAttempts = 4
 	// maxErrorBodyBytes limits the bytes read of an error response.
@@ -24,7 +27,8 @@
 type ClientOptions struct {
 	// BaseURL is the address of the service, "http://IP:PORT".
 	BaseURL string
-	// CallTimeout limits one attempt of a call. Default 1 s.
+	// CallTimeout limits a commit or an order, and how long one attempt of another call
+	// may move no data. Default 1 s.
 	CallTimeout time.Duration
 	// Budget limits retries. Nil sets no limit.
 	Budget *retry.Budget
@@ -71,13 +75,20 @@
 func (c *client) read(ctx context.Context, call func(context.Context) error) error {
 	policy := retry.Policy{MaxTries: maxReadAttempts, Retryable: isTransient}
 	err := retry.Do(ctx, policy, c.budget, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, c.timeout)
-		defer cancel()
-		return call(ctx)
+		return c.attempt(ctx, call)
 	})
 	return withOutcomeUnknown(err, false)
 }
 
+// attempt makes one attempt of a call that may move much data.
+func (c *client) attempt(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, maxAttemptTime)
+	defer cancel()
+	ctx, watch := progress.WithTimeout(ctx, c.timeout)
+	defer watch.Stop()
+	return watch.Err(call(ctx))
+}
+
 // withOutcomeUnknown returns a copy of the *Error in err with OutcomeUnknown set
 // to unknown. A *retry.BudgetError around it moves inside, as its cause.
 func withOutcomeUnknown(err error, unknown bool) error {
@@ -106,9 +117,7 @@
 	maybeSent := false
 	policy := retry.Policy{MaxTries: maxReadAttempts, Retryable: isTransient}
 	err := retry.Do(ctx, policy, c.budget, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, c.timeout)
-		defer cancel()
-		err := c.fetchJSON(ctx, k, nil)
+		err := c.attempt(ctx, func(ctx context.Context) error { return c.fetchJSON(ctx, k, nil) })
 		maybeSent = maybeSent || OutcomeUnknown(err)
 		return err
 	})
--- a/internal/external/hostlist_client.go
+++ b/internal/external/hostlist_client.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/progress"
 )
 
 type hostListClient struct {
@@ -50,7 +52,7 @@
 		return known.listing, nil
 	}
 	next := &cachedListing{etag: resp.Header.Get("ETag")}
-	if err := json.NewDecoder(resp.Body).Decode(&next.listing); err != nil {
+	if err := json.NewDecoder(progress.Reader(ctx, resp.Body)).Decode(&next.listing); err != nil {
 		return HostListing{}, h.unavailable(op, true, fmt.Errorf("response truncated or not valid JSON of the protocol: %w", err))
 	}
 	h.known.Store(next)
