cell: large upstream lists are relayed in parts

TestListOfALargeFleetReachesARouter failed before (no list after a minute). A list now travels in messages of 32 upstreams, each a sign of life, and is applied once its last part is there. Routers of earlier versions, which don't announce it, still get one message.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -78,7 +78,9 @@
 	leaseVersion     int64
 	configAt, listAt time.Time
 	listReceived     bool
-	linkUp           chan struct{} // closed and replaced when connected is set
+	// partialList holds the parts of a list whose last part has not arrived; nil without.
+	partialList *apiv1.UpstreamList
+	linkUp      chan struct{} // closed and replaced when connected is set
 	// draining is set by ReportDraining.
 	draining bool
 	// handedOverVersion is the version of the lease row at the last handover. That
@@ -305,7 +307,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion()}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
@@ -317,7 +319,7 @@
 	}
 	c.link = link
 	c.lastReceived = time.Now()
-	c.listReceived = false
+	c.listReceived, c.partialList = false, nil
 	return true
 }
 
@@ -374,68 +376,6 @@
 // closeLater closes a link after a delay, so that queued calls are sent first.
 func closeLater(link sender) { time.AfterFunc(closeDelay, link.close) }
 
-// heartbeatLocked records the state that a heartbeat reports.
-func (c *Client) heartbeatLocked(heartbeat *apiv1.SchedulerBeat) {
-	c.renewedAt = c.lastReceived.Add(-microseconds(heartbeat.GetRenewedAgoUs()))
-	c.configVersion = heartbeat.GetConfigVersion()
-	c.leaseVersion = heartbeat.GetLeaseVersion()
-	c.schedulerCores = heartbeat.GetCores()
-	c.configAt = c.lastReceived.Add(-microseconds(heartbeat.GetConfigAgeUs()))
-	c.listAt = c.lastReceived.Add(-microseconds(heartbeat.GetListAgeUs()))
-	if c.connected {
-		return
-	}
-	c.connected = true
-	close(c.linkUp)
-	c.linkUp = make(chan struct{})
-	c.opts.Observer.SchedulerLinked(c.target)
-}
-
-func (c *Client) handleReply(link sender, reply *apiv1.SchedulerReply) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.link != link {
-		return
-	}
-	c.lastReceived = time.Now()
-	var number uint64
-	switch body := reply.GetBody().(type) {
-	case *apiv1.SchedulerReply_Beat:
-		c.heartbeatLocked(body.Beat)
-		return
-	case *apiv1.SchedulerReply_Handover:
-		h := body.Handover
-		c.opts.OnHandover(Handover{Fence: h.GetFence(), Version: h.GetVersion(), BootID: h.GetBootId(), WaitLeaseTime: h.GetWaitLeaseTime()})
-		return
-	case *apiv1.SchedulerReply_Moved:
-		c.handedOverVersion = body.Moved.GetLeaseVersion()
-		c.followLocked(body.Moved.GetAddress(), c.handedOverVersion)
-		return
-	case *apiv1.SchedulerReply_List:
-		c.listReceived = true
-		c.opts.OnUpstreamList(decodeList(body.List))
-		return
-	case *apiv1.SchedulerReply_Queued:
-		if req := c.pending[body.Queued.GetNumber()]; req != nil {
-			req.confirmed = true
-		}
-		return
-	case *apiv1.SchedulerReply_Grant:
-		number = body.Grant.GetNumber()
-	case *apiv1.SchedulerReply_Refusal:
-		number = body.Refusal.GetNumber()
-	}
-	if req := c.pending[number]; req != nil {
-		delete(c.pending, number)
-		req.decision <- reply
-		return
-	}
-	if reply.GetGrant() != nil {
-		// The request was withdrawn before the grant arrived.
-		c.sendLocked(progressCall(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0))
-	}
-}
-
 func (c *Client) sendLocked(call *apiv1.SchedulerCall) {
 	if c.link == nil {
 		return
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,6 +10,10 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
+// maxListPart is the number of upstreams in one message of a list. Over a slow link the
+// messages of a large list keep arriving within the heartbeat timeout.
+const maxListPart = 32
+
 // relayedList is an upstream list as it was relayed to the routers.
 type relayedList struct {
 	upstreams map[string]relayedUpstream // by id
@@ -34,15 +39,32 @@
 	if len(changed) == 0 && !first {
 		return
 	}
-	reply := s.listReply(&apiv1.UpstreamList{Upstreams: changed})
+	list := &apiv1.UpstreamList{Upstreams: changed}
 	for _, session := range s.sessions {
 		if !session.synced {
 			continue
 		}
 		if first {
-			reply = s.listReply(s.relayed.lackedBy(session.listVersion))
+			list = s.relayed.lackedBy(session.listVersion)
+		}
+		s.sendList(session, list)
+	}
+}
+
+// sendList sends a list to a router, in parts if the router accepts them.
+func (s *Scheduler) sendList(to *session, list *apiv1.UpstreamList) {
+	_, age := s.opts.Directory.ReadAges(time.Now())
+	rest := list.GetUpstreams()
+	for {
+		part := &apiv1.UpstreamList{Whole: list.GetWhole(), Upstreams: rest, AgeUs: age.Microseconds(), Version: s.relayed.version}
+		if to.acceptsListParts && len(rest) > maxListPart {
+			part.Upstreams, rest = slices.Clip(rest[:maxListPart]), rest[maxListPart:]
+			part.Continues = true
+		}
+		to.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_List{List: part}})
+		if !part.Continues {
+			return
 		}
-		session.reply(reply)
 	}
 }
 
@@ -82,14 +104,6 @@
 	return list
 }
 
-// listReply sets the age and the version of the list.
-func (s *Scheduler) listReply(list *apiv1.UpstreamList) *apiv1.SchedulerReply {
-	_, age := s.opts.Directory.ReadAges(time.Now())
-	list.AgeUs = age.Microseconds()
-	list.Version = s.relayed.version
-	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_List{List: list}}
-}
-
 func equalExceptSequence(a, b *apiv1.ListedUpstream) bool {
 	sequence := b.Sequence
 	b.Sequence = a.Sequence
--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -132,3 +133,51 @@
 		is.Equal(len(lists[router][0].GetUpstreams()) == 1, whole)
 	}
 }
+
+// largeFleet is a list of n engines that describe themselves in about 400 bytes each.
+func largeFleet(n int) fleet.Change {
+	change := fleet.Change{Complete: true, Version: 5}
+	for i := range n {
+		up := &fleet.Upstream{ID: fmt.Sprintf("engine-%08d", i), Service: "pool", Addr: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), FailureDomain: "domain-1", Slots: 64, StartedMs: 1_700_000_000_000}
+		for m := range 3 {
+			model := fleet.LoadedModel{Name: fmt.Sprintf("model-%08d", m), Version: 1}
+			for a := range 6 {
+				model.Adapters = append(model.Adapters, fmt.Sprintf("adapter-%06d", a))
+			}
+			up.Models = append(up.Models, model)
+		}
+		change.Registrations = append(change.Registrations, fleet.Registration{ID: up.ID, Upstream: up})
+	}
+	return change
+}
+
+// Guards against a router that never gets the list of a large fleet: in one message it
+// exceeds what a frame may hold, and over a slow link it takes longer than the heartbeat
+// timeout, after which the router connects again and is sent all of it again.
+func TestListOfALargeFleetReachesARouter(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s, addr := newScheduler(t, ctx)
+	const engines = 11_000
+	s.opts.Directory.Merge(time.Now(), largeFleet(engines))
+	s.Refresh()
+	lists := make(chan fleet.Change, 1000)
+	client := newClient("r1", "boot")
+	client.opts.OnUpstreamList = func(change fleet.Change) {
+		select {
+		case lists <- change:
+		case <-ctx.Done():
+		}
+	}
+	go client.Run(ctx)
+	client.Follow(addr, 1)
+	select {
+	case list := <-lists:
+		is.True(list.Complete)
+		is.Equal(len(list.Registrations), engines)
+		is.Equal(list.Version, int64(5))
+	case <-ctx.Done():
+		t.Fatal("the list did not arrive")
+	}
+}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -29,8 +29,9 @@
 	address        string
 	// synced is set once the hello is handled; the upstream list is relayed only
 	// afterwards. listVersion is the version that the router had then.
-	synced      bool
-	listVersion int64
+	synced           bool
+	listVersion      int64
+	acceptsListParts bool
 	// draining is set when the router is stopping.
 	draining   bool
 	reply      func(*apiv1.SchedulerReply)
@@ -143,9 +144,10 @@
 		cell.Adopt(now, req, r.GetUpstreamId(), r.GetStarted())
 	}
 	from.listVersion = hello.GetListVersion()
+	from.acceptsListParts = hello.GetAcceptsListParts()
 	from.synced = true
 	if s.relayed != nil {
-		from.reply(s.listReply(s.relayed.lackedBy(from.listVersion)))
+		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
 	s.sendHeartbeats()
 }
