platform, cell, fleet: a store that comes back from an older copy

Nothing read the era before, so that a router went on from a version that meant something else, a removed upstream was used again, a holder that found no row of its own lost the lease, and two terms could carry the same fence.

Not done: the product's own table service has no eras, and the soak's stand-in does not restore.

--- a/cmd/ragwortdoord/entry.go
+++ b/cmd/ragwortdoord/entry.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// eraLog logs the eras of the platform's store.
+type eraLog struct{ out *decisionlog.Logger }
+
+// StoreRestored implements platform.EraObserver.
+func (l eraLog) StoreRestored(era, previous int64) {
+	l.out.Warn("store restored", "era", era, "previous", previous, "remedy", "none: lists are read again, and what the store lost is kept until it is written again")
+}
+
+// StoreEraFell implements platform.EraObserver.
+func (l eraLog) StoreEraFell(era, highest int64) {
+	l.out.Warn("store era fell", "era", era, "highest", highest, "remedy", "check that the settings name the store that was used before")
+}
+
 func runEntry(ctx context.Context, cmd *cli.Command) error {
 	path := cmd.String(flagEntrySettings)
 	settings, err := platform.LoadSettings(path)
@@ -39,7 +52,7 @@
 	}
 	logger := decisionlog.New(log.InfoLevel)
 	defer logger.Start(os.Stdout)()
-	store := platform.NewStore(settings.StoreAddr)
+	store := platform.NewStore(settings.StoreAddr, eraLog{logger})
 	pool := platform.NewPool()
 	process := entry.New(settings.Entry, entry.Deps{
 		Dialect: platform.Dialect{},
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -43,9 +43,6 @@
 	baseTakeoverDelay     = 25 * time.Millisecond
 	maxTakeoverDelay      = 600 * time.Millisecond
 	takeoverDelayExponent = 1.5
-	// handoverCountBits is the number of low bits of a fence that count the
-	// handovers since the takeover; the row version is above them.
-	handoverCountBits = 10
 	// A holder hands the lease over to a connected router that has at least
 	// yieldCoresFactor times its cores, but not within minTermBeforeYield, and
 	// takes no lease for yieldCooldown afterwards.
@@ -148,6 +145,8 @@
 	fence   int64 // 0 while this router is not the holder
 	row     *apiv1.SchedulerLease
 	version int64
+	// era is the store's, as of the last call.
+	era int64
 	// unchangedSince is when the current version was first seen.
 	unchangedSince   time.Time
 	nextRead         time.Time
@@ -279,12 +278,21 @@
 	}
 	row := proto.CloneOf(e.row)
 	row.Renewals++
+	era := e.era
 	result, err := e.commit(ctx, row)
 	if err != nil {
 		e.opts.Observer.LeaseFailed("renew", err)
 		e.nextRenewal = e.opts.Now().Add(renewRetryDelay)
 		return
 	}
+	restored := e.era != era
+	if result.Committed && restored {
+		// The row that was replaced may have been another router's: its version was given
+		// out again.
+		e.observeRow(row, result.Version)
+		e.lose("the store was restored during a renewal")
+		return
+	}
 	if result.Committed {
 		e.row = row
 		e.version = result.Version
@@ -296,7 +304,11 @@
 	}
 	present, version := e.conflictingRow(result)
 	isPreviousHolder := e.previousBootID != "" && present.GetBootId() == e.previousBootID
-	if present.GetBootId() != e.opts.BootID && !isPreviousHolder || present.GetHolder() == "" {
+	if restored && e.mayContinueOver(present) {
+		e.continueOver(present, version, now)
+		return
+	}
+	if restored || present.GetBootId() != e.opts.BootID && !isPreviousHolder || present.GetHolder() == "" {
 		e.observeRow(present, version)
 		e.lose("lease taken over by " + present.GetHolder())
 		return
@@ -315,6 +327,7 @@
 }
 
 func (e *Election) commit(ctx context.Context, row *apiv1.SchedulerLease) (external.TxnResult, error) {
+	row.Era = e.era
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return external.TxnResult{}, err
@@ -327,6 +340,9 @@
 		Puts:   []external.Put{{Key: leaseKey, Value: value}},
 	})
 	e.storeFailing.Store(err != nil)
+	if err == nil {
+		e.era = result.Era
+	}
 	return result, err
 }
 
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -36,11 +36,12 @@
 		e.opts.Observer.LeaseFailed("decode", err)
 		return
 	}
+	e.era = row.Era
 	e.observeRow(lease, row.Version)
-	if lease.GetHolder() == "" {
+	if lease.GetHolder() == "" && !e.isFromOlderCopy() {
 		e.nextRead = e.earliestTakeover
 	}
-	if lease.GetBootId() == e.opts.BootID && lease.GetHolder() != "" && !e.resigned.Load() && !now.Before(e.noTakeoverUntil) {
+	if lease.GetBootId() == e.opts.BootID && !e.isFromOlderCopy() && lease.GetHolder() != "" && !e.resigned.Load() && !now.Before(e.noTakeoverUntil) {
 		// A takeover of this router was committed, but its reply was lost.
 		e.elected(row.Version, now, e.handoverOrdersFrom(false))
 		return
@@ -105,6 +106,9 @@
 }
 
 func (e *Election) reportHolder() {
+	if e.isFromOlderCopy() {
+		return // the routers stay with the scheduler that they have
+	}
 	if e.opts.SchedulerLeaseVersion != nil && e.version <= e.opts.SchedulerLeaseVersion() {
 		return // the row is not newer than the connected scheduler's term
 	}
@@ -117,6 +121,9 @@
 	if now.Before(e.earliestTakeover) || now.Before(e.noTakeoverUntil) || e.resigned.Load() {
 		return false
 	}
+	if e.isFromOlderCopy() {
+		return !now.Before(e.silentAt) // the holder may be alive and renew
+	}
 	if e.row.GetHolder() == "" {
 		return true
 	}
@@ -129,6 +136,7 @@
 func (e *Election) takeOver(ctx context.Context) {
 	now := e.opts.Now()
 	ordersFrom := e.ordersAllowedFrom(now)
+	era := e.era
 	row := &apiv1.SchedulerLease{Holder: e.opts.Host, BootId: e.opts.BootID, Address: e.opts.Address}
 	result, err := e.commit(ctx, row)
 	if err != nil {
@@ -142,6 +150,9 @@
 		e.observeRow(e.conflictingRow(result))
 		return
 	}
+	if e.era != era && !e.opts.EnginesCheckFence {
+		ordersFrom = now.Add(unfencedOrderWindow + engineTimeout + e.opts.LeaseTime + orderMargin)
+	}
 	e.row = row
 	e.elected(result.Version, now, ordersFrom)
 }
@@ -152,8 +163,9 @@
 func (e *Election) ordersAllowedFrom(now time.Time) time.Time {
 	apart := e.opts.LeaseTime + orderMargin
 	switch {
-	case e.opts.EnginesCheckFence || e.version == 0:
+	case e.opts.EnginesCheckFence || e.version == 0 && e.era == 0:
 		return now // version 0: there was no holder yet
+	case e.isFromOlderCopy():
 	case e.row.GetHolder() == "":
 		return e.unchangedSince.Add(apart)
 	case e.row.GetHolder() == e.opts.Host && time.Duration(e.row.GetRenewals())*renewInterval > ownTermFactor*e.opts.LeaseTime:
@@ -165,5 +177,5 @@
 // elected begins the term of a takeover that was committed as version.
 func (e *Election) elected(version int64, sent, ordersFrom time.Time) {
 	e.previousBootID = ""
-	e.beginTerm(version, version<<handoverCountBits, sent, ordersFrom)
+	e.beginTerm(version, fenceOf(version), sent, ordersFrom)
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
@@ -163,7 +164,7 @@
 
 // LeaseRead implements cell.Observer.
 func (l *Log) LeaseRead(holder string, version int64) {
-	l.out.Info("lease read", "holder", holder, "version", version)
+	l.out.Info("lease read", "holder", holder, "version", era.Sequence(version), "era", era.Of(version))
 }
 
 // LeaseFailed implements cell.Observer.
--- a/internal/external/services.go
+++ b/internal/external/services.go
@@ -19,6 +19,9 @@
 	Version int64 `json:"version"`
 	// TxnID is the id of the transaction of the last write.
 	TxnID string `json:"txn_id,omitempty"`
+	// Era is the table's era at the read; see package era. The versions of a table with
+	// eras contain it.
+	Era int64 `json:"-"`
 }
 
 // Check requires that a row has a version. Version 0 requires that it is absent.
@@ -50,6 +53,8 @@
 	// Conflicts holds the current state of each row whose check failed; an
 	// absent row has Version 0.
 	Conflicts []Row `json:"conflicts,omitempty"`
+	// Era is as in Row.
+	Era int64 `json:"-"`
 }
 
 // Changes are the rows under a prefix that were written after a revision.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -64,7 +64,7 @@
 	// complete for; 0 if unknown.
 	ListVersion int64
 
-	removedAt map[string]time.Time
+	removed map[string]removal
 }
 
 // KnownUnusable reports whether an upstream is draining, cordoned or was removed
@@ -74,7 +74,7 @@
 	if up := s.Upstreams[id]; up != nil {
 		return !up.TakesWork()
 	}
-	_, removed := s.removedAt[id]
+	_, removed := s.removed[id]
 	return removed
 }
 
@@ -100,6 +100,8 @@
 	// retained maps the ids of removed registrations to the time until which they
 	// stay usable. They may only have expired while the list was unavailable.
 	retained map[string]time.Time
+	// quarantined has the removed incarnations that a restored list may name again, by id.
+	quarantined map[string]*quarantine
 }
 
 type upstreamSet struct {
@@ -107,8 +109,14 @@
 	byService map[string][]*Upstream
 	listKnown bool
 	version   int64
-	// removedAt maps the ids of recently removed upstreams to the time of removal.
-	removedAt map[string]time.Time
+	// removed has the recently removed upstreams by id.
+	removed map[string]removal
+}
+
+// removal is the end of an incarnation in the list.
+type removal struct {
+	at        time.Time
+	startedMs int64
 }
 
 // removedTTL is how long removed upstreams are remembered, far longer than
@@ -117,7 +125,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{retained: make(map[string]time.Time)}
+	d := &Directory{retained: make(map[string]time.Time), quarantined: make(map[string]*quarantine)}
 	d.upstreams.Store(&upstreamSet{})
 	return d
 }
@@ -126,7 +134,7 @@
 // read atomically together; neither depends on the other.
 func (d *Directory) Load() *Snapshot {
 	set := d.upstreams.Load()
-	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removedAt: set.removedAt}
+	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removed: set.removed}
 }
 
 // SetConfig puts a configuration in force. It returns false and changes nothing
@@ -168,6 +176,9 @@
 		return nil
 	}
 	old := d.upstreams.Load()
+	if isRestored(old, change) {
+		d.quarantine(now, old.removed)
+	}
 	next := maps.Clone(old.byID)
 	if next == nil {
 		next = make(map[string]*Upstream)
@@ -186,10 +197,12 @@
 				changed = append(changed, id)
 			}
 		}
+		d.forgetUnlisted(seen)
 	}
 	changed = append(changed, d.dropExpired(now, next)...)
+	changed = append(changed, d.releaseQuarantined(now, next)...)
 	set := newUpstreamSet(next)
-	set.removedAt = recentRemovals(now, old, next)
+	set.removed = recentRemovals(now, old, next)
 	set.version = max(old.version, change.Version)
 	d.upstreams.Store(set)
 	return changed
@@ -215,6 +228,9 @@
 		// one stays in use.
 		return false
 	}
+	if d.holdBack(registration) {
+		return false
+	}
 	if registration.Upstream == nil {
 		return d.remove(now, next, registration.ID, grace)
 	}
@@ -234,21 +250,20 @@
 	return true
 }
 
-// recentRemovals returns the upstreams that were removed within removedTTL, with
-// the times of removal.
-func recentRemovals(now time.Time, old *upstreamSet, next map[string]*Upstream) map[string]time.Time {
-	removedAt := make(map[string]time.Time)
-	for id, at := range old.removedAt {
-		if next[id] == nil && now.Sub(at) < removedTTL {
-			removedAt[id] = at
+// recentRemovals returns the upstreams that were removed within removedTTL.
+func recentRemovals(now time.Time, old *upstreamSet, next map[string]*Upstream) map[string]removal {
+	removed := make(map[string]removal)
+	for id, r := range old.removed {
+		if next[id] == nil && now.Sub(r.at) < removedTTL {
+			removed[id] = r
 		}
 	}
-	for id := range old.byID {
+	for id, up := range old.byID {
 		if next[id] == nil {
-			removedAt[id] = now
+			removed[id] = removal{at: now, startedMs: up.StartedMs}
 		}
 	}
-	return removedAt
+	return removed
 }
 
 // isOlder reports whether received is a late copy of an earlier registration
@@ -289,11 +304,12 @@
 	return removed
 }
 
-// HasRetained reports whether expired registrations are retained.
+// HasRetained reports whether expired registrations are retained, or removed ones are in
+// quarantine: Merge has to be called although nothing changed.
 func (d *Directory) HasRetained() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.retained) > 0
+	return len(d.retained)+len(d.quarantined) > 0
 }
 
 // neverReadAge is the age reported before the first read.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 )
 
 func TestMatchTakesTheLongestPrefix(t *testing.T) {
@@ -173,3 +175,38 @@
 		})
 	}
 }
+
+// The list is restored from a copy that is older than the removal of an upstream. It must
+// not be used again because the copy names it, unless it turns out to be alive.
+func TestRemovedUpstreamStaysInQuarantine(t *testing.T) {
+	restored := era.Version(1, 3)
+	for name, tc := range map[string]struct {
+		later  []Registration // after the restored list
+		after  time.Duration
+		usable bool
+	}{
+		"only the copy names it":         {nil, time.Second, false},
+		"the copy's row again":           {[]Registration{registration("left", 1, 4, false)}, time.Second, false},
+		"a heartbeat follows":            {[]Registration{registration("left", 1, 7, false)}, time.Second, true},
+		"a new incarnation":              {[]Registration{registration("left", 2, 0, false)}, time.Second, true},
+		"its registration expires":       {[]Registration{{ID: "left"}}, 2 * quarantineTime, false},
+		"still listed after the time":    {nil, 2 * quarantineTime, true},
+		"it drains, and is removed then": {[]Registration{registration("left", 1, 9, true), {ID: "left"}}, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(100, 0)
+			d := NewDirectory()
+			d.Merge(now, Change{Complete: true, Version: 5, Registrations: []Registration{registration("left", 1, 5, false)}})
+			d.Merge(now, Change{Version: 6, Registrations: []Registration{{ID: "left"}}})
+			d.Merge(now, Change{Complete: true, Version: restored, Registrations: []Registration{registration("left", 1, 4, false)}})
+			is.True(d.HasRetained())
+			for _, r := range tc.later {
+				d.Merge(now.Add(time.Second), Change{Version: restored, Registrations: []Registration{r}})
+			}
+			d.Merge(now.Add(tc.after), Change{Version: restored})
+			_, usable := d.Load().Usable("left")
+			is.Equal(usable, tc.usable)
+		})
+	}
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -70,8 +71,9 @@
 	// expiryOutage is how long the list must have been unavailable for missing
 	// registrations to count as expired rather than removed.
 	expiryOutage = 2 * time.Second
-	// expiryGrace is how long after such an outage expired registrations are
-	// retained, so that their upstreams can renew them.
+	// expiryGrace is how long after such an outage, or after a restore of the list from an
+	// older copy, missing registrations are retained, so that their upstreams can renew
+	// them.
 	expiryGrace = 2 * time.Second
 )
 
@@ -218,6 +220,10 @@
 		if outage.succeeded() > expiryOutage {
 			graceUntil = time.Now().Add(expiryGrace)
 		}
+		if known := f.opts.Directory.Load().ListVersion; known > 0 && era.Of(update.ListVersion) > era.Of(known) {
+			// What registered in the time that the restored list lacks registers again.
+			graceUntil = time.Now().Add(expiryGrace)
+		}
 		version = update.Version
 		recordRead(&f.opts.Directory.listReadBegan, started)
 		recordRead(&f.opts.Directory.listRead, time.Now())
--- a/internal/tabletest/table.go
+++ b/internal/tabletest/table.go
@@ -4,10 +4,12 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 )
 
@@ -28,9 +30,11 @@
 
 // Table is a table service in memory. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// rows have the table's own versions, without the era.
 	rows     map[string]external.Row
 	revision int64
+	era      int64
 	delayed  []external.Txn
 	fault    Fault
 	commits  int
@@ -40,6 +44,39 @@
 // New returns an empty table.
 func New() *Table { return &Table{rows: make(map[string]external.Row)} }
 
+// Copy is the content of a table at one moment.
+type Copy struct {
+	rows     map[string]external.Row
+	revision int64
+}
+
+// Copy returns a copy for Restore.
+func (t *Table) Copy() Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Copy{maps.Clone(t.rows), t.revision}
+}
+
+// Version returns the revision of the copy.
+func (c Copy) Version() int64 { return c.revision }
+
+// Restore replaces the content by an older copy, whose next era begins: revisions since
+// the copy are given out again. Delayed commits are lost.
+func (t *Table) Restore(older Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.revision = maps.Clone(older.rows), older.revision
+	t.delayed = nil
+	t.era++
+}
+
+// inEra returns a row with the table's era in its version.
+func (t *Table) inEra(row external.Row) external.Row {
+	row.Era = t.era
+	row.Version = era.Version(t.era, row.Version)
+	return row
+}
+
 // SetFault sets the fault of every call from now on.
 func (t *Table) SetFault(f Fault) {
 	t.mu.Lock()
@@ -79,7 +116,7 @@
 	}
 	row := t.rows[key]
 	row.Key = key
-	return row, ctx.Err()
+	return t.inEra(row), ctx.Err()
 }
 
 // Changes implements external.TableService.
@@ -89,10 +126,10 @@
 	if t.fault == Down {
 		return external.Changes{}, unavailable("table changes", false)
 	}
-	out := external.Changes{Revision: t.revision}
+	out := external.Changes{Revision: era.Version(t.era, t.revision)}
 	for key, row := range t.rows {
-		if strings.HasPrefix(key, prefix) && row.Version > after {
-			out.Rows = append(out.Rows, row)
+		if strings.HasPrefix(key, prefix) && t.inEra(row).Version > after {
+			out.Rows = append(out.Rows, t.inEra(row))
 		}
 	}
 	slices.SortFunc(out.Rows, func(a, b external.Row) int { return strings.Compare(a.Key, b.Key) })
@@ -118,19 +155,20 @@
 	}
 }
 
-// apply applies a transaction unless one of its version checks fails. The caller
+// apply applies a transaction unless one of its version checks fails. As a store would,
+// it compares only its own versions: one of an earlier era may match by chance. The caller
 // holds mu.
 func (t *Table) apply(txn external.Txn) external.TxnResult {
 	var conflicts []external.Row
 	for _, c := range txn.Checks {
 		row := t.rows[c.Key]
-		if row.Version != c.Version {
+		if row.Version != era.Sequence(c.Version) {
 			row.Key = c.Key
-			conflicts = append(conflicts, row)
+			conflicts = append(conflicts, t.inEra(row))
 		}
 	}
 	if len(conflicts) > 0 {
-		return external.TxnResult{Conflicts: conflicts}
+		return external.TxnResult{Conflicts: conflicts, Era: t.era}
 	}
 	t.revision++
 	for _, p := range txn.Puts {
@@ -140,9 +178,9 @@
 		delete(t.rows, key)
 	}
 	if t.applied != nil {
-		t.applied(txn, t.revision)
+		t.applied(txn, era.Version(t.era, t.revision))
 	}
-	return external.TxnResult{Committed: true, Version: t.revision}
+	return external.TxnResult{Committed: true, Version: era.Version(t.era, t.revision), Era: t.era}
 }
 
 var errNoReply = errors.New("no reply")
