--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -66,7 +66,7 @@
 	}
 	if info.Pause > 0 {
 		pause := min(info.Pause, maxPause)
-		cr.handler.balancer.pause(upstreamID, pause)
+		cr.handler.pauses.add(upstreamID, pause)
 		cr.handler.log.UpstreamPaused(upstreamID, cr.call.ID, pause, info.Pause)
 	}
 }
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -55,9 +55,6 @@
 	inFlight            int
 	consecutiveFailures int
 	ejectedUntil        time.Time
-	// pausedUntil is the end of a pause that the upstream asked for. Nothing is sent to it
-	// before, unlike to an ejected one.
-	pausedUntil time.Time
 	// otherLoad is the number of requests at the upstream that this router did not send,
 	// from the last reported load.
 	otherLoad  int64
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -45,6 +45,7 @@
 	pool       *exchange.Pool
 	scheduler  *cell.Client
 	balancer   *balancer
+	pauses     *pauses
 	// onLeaving is called when an upstream says, in the response to a request, that it is
 	// about to leave. It marks the upstream as draining before it returns.
 	onLeaving func(upstreamID, requestID string)
@@ -69,7 +70,7 @@
 	Scheduler *cell.Client
 	// OnLeaving is called when an upstream says, in a response, that it is about to leave.
 	OnLeaving func(upstreamID, requestID string)
-	Balancer  *balancer
+	Pauses    *pauses
 	Log       *Log
 }
 
@@ -84,7 +85,8 @@
 		directory: opts.Directory,
 		pool:      opts.Pool,
 		scheduler: opts.Scheduler,
-		balancer:  opts.Balancer,
+		balancer:  newBalancer(opts.Settings.FailureDomain),
+		pauses:    opts.Pauses,
 		onLeaving: opts.OnLeaving,
 		budget:    retry.NewBudget(opts.Settings.RetryShare*retryShareFactor, minRetriesPerSecond),
 		log:       opts.Log,
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -52,7 +52,7 @@
 		}
 		return true
 	}
-	return cr.handler.balancer.pauseLeft(placement.UpstreamID) > 0 // the next placement request names it
+	return cr.handler.pauses.left(placement.UpstreamID) > 0 // the next placement request names it
 }
 
 func (cr *callerRequest) failPlacement(err error) {
@@ -125,7 +125,7 @@
 		GiveUpUs:      (time.Until(cr.callerWaitsUntil()) - refusalLead).Microseconds(),
 		FailureDomain: cr.handler.settings.FailureDomain,
 		Tried:         slices.Clone(cr.tried),
-		Avoid:         cr.handler.balancer.paused(),
+		Avoid:         cr.handler.pauses.ids(),
 		MayMove:       cr.mayTryAnother(),
 		MaxGapUs:      cr.route.MaxGap.Microseconds(),
 		AgeingUs:      cr.rank.Ageing.Microseconds(),
@@ -147,7 +147,7 @@
 	snapshot := cr.handler.directory.Load()
 	var candidates []*fleet.Upstream
 	for _, up := range snapshot.ByService[cr.service.Name] {
-		if !up.TakesWork() || cr.handler.balancer.pauseLeft(up.ID) > 0 || !hasLoaded(up, cr.call) || cr.handler.balancer.isReportedMissing(up.ID, cr.call.Model) {
+		if !up.TakesWork() || cr.handler.pauses.left(up.ID) > 0 || !hasLoaded(up, cr.call) || cr.handler.balancer.isReportedMissing(up.ID, cr.call.Model) {
 			continue
 		}
 		if cr.mayTryAnother() != slices.Contains(cr.tried, up.ID) {
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
@@ -20,34 +22,70 @@
 // errPaused means that a call was not sent, because the engine asked for a pause.
 var errPaused = errors.New("not sent: the engine asked for a pause")
 
-// pause keeps requests from an upstream that asked for it. It is not a failure.
-func (b *balancer) pause(id string, pause time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if until := time.Now().Add(pause); b.state(id).pausedUntil.Before(until) {
-		b.state(id).pausedUntil = until
+// pauses has the upstreams that asked for a pause. Reads don't block: each change replaces
+// the map. It is empty nearly always.
+type pauses struct {
+	mu    sync.Mutex // serializes writers
+	until atomic.Pointer[map[string]time.Time]
+}
+
+// add keeps requests from an upstream that asked for it. It is not a failure.
+func (p *pauses) add(id string, pause time.Duration) {
+	now := time.Now()
+	p.replace(func(until map[string]time.Time) {
+		if end := now.Add(pause); until[id].Before(end) {
+			until[id] = end
+		}
+	})
+}
+
+// prune drops the pauses that are over.
+func (p *pauses) prune() {
+	if p.until.Load() != nil {
+		p.replace(func(map[string]time.Time) {})
 	}
 }
 
-// pauseLeft returns how long an upstream is still to be left alone.
-func (b *balancer) pauseLeft(id string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.states[id]
-	if s == nil {
+// replace changes a copy of the pauses that are not over.
+func (p *pauses) replace(change func(until map[string]time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	next := make(map[string]time.Time)
+	if current := p.until.Load(); current != nil {
+		for id, until := range *current {
+			if now.Before(until) {
+				next[id] = until
+			}
+		}
+	}
+	change(next)
+	if len(next) == 0 {
+		p.until.Store(nil)
+		return
+	}
+	p.until.Store(&next)
+}
+
+// left returns how long an upstream is still to be left alone.
+func (p *pauses) left(id string) time.Duration {
+	current := p.until.Load()
+	if current == nil {
 		return 0
 	}
-	return max(0, time.Until(s.pausedUntil))
+	return max(0, time.Until((*current)[id]))
 }
 
-// paused returns the ids of the upstreams in a pause.
-func (b *balancer) paused() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// ids returns the upstreams in a pause.
+func (p *pauses) ids() []string {
+	current := p.until.Load()
+	if current == nil {
+		return nil
+	}
 	now := time.Now()
 	var ids []string
-	for id, s := range b.states {
-		if now.Before(s.pausedUntil) {
+	for id, until := range *current {
+		if now.Before(until) {
 			ids = append(ids, id)
 		}
 	}
@@ -56,13 +94,13 @@
 
 // untilFirstReturn returns when the first of the upstreams that take work ends its pause; 0
 // if one of them is in none, or if there are none.
-func (b *balancer) untilFirstReturn(upstreams []*fleet.Upstream) time.Duration {
+func (p *pauses) untilFirstReturn(upstreams []*fleet.Upstream) time.Duration {
 	var first time.Duration
 	for _, up := range upstreams {
 		if !up.TakesWork() {
 			continue
 		}
-		left := b.pauseLeft(up.ID)
+		left := p.left(up.ID)
 		if left == 0 {
 			return 0
 		}
@@ -77,7 +115,7 @@
 // upstreams of the service are in a pause, a time after the first one has ended.
 func (cr *callerRequest) retryDelay(delay time.Duration) time.Duration {
 	upstreams := cr.handler.directory.Load().ByService[cr.service.Name]
-	first := cr.handler.balancer.untilFirstReturn(upstreams)
+	first := cr.handler.pauses.untilFirstReturn(upstreams)
 	if first == 0 {
 		return delay
 	}
@@ -87,12 +125,12 @@
 // considerateEngines sends nothing to engines in a pause.
 type considerateEngines struct {
 	fleet.Engines
-	balancer *balancer
+	pauses *pauses
 }
 
 // Order implements fleet.Engines. An order that is not sent counts as one that conflicts.
 func (e considerateEngines) Order(ctx context.Context, up *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
-	if e.balancer.pauseLeft(up.ID) > 0 {
+	if e.pauses.left(up.ID) > 0 {
 		return fleet.OrderConflict, nil
 	}
 	return e.Engines.Order(ctx, up, order)
@@ -100,7 +138,7 @@
 
 // Inspect implements fleet.Engines.
 func (e considerateEngines) Inspect(ctx context.Context, up *fleet.Upstream) (fleet.Inventory, error) {
-	if e.balancer.pauseLeft(up.ID) > 0 {
+	if e.pauses.left(up.ID) > 0 {
 		return fleet.Inventory{}, errPaused
 	}
 	return e.Engines.Inspect(ctx, up)
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -113,7 +113,7 @@
 			router.waitUntil(t, func() bool {
 				router.send(t, tc.path, tc.model, callerTimeout)
 				// The scheduler may prefer the other engine as long as both are idle.
-				isFree := tc.model != "" && !tc.alike && router.process.handler.balancer.pauseLeft(tc.busy) == 0
+				isFree := tc.model != "" && !tc.alike && router.process.handler.pauses.left(tc.busy) == 0
 				return busy.runs() > 1 || isFree
 			})
 		})
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -29,7 +29,7 @@
 func (cr *callerRequest) pickPlain() *fleet.Upstream {
 	var candidates []*fleet.Upstream
 	for _, up := range cr.handler.directory.Load().ByService[cr.service.Name] {
-		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.balancer.pauseLeft(up.ID) == 0 {
+		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.pauses.left(up.ID) == 0 {
 			candidates = append(candidates, up)
 		}
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -76,10 +76,10 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string)}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
-	balancer := newBalancer(settings.FailureDomain)
+	pauses := &pauses{}
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
 		Directory:    p.directory,
-		Engines:      considerateEngines{deps.Engines, balancer},
+		Engines:      considerateEngines{deps.Engines, pauses},
 		Host:         settings.Host,
 		Cores:        settings.Cores,
 		LoadWindow:   settings.LoadWindow,
@@ -123,7 +123,7 @@
 		Observer:              p.log,
 	})
 	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.onDirectoryChange, Observer: p.log, Peer: p.client})
-	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Balancer: balancer, Log: p.log})
+	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Log: p.log})
 	return p
 }
 
@@ -265,6 +265,7 @@
 			return
 		case <-ticker.C:
 			p.deps.Pool.Sweep()
+			p.handler.pauses.prune()
 			p.handler.balancer.prune(p.directory.Load().Upstreams)
 		}
 	}
