fleet: a router does not remove upstreams that its scheduler retains

After an outage of the store a router that reads the list itself retains what has expired for 2 s. If its scheduler is back within that time, the router reads no more, and the scheduler relays no mere heartbeats: a renewed upstream was dropped with the next relayed change and then refused, grant by grant, for up to a minute. Relayed batches drop nothing by time now; what the scheduler drops, it relays. Found by reading; TestRetainedUpstreamIsLeftToTheScheduler was red.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -199,7 +199,10 @@
 		}
 		d.forgetUnlisted(seen)
 	}
-	changed = append(changed, d.dropExpired(now, next)...)
+	if change.Age == 0 {
+		// A relayed batch lacks mere heartbeats, and says what its sender has dropped.
+		changed = append(changed, d.dropExpired(now, next)...)
+	}
 	changed = append(changed, d.releaseQuarantined(now, next)...)
 	set := newUpstreamSet(next)
 	set.removed = recentRemovals(now, old, next)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -236,3 +236,24 @@
 	is.True(changed)
 	is.True(d.Load().KnownUnusable("unlisted"))
 }
+
+// A router reads the list itself right after an outage of the store, and retains what has
+// expired. Then its scheduler is back, which relays no mere heartbeats: a registration that
+// was renewed does not arrive. Only the scheduler may remove it.
+func TestRetainedUpstreamIsLeftToTheScheduler(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	d := NewDirectory()
+	d.Merge(now, Change{Complete: true, Version: 5, Registrations: []Registration{registration("renewed", 1, 1, false), registration("gone", 1, 1, false)}})
+	d.Merge(now, Change{Complete: true, Version: 8, ExpiryGrace: expiryGrace})
+	relay := func(version int64, r Registration) {
+		now = now.Add(expiryGrace)
+		d.Merge(now, Change{Registrations: []Registration{r}, Version: version, Age: time.Millisecond})
+	}
+	relay(9, registration("other", 1, 1, false))
+	_, usable := d.Load().Usable("renewed")
+	is.True(usable)
+	relay(10, Registration{ID: "gone"})
+	is.True(d.Load().KnownUnusable("gone"))
+	is.True(!d.Load().KnownUnusable("renewed"))
+}
