--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -192,6 +192,7 @@
 	for ctx.Err() == nil {
 		if f.canSkipRead(false) {
 			relayed = true
+			f.releaseQuarantined()
 			retry.Sleep(ctx, peerPollInterval)
 			continue
 		}
@@ -267,6 +268,14 @@
 	return snapshot.UpstreamListKnown
 }
 
+// releaseQuarantined lets upstreams out of quarantine while no list is read.
+func (f *Follower) releaseQuarantined() {
+	if released := f.opts.Directory.ReleaseQuarantined(time.Now()); len(released) > 0 {
+		f.opts.Observer.UpstreamsChanged(released, len(f.opts.Directory.Load().Upstreams))
+		f.opts.OnChange()
+	}
+}
+
 func (f *Follower) merge(update UpstreamUpdate, grace time.Duration) {
 	for _, registration := range update.Registrations {
 		if registration.Err != nil {
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -166,3 +167,23 @@
 
 // stuckAfter is when a test gives up on a follower that makes no progress.
 const stuckAfter = 20 * time.Second
+
+// The scheduler relays an upstream again that was removed before the store was restored,
+// and nothing after that. The router must use it once its quarantine is over.
+func TestQuarantineEndsWithoutFurtherChanges(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	directory := NewDirectory()
+	directory.Merge(time.Now(), Change{Complete: true, Version: 5, Registrations: []Registration{registration("back", 1, 5, false)}})
+	directory.Merge(time.Now(), Change{Version: 6, Registrations: []Registration{{ID: "back"}}})
+	directory.Merge(time.Now(), Change{Version: era.Version(1, 4), Age: time.Millisecond, Registrations: []Registration{registration("back", 1, 7, false)}})
+	_, usable := directory.Load().Usable("back")
+	is.True(!usable)
+	follower := NewFollower(FollowerOptions{Directory: directory, OnChange: func() {}, Observer: quietObserver{}, Peer: &stubPeer{}})
+	go follower.RunUpstreams(ctx)
+	for giveUp := time.Now().Add(stuckAfter); !usable && time.Now().Before(giveUp); time.Sleep(10 * time.Millisecond) {
+		_, usable = directory.Load().Usable("back")
+	}
+	is.True(usable)
+}
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
@@ -64,6 +65,25 @@
 	}
 }
 
+// ReleaseQuarantined ends the quarantines that are over and returns the ids of the
+// upstreams that are usable again.
+func (d *Directory) ReleaseQuarantined(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.quarantined) == 0 {
+		return nil
+	}
+	old := d.upstreams.Load()
+	next := maps.Clone(old.byID)
+	released := d.releaseQuarantined(now, next)
+	if len(released) > 0 {
+		set := newUpstreamSet(next)
+		set.version, set.removed = old.version, recentRemovals(now, old, next)
+		d.upstreams.Store(set)
+	}
+	return released
+}
+
 // releaseQuarantined ends the quarantines that are over and returns the ids of the
 // upstreams that are still listed.
 func (d *Directory) releaseQuarantined(now time.Time, next map[string]*Upstream) []string {
