--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -166,25 +166,23 @@
 	return prefix + text
 }
 
-// cause returns the longest phase of a served request, or the outcome and the kind
-// of reason of one that was not served.
+// cause returns the longest phase of a served request before its first byte, or the
+// outcome and the kind of reason of one that was not served.
 func cause(l Line) string {
 	if outcome := l.Fields["outcome"]; outcome != outcomeServed {
 		return outcome + withPrefix(": ", reasonKind(l.Fields["reason"]))
 	}
 	waited := l.milliseconds("waited_ms")
 	queueAndPrompt := l.milliseconds("first_event_ms")
-	response := l.milliseconds("took_ms") - l.milliseconds("first_byte_ms")
-	switch max(waited, queueAndPrompt, response) {
-	case waited:
-		if reason := l.Fields["waited_for"]; reason != "" {
-			return reason
-		}
-		return "place"
-	case queueAndPrompt:
+	switch {
+	case l.milliseconds("first_byte_ms") == 0:
+		return "answer" // not a request for a model
+	case queueAndPrompt > waited:
 		return "engine queue and prompt"
+	case l.Fields["waited_for"] != "":
+		return l.Fields["waited_for"]
 	}
-	return "answer"
+	return "place"
 }
 
 // reasonKind returns the reason up to the first colon; details that differ between
