native, standin: hosts that leave or want a pause say so in the product's own interface

Ragwortdoor-Draining and Ragwortdoor-Pause-Ms, with the same effects as on the users' platform. TestHostsAreHeededBeforeTheListShowsIt runs a real router against services that send them.

--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -202,6 +202,26 @@
 	is.Equal(runs(1), before)
 }
 
+// The host list still calls the host live: only its responses say that it leaves, or that
+// it wants a pause. Each router learns it from its own.
+func TestHostsAreHeededBeforeTheListShowsIt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, deploymentOptions{routers: 1, services: []standin.ServiceConfig{{Draining: true}, {}, {PauseMS: 60_000}}, set: testSet(1)})
+	counts := func(i int) standin.ServiceCounts { return d.cluster.Services[i].Counts() }
+	d.eventually("both are heeded", func() bool {
+		d.callService(0, "{}")
+		return counts(0).Runs > 0 && counts(2).Refused > 0
+	})
+	runs, refused := counts(0).Runs, counts(2).Refused
+	for range 30 {
+		is.Equal(d.callService(0, "{}").status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond) // the host list is read meanwhile
+	}
+	is.Equal(counts(0).Runs, runs)
+	is.Equal(counts(2).Refused, refused)
+}
+
 // waitListsRead waits until the routers have read the host list and the drains again.
 // Calls sent earlier may still run.
 func (d *deployment) waitListsRead() { time.Sleep(2 * time.Second) }
--- a/internal/external/engine.go
+++ b/internal/external/engine.go
@@ -23,10 +23,19 @@
 	HeaderRank = "Ragwortdoor-Rank"
 	// HeaderOutcome is OutcomeNotRun or OutcomeMayHaveRun on error responses.
 	HeaderOutcome = "Ragwortdoor-Outcome"
+	// HeaderDraining is DrainingNow on all responses of an upstream that is about to
+	// leave: it wants no new requests.
+	HeaderDraining = "Ragwortdoor-Draining"
+	// HeaderPause is, on a 503 response, how long the upstream wants nothing from this
+	// router, in milliseconds.
+	HeaderPause = "Ragwortdoor-Pause-Ms"
 	// HeaderLastEvent is the id of the last event received before a stream is resumed.
 	HeaderLastEvent = "Last-Event-Id"
 )
 
+// DrainingNow is the value of HeaderDraining.
+const DrainingNow = "1"
+
 // Values of HeaderOutcome.
 const (
 	OutcomeNotRun     = "not-run"
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -194,11 +194,16 @@
 
 // ReadResponse implements entry.Dialect.
 func (Dialect) ReadResponse(status int, h http.Header) entry.ResponseInfo {
-	return entry.ResponseInfo{
+	info := entry.ResponseInfo{
 		Signed:        true, // responses carry the request id
 		NotRun:        h.Get(external.HeaderOutcome) == external.OutcomeNotRun,
 		WrongUpstream: status == http.StatusMisdirectedRequest,
+		Leaving:       h.Get(external.HeaderDraining) == external.DrainingNow,
 	}
+	if ms, err := strconv.ParseUint(h.Get(external.HeaderPause), 10, 32); err == nil && status == http.StatusServiceUnavailable {
+		info.Pause = milliseconds(uint32(ms))
+	}
+	return info
 }
 
 type errorBody struct {
--- a/internal/native/native_test.go
+++ b/internal/native/native_test.go
@@ -229,3 +229,18 @@
 	Dialect{}.WriteErrorResponse(h, entry.ErrorResponse{Status: 502, MayHaveRun: true})
 	is.Equal(h.Get(external.HeaderOutcome), external.OutcomeMayHaveRun)
 }
+
+func TestReadResponse(t *testing.T) {
+	is := is.New(t)
+	read := func(status int, name, value string) entry.ResponseInfo {
+		return Dialect{}.ReadResponse(status, http.Header{name: {value}})
+	}
+	is.Equal(read(503, external.HeaderOutcome, external.OutcomeNotRun), entry.ResponseInfo{Signed: true, NotRun: true})
+	is.Equal(read(421, "", ""), entry.ResponseInfo{Signed: true, WrongUpstream: true})
+	is.Equal(read(200, external.HeaderDraining, external.DrainingNow), entry.ResponseInfo{Signed: true, Leaving: true})
+	is.Equal(read(503, external.HeaderPause, "250"), entry.ResponseInfo{Signed: true, Pause: 250 * time.Millisecond})
+	is.Equal(read(200, external.HeaderPause, "250"), entry.ResponseInfo{Signed: true}) // only with a refusal
+	for _, malformed := range []string{"soon", "-1", "1.5", ""} {
+		is.Equal(read(503, external.HeaderPause, malformed), entry.ResponseInfo{Signed: true})
+	}
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
@@ -21,11 +22,17 @@
 	// TruncateBodies is the number of next calls that run but whose response is
 	// truncated in the middle of the body.
 	TruncateBodies int `json:"cut_bodies"`
+	// Draining makes all responses say that the service is about to leave.
+	Draining bool `json:"draining"`
+	// PauseMS makes the service refuse each call and ask for a pause, in milliseconds.
+	PauseMS int `json:"pause_ms"`
 }
 
 // ServiceCounts are the counters of a Service.
 type ServiceCounts struct {
 	Runs int `json:"runs"`
+	// Refused is the number of calls that were refused with a pause.
+	Refused int `json:"refused"`
 	// ByRequestID counts the runs of each Ragwortdoor-Request-Id.
 	ByRequestID map[string]int `json:"by_request_id"`
 	// Running is the number of calls in flight.
@@ -124,6 +131,16 @@
 	if err != nil || s.failsBeforeRun() {
 		abortConnection()
 	}
+	config := s.Config()
+	if config.Draining {
+		w.Header().Set(external.HeaderDraining, external.DrainingNow)
+	}
+	if config.PauseMS > 0 {
+		s.countRefused()
+		w.Header().Set(external.HeaderPause, strconv.Itoa(config.PauseMS))
+		refuse(w, http.StatusServiceUnavailable, "wants a pause")
+		return
+	}
 	response := ServiceResponse{
 		Service:   s.name,
 		Host:      s.host,
@@ -145,6 +162,12 @@
 	writeJSON(w, response)
 }
 
+func (s *Service) countRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Refused++
+}
+
 func (s *Service) failsBeforeRun() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
