cell: a lease that is handed over carries its era; leaving upstreams are applied once

A successor that had not called the store since its start took the era of its first renewal for a restore and gave the lease up (TestHandoverInALaterEra was red). Repeated reports of a leaving upstream no longer refresh the scheduler, and the router that schedules applies its own.

--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -225,3 +225,21 @@
 		}
 	}
 }
+
+// The store was restored before this router started, and the router has not called it since:
+// it was connected to the scheduler. It must not take the era of its first renewal for a
+// restore.
+func TestHandoverInALaterEra(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(true, "a", "b")
+	sim.table.Restore(tabletest.New().Copy())
+	first, second := sim.contenders[0], sim.contenders[1]
+	second.hasScheduler = true
+	sim.run(3 * time.Second)
+	is.True(first.holdsLease())
+	first.opts.HandOver = func(offer Handover) bool { second.Accept(offer); return true }
+	first.Resign()
+	sim.run(3 * time.Second)
+	is.True(second.holdsLease())
+	is.Equal(second.lost, 0)
+}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -114,8 +114,9 @@
 	case *apiv1.SchedulerCall_Standing:
 		from.storeReachedAt = now
 	case *apiv1.SchedulerCall_LeavingUpstream:
-		s.opts.Directory.MarkLeaving(now, body.LeavingUpstream.GetId(), body.LeavingUpstream.GetStartedMs())
-		s.refresh()
+		if _, changed := s.opts.Directory.MarkLeaving(now, body.LeavingUpstream.GetId(), body.LeavingUpstream.GetStartedMs()); changed {
+			s.refresh()
+		}
 	case *apiv1.SchedulerCall_Leaving:
 		from.draining = true
 	case *apiv1.SchedulerCall_Withdrawal:
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -5,6 +5,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 )
 
 // Handover is what a holder sends to its successor, so that a planned change of
@@ -145,6 +146,7 @@
 // beginTerm begins a lease term that may send orders from ordersFrom.
 func (e *Election) beginTerm(version, fence int64, sent, ordersFrom time.Time) {
 	e.version = version
+	e.era = era.Of(version)
 	e.fence = fence
 	now := e.opts.Now()
 	e.electedAt = now
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -160,7 +160,7 @@
 		return
 	}
 	p.log.UpstreamLeaving(upstreamID, requestID)
-	p.logUpstreams(p.directory.Load())
+	p.onDirectoryChange()
 	var startedMs int64
 	if up != nil {
 		startedMs = up.StartedMs
