fleet: an incarnation that said that it leaves is remembered beyond its registration

Its registration may expire while the store is out of reach and be renewed as ready, and one that this router did not list yet may be listed as ready later.

--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -35,6 +35,7 @@
 		"engines without scheduler": {"/stream/a", "m", "engine-1", "engine-2", events(1, 2, true), true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			good := respond(http.StatusOK, "done")
 			if tc.model != "" {
@@ -75,6 +76,7 @@
 		"engines without scheduler": {"/stream/a", "m", "engine-1", "engine-2", true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			good := respond(http.StatusOK, "done")
 			if tc.model != "" {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -102,6 +102,8 @@
 	retained map[string]time.Time
 	// quarantined has the removed incarnations that a restored list may name again, by id.
 	quarantined map[string]*quarantine
+	// leaving has the incarnations that said themselves that they leave, by id.
+	leaving map[string]leavingMark
 }
 
 type upstreamSet struct {
@@ -125,7 +127,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	d := &Directory{retained: make(map[string]time.Time), quarantined: make(map[string]*quarantine)}
+	d := &Directory{retained: make(map[string]time.Time), quarantined: make(map[string]*quarantine), leaving: make(map[string]leavingMark)}
 	d.upstreams.Store(&upstreamSet{})
 	return d
 }
@@ -211,43 +213,6 @@
 	return changed
 }
 
-// MarkLeaving marks an upstream as draining because it said so itself; startedMs is its
-// incarnation, 0 for the one that is known. It returns the upstream, nil if it is unknown,
-// and whether anything changed.
-func (d *Directory) MarkLeaving(now time.Time, id string, startedMs int64) (*Upstream, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old := d.upstreams.Load()
-	up := old.byID[id]
-	if up != nil && (up.Draining || startedMs != 0 && up.StartedMs != startedMs) {
-		return up, false
-	}
-	next := maps.Clone(old.byID)
-	removed := maps.Clone(old.removed)
-	if up != nil {
-		leaving := *up
-		leaving.Draining = true
-		up = &leaving
-		next[id] = up
-	} else if _, known := removed[id]; known || startedMs != 0 {
-		return nil, false
-	} else {
-		removed = withRemoval(removed, id, removal{at: now})
-	}
-	set := newUpstreamSet(next)
-	set.listKnown, set.version, set.removed = old.listKnown, old.version, removed
-	d.upstreams.Store(set)
-	return up, true
-}
-
-func withRemoval(removed map[string]removal, id string, r removal) map[string]removal {
-	if removed == nil {
-		removed = make(map[string]removal)
-	}
-	removed[id] = r
-	return removed
-}
-
 // isOutdated reports whether a relayed batch is older than the directory. Without a
 // version it is older if it was read before this process began its own last read: a read
 // may take long, and what was relayed meanwhile is not in it.
@@ -280,7 +245,7 @@
 		return false
 	}
 	delete(d.retained, registration.ID)
-	if current != nil && current.Draining && current.StartedMs == received.StartedMs && !received.Draining {
+	if !received.Draining && (isDraining(current, received) || d.saidItLeaves(received)) {
 		// An incarnation never returns from draining.
 		draining := *received
 		draining.Draining = true
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -232,9 +232,20 @@
 	d.Merge(now, Change{Version: 8, Registrations: []Registration{registration("a", 2, 0, false)}})
 	is.True(!d.Load().KnownUnusable("a"))
 
-	_, changed = d.MarkLeaving(now, "unlisted", 0) // granted by a scheduler that knew it first
+	// Its registration expires while the store is out of reach, and is renewed as ready.
+	d.MarkLeaving(now, "a", 2)
+	d.Merge(now, Change{Version: 9, Registrations: []Registration{{ID: "a"}}})
+	d.Merge(now, Change{Version: 10, Registrations: []Registration{registration("a", 2, 1, false)}})
+	is.True(d.Load().KnownUnusable("a"))
+
+	// Granted by a scheduler that knew it first.
+	_, changed = d.MarkLeaving(now, "unlisted", 0)
 	is.True(changed)
 	is.True(d.Load().KnownUnusable("unlisted"))
+	d.Merge(now, Change{Version: 11, Registrations: []Registration{registration("unlisted", now.Add(-time.Hour).UnixMilli(), 1, false)}})
+	is.True(d.Load().KnownUnusable("unlisted"))
+	d.Merge(now, Change{Version: 12, Registrations: []Registration{registration("unlisted", now.Add(time.Hour).UnixMilli(), 1, false)}})
+	is.True(!d.Load().KnownUnusable("unlisted"))
 }
 
 // A router reads the list itself right after an outage of the store, and retains what has
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -77,9 +77,7 @@
 	next := maps.Clone(old.byID)
 	released := d.releaseQuarantined(now, next)
 	if len(released) > 0 {
-		set := newUpstreamSet(next)
-		set.version, set.removed = old.version, recentRemovals(now, old, next)
-		d.upstreams.Store(set)
+		d.replace(old, next, recentRemovals(now, old, next))
 	}
 	return released
 }
