--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -393,21 +393,3 @@
 }
 
 func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-
-// WaitLinked waits until a scheduler is connected.
-func (c *Client) WaitLinked(ctx context.Context) error {
-	for {
-		c.mu.Lock()
-		linked := c.connected
-		linkUp := c.linkUp
-		c.mu.Unlock()
-		if linked {
-			return nil
-		}
-		select {
-		case <-linkUp:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
--- a/internal/cell/client_link.go
+++ b/internal/cell/client_link.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"errors"
 	"sync"
 
@@ -62,3 +63,21 @@
 }
 
 func (l *localLink) close() { l.session.detach() }
+
+// WaitLinked waits until a scheduler is connected.
+func (c *Client) WaitLinked(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		linked := c.connected
+		linkUp := c.linkUp
+		c.mu.Unlock()
+		if linked {
+			return nil
+		}
+		select {
+		case <-linkUp:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -151,7 +151,7 @@
 		return
 	}
 	if e.era != era && !e.opts.EnginesCheckFence {
-		ordersFrom = now.Add(unfencedOrderWindow + engineTimeout + e.opts.LeaseTime + orderMargin)
+		ordersFrom = e.afterRunningHolder(now) // the row that was replaced may have been renewed
 	}
 	e.row = row
 	e.elected(result.Version, now, ordersFrom)
@@ -166,12 +166,19 @@
 	case e.opts.EnginesCheckFence || e.version == 0 && e.era == 0:
 		return now // version 0: there was no holder yet
 	case e.isFromOlderCopy():
+		return e.afterRunningHolder(e.unchangedSince) // a holder that the copy does not name may run
 	case e.row.GetHolder() == "":
 		return e.unchangedSince.Add(apart)
 	case e.row.GetHolder() == e.opts.Host && time.Duration(e.row.GetRenewals())*renewInterval > ownTermFactor*e.opts.LeaseTime:
 		return now // the orders of other hosts ended before this host's previous term
 	}
-	return e.unchangedSince.Add(unfencedOrderWindow + engineTimeout + apart)
+	return e.afterRunningHolder(e.unchangedSince)
+}
+
+// afterRunningHolder returns the time from which orders may be sent if another holder's
+// last renewal was before a time, where engines don't check fences.
+func (e *Election) afterRunningHolder(renewedBefore time.Time) time.Time {
+	return renewedBefore.Add(unfencedOrderWindow + engineTimeout + e.opts.LeaseTime + orderMargin)
 }
 
 // elected begins the term of a takeover that was committed as version.
