fleet: what is retained after an outage is read to the end

Found by reading again. The router now reads on by itself until each retained registration is renewed or dropped; TestRetainedUpstreamsAreReadToTheEnd was red.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -317,6 +317,14 @@
 	return len(d.retained)+len(d.quarantined) > 0
 }
 
+// awaitsRenewals reports whether expired registrations are retained. Only this router's own
+// reads show which of them are renewed.
+func (d *Directory) awaitsRenewals() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.retained) > 0
+}
+
 // neverReadAge is the age reported before the first read.
 const neverReadAge = time.Hour
 
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -190,7 +190,7 @@
 	outage := outageTracker{what: "upstream list", observer: f.opts.Observer}
 	relayed := false
 	for ctx.Err() == nil {
-		if f.canSkipRead(false) {
+		if f.canSkipRead(false) && !f.opts.Directory.awaitsRenewals() {
 			relayed = true
 			f.releaseQuarantined()
 			retry.Sleep(ctx, peerPollInterval)
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -187,3 +187,27 @@
 	}
 	is.True(usable)
 }
+
+// A scheduler that started after an outage has never known the upstreams that this router
+// retains since then, and relays neither their renewal nor their removal. The router must
+// read on until it knows which of them are gone.
+func TestRetainedUpstreamsAreReadToTheEnd(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	directory := NewDirectory()
+	directory.Merge(time.Now(), Change{Complete: true, Version: 5, Registrations: []Registration{registration("gone", 1, 1, false)}})
+	directory.Merge(time.Now(), Change{Complete: true, Version: 5, ExpiryGrace: time.Second})
+	is.True(directory.Load().Upstreams["gone"] != nil)
+	source := &slowSource{version: 5, calls: make(chan int64, 100)}
+	follower := NewFollower(FollowerOptions{Source: source, Directory: directory, OnChange: func() {}, Observer: quietObserver{}, Peer: &stubPeer{}})
+	go follower.RunUpstreams(ctx)
+	for giveUp := time.Now().Add(stuckAfter); directory.Load().Upstreams["gone"] != nil && time.Now().Before(giveUp); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(directory.Load().KnownUnusable("gone"))
+	time.Sleep(2 * upstreamPollInterval)
+	reads := len(source.calls)
+	time.Sleep(2 * upstreamPollInterval)
+	is.Equal(len(source.calls), reads) // the scheduler's list is enough again
+}
