--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -314,7 +314,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -357,3 +357,20 @@
 }
 
 func (l *recordingLink) close() {}
+
+// Guards against a handover in the moment between a stopping router's hello and its next
+// message: the hello itself says that it is stopping.
+func TestHelloOfAStoppingRouterSaysSo(t *testing.T) {
+	is := is.New(t)
+	client := newClient("stopping", "boot")
+	client.ReportDraining()
+	client.Follow("scheduler:1", 1)
+	link := &recordingLink{}
+	is.True(client.install("scheduler:1", link))
+	hello := link.calls[0].GetHello()
+	s := NewScheduler(SchedulerOptions{Directory: fleet.NewDirectory(), RenewedAgo: func() time.Duration { return 0 }, LeaseVersion: func() int64 { return 1 }, Log: noopLog{}})
+	s.active = true
+	s.sessions[1] = &session{owner: s, number: 1, reply: func(*apiv1.SchedulerReply) {}, serviceByKey: make(map[uint64]string)}
+	s.handleHello(time.Now(), s.sessions[1], hello)
+	is.True(!s.handOver(Handover{Fence: 7}))
+}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -149,6 +149,7 @@
 	}
 	from.listVersion = hello.GetListVersion()
 	from.acceptsListParts = hello.GetAcceptsListParts()
+	from.draining = from.draining || hello.GetDraining()
 	from.synced = true
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
