entry: the log line of a request that broke off names the parts of its prompt

Now the line of a request whose engine ended the connection does; others don't, so the volume stays.

--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
@@ -38,6 +39,9 @@
 	Events     int
 	// MaxGap is the longest time between two events.
 	MaxGap time.Duration
+	// BrokenOff are the ids of the prompt's parts if the upstream ended the connection
+	// within the response.
+	BrokenOff []string
 }
 
 // Log logs the decisions of an entry process and counts them in its metrics.
@@ -65,6 +69,9 @@
 	if r.Reason != "" {
 		keyvals = append(keyvals, "reason", r.Reason, "retry_after_ms", ms(r.RetryAfter), "may_have_run", r.MayHaveRun)
 	}
+	if len(r.BrokenOff) > 0 {
+		keyvals = append(keyvals, "broken_off_parts", strings.Join(r.BrokenOff, ","))
+	}
 	l.out.Info("request", keyvals...)
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -212,10 +212,20 @@
 		return true
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	cr.recordBrokenOff()
 	cr.handler.balancer.recordFailure(cr.record.Upstream)
 	return cr.retryOrRefuse(err.Error())
 }
 
+// recordBrokenOff records the prompt of a request that was under way when its upstream
+// ended the connection.
+func (cr *callerRequest) recordBrokenOff() {
+	cr.record.BrokenOff = cr.record.BrokenOff[:0]
+	for _, part := range cr.call.Parts {
+		cr.record.BrokenOff = append(cr.record.BrokenOff, part.ID)
+	}
+}
+
 func (cr *callerRequest) handleNotRun(info ResponseInfo, report func(apiv1.PlacementOutcome)) bool {
 	switch {
 	case info.WrongUpstream:
@@ -274,6 +284,7 @@
 		return true
 	}
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+	cr.recordBrokenOff()
 	if cr.responseStarted && (!cr.route.Resumable || cr.lastEventID == "") {
 		cr.fail("the stream broke off: " + err.Error())
 		return true
