--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,11 @@
 func (testDialect) ReadCall(r *http.Request) Call {
 	h := r.Header
 	call := Call{ID: h.Get("Id"), Model: h.Get("Model"), Adapter: h.Get("Adapter"), PromptTokens: 10, ResumeAfter: h.Get("Last")}
+	if parts := h.Get("Parts"); parts != "" {
+		for _, id := range strings.Split(parts, ",") {
+			call.Parts = append(call.Parts, PromptPart{ID: id, Tokens: 1})
+		}
+	}
 	if ms, err := strconv.Atoi(h.Get("Timeout")); err == nil {
 		call.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -168,6 +174,13 @@
 	version   int64
 }
 
+// remove drops an upstream from the list.
+func (s *fakeSource) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool { return u.id == id })
+}
+
 func (s *fakeSource) Config(ctx context.Context, after int64, wait time.Duration) (fleet.ConfigUpdate, error) {
 	if after > 0 {
 		select {
@@ -232,9 +245,14 @@
 }
 
 func start(t testing.TB, upstreams ...*upstream) *testRouter {
+	t.Helper()
+	return startWith(t, &fakeSource{upstreams: upstreams, draining: map[string]bool{}}, fakeEngines{})
+}
+
+func startWith(t testing.TB, source *fakeSource, engines fleet.Engines) *testRouter {
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
-	config := fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
+	source.config = fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
 	settings := Settings{
 		Host: "entry-1", FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
 		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
@@ -242,8 +260,8 @@
 	logger := decisionlog.New(log.ErrorLevel)
 	pool := exchange.NewPool(exchange.Options{IDHeader: "Id"})
 	p := New(settings, Deps{
-		Dialect: testDialect{}, Table: tabletest.New(), Source: &fakeSource{config: config, upstreams: upstreams, draining: map[string]bool{}},
-		Engines: fakeEngines{}, Pool: pool, Log: logger,
+		Dialect: testDialect{}, Table: tabletest.New(), Source: source,
+		Engines: engines, Pool: pool, Log: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	router := &testRouter{process: p, url: "http://" + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
@@ -291,13 +309,31 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Host = "h"
 	req.Header.Set("Id", "r-1")
-	req.Header.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
 	if model, adapter, _ := strings.Cut(model, "/"); model != "" {
 		req.Header.Set("Model", model)
 		req.Header.Set("Adapter", adapter)
 	}
+	return exchangeOnce(req, timeout)
+}
+
+// sendPrompt sends a request for a model with a prompt of the parts, separated by commas.
+func (router *testRouter) sendPrompt(t testing.TB, path, parts string) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, router.url+path, strings.NewReader("the body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "id-"+parts)
+	req.Header.Set("Model", "m")
+	req.Header.Set("Parts", parts)
+	return exchangeOnce(req, callerTimeout)
+}
+
+// exchangeOnce sends a request over a connection of its own.
+func exchangeOnce(req *http.Request, timeout time.Duration) reply {
+	req.Host = "h"
+	req.Header.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
