--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -64,6 +65,8 @@
 	link    sender
 	pending map[uint64]*pendingRequest       // placement requests without a decision, by number
 	running map[uint64]*apiv1.RunningRequest // placed requests, by number
+	// brokenOff are the requests that broke off lately, oldest first.
+	brokenOff []reportedBrokenOff
 	// connected is set by the first heartbeat of the current link. lastReceived is
 	// when its last message arrived; renewedAt is when the scheduler last renewed
 	// its lease.
@@ -117,11 +120,17 @@
 	// with a lease that it hands over to this router. They must not call the client.
 	OnUpstreamList func(fleet.Change)
 	OnHandover     func(Handover)
+	// Quarantine has the quarantined parts that this router knows of; the client replaces
+	// them by those that the scheduler relays. Nil means an empty list.
+	Quarantine *quarantine.List
 }
 
 // NewClient returns a client without a scheduler. It connects to none until Run is
 // called.
 func NewClient(opts ClientOptions) *Client {
+	if opts.Quarantine == nil {
+		opts.Quarantine = &quarantine.List{}
+	}
 	return &Client{
 		opts:    opts,
 		pending: make(map[uint64]*pendingRequest),
@@ -187,26 +196,6 @@
 	}
 }
 
-// HasActiveScheduler reports whether a scheduler that renews its lease is
-// connected.
-func (c *Client) HasActiveScheduler() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	return c.connected && now.Sub(c.lastReceived) < heartbeatTimeout && now.Sub(c.renewedAt) < maxRenewalAge
-}
-
-// SchedulerCores returns the processor share of the connected scheduler's host, 0
-// without one.
-func (c *Client) SchedulerCores() float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.connected {
-		return 0
-	}
-	return c.schedulerCores
-}
-
 // ReportStoreReachable notifies the scheduler that this router has just reached the
 // store.
 func (c *Client) ReportStoreReachable() {
@@ -222,43 +211,6 @@
 	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_LeavingUpstream{LeavingUpstream: &apiv1.LeavingUpstream{Id: id, StartedMs: startedMs}}})
 }
 
-// SchedulerLeaseVersion returns the version of the lease row on which the connected
-// scheduler's term is based, 0 without one.
-func (c *Client) SchedulerLeaseVersion() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.connected || time.Since(c.lastReceived) >= heartbeatTimeout {
-		return 0
-	}
-	return c.leaseVersion
-}
-
-// SchedulerRenewal returns the version of the lease row at the last renewal that a
-// scheduler reported, and the age of that renewal. The link may be lost by now.
-func (c *Client) SchedulerRenewal() (version int64, age time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaseVersion, time.Since(c.renewedAt)
-}
-
-// Fresh implements fleet.Peer: a scheduler on another router relays what it reads.
-// ok is false if the scheduler runs in this process.
-func (c *Client) Fresh() (configVersion int64, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	ok = c.connected && c.listReceived && c.target != localTarget && now.Sub(c.lastReceived) < heartbeatTimeout &&
-		now.Sub(c.configAt) < maxConfigAge && now.Sub(c.listAt) < maxListAge
-	return c.configVersion, ok
-}
-
-// Schedules implements fleet.Peer.
-func (c *Client) Schedules() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.target == localTarget
-}
-
 // Run maintains a link to the scheduler until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -314,7 +266,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Quarantine: encodeQuarantine(c.opts.Quarantine.Load())}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -23,6 +24,10 @@
 
 func (noopLog) HandedOver(string, int64) {}
 
+func (noopLog) EngineCrashed(string, scheduler.CrashedEngine) {}
+func (noopLog) PartQuarantined(string, quarantine.Entry)      {}
+func (noopLog) PartReleased(string, quarantine.Entry)         {}
+
 func newClient(host, bootID string) *Client {
 	return NewClient(ClientOptions{
 		Host: host, BootID: bootID, Address: host + ":1", Cores: 1, Observer: noopObserver{},
--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -18,6 +18,8 @@
 	Expected time.Duration
 	// Reason is what the request waited for; empty if it did not wait.
 	Reason string
+	// Trial is set if the request tries a quarantined part of its prompt.
+	Trial bool
 }
 
 // RefusedError means that the scheduler can't place a request in time.
@@ -91,6 +93,7 @@
 		Address:    grant.GetAddress(),
 		Expected:   microseconds(grant.GetExpectedUs()),
 		Reason:     grant.GetReason(),
+		Trial:      grant.GetTrial(),
 	}, nil
 }
 
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -151,6 +151,9 @@
 	from.acceptsListParts = hello.GetAcceptsListParts()
 	from.draining = from.draining || hello.GetDraining()
 	from.synced = true
+	s.adoptQuarantined(decodeQuarantine(hello.GetQuarantine()))
+	s.takeBrokenOff(now, hello.GetBrokenOff())
+	from.reply(s.quarantineReply())
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
@@ -223,6 +226,9 @@
 		return
 	}
 	outcome := scheduler.Outcome(progress.GetOutcome())
+	if progress.GetBrokenOff() {
+		outcome = scheduler.EndedByEngine
+	}
 	if outcome != scheduler.Started {
 		delete(from.serviceByKey, key)
 	}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -9,6 +9,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
@@ -60,7 +61,10 @@
 	// OnSuperseded is called when a router reports that another one holds the lease,
 	// with its address and the version of the lease row that names it.
 	OnSuperseded func(address string, leaseVersion int64)
-	Log          DecisionLog
+	// Quarantine has the quarantined parts that this router knows of; nil means an empty
+	// list.
+	Quarantine *quarantine.List
+	Log        DecisionLog
 }
 
 // DecisionLog logs each decision. Its methods must be safe for concurrent use and
@@ -71,6 +75,9 @@
 	Ordered(service string, call scheduler.OrderCall, result fleet.OrderResult, took time.Duration, err error)
 	Inspected(upstreamID string, inventory fleet.Inventory, err error)
 	HandedOver(router string, fence int64)
+	EngineCrashed(service string, crashed scheduler.CrashedEngine)
+	PartQuarantined(service string, entry quarantine.Entry)
+	PartReleased(service string, entry quarantine.Entry)
 }
 
 // Scheduler runs the cells on the router that holds the lease. Its state is
@@ -105,6 +112,9 @@
 
 // NewScheduler returns an inactive scheduler; Run and Start make it active.
 func NewScheduler(opts SchedulerOptions) *Scheduler {
+	if opts.Quarantine == nil {
+		opts.Quarantine = &quarantine.List{}
+	}
 	return &Scheduler{
 		opts:        opts,
 		events:      make(chan func(), eventQueueSize),
@@ -192,6 +202,7 @@
 				LoadWindow: s.opts.LoadWindow,
 			})
 			s.cells[name] = cell
+			s.apply(name, cell.AdoptQuarantined(now, s.opts.Quarantine.Load()[name]))
 		}
 		s.apply(name, cell.Update(now, service.Engine, snapshot.ByService[name]))
 	}
@@ -231,6 +242,7 @@
 			Address:    grant.Upstream.Addr,
 			ExpectedUs: grant.Expected.Microseconds(),
 			Reason:     grant.Reason,
+			Trial:      grant.Trial,
 		}}})
 	}
 	for _, refusal := range actions.Refusals {
@@ -241,6 +253,7 @@
 			Reason:       refusal.Reason,
 		}}})
 	}
+	s.logQuarantine(service, actions)
 	for _, call := range actions.Orders {
 		go s.sendOrder(service, s.term, call)
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -8,6 +8,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
 
@@ -239,6 +240,38 @@
 		"running", inventory.Running, "waiting", inventory.Waiting, "kv_used", inventory.KVUsed)
 }
 
+// EngineCrashed implements cell.DecisionLog.
+func (l *Log) EngineCrashed(service string, crashed scheduler.CrashedEngine) {
+	l.metrics.engineCrashes.Add(1)
+	l.out.Warn("engine crashed", "service", service, "upstream", crashed.UpstreamID, "requests", bounded(crashed.Requests), "suspects", bounded(crashed.Suspects))
+}
+
+// PartQuarantined implements cell.DecisionLog.
+func (l *Log) PartQuarantined(service string, e quarantine.Entry) {
+	l.metrics.quarantinedParts.Add(1)
+	l.out.Warn("prompt part quarantined", "service", service, "parts", e.String(), "crashes", e.Crashes)
+}
+
+// PartReleased implements cell.DecisionLog.
+func (l *Log) PartReleased(service string, e quarantine.Entry) {
+	l.out.Info("prompt part released", "service", service, "parts", e.String(), "trials", e.Trials)
+}
+
+// QuarantineCallFailed logs a failed call to the store about the quarantined parts.
+func (l *Log) QuarantineCallFailed(op string, err error) {
+	l.out.Warn("quarantine call failed", "op", op, "err", err)
+}
+
+// maxLoggedIDs bounds the ids in one log line.
+const maxLoggedIDs = 16
+
+func bounded(ids []string) string {
+	if len(ids) > maxLoggedIDs {
+		return strings.Join(ids[:maxLoggedIDs], ",") + ",..."
+	}
+	return strings.Join(ids, ",")
+}
+
 // HandedOver implements cell.DecisionLog.
 func (l *Log) HandedOver(router string, fence int64) {
 	l.out.Info("lease handed over", "to", router, "fence", fence)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,6 +41,10 @@
 	// responses that asked for one.
 	leavingLearned expvar.Int
 	pauses         expvar.Int
+	// engineCrashes counts engines that ended under requests, quarantinedParts the prompt
+	// parts that were quarantined because of that, both by this router's scheduler.
+	engineCrashes    expvar.Int
+	quarantinedParts expvar.Int
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram // microseconds
@@ -113,6 +117,8 @@
 		{"config_version", &m.configVersion},
 		{"upstreams_leaving_total", &m.leavingLearned},
 		{"upstream_pauses_total", &m.pauses},
+		{"engine_crashes_total", &m.engineCrashes},
+		{"quarantined_parts_total", &m.quarantinedParts},
 	} {
 		fmt.Fprintf(w, "%s %s\n", counter.name, counter.value)
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,6 +30,11 @@
 			cr.failPlacement(err)
 			return
 		}
+		if err := cr.checkQuarantine(); err != nil && !placement.Trial {
+			cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0)
+			cr.failPlacement(err)
+			return
+		}
 		if cr.isUnwanted(placement) {
 			cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0)
 			continue
@@ -78,6 +83,9 @@
 			return placement, err
 		}
 		cr.record.WithoutScheduler = true
+		if err := cr.checkQuarantine(); err != nil {
+			return cell.Placement{}, err
+		}
 		if placement, ok := cr.placeWithoutScheduler(); ok {
 			return placement, nil
 		}
@@ -187,7 +195,7 @@
 	sentAt := time.Now()
 	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority)
 	if err != nil {
-		return cr.handleSendError(err, report)
+		return cr.handleSendError(err, placement, report)
 	}
 	defer resp.Close()
 	switch {
@@ -195,9 +203,9 @@
 		resp.Discard()
 		return cr.handleNotRun(info, report)
 	case resp.Status < 300 && info.Signed && cr.call.NonStreaming:
-		return cr.handleNonStreaming(resp, sentAt, report)
+		return cr.handleNonStreaming(resp, sentAt, placement, report)
 	case resp.Status < 300 && info.Signed:
-		return cr.handleStream(resp, sentAt, report)
+		return cr.handleStream(resp, sentAt, placement, report)
 	case info.Signed && !impliesNotRun(resp.Status):
 		return cr.relayFailure(resp, report)
 	}
@@ -205,27 +213,17 @@
 	return cr.retryOrRefuse("the upstream's answer is not valid")
 }
 
-func (cr *callerRequest) handleSendError(err error, report func(apiv1.PlacementOutcome)) bool {
+func (cr *callerRequest) handleSendError(err error, placement cell.Placement, report func(apiv1.PlacementOutcome)) bool {
 	if cr.ctx.Err() != nil {
 		report(cr.cancelledOutcome())
 		cr.refuse(attemptRetryDelay, "no answer in time: "+err.Error())
 		return true
 	}
-	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
-	cr.recordBrokenOff()
+	cr.reportFailure(err, placement)
 	cr.handler.balancer.recordFailure(cr.record.Upstream)
 	return cr.retryOrRefuse(err.Error())
 }
 
-// recordBrokenOff records the prompt of a request that was under way when its upstream
-// ended the connection.
-func (cr *callerRequest) recordBrokenOff() {
-	cr.record.BrokenOff = cr.record.BrokenOff[:0]
-	for _, part := range cr.call.Parts {
-		cr.record.BrokenOff = append(cr.record.BrokenOff, part.ID)
-	}
-}
-
 func (cr *callerRequest) handleNotRun(info ResponseInfo, report func(apiv1.PlacementOutcome)) bool {
 	switch {
 	case info.WrongUpstream:
@@ -245,9 +243,9 @@
 }
 
 // handleNonStreaming relays a response that is not an event stream.
-func (cr *callerRequest) handleNonStreaming(resp *exchange.Response, sentAt time.Time, report func(apiv1.PlacementOutcome)) bool {
+func (cr *callerRequest) handleNonStreaming(resp *exchange.Response, sentAt time.Time, placement cell.Placement, report func(apiv1.PlacementOutcome)) bool {
 	if err := cr.relayPlain(resp); err != nil {
-		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
+		cr.reportFailure(err, placement)
 		return cr.retryOrRefuse("the answer broke off: " + err.Error())
 	}
 	cr.record.FirstEvent = time.Since(sentAt)
@@ -267,7 +265,7 @@
 }
 
 // handleStream relays an event stream.
-func (cr *callerRequest) handleStream(resp *exchange.Response, sentAt time.Time, report func(apiv1.PlacementOutcome)) bool {
+func (cr *callerRequest) handleStream(resp *exchange.Response, sentAt time.Time, placement cell.Placement, report func(apiv1.PlacementOutcome)) bool {
 	err := cr.relayStream(resp, func() {
 		cr.record.FirstEvent = time.Since(sentAt)
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED)
@@ -283,8 +281,7 @@
 		cr.fail("stopped: " + cr.ctx.Err().Error())
 		return true
 	}
-	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED)
-	cr.recordBrokenOff()
+	cr.reportFailure(err, placement)
 	if cr.responseStarted && (!cr.route.Resumable || cr.lastEventID == "") {
 		cr.fail("the stream broke off: " + err.Error())
 		return true
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -20,7 +20,7 @@
 )
 
 // errPaused means that a call was not sent, because the engine asked for a pause.
-var errPaused = errors.New("not sent: the engine asked for a pause")
+var errPaused = fmt.Errorf("%w: it asked for a pause", fleet.ErrNotAsked)
 
 // pauses has the upstreams that asked for a pause. Reads don't block: each change replaces
 // the map. It is empty nearly always.
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -15,9 +15,11 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -66,6 +68,10 @@
 	client    *cell.Client
 	election  *cell.Election
 	follower  *fleet.Follower
+	// quarantined has the prompt parts that crash engines, quarantineStore keeps them in
+	// the platform's store.
+	quarantined     *quarantine.List
+	quarantineStore *cell.QuarantineStore
 
 	loggedMu sync.Mutex
 	logged   map[string]string // last logged state of each upstream
@@ -73,7 +79,7 @@
 
 // New returns a process; call Run to serve.
 func New(settings Settings, deps Deps) *Process {
-	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string)}
+	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), quarantined: &quarantine.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
 	pauses := &pauses{}
@@ -88,6 +94,7 @@
 		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
 		OnFenced:     func() { p.election.ReportFenced() },
 		OnSuperseded: func(address string, leaseVersion int64) { p.election.ReportSuperseded(address, leaseVersion) },
+		Quarantine:   p.quarantined,
 		Log:          p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
@@ -101,6 +108,7 @@
 		ListVersion:    func() int64 { return p.directory.Load().ListVersion },
 		OnUpstreamList: p.onRelayedUpstreams,
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
+		Quarantine:     p.quarantined,
 	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:                 deps.Table,
@@ -123,7 +131,16 @@
 		Observer:              p.log,
 	})
 	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.onDirectoryChange, Observer: p.log, Peer: p.client})
-	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Log: p.log})
+	p.quarantineStore = cell.NewQuarantineStore(cell.QuarantineStoreOptions{
+		Table:              deps.Table,
+		List:               p.quarantined,
+		Fence:              p.scheduler.Fence,
+		HasActiveScheduler: p.client.HasActiveScheduler,
+		StoreEra:           func() int64 { return era.Of(p.election.LeaseVersion()) },
+		OnRead:             p.onQuarantineRead,
+		OnFailed:           p.log.QuarantineCallFailed,
+	})
+	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Quarantined: p.quarantined, Log: p.log})
 	return p
 }
 
@@ -139,6 +156,12 @@
 	p.client.UnfollowLocal()
 }
 
+// onQuarantineRead adds the quarantined parts that the store has.
+func (p *Process) onQuarantineRead(entries map[string][]quarantine.Entry) {
+	p.quarantined.Merge(entries)
+	p.scheduler.AdoptQuarantined(entries)
+}
+
 // onDirectoryChange is called after the follower changed the directory.
 func (p *Process) onDirectoryChange() {
 	p.scheduler.Refresh()
@@ -212,7 +235,7 @@
 	callerServer := newCallerServer(p.callerHandler(), p.deps.CallerTLS, callers)
 	group.Go(callerServer.serve)
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.sweep} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.quarantineStore.Run, p.sweep} {
 		group.Go(func() error { run(background); return nil })
 	}
 	if err := p.serveReadyAndMetrics(background, group); err != nil {
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/cell"
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+)
+
+// quarantineRetryDelay is the Retry-After of a request with a quarantined part if no
+// scheduler says when the part is tried again.
+const quarantineRetryDelay = time.Minute
+
+// checkQuarantine returns a *cell.RefusedError if a part of the prompt is quarantined.
+func (cr *callerRequest) checkQuarantine() error {
+	if len(cr.call.Parts) < 2 || len(cr.handler.quarantined.Load()) == 0 {
+		return nil
+	}
+	entry, found := cr.handler.quarantined.Match(cr.service.Name, cr.partIDs()[:len(cr.call.Parts)-1])
+	if !found {
+		return nil
+	}
+	return &cell.RefusedError{RetryAfter: quarantineRetryDelay, Reason: entry.Reason()}
+}
+
+func (cr *callerRequest) partIDs() []string {
+	ids := make([]string, len(cr.call.Parts))
+	for i, part := range cr.call.Parts {
+		ids[i] = part.ID
+	}
+	return ids
+}
+
+// reportFailure reports a failed attempt to the scheduler, and whether the engine ended
+// the connection.
+func (cr *callerRequest) reportFailure(err error, placement cell.Placement) {
+	if !endedByUpstream(err) {
+		cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED, 0)
+		return
+	}
+	cr.record.BrokenOff = cr.partIDs()
+	var startedMs int64
+	if up := cr.handler.directory.Load().Upstreams[placement.UpstreamID]; up != nil {
+		startedMs = up.StartedMs
+	}
+	cr.handler.scheduler.ReportBrokenOff(placement.Number, startedMs)
+}
+
+// endedByUpstream reports whether an attempt failed by the end of its connection, after the
+// request was sent.
+func endedByUpstream(err error) bool {
+	var failure *exchange.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncated, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "context"
+import (
+	"context"
+	"errors"
+)
 
 // AdapterRef names an adapter of a model.
 type AdapterRef struct{ Model, Adapter string }
@@ -68,6 +71,10 @@
 // String returns the result's name as written to logs.
 func (r OrderResult) String() string { return orderResultNames[r] }
 
+// ErrNotAsked means that a call was not sent to an engine, so that its failure tells
+// nothing about the engine.
+var ErrNotAsked = errors.New("the engine was not asked")
+
 // Engines sends orders to engines and reads their inventories.
 type Engines interface {
 	// Order sends an order. If it returns an error, the result is OrderUnknown.
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,292 @@
+// Package quarantine finds parts of prompts that crash engines, and keeps requests with
+// them from further engines.
+//
+// A crash is the end of an engine under requests that it had not begun to answer, as far
+// as their callers saw. The parts of these requests, without the last one of each, are its
+// suspects: the last part belongs to a single request or session. A part that was in a
+// completed response since is sound. What remains suspect in several crashes is
+// quarantined: its requests are refused, but for a trial from time to time, whose success
+// releases it. Parts that nothing tells apart are quarantined together: only requests that
+// have all of them are refused, and those that turn out to be sound leave the entry.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// crashesToQuarantine is the number of crashes from which parts are quarantined.
+	crashesToQuarantine = 3
+	// crashesToDecide is the number of crashes from which parts are quarantined although as
+	// many crashes count against others.
+	crashesToDecide = 5
+	// sameCauseWindow is the time within which crashes count as one: engines that end
+	// together, with a rack or a failure domain, do not end by their requests.
+	sameCauseWindow = 500 * time.Millisecond
+	// crashTTL and maxCrashes bound the crashes that are remembered.
+	crashTTL   = 10 * time.Minute
+	maxCrashes = 256
+	// firstTrialDelay is the time from the quarantine to the first trial. It grows by
+	// trialDelayFactor with each trial, up to maxTrialDelay.
+	firstTrialDelay  = time.Minute
+	trialDelayFactor = 4
+	maxTrialDelay    = time.Hour
+	// maxSoundParts bounds the parts that are remembered as sound, twice.
+	maxSoundParts = 16384
+)
+
+// Entry describes what is quarantined of the prompts for one service: those that have all
+// of its parts.
+type Entry struct {
+	Parts []string // sorted
+	// Since is when it was quarantined, on the clock of the router that did so.
+	Since time.Time
+	// Crashes is the number of crashes that counted against the parts by then.
+	Crashes int
+	// Trials is the number of requests that were let through since.
+	Trials int
+}
+
+// Matches reports whether a prompt has all parts of the entry.
+func (e Entry) Matches(parts []string) bool {
+	for _, part := range e.Parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reason is the reason of a refusal that callers get.
+func (e Entry) Reason() string { return "engines crashed under part " + e.String() + " of the prompt" }
+
+// String returns the parts, separated by commas.
+func (e Entry) String() string { return strings.Join(e.Parts, ",") }
+
+// crash is the end of one incarnation of an engine.
+type crash struct {
+	engine   string
+	at       time.Time
+	suspects []string
+}
+
+type quarantined struct {
+	Entry
+	nextTrial time.Time
+}
+
+// Ledger has the evidence and the quarantined parts of one service. It is not safe for
+// concurrent use.
+type Ledger struct {
+	crashes     []*crash // by time
+	quarantined []*quarantined
+	sound       soundParts
+	// changed is set when the entries change, until TakeChanged.
+	changed bool
+}
+
+// NewLedger returns a ledger without evidence.
+func NewLedger() *Ledger { return &Ledger{sound: newSoundParts()} }
+
+// RecordCrash adds suspects to the crash of an engine; engine identifies one incarnation.
+// It returns the entry that is quarantined because of it, if there is one.
+func (l *Ledger) RecordCrash(now time.Time, engine string, suspects []string) (Entry, bool) {
+	c := l.crashOf(now, engine)
+	for _, part := range suspects {
+		if !slices.Contains(c.suspects, part) {
+			c.suspects = append(c.suspects, part)
+		}
+	}
+	return l.judge(now)
+}
+
+// HasCrash reports whether the crash of an engine is recorded.
+func (l *Ledger) HasCrash(engine string) bool {
+	return slices.ContainsFunc(l.crashes, func(c *crash) bool { return c.engine == engine })
+}
+
+func (l *Ledger) crashOf(now time.Time, engine string) *crash {
+	for _, c := range l.crashes {
+		if c.engine == engine {
+			return c
+		}
+	}
+	expired := func(c *crash) bool { return now.Sub(c.at) > crashTTL }
+	l.crashes = slices.DeleteFunc(l.crashes, expired)
+	if len(l.crashes) >= maxCrashes {
+		l.crashes = slices.Delete(l.crashes, 0, 1)
+	}
+	c := &crash{engine: engine, at: now}
+	l.crashes = append(l.crashes, c)
+	return c
+}
+
+// RecordSound notes that a response to a prompt with these parts was completed. Entries of
+// which it has all parts are released and returned; the parts leave all others.
+func (l *Ledger) RecordSound(now time.Time, parts []string) (released []Entry) {
+	for _, part := range parts {
+		l.sound.add(now, part)
+	}
+	kept := l.quarantined[:0]
+	for _, q := range l.quarantined {
+		left := slices.DeleteFunc(slices.Clone(q.Parts), func(part string) bool { return slices.Contains(parts, part) })
+		switch {
+		case len(left) == 0:
+			released = append(released, q.Entry)
+			l.changed = true
+			continue
+		case len(left) < len(q.Parts):
+			q.Parts = left
+			l.changed = true
+		}
+		kept = append(kept, q)
+	}
+	clear(l.quarantined[len(kept):])
+	l.quarantined = kept
+	return released
+}
+
+// judge quarantines the parts against which most crashes count, if they are enough. Of
+// parts with equally many those are taken that were sound the longest time ago, or never.
+func (l *Ledger) judge(now time.Time) (Entry, bool) {
+	suspects := l.suspects()
+	if len(suspects) == 0 {
+		return Entry{}, false
+	}
+	slices.SortFunc(suspects, compareSuspects)
+	first := suspects[0]
+	entry := Entry{Since: now, Crashes: first.crashes}
+	ambiguous := false
+	for _, s := range suspects {
+		switch {
+		case compareSuspects(s, first) != 0:
+		case slices.Equal(s.in, first.in):
+			entry.Parts = append(entry.Parts, s.part)
+		default:
+			ambiguous = true
+		}
+	}
+	if first.crashes < crashesToQuarantine || ambiguous && first.crashes < crashesToDecide {
+		return Entry{}, false
+	}
+	slices.Sort(entry.Parts)
+	l.quarantined = append(l.quarantined, &quarantined{Entry: entry, nextTrial: now.Add(trialDelay(0))})
+	l.changed = true
+	return entry, true
+}
+
+// suspect is a part with the crashes that count against it.
+type suspect struct {
+	part string
+	// in are the crashes, by index; those in the same window count as one.
+	in        []int
+	crashes   int
+	windowEnd time.Time
+	lastSound time.Time
+}
+
+func compareSuspects(a, b *suspect) int {
+	return cmp.Or(-cmp.Compare(a.crashes, b.crashes), a.lastSound.Compare(b.lastSound))
+}
+
+// suspects counts the crashes against each part. Those before it was last sound do not
+// count, nor do those that an entry explains.
+func (l *Ledger) suspects() []*suspect {
+	byPart := make(map[string]*suspect)
+	var out []*suspect
+	for i, c := range l.crashes {
+		if l.isExplained(c) {
+			continue
+		}
+		for _, part := range c.suspects {
+			s := byPart[part]
+			if s == nil {
+				s = &suspect{part: part, lastSound: l.sound.last(part)}
+				byPart[part] = s
+				out = append(out, s)
+			}
+			if !c.at.After(s.lastSound) {
+				continue
+			}
+			s.in = append(s.in, i)
+			if !c.at.Before(s.windowEnd) {
+				s.crashes++
+				s.windowEnd = c.at.Add(sameCauseWindow)
+			}
+		}
+	}
+	return out
+}
+
+func (l *Ledger) isExplained(c *crash) bool {
+	return slices.ContainsFunc(l.quarantined, func(q *quarantined) bool { return q.Matches(c.suspects) })
+}
+
+// Check returns the entry that a prompt matches and the time until its next trial; ok is
+// false if there is none. Of several entries it returns the one with the latest trial.
+func (l *Ledger) Check(now time.Time, parts []string) (entry Entry, untilTrial time.Duration, ok bool) {
+	for _, q := range l.quarantined {
+		if left := q.nextTrial.Sub(now); q.Matches(parts) && (!ok || left > untilTrial) {
+			entry, untilTrial, ok = q.Entry, left, true
+		}
+	}
+	return entry, untilTrial, ok
+}
+
+// BeginTrial counts a request that is let through although it matches entries.
+func (l *Ledger) BeginTrial(now time.Time, parts []string) {
+	for _, q := range l.quarantined {
+		if q.Matches(parts) {
+			q.Trials++
+			q.nextTrial = now.Add(trialDelay(q.Trials))
+			l.changed = true
+		}
+	}
+}
+
+// Adopt adds entries of another router. Their trials begin anew with the delay that they
+// had reached.
+func (l *Ledger) Adopt(now time.Time, entries []Entry) {
+	for _, e := range entries {
+		covers := func(q *quarantined) bool { return q.Matches(e.Parts) }
+		i := slices.IndexFunc(l.quarantined, covers)
+		if i < 0 {
+			l.quarantined = slices.DeleteFunc(l.quarantined, func(q *quarantined) bool { return e.Matches(q.Parts) })
+			l.quarantined = append(l.quarantined, &quarantined{Entry: e, nextTrial: now.Add(trialDelay(e.Trials))})
+			l.changed = true
+			continue
+		}
+		if q := l.quarantined[i]; len(q.Parts) == len(e.Parts) && e.Trials > q.Trials {
+			q.Trials, q.nextTrial = e.Trials, now.Add(trialDelay(e.Trials))
+			l.changed = true
+		}
+	}
+}
+
+// Entries returns the entries, ordered by parts.
+func (l *Ledger) Entries() []Entry {
+	out := make([]Entry, 0, len(l.quarantined))
+	for _, q := range l.quarantined {
+		out = append(out, q.Entry)
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return slices.Compare(a.Parts, b.Parts) })
+	return out
+}
+
+// TakeChanged reports whether the entries changed since the last call.
+func (l *Ledger) TakeChanged() bool {
+	changed := l.changed
+	l.changed = false
+	return changed
+}
+
+func trialDelay(trials int) time.Duration {
+	delay := firstTrialDelay
+	for range trials {
+		delay = min(maxTrialDelay, delay*trialDelayFactor)
+	}
+	return delay
+}
--- /dev/null
+++ b/internal/scheduler/crashes.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
+)
+
+const (
+	// provenTime is how long a response must have been arriving for its request not to be
+	// suspected of a crash: engines that a request crashes end as they begin to respond.
+	provenTime = time.Second
+	// maxBrokenOffAge is how long after a request broke off the end of its engine counts
+	// as a crash under it.
+	maxBrokenOffAge = 5 * time.Second
+	// crashCheckDelay is the time after a request broke off from which an inventory shows
+	// that the engine lives on. An earlier one may have been taken before.
+	crashCheckDelay = 100 * time.Millisecond
+)
+
+// BrokenOff is a request whose engine ended the connection before the first event.
+type BrokenOff struct {
+	RequestID string
+	// UpstreamID and StartedMs are the incarnation of the engine; StartedMs is 0 if the
+	// router does not know it.
+	UpstreamID string
+	StartedMs  int64
+	// Parts are the suspects; see Request.sharedParts.
+	Parts []string
+	At    time.Time
+}
+
+// CrashedEngine is an engine that ended under requests.
+type CrashedEngine struct {
+	UpstreamID string
+	// Requests are those that broke off before their first event, Suspects their parts.
+	Requests []string
+	Suspects []string
+}
+
+// sharedParts returns the ids of the prompt's parts that several requests may have in
+// common: all but the last one.
+func (a *Request) sharedParts() []string {
+	if len(a.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(a.Parts)-1)
+	for i := range ids {
+		ids[i] = a.Parts[i].ID
+	}
+	return ids
+}
+
+// noteBrokenOff handles the end of a run's connection. Whether the engine itself ended is
+// told by its inventory, or by its absence.
+func (c *Cell) noteBrokenOff(now time.Time, r *run) {
+	switch {
+	case r.started && now.Sub(r.startedAt) >= provenTime:
+		c.recordSound(now, r.req)
+	case !r.started:
+		c.addBrokenOff(now, BrokenOff{RequestID: r.req.RequestID, UpstreamID: r.engine.up.ID, StartedMs: r.engine.up.StartedMs, Parts: r.req.sharedParts(), At: now})
+	}
+}
+
+// RecordBrokenOff records requests that broke off while no scheduler was connected, or that
+// were reported to an earlier one.
+func (c *Cell) RecordBrokenOff(now time.Time, reports []BrokenOff) Actions {
+	for _, b := range reports {
+		c.addBrokenOff(now, b)
+	}
+	return c.takeActions()
+}
+
+func (c *Cell) addBrokenOff(now time.Time, b BrokenOff) {
+	e := c.engines[b.UpstreamID]
+	if e != nil && b.StartedMs == 0 {
+		b.StartedMs = e.up.StartedMs
+	}
+	if e == nil || e.up.StartedMs != b.StartedMs || c.ledger.HasCrash(incarnation(b.UpstreamID, b.StartedMs)) {
+		c.recordCrash(now, b.UpstreamID, b.StartedMs, []BrokenOff{b})
+		return
+	}
+	e.brokenOff = append(e.brokenOff, b)
+	if now.Sub(e.crashCheckAt) >= crashCheckDelay {
+		c.checkCrash(now, e, 0)
+	}
+}
+
+// checkCrash requests an inventory, also while another one is due later.
+func (c *Cell) checkCrash(now time.Time, e *engine, after time.Duration) {
+	e.crashCheckAt = now
+	c.actions.Inspects = append(c.actions.Inspects, InspectCall{Upstream: e.up, After: after})
+}
+
+// confirmCrash decides by an inventory, or the failure to read it, whether an engine ended
+// under the requests that broke off on it.
+func (c *Cell) confirmCrash(now time.Time, e *engine, ended bool) {
+	if len(e.brokenOff) == 0 {
+		return
+	}
+	last := e.brokenOff[len(e.brokenOff)-1]
+	if !ended && now.Sub(last.At) < crashCheckDelay {
+		c.checkCrash(now, e, crashCheckDelay)
+		return
+	}
+	brokenOff := e.brokenOff
+	e.brokenOff = nil
+	if ended && now.Sub(last.At) < maxBrokenOffAge {
+		c.recordCrash(now, e.up.ID, e.up.StartedMs, brokenOff)
+	}
+}
+
+func (c *Cell) recordCrash(now time.Time, upstreamID string, startedMs int64, brokenOff []BrokenOff) {
+	crashed := CrashedEngine{UpstreamID: upstreamID}
+	for _, b := range brokenOff {
+		crashed.Requests = append(crashed.Requests, b.RequestID)
+		crashed.Suspects = append(crashed.Suspects, b.Parts...)
+	}
+	c.actions.Crashes = append(c.actions.Crashes, crashed)
+	c.noteProven(now)
+	if entry, found := c.ledger.RecordCrash(now, incarnation(upstreamID, startedMs), crashed.Suspects); found {
+		c.actions.Quarantined = append(c.actions.Quarantined, entry)
+		c.refuseQuarantined(now)
+	}
+}
+
+// noteProven records the parts of responses that have been arriving for a while.
+func (c *Cell) noteProven(now time.Time) {
+	for _, r := range c.runs {
+		if r.started && !r.startedAt.IsZero() && now.Sub(r.startedAt) >= provenTime {
+			c.recordSound(now, r.req)
+		}
+	}
+}
+
+func (c *Cell) recordSound(now time.Time, req *Request) {
+	c.actions.Released = append(c.actions.Released, c.ledger.RecordSound(now, req.sharedParts())...)
+}
+
+// incarnation identifies one run of an engine's process.
+func incarnation(upstreamID string, startedMs int64) string {
+	return upstreamID + "@" + strconv.FormatInt(startedMs, 10)
+}
+
+// refuseIfQuarantined refuses a request with a quarantined part, unless it may be the
+// part's next trial.
+func (c *Cell) refuseIfQuarantined(now time.Time, w *waiter) bool {
+	if w.req.trial {
+		return false
+	}
+	shared := w.req.sharedParts()
+	entry, untilTrial, found := c.ledger.Check(now, shared)
+	switch {
+	case !found:
+		return false
+	case untilTrial <= 0:
+		w.req.trial = true
+		c.ledger.BeginTrial(now, shared)
+		return false
+	}
+	return c.refuse(w, untilTrial, entry.Reason())
+}
+
+// refuseQuarantined refuses the waiting requests with a part that is quarantined by now.
+func (c *Cell) refuseQuarantined(now time.Time) {
+	kept := c.waiting[:0]
+	for _, w := range c.waiting {
+		if !c.refuseIfQuarantined(now, w) {
+			kept = append(kept, w)
+		}
+	}
+	clear(c.waiting[len(kept):])
+	c.waiting = kept
+}
+
+// AdoptQuarantined adds parts that another router quarantined.
+func (c *Cell) AdoptQuarantined(now time.Time, entries []quarantine.Entry) Actions {
+	c.ledger.Adopt(now, entries)
+	c.refuseQuarantined(now)
+	return c.takeActions()
+}
+
+// Quarantined returns the quarantined parts.
+func (c *Cell) Quarantined() []quarantine.Entry { return c.ledger.Entries() }
+
+// TakeQuarantineChanged reports whether the quarantined parts, or their trials, changed
+// since the last call.
+func (c *Cell) TakeQuarantineChanged() bool { return c.ledger.TakeChanged() }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -82,6 +82,11 @@
 	// lag behind it.
 	lastOrderAt time.Time
 	inspecting  bool
+	// brokenOff are the requests that broke off before their first event, until it is known
+	// whether the engine ended. crashCheckAt is when an inventory was last requested for
+	// that.
+	brokenOff    []BrokenOff
+	crashCheckAt time.Time
 	// reported is set by the first inventory, listedAt is when the engine was added.
 	reported bool
 	listedAt time.Time
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -368,6 +369,9 @@
 		return c.takeActions()
 	}
 	e.inspecting = false
+	if !errors.Is(err, fleet.ErrNotAsked) {
+		c.confirmCrash(now, e, err != nil || inventory.StartedMs > e.up.StartedMs)
+	}
 	if err != nil {
 		e.recordFailure(now)
 		if !e.acceptsOrders() {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -164,6 +164,7 @@
 	}
 	r := c.startRun(now, w.req, o.engine)
 	c.actions.Grants = append(c.actions.Grants, Grant{
+		Trial:    w.req.trial,
 		Key:      w.req.Key,
 		Request:  w.req,
 		Upstream: o.engine.up,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 )
 
 // PromptPart is a piece of a prompt that requests may share. Parts with equal
@@ -69,6 +70,8 @@
 	MayMove bool
 
 	keys []partKey // of Parts; see partKeys
+	// trial is set when the request is let through to try a quarantined part.
+	trial bool
 }
 
 // Grant assigns a request to an engine.
@@ -82,6 +85,8 @@
 	Expected time.Duration
 	// Reason is what the request waited for; it is used in logs.
 	Reason string
+	// Trial is set when the request tries a part of its prompt that is quarantined.
+	Trial bool
 }
 
 // Refusal rejects a request that cannot be served in time.
@@ -115,6 +120,10 @@
 	Refusals []Refusal
 	Orders   []OrderCall
 	Inspects []InspectCall
+	// Crashes, Quarantined and Released are only for logs.
+	Crashes     []CrashedEngine
+	Quarantined []quarantine.Entry
+	Released    []quarantine.Entry
 }
 
 // HasDecision reports whether the actions grant or refuse a request.
@@ -141,9 +150,11 @@
 	Failed
 	// Cancelled means that the caller disconnected or its deadline passed.
 	Cancelled
+	// EndedByEngine is Failed by the end of the engine's connection.
+	EndedByEngine
 )
 
-var outcomeNames = [...]string{"started", "finished", "not_run", "model_missing", "failed", "cancelled"}
+var outcomeNames = [...]string{"started", "finished", "not_run", "model_missing", "failed", "cancelled", "ended_by_engine"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -184,6 +195,7 @@
 	// dispatching is set while dispatch tries all waiting requests by rank.
 	dispatching bool
 	index       index
+	ledger      *quarantine.Ledger
 }
 
 // waiter is a request without placement.
@@ -218,6 +230,7 @@
 		models:  make(map[string]*model),
 		runs:    make(map[uint64]*run),
 		remote:  newRemoteLoads(opts),
+		ledger:  quarantine.NewLedger(),
 	}
 }
 
@@ -248,6 +261,9 @@
 	c.trafficSeen = true
 	c.modelOf(req.Model).demand.addRequest(now)
 	w := &waiter{req: req, since: now}
+	if c.refuseIfQuarantined(now, w) {
+		return c.takeActions()
+	}
 	if c.queueIsFull(req.Model) {
 		c.refuse(w, capacityRetryDelay, "the model's queue is full")
 		return c.takeActions()
@@ -308,7 +324,12 @@
 		c.inspect(r.engine, 0)
 	case Failed:
 		r.engine.recordFailure(now)
-	case Finished, Cancelled:
+	case EndedByEngine:
+		r.engine.recordFailure(now)
+		c.noteBrokenOff(now, r)
+	case Finished:
+		c.recordSound(now, r.req)
+	case Cancelled:
 	}
 	c.endRun(now, r)
 	return c.takeActions()
