--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -91,10 +91,11 @@
 // NewLedger returns a ledger without evidence.
 func NewLedger() *Ledger { return &Ledger{sound: newSoundParts()} }
 
-// RecordCrash adds suspects to the crash of an engine; engine identifies one incarnation.
-// It returns the entry that is quarantined because of it, if there is one.
-func (l *Ledger) RecordCrash(now time.Time, engine string, suspects []string) (Entry, bool) {
-	c := l.crashOf(now, engine)
+// RecordCrash adds suspects to the crash of an engine at a time before now; engine
+// identifies one incarnation. It returns the entry that is quarantined because of it, if
+// there is one.
+func (l *Ledger) RecordCrash(now, at time.Time, engine string, suspects []string) (Entry, bool) {
+	c := l.crashOf(now, at, engine)
 	for _, part := range suspects {
 		if !slices.Contains(c.suspects, part) {
 			c.suspects = append(c.suspects, part)
@@ -108,7 +109,7 @@
 	return slices.ContainsFunc(l.crashes, func(c *crash) bool { return c.engine == engine })
 }
 
-func (l *Ledger) crashOf(now time.Time, engine string) *crash {
+func (l *Ledger) crashOf(now, at time.Time, engine string) *crash {
 	for _, c := range l.crashes {
 		if c.engine == engine {
 			return c
@@ -119,8 +120,9 @@
 	if len(l.crashes) >= maxCrashes {
 		l.crashes = slices.Delete(l.crashes, 0, 1)
 	}
-	c := &crash{engine: engine, at: now}
+	c := &crash{engine: engine, at: at}
 	l.crashes = append(l.crashes, c)
+	slices.SortStableFunc(l.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	return c
 }
 
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -31,7 +31,7 @@
 	l.RecordSound(at(0), []string{"common"})
 	for i := range 3 {
 		is.Equal(len(l.Entries()), 0)
-		l.RecordCrash(at(float64(1+i)), fmt.Sprint("e", i), []string{"common", "fatal", fmt.Sprint("bystander-", i)})
+		l.RecordCrash(at(float64(1+i)), at(float64(1+i)), fmt.Sprint("e", i), []string{"common", "fatal", fmt.Sprint("bystander-", i)})
 	}
 	is.Equal(entriesOf(l), []string{"fatal"}) // common was sound once
 	entry, untilTrial, ok := l.Check(at(3), []string{"common", "fatal"})
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 8 {
-		l.RecordCrash(at(float64(i)), "e", []string{"part"})
+		l.RecordCrash(at(float64(i)), at(float64(i)), "e", []string{"part"})
 	}
 	is.Equal(len(l.Entries()), 0)
 }
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 40 {
-		l.RecordCrash(at(float64(i)/100), fmt.Sprint("e", i), []string{"common"})
+		l.RecordCrash(at(float64(i)/100), at(float64(i)/100), fmt.Sprint("e", i), []string{"common"})
 	}
 	is.Equal(len(l.Entries()), 0)
 }
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 3 {
-		l.RecordCrash(at(float64(i)), fmt.Sprint("e", i), []string{"common", "fatal"})
+		l.RecordCrash(at(float64(i)), at(float64(i)), fmt.Sprint("e", i), []string{"common", "fatal"})
 	}
 	is.Equal(entriesOf(l), []string{"common,fatal"})
 	_, _, ok := l.Check(at(3), []string{"common", "other"})
@@ -85,7 +85,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 12 {
-		l.RecordCrash(at(float64(i)), fmt.Sprint("e", i), []string{fmt.Sprint("fatal-", i%2), fmt.Sprint("bystander-", i%5)})
+		l.RecordCrash(at(float64(i)), at(float64(i)), fmt.Sprint("e", i), []string{fmt.Sprint("fatal-", i%2), fmt.Sprint("bystander-", i%5)})
 		l.RecordSound(at(float64(i)+0.5), []string{"bystander-0", "bystander-1", "bystander-2", "bystander-3", "bystander-4"})
 	}
 	is.Equal(entriesOf(l), []string{"fatal-0", "fatal-1"})
@@ -96,7 +96,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	for i := range 3 {
-		l.RecordCrash(at(float64(i)), fmt.Sprint("e", i), []string{"fatal"})
+		l.RecordCrash(at(float64(i)), at(float64(i)), fmt.Sprint("e", i), []string{"fatal"})
 	}
 	parts := []string{"fatal"}
 	trials := 0
@@ -105,7 +105,7 @@
 		if _, untilTrial, ok := l.Check(now, parts); ok && untilTrial <= 0 {
 			trials++
 			l.BeginTrial(now, parts)
-			l.RecordCrash(now, fmt.Sprint("trial-", trials), parts)
+			l.RecordCrash(now, now, fmt.Sprint("trial-", trials), parts)
 		}
 	}
 	is.Equal(trials, 3) // after 1, 4 and 16 minutes
@@ -204,7 +204,7 @@
 			suspects = append(suspects, r.parts...)
 		}
 	}
-	m.ledger.RecordCrash(now, fmt.Sprint(i, "@", e.incarnation), suspects)
+	m.ledger.RecordCrash(now, now, fmt.Sprint(i, "@", e.incarnation), suspects)
 	e.incarnation++
 	e.runs = nil
 }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -119,7 +119,7 @@
 	}
 	c.actions.Crashes = append(c.actions.Crashes, crashed)
 	c.noteProven(now)
-	if entry, found := c.ledger.RecordCrash(now, incarnation(upstreamID, startedMs), crashed.Suspects); found {
+	if entry, found := c.ledger.RecordCrash(now, brokenOff[0].At, incarnation(upstreamID, startedMs), crashed.Suspects); found {
 		c.actions.Quarantined = append(c.actions.Quarantined, entry)
 		c.refuseQuarantined(now)
 	}
