scheduler: an engine that crashed gets no requests until it answers again

A single failure ejects no engine, and an ejected one is still taken if it is cheaper than a load. Now an engine on which a request broke off and whose inventory can't be read counts as ended until it answers; it is asked each 400 ms.

TestCrashedEngineGetsNoRequests failed before: the second request was granted to the engine that had ended.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -106,6 +106,7 @@
 	}
 	brokenOff := e.brokenOff
 	e.brokenOff = nil
+	e.ended = ended
 	if ended && now.Sub(last.At) < maxBrokenOffAge {
 		c.recordCrash(now, e.up.ID, e.up.StartedMs, brokenOff)
 	}
--- /dev/null
+++ b/internal/scheduler/crashes_test.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var errRefused = errors.New("connection refused")
+
+// submitPrompt submits a request for a model whose prompt has the parts.
+func (sim *simulation) submitPrompt(model string, parts ...string) uint64 {
+	sim.nextKey++
+	req := &Request{
+		Key: sim.nextKey, RequestID: fmt.Sprint(sim.nextKey), Model: model, PromptTokens: 100, OutputTokens: 50,
+		Objective: sim.now.Add(time.Second), Deadline: sim.now.Add(10 * time.Second), FailureDomain: "a",
+	}
+	for _, id := range parts {
+		req.Parts = append(req.Parts, PromptPart{ID: id, Tokens: 10})
+	}
+	sim.carryOut(sim.cell.Submit(sim.now, req))
+	return req.Key
+}
+
+// crashUnder ends the engine of a granted request; its port refuses connections.
+func (sim *simulation) crashUnder(key uint64) string {
+	g, ok := sim.granted(key)
+	if !ok {
+		return ""
+	}
+	id := g.Upstream.ID
+	sim.engines[id].refuses = true
+	sim.carryOut(sim.cell.Progress(sim.now, key, EndedByEngine))
+	return id
+}
+
+// A request breaks off and its engine no longer answers. It is listed for seconds more, and
+// must get no request in that time; once it answers again it must.
+func TestCrashedEngineGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	sim := newSimulation(spec, newFakeEngine("e0", spec, "m0"))
+	sim.heartbeatAll()
+	sim.update()
+	sim.run(time.Second)
+	is.Equal(sim.crashUnder(sim.submitPrompt("m0", "common", "own")), "e0")
+	sim.run(10 * time.Millisecond)
+	var keys []uint64
+	for range 50 {
+		keys = append(keys, sim.submitPrompt("m0", "common", "own"))
+		sim.run(20 * time.Millisecond)
+		is.Equal(len(sim.grants), 1)
+	}
+	sim.engines["e0"].refuses = false
+	sim.run(time.Second)
+	for _, key := range keys {
+		_, ok := sim.granted(key)
+		is.True(ok)
+	}
+}
+
+// A connection breaks, but the engine lives on: no part is suspected for it.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	sim := newSimulation(spec, newFakeEngine("e0", spec, "m0"), newFakeEngine("e1", spec, "m0"))
+	sim.heartbeatAll()
+	sim.update()
+	sim.run(time.Second)
+	for range 20 {
+		key := sim.submitPrompt("m0", "common", "own")
+		_, ok := sim.granted(key)
+		is.True(ok)
+		sim.carryOut(sim.cell.Progress(sim.now, key, EndedByEngine))
+		sim.run(3 * time.Second)
+	}
+	is.Equal(len(sim.cell.Quarantined()), 0)
+	is.Equal(len(sim.refusals), 0)
+}
+
+// Requests with a part end one engine after the other while others wait. Those that wait with
+// the part must be refused as soon as it is quarantined, with the time of its trial; a trial
+// that is answered lets all in again.
+func TestWaitingRequestsWithAQuarantinedPartAreRefused(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(2)
+	var engines []*fakeEngine
+	for i := range 4 {
+		engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
+	}
+	sim := newSimulation(spec, engines...)
+	sim.heartbeatAll()
+	sim.update()
+	sim.run(time.Second)
+	keys := []uint64{sim.submitPrompt("m0", "fatal", "1"), sim.submitPrompt("m0", "fatal", "2"), sim.submitPrompt("m0", "fatal", "3")}
+	waiting := sim.submitPrompt("m1", "fatal", "5")
+	is.Equal(sim.cell.Waiting(), 1)
+	for _, key := range keys {
+		is.True(sim.crashUnder(key) != "")
+		sim.run(sameTimeApart)
+	}
+	is.Equal(len(sim.cell.Quarantined()), 1)
+	is.Equal(len(sim.refusals), 1)
+	is.Equal(sim.refusals[0].Key, waiting)
+	is.True(sim.refusals[0].RetryAfter > 50*time.Second)
+
+	for _, e := range engines {
+		e.refuses = false
+	}
+	sim.run(2 * time.Minute)
+	trial := sim.submitPrompt("m0", "fatal", "6")
+	g, ok := sim.granted(trial)
+	is.True(ok)
+	is.True(g.Trial)
+	refusals := len(sim.refusals)
+	sim.submitPrompt("m0", "fatal", "7")
+	is.Equal(len(sim.refusals), refusals+1) // one trial at a time
+	sim.finish(trial)
+	is.Equal(len(sim.cell.Quarantined()), 0)
+	g, ok = sim.granted(sim.submitPrompt("m0", "fatal", "8"))
+	is.True(ok)
+	is.True(!g.Trial)
+}
+
+// sameTimeApart is the time between crashes that count each.
+const sameTimeApart = 600 * time.Millisecond
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -87,6 +87,9 @@
 	// that.
 	brokenOff    []BrokenOff
 	crashCheckAt time.Time
+	// ended is set when the engine did not answer after requests broke off, until it does.
+	// Its registration may stay listed for seconds.
+	ended bool
 	// reported is set by the first inventory, listedAt is when the engine was added.
 	reported bool
 	listedAt time.Time
@@ -367,4 +370,4 @@
 }
 
 // usable reports whether the engine takes new work.
-func (e *engine) usable() bool { return e.up.TakesWork() }
+func (e *engine) usable() bool { return e.up.TakesWork() && !e.ended }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -374,11 +374,12 @@
 	}
 	if err != nil {
 		e.recordFailure(now)
-		if !e.acceptsOrders() {
+		if e.ended || !e.acceptsOrders() {
 			c.inspect(e, failedInspectInterval)
 		}
 		return c.takeActions()
 	}
+	e.ended = false
 	if inventory.StartedMs > e.up.StartedMs {
 		c.resetEngine(e, inventory)
 	}
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -25,7 +25,8 @@
 	// has no effect on it.
 	loading         map[string]map[string]bool
 	crashed         bool
-	remoteLoadCount int // loads from the weight store
+	refuses         bool // connections are refused
+	remoteLoadCount int  // loads from the weight store
 }
 
 func newFakeEngine(id string, spec *fleet.EngineSpec, models ...string) *fakeEngine {
@@ -286,7 +287,11 @@
 			if cell != sim.cell {
 				return
 			}
-			if e := sim.engines[call.Upstream.ID]; e != nil {
+			e := sim.engines[call.Upstream.ID]
+			switch {
+			case e != nil && e.refuses:
+				sim.carryOut(cell.HandleInventory(sim.now, call.Upstream.ID, fleet.Inventory{}, errRefused))
+			case e != nil:
 				sim.carryOut(cell.HandleInventory(sim.now, call.Upstream.ID, e.inventory(), nil))
 			}
 		})
