--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes from which parts are quarantined.
+	// crashesToQuarantine is the number of crashes from which parts are quarantined that
+	// were never sound.
 	crashesToQuarantine = 3
-	// crashesToDecide is the number of crashes from which parts are quarantined although as
-	// many crashes count against others.
+	// crashesToDecide is the number of crashes from which parts are quarantined that were
+	// sound before, or that as many crashes count against as against others.
 	crashesToDecide = 5
 	// sameCauseWindow is the time within which crashes count as one: engines that end
 	// together, with a rack or a failure domain, do not end by their requests.
@@ -151,8 +152,9 @@
 	return released
 }
 
-// judge quarantines the parts against which most crashes count, if they are enough. Of
-// parts with equally many those are taken that were sound the longest time ago, or never.
+// judge quarantines the parts against which most crashes count, if they are enough. Parts
+// that were never sound go first. Of parts with equally many crashes those are taken that
+// were sound the longest time ago, then those with more engines.
 func (l *Ledger) judge(now time.Time) (Entry, bool) {
 	suspects := l.suspects()
 	if len(suspects) == 0 {
@@ -171,12 +173,15 @@
 			ambiguous = true
 		}
 	}
-	if first.crashes < crashesToQuarantine || ambiguous && first.crashes < crashesToDecide {
+	needed := crashesToQuarantine
+	if ambiguous || !first.lastSound.IsZero() {
+		needed = crashesToDecide
+	}
+	if first.crashes < needed {
 		return Entry{}, false
 	}
 	slices.Sort(entry.Parts)
-	l.quarantined = append(l.quarantined, &quarantined{Entry: entry, nextTrial: now.Add(trialDelay(0))})
-	l.changed = true
+	l.insert(entry, now.Add(trialDelay(0)))
 	return entry, true
 }
 
@@ -190,29 +195,37 @@
 	lastSound time.Time
 }
 
+// isNew reports whether enough crashes count against a part that was never sound.
+func (s *suspect) isNew() bool { return s.lastSound.IsZero() && s.crashes >= crashesToQuarantine }
+
 func compareSuspects(a, b *suspect) int {
-	return cmp.Or(-cmp.Compare(a.crashes, b.crashes), a.lastSound.Compare(b.lastSound))
+	switch {
+	case a.isNew() && !b.isNew():
+		return -1
+	case b.isNew() && !a.isNew():
+		return 1
+	}
+	return cmp.Or(-cmp.Compare(a.crashes, b.crashes), a.lastSound.Compare(b.lastSound), -cmp.Compare(len(a.in), len(b.in)))
 }
 
-// suspects counts the crashes against each part. Those before it was last sound do not
-// count, nor do those that an entry explains.
+// suspects counts the crashes against each part that has one which no entry explains.
+// Crashes before the part was last sound do not count, nor do those that an entry without
+// the part explains.
 func (l *Ledger) suspects() []*suspect {
 	byPart := make(map[string]*suspect)
-	var out []*suspect
+	unexplained := make(map[string]bool)
 	for i, c := range l.crashes {
-		if l.isExplained(c) {
-			continue
-		}
+		explanation := l.explanationOf(c)
 		for _, part := range c.suspects {
 			s := byPart[part]
 			if s == nil {
 				s = &suspect{part: part, lastSound: l.sound.last(part)}
 				byPart[part] = s
-				out = append(out, s)
 			}
-			if !c.at.After(s.lastSound) {
+			if !c.at.After(s.lastSound) || explanation != nil && !slices.Contains(explanation.Parts, part) {
 				continue
 			}
+			unexplained[part] = unexplained[part] || explanation == nil
 			s.in = append(s.in, i)
 			if !c.at.Before(s.windowEnd) {
 				s.crashes++
@@ -220,11 +233,22 @@
 			}
 		}
 	}
+	var out []*suspect
+	for part := range unexplained {
+		if unexplained[part] {
+			out = append(out, byPart[part])
+		}
+	}
 	return out
 }
 
-func (l *Ledger) isExplained(c *crash) bool {
-	return slices.ContainsFunc(l.quarantined, func(q *quarantined) bool { return q.Matches(c.suspects) })
+// explanationOf returns the entry that explains a crash, nil if there is none.
+func (l *Ledger) explanationOf(c *crash) *quarantined {
+	i := slices.IndexFunc(l.quarantined, func(q *quarantined) bool { return q.Matches(c.suspects) })
+	if i < 0 {
+		return nil
+	}
+	return l.quarantined[i]
 }
 
 // Check returns the entry that a prompt matches and the time until its next trial; ok is
@@ -256,9 +280,7 @@
 		covers := func(q *quarantined) bool { return q.Matches(e.Parts) }
 		i := slices.IndexFunc(l.quarantined, covers)
 		if i < 0 {
-			l.quarantined = slices.DeleteFunc(l.quarantined, func(q *quarantined) bool { return e.Matches(q.Parts) })
-			l.quarantined = append(l.quarantined, &quarantined{Entry: e, nextTrial: now.Add(trialDelay(e.Trials))})
-			l.changed = true
+			l.insert(e, now.Add(trialDelay(e.Trials)))
 			continue
 		}
 		if q := l.quarantined[i]; len(q.Parts) == len(e.Parts) && e.Trials > q.Trials {
@@ -268,6 +290,13 @@
 	}
 }
 
+// insert adds an entry in place of those that match no other prompts.
+func (l *Ledger) insert(e Entry, nextTrial time.Time) {
+	l.quarantined = slices.DeleteFunc(l.quarantined, func(q *quarantined) bool { return e.Matches(q.Parts) })
+	l.quarantined = append(l.quarantined, &quarantined{Entry: e, nextTrial: nextTrial})
+	l.changed = true
+}
+
 // Entries returns the entries, ordered by parts.
 func (l *Ledger) Entries() []Entry {
 	out := make([]Entry, 0, len(l.quarantined))
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -79,6 +79,18 @@
 	is.Equal(entriesOf(l), []string{"fatal"})
 }
 
+// The fatal part comes with one first part at the beginning, later with others.
+func TestFatalPartIsFoundWithOtherParts(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	for i := range 3 {
+		l.RecordCrash(at(float64(i)), at(float64(i)), fmt.Sprint("e", i), []string{"common-1", "fatal"})
+	}
+	is.Equal(entriesOf(l), []string{"common-1,fatal"})
+	l.RecordCrash(at(4), at(4), "e4", []string{"common-2", "fatal"})
+	is.Equal(entriesOf(l), []string{"fatal"})
+}
+
 // Two parts are fatal at the same time; the crashes under the one that was found must not
 // count against bystanders.
 func TestTwoFatalPartsAreBothFound(t *testing.T) {
@@ -219,19 +231,20 @@
 		perSecond := rapid.IntRange(5, 200).Draw(t, "sound requests a second")
 		fatalGap := rapid.IntRange(50, 1500).Draw(t, "ms between fatal requests")
 		docs := rapid.IntRange(1, 200).Draw(t, "documents")
+		cold := rapid.Bool().Draw(t, "sound requests come later only")
 		losses := rapid.IntRange(0, 5).Draw(t, "losses of a domain")
 		m := &fleetModel{random: rand.New(rand.NewPCG(seed, 0)), ledger: NewLedger(), engines: make([]modelEngine, engines)}
-		prompt := func(second string, n int) []string {
-			return []string{fmt.Sprint("system-", m.random.IntN(3)), second, fmt.Sprint("session-", n%30)}
+		prompt := func(second string) []string {
+			return []string{fmt.Sprint("system-", m.random.IntN(3)), second}
 		}
 		for ms := 0; ms < 40_000; ms += 10 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
-			if m.random.IntN(100) < perSecond {
+			if m.random.IntN(100) < perSecond && (!cold || ms > 7000) {
 				m.sound++
-				m.send(now, prompt(fmt.Sprint("doc-", m.random.IntN(docs)), ms), false)
+				m.send(now, prompt(fmt.Sprint("doc-", m.random.IntN(docs))), false)
 			}
 			if ms > 5000 && ms%fatalGap < 10 {
-				m.send(now, prompt(fatalPart, ms), true)
+				m.send(now, prompt(fatalPart), true)
 			}
 			if m.random.IntN(4000) < losses {
 				for i := range max(1, engines/4) {
