entry: a stream without length that ends before its first event is broken off

Callers got an empty 200 for a stream whose engine ended the connection before the first event, if the response had neither a length nor chunks: such a response ends with its connection, for whatever reason that ends. It counted as served, too, so that a part that crashes engines would have counted as sound. Now it is broken off like one that ends within an event; a resumable stream goes on elsewhere.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -23,8 +23,9 @@
 	maxEventBytes = 256 << 10
 )
 
-// errTruncated means that a stream ended within an event.
-var errTruncated = errors.New("the upstream's response ended within an event")
+// errTruncated means that a stream ended within an event, or by the end of its connection
+// before the first one.
+var errTruncated = errors.New("the upstream's response ended within an event or without any")
 
 // errEventTooLarge means that a stream sends bytes that never become an event.
 var errEventTooLarge = fmt.Errorf("an event of the upstream's response is larger than %d bytes", maxEventBytes)
@@ -134,6 +135,9 @@
 			return eventErr
 		}
 		if errors.Is(err, io.EOF) {
+			if first && !resp.Delimited {
+				return errTruncated // the connection may have ended for any reason
+			}
 			return cr.endStream(resp, pending, flusher)
 		}
 		if err != nil {
