quarantine: a report costs what its own suspects cost

Each report counted the crashes against all parts of all remembered crashes, and a fleet that loses a failure domain reports hundreds of requests at once. Now only the suspects of the reported crash are counted, reports without a new suspect decide nothing, and the responses in progress are looked through at most each 200 ms.

--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -148,6 +149,11 @@
 				}
 			}
 			is.True(served > 10)
+			router.process.client.Follow("127.0.0.1:1", math.MaxInt64) // no scheduler listens there
+			is.Equal(router.sendPrompt(t, path, "common,fatal,own").status, http.StatusServiceUnavailable)
+			is.Equal(router.sendPrompt(t, path, "common,other,sound").status, http.StatusOK)
+			now, _ := engines.fatalAfter()
+			is.Equal(now, after)
 		})
 	}
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -29,7 +29,7 @@
 	sameCauseWindow = 500 * time.Millisecond
 	// crashTTL and maxCrashes bound the crashes that are remembered.
 	crashTTL   = 10 * time.Minute
-	maxCrashes = 256
+	maxCrashes = 128
 	// firstTrialDelay is the time from the quarantine to the first trial. It grows by
 	// trialDelayFactor with each trial, up to maxTrialDelay.
 	firstTrialDelay  = time.Minute
@@ -71,7 +71,12 @@
 type crash struct {
 	engine   string
 	at       time.Time
-	suspects []string
+	suspects map[string]struct{}
+}
+
+func (c *crash) isUnder(part string) bool {
+	_, ok := c.suspects[part]
+	return ok
 }
 
 type quarantined struct {
@@ -97,12 +102,14 @@
 // there is one.
 func (l *Ledger) RecordCrash(now, at time.Time, engine string, suspects []string) (Entry, bool) {
 	c := l.crashOf(now, at, engine)
+	known := len(c.suspects)
 	for _, part := range suspects {
-		if !slices.Contains(c.suspects, part) {
-			c.suspects = append(c.suspects, part)
-		}
+		c.suspects[part] = struct{}{}
+	}
+	if len(c.suspects) == known {
+		return Entry{}, false
 	}
-	return l.judge(now)
+	return l.judge(now, c)
 }
 
 // HasCrash reports whether the crash of an engine is recorded.
@@ -121,7 +128,7 @@
 	if len(l.crashes) >= maxCrashes {
 		l.crashes = slices.Delete(l.crashes, 0, 1)
 	}
-	c := &crash{engine: engine, at: at}
+	c := &crash{engine: engine, at: at, suspects: make(map[string]struct{})}
 	l.crashes = append(l.crashes, c)
 	slices.SortStableFunc(l.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	return c
@@ -152,11 +159,11 @@
 	return released
 }
 
-// judge quarantines the parts against which most crashes count, if they are enough. Parts
-// that were never sound go first. Of parts with equally many crashes those are taken that
-// were sound the longest time ago, then those with more engines.
-func (l *Ledger) judge(now time.Time) (Entry, bool) {
-	suspects := l.suspects()
+// judge quarantines the suspects of a crash against which most crashes count, if they are
+// enough. Parts that were never sound go first. Of parts with equally many crashes those are
+// taken that were sound the longest time ago, then those with more engines.
+func (l *Ledger) judge(now time.Time, last *crash) (Entry, bool) {
+	suspects := l.suspectsOf(last)
 	if len(suspects) == 0 {
 		return Entry{}, false
 	}
@@ -208,47 +215,50 @@
 	return cmp.Or(-cmp.Compare(a.crashes, b.crashes), a.lastSound.Compare(b.lastSound), -cmp.Compare(len(a.in), len(b.in)))
 }
 
-// suspects counts the crashes against each part that has one which no entry explains.
-// Crashes before the part was last sound do not count, nor do those that an entry without
-// the part explains.
-func (l *Ledger) suspects() []*suspect {
-	byPart := make(map[string]*suspect)
-	unexplained := make(map[string]bool)
+// suspectsOf counts the crashes against each suspect of a crash that has one which no entry
+// explains. Crashes before the part was last sound do not count, nor do those that an entry
+// without the part explains.
+func (l *Ledger) suspectsOf(last *crash) []*suspect {
+	explanations := make([]*quarantined, len(l.crashes))
 	for i, c := range l.crashes {
-		explanation := l.explanationOf(c)
-		for _, part := range c.suspects {
-			s := byPart[part]
-			if s == nil {
-				s = &suspect{part: part, lastSound: l.sound.last(part)}
-				byPart[part] = s
-			}
-			if !c.at.After(s.lastSound) || explanation != nil && !slices.Contains(explanation.Parts, part) {
+		explanations[i] = l.explanationOf(c)
+	}
+	var out []*suspect
+	for part := range last.suspects {
+		s := &suspect{part: part, lastSound: l.sound.last(part)}
+		unexplained := false
+		for i, c := range l.crashes {
+			explanation := explanations[i]
+			if !c.isUnder(part) || !c.at.After(s.lastSound) || explanation != nil && !slices.Contains(explanation.Parts, part) {
 				continue
 			}
-			unexplained[part] = unexplained[part] || explanation == nil
-			s.in = append(s.in, i)
-			if !c.at.Before(s.windowEnd) {
-				s.crashes++
-				s.windowEnd = c.at.Add(sameCauseWindow)
-			}
+			unexplained = unexplained || explanation == nil
+			s.add(i, c.at)
 		}
-	}
-	var out []*suspect
-	for part := range unexplained {
-		if unexplained[part] {
-			out = append(out, byPart[part])
+		if unexplained {
+			out = append(out, s)
 		}
 	}
 	return out
 }
 
+// add counts a crash; those within sameCauseWindow count as one.
+func (s *suspect) add(index int, at time.Time) {
+	s.in = append(s.in, index)
+	if !at.Before(s.windowEnd) {
+		s.crashes++
+		s.windowEnd = at.Add(sameCauseWindow)
+	}
+}
+
 // explanationOf returns the entry that explains a crash, nil if there is none.
 func (l *Ledger) explanationOf(c *crash) *quarantined {
-	i := slices.IndexFunc(l.quarantined, func(q *quarantined) bool { return q.Matches(c.suspects) })
-	if i < 0 {
-		return nil
+	for _, q := range l.quarantined {
+		if !slices.ContainsFunc(q.Parts, func(part string) bool { return !c.isUnder(part) }) {
+			return q
+		}
 	}
-	return l.quarantined[i]
+	return nil
 }
 
 // Check returns the entry that a prompt matches and the time until its next trial; ok is
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -261,3 +261,17 @@
 		}
 	})
 }
+
+// BenchmarkCrashes is the cost of one report, while the domain of a large fleet is lost and
+// each engine has other requests.
+func BenchmarkCrashes(b *testing.B) {
+	l := NewLedger()
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		suspects := make([]string, 0, 20)
+		for j := range 20 {
+			suspects = append(suspects, fmt.Sprint("part-", (i*7+j*13)%500))
+		}
+		l.RecordCrash(now, now, fmt.Sprint("e", i), suspects)
+	}
+}
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -10,7 +10,8 @@
 const (
 	// provenTime is how long a response must have been arriving for its request not to be
 	// suspected of a crash: engines that a request crashes end as they begin to respond.
-	provenTime = time.Second
+	provenTime     = time.Second
+	provenInterval = 200 * time.Millisecond
 	// maxBrokenOffAge is how long after a request broke off the end of its engine counts
 	// as a crash under it.
 	maxBrokenOffAge = 5 * time.Second
@@ -126,8 +127,13 @@
 	}
 }
 
-// noteProven records the parts of responses that have been arriving for a while.
+// noteProven records the parts of responses that have been arriving for a while, at most
+// once in provenInterval: a failure domain may take many engines at once.
 func (c *Cell) noteProven(now time.Time) {
+	if now.Sub(c.provenAt) < provenInterval {
+		return
+	}
+	c.provenAt = now
 	for _, r := range c.runs {
 		if r.started && !r.startedAt.IsZero() && now.Sub(r.startedAt) >= provenTime {
 			c.recordSound(now, r.req)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -196,6 +196,7 @@
 	dispatching bool
 	index       index
 	ledger      *quarantine.Ledger
+	provenAt    time.Time
 }
 
 // waiter is a request without placement.
