--- a/internal/quarantine/ledger.go
+++ b/internal/blocklist/ledger.go
@@ -1,14 +1,14 @@
-// Package quarantine finds parts of prompts that crash engines, and keeps requests with
+// Package blocklist finds parts of prompts that crash engines, and keeps requests with
 // them from further engines.
 //
 // A crash is the end of an engine under requests that it had not begun to answer, as far
 // as their callers saw. The parts of these requests, without the last one of each, are its
 // suspects: the last part belongs to a single request or session. A part that was in a
 // completed response since is sound. What remains suspect in several crashes is
-// quarantined: its requests are refused, but for a trial from time to time, whose success
-// releases it. Parts that nothing tells apart are quarantined together: only requests that
+// blocked: its requests are refused, but for a trial from time to time, whose success
+// releases it. Parts that nothing tells apart are blocked together: only requests that
 // have all of them are refused, and those that turn out to be sound leave the entry.
-package quarantine
+package blocklist
 
 import (
 	"cmp"
@@ -18,10 +18,10 @@
 )
 
 const (
-	// crashesToQuarantine is the number of crashes from which parts are quarantined that
+	// crashesToBlock is the number of crashes from which parts are blocked that
 	// were never sound.
-	crashesToQuarantine = 3
-	// crashesToDecide is the number of crashes from which parts are quarantined that were
+	crashesToBlock = 3
+	// crashesToDecide is the number of crashes from which parts are blocked that were
 	// sound before, or that as many crashes count against as against others.
 	crashesToDecide = 5
 	// sameCauseWindow is the time within which crashes count as one: engines that end
@@ -30,7 +30,7 @@
 	// crashTTL and maxCrashes bound the crashes that are remembered.
 	crashTTL   = 10 * time.Minute
 	maxCrashes = 128
-	// firstTrialDelay is the time from the quarantine to the first trial. It grows by
+	// firstTrialDelay is the time from the block to the first trial. It grows by
 	// trialDelayFactor with each trial, up to maxTrialDelay.
 	firstTrialDelay  = time.Minute
 	trialDelayFactor = 4
@@ -39,11 +39,11 @@
 	maxSoundParts = 16384
 )
 
-// Entry describes what is quarantined of the prompts for one service: those that have all
+// Entry describes what is blocked of the prompts for one service: those that have all
 // of its parts.
 type Entry struct {
 	Parts []string // sorted
-	// Since is when it was quarantined, on the clock of the router that did so.
+	// Since is when it was blocked, on the clock of the router that did so.
 	Since time.Time
 	// Crashes is the number of crashes that counted against the parts by then.
 	Crashes int
@@ -79,17 +79,17 @@
 	return ok
 }
 
-type quarantined struct {
+type blocked struct {
 	Entry
 	nextTrial time.Time
 }
 
-// Ledger has the evidence and the quarantined parts of one service. It is not safe for
+// Ledger has the evidence and the blocked prompts of one service. It is not safe for
 // concurrent use.
 type Ledger struct {
-	crashes     []*crash // by time
-	quarantined []*quarantined
-	sound       soundParts
+	crashes []*crash // by time
+	blocked []*blocked
+	sound   soundParts
 	// changed is set when the entries change, until TakeChanged.
 	changed bool
 }
@@ -98,7 +98,7 @@
 func NewLedger() *Ledger { return &Ledger{sound: newSoundParts()} }
 
 // RecordCrash adds suspects to the crash of an engine at a time before now; engine
-// identifies one incarnation. It returns the entry that is quarantined because of it, if
+// identifies one incarnation. It returns the entry that is blocked because of it, if
 // there is one.
 func (l *Ledger) RecordCrash(now, at time.Time, engine string, suspects []string) (Entry, bool) {
 	c := l.crashOf(now, at, engine)
@@ -140,8 +140,8 @@
 	for _, part := range parts {
 		l.sound.add(now, part)
 	}
-	kept := l.quarantined[:0]
-	for _, q := range l.quarantined {
+	kept := l.blocked[:0]
+	for _, q := range l.blocked {
 		left := slices.DeleteFunc(slices.Clone(q.Parts), func(part string) bool { return slices.Contains(parts, part) })
 		switch {
 		case len(left) == 0:
@@ -154,12 +154,12 @@
 		}
 		kept = append(kept, q)
 	}
-	clear(l.quarantined[len(kept):])
-	l.quarantined = kept
+	clear(l.blocked[len(kept):])
+	l.blocked = kept
 	return released
 }
 
-// judge quarantines the suspects of a crash against which most crashes count, if they are
+// judge blocks the suspects of a crash against which most crashes count, if they are
 // enough. Parts that were never sound go first. Of parts with equally many crashes those are
 // taken that were sound the longest time ago, then those with more engines.
 func (l *Ledger) judge(now time.Time, last *crash) (Entry, bool) {
@@ -180,7 +180,7 @@
 			ambiguous = true
 		}
 	}
-	needed := crashesToQuarantine
+	needed := crashesToBlock
 	if ambiguous || !first.lastSound.IsZero() {
 		needed = crashesToDecide
 	}
@@ -203,7 +203,7 @@
 }
 
 // isNew reports whether enough crashes count against a part that was never sound.
-func (s *suspect) isNew() bool { return s.lastSound.IsZero() && s.crashes >= crashesToQuarantine }
+func (s *suspect) isNew() bool { return s.lastSound.IsZero() && s.crashes >= crashesToBlock }
 
 func compareSuspects(a, b *suspect) int {
 	switch {
@@ -219,7 +219,7 @@
 // explains. Crashes before the part was last sound do not count, nor do those that an entry
 // without the part explains.
 func (l *Ledger) suspectsOf(last *crash) []*suspect {
-	explanations := make([]*quarantined, len(l.crashes))
+	explanations := make([]*blocked, len(l.crashes))
 	for i, c := range l.crashes {
 		explanations[i] = l.explanationOf(c)
 	}
@@ -252,8 +252,8 @@
 }
 
 // explanationOf returns the entry that explains a crash, nil if there is none.
-func (l *Ledger) explanationOf(c *crash) *quarantined {
-	for _, q := range l.quarantined {
+func (l *Ledger) explanationOf(c *crash) *blocked {
+	for _, q := range l.blocked {
 		if !slices.ContainsFunc(q.Parts, func(part string) bool { return !c.isUnder(part) }) {
 			return q
 		}
@@ -264,7 +264,7 @@
 // Check returns the entry that a prompt matches and the time until its next trial; ok is
 // false if there is none. Of several entries it returns the one with the latest trial.
 func (l *Ledger) Check(now time.Time, parts []string) (entry Entry, untilTrial time.Duration, ok bool) {
-	for _, q := range l.quarantined {
+	for _, q := range l.blocked {
 		if left := q.nextTrial.Sub(now); q.Matches(parts) && (!ok || left > untilTrial) {
 			entry, untilTrial, ok = q.Entry, left, true
 		}
@@ -274,7 +274,7 @@
 
 // BeginTrial counts a request that is let through although it matches entries.
 func (l *Ledger) BeginTrial(now time.Time, parts []string) {
-	for _, q := range l.quarantined {
+	for _, q := range l.blocked {
 		if q.Matches(parts) {
 			q.Trials++
 			q.nextTrial = now.Add(trialDelay(q.Trials))
@@ -287,13 +287,13 @@
 // had reached.
 func (l *Ledger) Adopt(now time.Time, entries []Entry) {
 	for _, e := range entries {
-		covers := func(q *quarantined) bool { return q.Matches(e.Parts) }
-		i := slices.IndexFunc(l.quarantined, covers)
+		covers := func(q *blocked) bool { return q.Matches(e.Parts) }
+		i := slices.IndexFunc(l.blocked, covers)
 		if i < 0 {
 			l.insert(e, now.Add(trialDelay(e.Trials)))
 			continue
 		}
-		if q := l.quarantined[i]; len(q.Parts) == len(e.Parts) && e.Trials > q.Trials {
+		if q := l.blocked[i]; len(q.Parts) == len(e.Parts) && e.Trials > q.Trials {
 			q.Trials, q.nextTrial = e.Trials, now.Add(trialDelay(e.Trials))
 			l.changed = true
 		}
@@ -302,15 +302,15 @@
 
 // insert adds an entry in place of those that match no other prompts.
 func (l *Ledger) insert(e Entry, nextTrial time.Time) {
-	l.quarantined = slices.DeleteFunc(l.quarantined, func(q *quarantined) bool { return e.Matches(q.Parts) })
-	l.quarantined = append(l.quarantined, &quarantined{Entry: e, nextTrial: nextTrial})
+	l.blocked = slices.DeleteFunc(l.blocked, func(q *blocked) bool { return e.Matches(q.Parts) })
+	l.blocked = append(l.blocked, &blocked{Entry: e, nextTrial: nextTrial})
 	l.changed = true
 }
 
 // Entries returns the entries, ordered by parts.
 func (l *Ledger) Entries() []Entry {
-	out := make([]Entry, 0, len(l.quarantined))
-	for _, q := range l.quarantined {
+	out := make([]Entry, 0, len(l.blocked))
+	for _, q := range l.blocked {
 		out = append(out, q.Entry)
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return slices.Compare(a.Parts, b.Parts) })
--- a/internal/quarantine/ledger_test.go
+++ b/internal/blocklist/ledger_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"fmt"
@@ -25,7 +25,7 @@
 	return out
 }
 
-func TestPartOfThreeCrashesIsQuarantined(t *testing.T) {
+func TestPartOfThreeCrashesIsBlocked(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
 	l.RecordSound(at(0), []string{"common"})
@@ -254,10 +254,10 @@
 			m.step(now)
 		}
 		if m.fatalAfter > 3 {
-			t.Fatalf("%d fatal requests were sent later than %v after the fifth crash; quarantined: %v", m.fatalAfter, learningTime, entriesOf(m.ledger))
+			t.Fatalf("%d fatal requests were sent later than %v after the fifth crash; blocked: %v", m.fatalAfter, learningTime, entriesOf(m.ledger))
 		}
 		if m.refused > m.sound/10 {
-			t.Fatalf("%d of %d sound requests were refused; quarantined: %v", m.refused, m.sound, entriesOf(m.ledger))
+			t.Fatalf("%d of %d sound requests were refused; blocked: %v", m.refused, m.sound, entriesOf(m.ledger))
 		}
 	})
 }
--- a/internal/quarantine/list.go
+++ b/internal/blocklist/list.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import (
 	"maps"
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// List is a router's copy of the quarantined parts of all services. It is safe for
+// List is a router's copy of the blocked prompts of all services. It is safe for
 // concurrent use; reads do not block.
 type List struct {
 	mu      sync.Mutex // serializes writers
--- a/internal/quarantine/sound.go
+++ b/internal/blocklist/sound.go
@@ -1,4 +1,4 @@
-package quarantine
+package blocklist
 
 import "time"
 
--- a/internal/cell/quarantine.go
+++ b/internal/cell/blocklist.go
@@ -6,7 +6,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
 
@@ -15,29 +15,29 @@
 	// reports to a new scheduler.
 	maxBrokenOff = 64
 	brokenOffTTL = 20 * time.Second
-	// maxQuarantined bounds the quarantined parts that are relayed and stored: a row of the
+	// maxBlocked bounds the blocked prompts that are relayed and stored: a row of the
 	// store has room for a thousand. The newest are kept.
-	maxQuarantined = 500
+	maxBlocked = 500
 )
 
-func encodeQuarantine(entries map[string][]quarantine.Entry) *apiv1.QuarantineList {
-	list := &apiv1.QuarantineList{}
+func encodeBlocklist(entries map[string][]blocklist.Entry) *apiv1.Blocklist {
+	list := &apiv1.Blocklist{}
 	for service, entries := range entries {
 		for _, e := range entries {
-			list.Entries = append(list.Entries, &apiv1.QuarantinedPrompts{Service: service, Parts: e.Parts, Crashes: int64(e.Crashes), Trials: int64(e.Trials), SinceMs: e.Since.UnixMilli()})
+			list.Entries = append(list.Entries, &apiv1.BlockedPrompts{Service: service, Parts: e.Parts, Crashes: int64(e.Crashes), Trials: int64(e.Trials), SinceMs: e.Since.UnixMilli()})
 		}
 	}
-	slices.SortFunc(list.Entries, func(a, b *apiv1.QuarantinedPrompts) int {
+	slices.SortFunc(list.Entries, func(a, b *apiv1.BlockedPrompts) int {
 		return cmp.Or(-cmp.Compare(a.GetSinceMs(), b.GetSinceMs()), cmp.Compare(a.GetService(), b.GetService()), slices.Compare(a.GetParts(), b.GetParts()))
 	})
-	list.Entries = list.Entries[:min(len(list.Entries), maxQuarantined)]
+	list.Entries = list.Entries[:min(len(list.Entries), maxBlocked)]
 	return list
 }
 
-func decodeQuarantine(list *apiv1.QuarantineList) map[string][]quarantine.Entry {
-	entries := make(map[string][]quarantine.Entry)
+func decodeBlocklist(list *apiv1.Blocklist) map[string][]blocklist.Entry {
+	entries := make(map[string][]blocklist.Entry)
 	for _, p := range list.GetEntries() {
-		e := quarantine.Entry{Parts: p.GetParts(), Since: time.UnixMilli(p.GetSinceMs()), Crashes: int(p.GetCrashes()), Trials: int(p.GetTrials())}
+		e := blocklist.Entry{Parts: p.GetParts(), Since: time.UnixMilli(p.GetSinceMs()), Crashes: int(p.GetCrashes()), Trials: int(p.GetTrials())}
 		entries[p.GetService()] = append(entries[p.GetService()], e)
 	}
 	return entries
@@ -92,19 +92,19 @@
 // Fence returns the fence of the current term, 0 without one.
 func (s *Scheduler) Fence() int64 { return s.fence.Load() }
 
-// AdoptQuarantined adds parts that were quarantined under an earlier scheduler.
-func (s *Scheduler) AdoptQuarantined(entries map[string][]quarantine.Entry) {
-	s.post(func() { s.adoptQuarantined(entries) })
+// AdoptBlocked adds parts that were blocked under an earlier scheduler.
+func (s *Scheduler) AdoptBlocked(entries map[string][]blocklist.Entry) {
+	s.post(func() { s.adoptBlocked(entries) })
 }
 
-func (s *Scheduler) adoptQuarantined(entries map[string][]quarantine.Entry) {
+func (s *Scheduler) adoptBlocked(entries map[string][]blocklist.Entry) {
 	if !s.active {
 		return
 	}
-	s.opts.Quarantine.Merge(entries) // for services whose cell does not exist yet
+	s.opts.Blocklist.Merge(entries) // for services whose cell does not exist yet
 	for service, parts := range entries {
 		if cell := s.cells[service]; cell != nil {
-			s.apply(service, cell.AdoptQuarantined(time.Now(), parts))
+			s.apply(service, cell.AdoptBlocked(time.Now(), parts))
 		}
 	}
 }
@@ -124,9 +124,9 @@
 	}
 }
 
-// relayQuarantine sends the quarantined parts of all services to all routers.
-func (s *Scheduler) relayQuarantine() {
-	reply := s.quarantineReply()
+// relayBlocklist sends the blocked prompts of all services to all routers.
+func (s *Scheduler) relayBlocklist() {
+	reply := s.blocklistReply()
 	for _, session := range s.sessions {
 		if session.synced {
 			session.reply(reply)
@@ -134,29 +134,29 @@
 	}
 }
 
-func (s *Scheduler) quarantineReply() *apiv1.SchedulerReply {
-	entries := make(map[string][]quarantine.Entry)
-	for service, parts := range s.opts.Quarantine.Load() {
+func (s *Scheduler) blocklistReply() *apiv1.SchedulerReply {
+	entries := make(map[string][]blocklist.Entry)
+	for service, parts := range s.opts.Blocklist.Load() {
 		entries[service] = parts
 	}
 	for service, cell := range s.cells {
-		entries[service] = cell.Quarantined()
+		entries[service] = cell.Blocked()
 	}
-	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Quarantine{Quarantine: encodeQuarantine(entries)}}
+	return &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Blocklist{Blocklist: encodeBlocklist(entries)}}
 }
 
-// logQuarantine logs what a cell found out about crashes, and relays a changed quarantine.
-func (s *Scheduler) logQuarantine(service string, actions scheduler.Actions) {
+// logCrashes logs what a cell found out about crashes, and relays a changed blocklist.
+func (s *Scheduler) logCrashes(service string, actions scheduler.Actions) {
 	for _, crashed := range actions.Crashes {
 		s.opts.Log.EngineCrashed(service, crashed)
 	}
-	for _, e := range actions.Quarantined {
-		s.opts.Log.PartQuarantined(service, e)
+	for _, e := range actions.Blocked {
+		s.opts.Log.PromptBlocked(service, e)
 	}
-	for _, e := range actions.Released {
-		s.opts.Log.PartReleased(service, e)
+	for _, e := range actions.Unblocked {
+		s.opts.Log.PromptUnblocked(service, e)
 	}
-	if cell := s.cells[service]; cell != nil && cell.TakeQuarantineChanged() {
-		s.relayQuarantine()
+	if cell := s.cells[service]; cell != nil && cell.TakeBlocklistChanged() {
+		s.relayBlocklist()
 	}
 }
--- a/internal/cell/quarantine_store.go
+++ b/internal/cell/blocklist_store.go
@@ -8,60 +8,60 @@
 	"google.golang.org/protobuf/proto"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 )
 
 const (
-	// quarantineKey is the row of the quarantined parts, as TABLE/KEY.
-	quarantineKey = "ragwortdoor-quarantine/parts"
+	// blocklistKey is the row of the blocked prompts, as TABLE/KEY.
+	blocklistKey = "ragwortdoor-blocklist/prompts"
 
-	quarantineTickInterval = 100 * time.Millisecond
-	// quarantineReadInterval applies to routers that are not connected to an active
-	// scheduler, which relays the quarantined parts.
-	quarantineReadInterval = time.Second
-	quarantineRetryDelay   = 400 * time.Millisecond
+	blocklistTickInterval = 100 * time.Millisecond
+	// blocklistReadInterval applies to routers that are not connected to an active
+	// scheduler, which relays the blocked prompts.
+	blocklistReadInterval = time.Second
+	blocklistRetryDelay   = 400 * time.Millisecond
 )
 
-// QuarantineStoreOptions configure a QuarantineStore.
-type QuarantineStoreOptions struct {
+// BlocklistStoreOptions configure a BlocklistStore.
+type BlocklistStoreOptions struct {
 	Table external.TableService
-	// List is this router's copy of the quarantined parts.
-	List *quarantine.List
+	// List is this router's copy of the blocked prompts.
+	List *blocklist.List
 	// Fence is the fence of the term of this router's scheduler, 0 without one.
 	Fence func() int64
-	// HasActiveScheduler reports whether a scheduler relays the quarantined parts.
+	// HasActiveScheduler reports whether a scheduler relays the blocked prompts.
 	HasActiveScheduler func() bool
 	// StoreEra is the era of the store, as far as this router knows while it schedules.
 	StoreEra func() int64
 	// OnRead is called with what was read.
-	OnRead func(map[string][]quarantine.Entry)
+	OnRead func(map[string][]blocklist.Entry)
 	// OnFailed is called when the call op to the store failed.
 	OnFailed func(op string, err error)
 }
 
-// QuarantineStore keeps the quarantined parts in the platform's store, so that they outlast
+// BlocklistStore keeps the blocked prompts in the platform's store, so that they outlast
 // all routers. The router that schedules writes them. Others read them at their start, and
 // while no scheduler is connected.
-type QuarantineStore struct {
-	opts QuarantineStoreOptions
+type BlocklistStore struct {
+	opts BlocklistStoreOptions
 
 	// row and version are as last read or written; row is nil if they are not known.
-	row      *apiv1.QuarantineList
+	row      *apiv1.Blocklist
 	version  int64
 	fence    int64
 	era      int64
 	nextCall time.Time
 }
 
-// NewQuarantineStore returns a store that does nothing until Run is called.
-func NewQuarantineStore(opts QuarantineStoreOptions) *QuarantineStore {
-	return &QuarantineStore{opts: opts}
+// NewBlocklistStore returns a store that does nothing until Run is called.
+func NewBlocklistStore(opts BlocklistStoreOptions) *BlocklistStore {
+	return &BlocklistStore{opts: opts}
 }
 
 // Run reads and writes until ctx ends.
-func (q *QuarantineStore) Run(ctx context.Context) {
-	ticker := time.NewTicker(quarantineTickInterval)
+func (q *BlocklistStore) Run(ctx context.Context) {
+	ticker := time.NewTicker(blocklistTickInterval)
 	defer ticker.Stop()
 	for {
 		q.step(ctx, time.Now())
@@ -73,7 +73,7 @@
 	}
 }
 
-func (q *QuarantineStore) step(ctx context.Context, now time.Time) {
+func (q *BlocklistStore) step(ctx context.Context, now time.Time) {
 	if now.Before(q.nextCall) {
 		return
 	}
@@ -87,57 +87,57 @@
 	case q.row == nil:
 		q.read(ctx)
 	case fence != 0:
-		if list := encodeQuarantine(q.opts.List.Load()); !proto.Equal(list, q.row) {
+		if list := encodeBlocklist(q.opts.List.Load()); !proto.Equal(list, q.row) {
 			q.write(ctx, list)
 		}
 	case !q.opts.HasActiveScheduler():
-		q.nextCall = now.Add(quarantineReadInterval)
+		q.nextCall = now.Add(blocklistReadInterval)
 		q.read(ctx)
 	}
 }
 
-func (q *QuarantineStore) read(ctx context.Context) {
+func (q *BlocklistStore) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	row, err := q.opts.Table.Get(ctx, quarantineKey)
+	row, err := q.opts.Table.Get(ctx, blocklistKey)
 	if err != nil {
-		q.failed("read quarantine", err)
+		q.failed("read blocklist", err)
 		return
 	}
 	q.take(row)
 }
 
 // take adds the parts of a row to those of this router.
-func (q *QuarantineStore) take(row external.Row) {
-	list := &apiv1.QuarantineList{}
+func (q *BlocklistStore) take(row external.Row) {
+	list := &apiv1.Blocklist{}
 	if err := proto.Unmarshal(row.Value, list); err != nil {
-		q.failed("decode quarantine", err)
+		q.failed("decode blocklist", err)
 		list.Reset() // it is written anew
 	}
 	known := q.row != nil && row.Version == q.version
 	q.row, q.version = list, row.Version
 	if !known && len(list.GetEntries()) > 0 {
-		q.opts.OnRead(decodeQuarantine(list))
+		q.opts.OnRead(decodeBlocklist(list))
 	}
 }
 
-func (q *QuarantineStore) write(ctx context.Context, list *apiv1.QuarantineList) {
+func (q *BlocklistStore) write(ctx context.Context, list *apiv1.Blocklist) {
 	value, err := proto.Marshal(list)
 	if err != nil {
-		q.failed("encode quarantine", err)
+		q.failed("encode blocklist", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	result, err := q.opts.Table.Commit(ctx, external.Txn{
 		ID:     crand.Text(),
-		Checks: []external.Check{{Key: quarantineKey, Version: q.version}},
-		Puts:   []external.Put{{Key: quarantineKey, Value: value}},
+		Checks: []external.Check{{Key: blocklistKey, Version: q.version}},
+		Puts:   []external.Put{{Key: blocklistKey, Value: value}},
 	})
 	switch {
 	case err != nil:
 		q.row = nil // it may have been written
-		q.failed("write quarantine", err)
+		q.failed("write blocklist", err)
 	case result.Committed:
 		q.row, q.version = list, result.Version
 	case len(result.Conflicts) > 0:
@@ -145,7 +145,7 @@
 	}
 }
 
-func (q *QuarantineStore) failed(op string, err error) {
-	q.nextCall = time.Now().Add(quarantineRetryDelay)
+func (q *BlocklistStore) failed(op string, err error) {
+	q.nextCall = time.Now().Add(blocklistRetryDelay)
 	q.opts.OnFailed(op, err)
 }
--- a/internal/cell/quarantine_test.go
+++ b/internal/cell/blocklist_test.go
@@ -10,23 +10,23 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
-// quarantineRouter is a router's copy of the quarantined parts with its store.
-type quarantineRouter struct {
-	*QuarantineStore
-	list      *quarantine.List
+// blocklistRouter is a router's copy of the blocked prompts with its store.
+type blocklistRouter struct {
+	*BlocklistStore
+	list      *blocklist.List
 	fence     int64
 	linked    bool
 	era       int64
 	simulated time.Time
 }
 
-func newQuarantineRouter(table *tabletest.Table, fence int64) *quarantineRouter {
-	r := &quarantineRouter{list: &quarantine.List{}, fence: fence, linked: fence != 0, simulated: time.Now()}
-	r.QuarantineStore = NewQuarantineStore(QuarantineStoreOptions{
+func newBlocklistRouter(table *tabletest.Table, fence int64) *blocklistRouter {
+	r := &blocklistRouter{list: &blocklist.List{}, fence: fence, linked: fence != 0, simulated: time.Now()}
+	r.BlocklistStore = NewBlocklistStore(BlocklistStoreOptions{
 		Table: table, List: r.list, Fence: func() int64 { return r.fence }, HasActiveScheduler: func() bool { return r.linked },
 		StoreEra: func() int64 { return r.era }, OnRead: r.list.Merge, OnFailed: func(string, error) {},
 	})
@@ -34,36 +34,36 @@
 }
 
 // run lets time pass in which the store is read and written.
-func (r *quarantineRouter) run() {
+func (r *blocklistRouter) run() {
 	for range 60 {
-		r.simulated = r.simulated.Add(quarantineTickInterval)
+		r.simulated = r.simulated.Add(blocklistTickInterval)
 		r.step(context.Background(), r.simulated)
 	}
 }
 
-func (r *quarantineRouter) add(part string) {
-	r.list.Merge(map[string][]quarantine.Entry{"s": {{Parts: []string{part}, Since: time.UnixMilli(1), Crashes: 3}}})
+func (r *blocklistRouter) add(part string) {
+	r.list.Merge(map[string][]blocklist.Entry{"s": {{Parts: []string{part}, Since: time.UnixMilli(1), Crashes: 3}}})
 }
 
-func (r *quarantineRouter) has(parts ...string) bool {
+func (r *blocklistRouter) has(parts ...string) bool {
 	_, ok := r.list.Match("s", parts)
 	return ok
 }
 
-// All routers are killed at once: what was quarantined must be known to those that start.
-func TestQuarantineOutlastsAllRouters(t *testing.T) {
+// All routers are killed at once: what was blocked must be known to those that start.
+func TestBlocklistOutlastsAllRouters(t *testing.T) {
 	for name, fault := range map[string]tabletest.Fault{"calm": tabletest.None, "the answer to a write is lost": tabletest.LostReply} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			table := tabletest.New()
-			holder := newQuarantineRouter(table, 1)
+			holder := newBlocklistRouter(table, 1)
 			holder.run()
 			holder.add("fatal")
 			table.SetFault(fault)
 			holder.step(context.Background(), holder.simulated.Add(time.Second))
 			table.SetFault(tabletest.None)
 			commits := table.Commits()
-			started := newQuarantineRouter(table, 0)
+			started := newBlocklistRouter(table, 0)
 			started.run()
 			is.True(started.has("common", "fatal"))
 			is.True(!started.has("common"))
@@ -74,27 +74,27 @@
 }
 
 // The store comes back from a copy without the row.
-func TestQuarantineIsWrittenAgainAfterARestore(t *testing.T) {
+func TestBlocklistIsWrittenAgainAfterARestore(t *testing.T) {
 	is := is.New(t)
 	table := tabletest.New()
 	older := table.Copy()
-	holder := newQuarantineRouter(table, 1)
+	holder := newBlocklistRouter(table, 1)
 	holder.run()
 	holder.add("fatal")
 	holder.run()
 	table.Restore(older)
 	holder.era = 1
 	holder.run()
-	started := newQuarantineRouter(table, 0)
+	started := newBlocklistRouter(table, 0)
 	started.run()
 	is.True(started.has("fatal"))
 }
 
 // A former holder writes what it learned last after its successor has written.
-func TestWritersOfTheQuarantineKeepEachOthersParts(t *testing.T) {
+func TestWritersOfTheBlocklistKeepEachOthersPrompts(t *testing.T) {
 	is := is.New(t)
 	table := tabletest.New()
-	former, holder := newQuarantineRouter(table, 1), newQuarantineRouter(table, 2)
+	former, holder := newBlocklistRouter(table, 1), newBlocklistRouter(table, 2)
 	former.run()
 	holder.run()
 	former.add("fatal-1")
@@ -103,17 +103,17 @@
 	former.run()
 	holder.fence = 3 // a new term
 	holder.run()
-	started := newQuarantineRouter(table, 0)
+	started := newBlocklistRouter(table, 0)
 	started.run()
 	is.True(started.has("fatal-1") && started.has("fatal-2"))
 	is.True(holder.has("fatal-1"))
 }
 
 // A router that no scheduler reaches learns from the store what others found out.
-func TestRouterWithoutSchedulerFollowsTheQuarantine(t *testing.T) {
+func TestRouterWithoutSchedulerFollowsTheBlocklist(t *testing.T) {
 	is := is.New(t)
 	table := tabletest.New()
-	holder, alone := newQuarantineRouter(table, 1), newQuarantineRouter(table, 0)
+	holder, alone := newBlocklistRouter(table, 1), newBlocklistRouter(table, 0)
 	alone.run()
 	holder.run()
 	holder.add("fatal")
@@ -155,6 +155,6 @@
 		is.True(err != nil)
 		errors.As(err, &refused)
 	}
-	_, found := client.opts.Quarantine.Match("s", []string{"fatal"})
+	_, found := client.opts.Blocklist.Match("s", []string{"fatal"})
 	is.True(found)
 }
--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -9,8 +9,8 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -120,16 +120,16 @@
 	// with a lease that it hands over to this router. They must not call the client.
 	OnUpstreamList func(fleet.Change)
 	OnHandover     func(Handover)
-	// Quarantine has the quarantined parts that this router knows of; the client replaces
+	// Blocklist has the blocked prompts that this router knows of; the client replaces
 	// them by those that the scheduler relays. Nil means an empty list.
-	Quarantine *quarantine.List
+	Blocklist *blocklist.List
 }
 
 // NewClient returns a client without a scheduler. It connects to none until Run is
 // called.
 func NewClient(opts ClientOptions) *Client {
-	if opts.Quarantine == nil {
-		opts.Quarantine = &quarantine.List{}
+	if opts.Blocklist == nil {
+		opts.Blocklist = &blocklist.List{}
 	}
 	return &Client{
 		opts:    opts,
@@ -266,7 +266,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Quarantine: encodeQuarantine(c.opts.Quarantine.Load())}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load())}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
--- a/internal/cell/client_receive.go
+++ b/internal/cell/client_receive.go
@@ -60,8 +60,8 @@
 	case *apiv1.SchedulerReply_List:
 		c.listPartLocked(body.List)
 		return
-	case *apiv1.SchedulerReply_Quarantine:
-		c.opts.Quarantine.Replace(decodeQuarantine(body.Quarantine))
+	case *apiv1.SchedulerReply_Blocklist:
+		c.opts.Blocklist.Replace(decodeBlocklist(body.Blocklist))
 		return
 	case *apiv1.SchedulerReply_Queued:
 		if req := c.pending[body.Queued.GetNumber()]; req != nil {
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -25,8 +25,8 @@
 func (noopLog) HandedOver(string, int64) {}
 
 func (noopLog) EngineCrashed(string, scheduler.CrashedEngine) {}
-func (noopLog) PartQuarantined(string, quarantine.Entry)      {}
-func (noopLog) PartReleased(string, quarantine.Entry)         {}
+func (noopLog) PromptBlocked(string, blocklist.Entry)         {}
+func (noopLog) PromptUnblocked(string, blocklist.Entry)       {}
 
 func newClient(host, bootID string) *Client {
 	return NewClient(ClientOptions{
--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -18,7 +18,7 @@
 	Expected time.Duration
 	// Reason is what the request waited for; empty if it did not wait.
 	Reason string
-	// Trial is set if the request tries a quarantined part of its prompt.
+	// Trial is set if the request tries a blocked part of its prompt.
 	Trial bool
 }
 
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -151,9 +151,9 @@
 	from.acceptsListParts = hello.GetAcceptsListParts()
 	from.draining = from.draining || hello.GetDraining()
 	from.synced = true
-	s.adoptQuarantined(decodeQuarantine(hello.GetQuarantine()))
+	s.adoptBlocked(decodeBlocklist(hello.GetBlocklist()))
 	s.takeBrokenOff(now, hello.GetBrokenOff())
-	from.reply(s.quarantineReply())
+	from.reply(s.blocklistReply())
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -8,8 +8,8 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
@@ -61,10 +61,10 @@
 	// OnSuperseded is called when a router reports that another one holds the lease,
 	// with its address and the version of the lease row that names it.
 	OnSuperseded func(address string, leaseVersion int64)
-	// Quarantine has the quarantined parts that this router knows of; nil means an empty
+	// Blocklist has the blocked prompts that this router knows of; nil means an empty
 	// list.
-	Quarantine *quarantine.List
-	Log        DecisionLog
+	Blocklist *blocklist.List
+	Log       DecisionLog
 }
 
 // DecisionLog logs each decision. Its methods must be safe for concurrent use and
@@ -76,8 +76,8 @@
 	Inspected(upstreamID string, inventory fleet.Inventory, err error)
 	HandedOver(router string, fence int64)
 	EngineCrashed(service string, crashed scheduler.CrashedEngine)
-	PartQuarantined(service string, entry quarantine.Entry)
-	PartReleased(service string, entry quarantine.Entry)
+	PromptBlocked(service string, entry blocklist.Entry)
+	PromptUnblocked(service string, entry blocklist.Entry)
 }
 
 // Scheduler runs the cells on the router that holds the lease. Its state is
@@ -112,8 +112,8 @@
 
 // NewScheduler returns an inactive scheduler; Run and Start make it active.
 func NewScheduler(opts SchedulerOptions) *Scheduler {
-	if opts.Quarantine == nil {
-		opts.Quarantine = &quarantine.List{}
+	if opts.Blocklist == nil {
+		opts.Blocklist = &blocklist.List{}
 	}
 	return &Scheduler{
 		opts:        opts,
@@ -202,7 +202,7 @@
 				LoadWindow: s.opts.LoadWindow,
 			})
 			s.cells[name] = cell
-			s.apply(name, cell.AdoptQuarantined(now, s.opts.Quarantine.Load()[name]))
+			s.apply(name, cell.AdoptBlocked(now, s.opts.Blocklist.Load()[name]))
 		}
 		s.apply(name, cell.Update(now, service.Engine, snapshot.ByService[name]))
 	}
@@ -253,7 +253,7 @@
 			Reason:       refusal.Reason,
 		}}})
 	}
-	s.logQuarantine(service, actions)
+	s.logCrashes(service, actions)
 	for _, call := range actions.Orders {
 		go s.sendOrder(service, s.term, call)
 	}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/blocklist.go
@@ -11,20 +11,20 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 )
 
-// quarantineRetryDelay is the Retry-After of a request with a quarantined part if no
+// blocklistRetryDelay is the Retry-After of a request with a blocked part if no
 // scheduler says when the part is tried again.
-const quarantineRetryDelay = time.Minute
+const blocklistRetryDelay = time.Minute
 
-// checkQuarantine returns a *cell.RefusedError if a part of the prompt is quarantined.
-func (cr *callerRequest) checkQuarantine() error {
-	if len(cr.call.Parts) < 2 || len(cr.handler.quarantined.Load()) == 0 {
+// checkBlocklist returns a *cell.RefusedError if a part of the prompt is blocked.
+func (cr *callerRequest) checkBlocklist() error {
+	if len(cr.call.Parts) < 2 || len(cr.handler.blocklist.Load()) == 0 {
 		return nil
 	}
-	entry, found := cr.handler.quarantined.Match(cr.service.Name, cr.partIDs()[:len(cr.call.Parts)-1])
+	entry, found := cr.handler.blocklist.Match(cr.service.Name, cr.partIDs()[:len(cr.call.Parts)-1])
 	if !found {
 		return nil
 	}
-	return &cell.RefusedError{RetryAfter: quarantineRetryDelay, Reason: entry.Reason()}
+	return &cell.RefusedError{RetryAfter: blocklistRetryDelay, Reason: entry.Reason()}
 }
 
 func (cr *callerRequest) partIDs() []string {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/crashing_test.go
@@ -123,7 +123,7 @@
 // Requests that have one part of their prompt in common each end the engine that begins to
 // respond to them (issue 31). They must be kept from further engines once that is plain;
 // requests that share the other parts must be served.
-func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+func TestPartThatCrashesEnginesIsBlocked(t *testing.T) {
 	for _, path := range []string{"/stream/a", "/resume/a"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 )
 
@@ -47,8 +47,8 @@
 	scheduler  *cell.Client
 	balancer   *balancer
 	pauses     *pauses
-	// quarantined has the prompt parts that crash engines.
-	quarantined *quarantine.List
+	// blocklist has the prompt parts that crash engines.
+	blocklist *blocklist.List
 	// onLeaving is called when an upstream says, in the response to a request, that it is
 	// about to leave. It marks the upstream as draining before it returns.
 	onLeaving func(upstreamID, requestID string)
@@ -74,28 +74,28 @@
 	// OnLeaving is called when an upstream says, in a response, that it is about to leave.
 	OnLeaving func(upstreamID, requestID string)
 	Pauses    *pauses
-	// Quarantined has the prompt parts that crash engines.
-	Quarantined *quarantine.List
-	Log         *Log
+	// Blocklist has the prompt parts that crash engines.
+	Blocklist *blocklist.List
+	Log       *Log
 }
 
 // NewHandler returns a handler that accepts requests until the process stops.
 func NewHandler(opts HandlerOptions) *Handler {
 	abortCtx, abort := context.WithCancel(context.Background())
 	h := &Handler{
-		abortCtx:    abortCtx,
-		abort:       abort,
-		settings:    opts.Settings,
-		dialect:     opts.Dialect,
-		directory:   opts.Directory,
-		pool:        opts.Pool,
-		scheduler:   opts.Scheduler,
-		balancer:    newBalancer(opts.Settings.FailureDomain),
-		pauses:      opts.Pauses,
-		quarantined: opts.Quarantined,
-		onLeaving:   opts.OnLeaving,
-		budget:      retry.NewBudget(opts.Settings.RetryShare*retryShareFactor, minRetriesPerSecond),
-		log:         opts.Log,
+		abortCtx:  abortCtx,
+		abort:     abort,
+		settings:  opts.Settings,
+		dialect:   opts.Dialect,
+		directory: opts.Directory,
+		pool:      opts.Pool,
+		scheduler: opts.Scheduler,
+		balancer:  newBalancer(opts.Settings.FailureDomain),
+		pauses:    opts.Pauses,
+		blocklist: opts.Blocklist,
+		onLeaving: opts.OnLeaving,
+		budget:    retry.NewBudget(opts.Settings.RetryShare*retryShareFactor, minRetriesPerSecond),
+		log:       opts.Log,
 	}
 	h.reloadable.Store(newReloadable(opts.Settings))
 	return h
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -4,11 +4,11 @@
 	"strings"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
 
@@ -246,20 +246,20 @@
 	l.out.Warn("engine crashed", "service", service, "upstream", crashed.UpstreamID, "requests", bounded(crashed.Requests), "suspects", bounded(crashed.Suspects))
 }
 
-// PartQuarantined implements cell.DecisionLog.
-func (l *Log) PartQuarantined(service string, e quarantine.Entry) {
-	l.metrics.quarantinedParts.Add(1)
-	l.out.Warn("prompt part quarantined", "service", service, "parts", e.String(), "crashes", e.Crashes)
+// PromptBlocked implements cell.DecisionLog.
+func (l *Log) PromptBlocked(service string, e blocklist.Entry) {
+	l.metrics.blockedPrompts.Add(1)
+	l.out.Warn("prompt blocked", "service", service, "parts", e.String(), "crashes", e.Crashes)
 }
 
-// PartReleased implements cell.DecisionLog.
-func (l *Log) PartReleased(service string, e quarantine.Entry) {
-	l.out.Info("prompt part released", "service", service, "parts", e.String(), "trials", e.Trials)
+// PromptUnblocked implements cell.DecisionLog.
+func (l *Log) PromptUnblocked(service string, e blocklist.Entry) {
+	l.out.Info("prompt unblocked", "service", service, "parts", e.String(), "trials", e.Trials)
 }
 
-// QuarantineCallFailed logs a failed call to the store about the quarantined parts.
-func (l *Log) QuarantineCallFailed(op string, err error) {
-	l.out.Warn("quarantine call failed", "op", op, "err", err)
+// BlocklistCallFailed logs a failed call to the store about the blocked prompts.
+func (l *Log) BlocklistCallFailed(op string, err error) {
+	l.out.Warn("blocklist call failed", "op", op, "err", err)
 }
 
 // maxLoggedIDs bounds the ids in one log line.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,10 +41,10 @@
 	// responses that asked for one.
 	leavingLearned expvar.Int
 	pauses         expvar.Int
-	// engineCrashes counts engines that ended under requests, quarantinedParts the prompt
-	// parts that were quarantined because of that, both by this router's scheduler.
-	engineCrashes    expvar.Int
-	quarantinedParts expvar.Int
+	// engineCrashes counts engines that ended under requests, blockedPrompts the prompt
+	// parts that were blocked because of that, both by this router's scheduler.
+	engineCrashes  expvar.Int
+	blockedPrompts expvar.Int
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram // microseconds
@@ -118,7 +118,7 @@
 		{"upstreams_leaving_total", &m.leavingLearned},
 		{"upstream_pauses_total", &m.pauses},
 		{"engine_crashes_total", &m.engineCrashes},
-		{"quarantined_parts_total", &m.quarantinedParts},
+		{"blocked_prompts_total", &m.blockedPrompts},
 	} {
 		fmt.Fprintf(w, "%s %s\n", counter.name, counter.value)
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -30,7 +30,7 @@
 			cr.failPlacement(err)
 			return
 		}
-		if err := cr.checkQuarantine(); err != nil && !placement.Trial {
+		if err := cr.checkBlocklist(); err != nil && !placement.Trial {
 			cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED, 0)
 			cr.failPlacement(err)
 			return
@@ -83,7 +83,7 @@
 			return placement, err
 		}
 		cr.record.WithoutScheduler = true
-		if err := cr.checkQuarantine(); err != nil {
+		if err := cr.checkBlocklist(); err != nil {
 			return cell.Placement{}, err
 		}
 		if placement, ok := cr.placeWithoutScheduler(); ok {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -13,13 +13,13 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -68,10 +68,10 @@
 	client    *cell.Client
 	election  *cell.Election
 	follower  *fleet.Follower
-	// quarantined has the prompt parts that crash engines, quarantineStore keeps them in
+	// blocklist has the prompt parts that crash engines, blocklistStore keeps them in
 	// the platform's store.
-	quarantined     *quarantine.List
-	quarantineStore *cell.QuarantineStore
+	blocklist      *blocklist.List
+	blocklistStore *cell.BlocklistStore
 
 	loggedMu sync.Mutex
 	logged   map[string]string // last logged state of each upstream
@@ -79,7 +79,7 @@
 
 // New returns a process; call Run to serve.
 func New(settings Settings, deps Deps) *Process {
-	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), quarantined: &quarantine.List{}}
+	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
 	pauses := &pauses{}
@@ -94,7 +94,7 @@
 		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
 		OnFenced:     func() { p.election.ReportFenced() },
 		OnSuperseded: func(address string, leaseVersion int64) { p.election.ReportSuperseded(address, leaseVersion) },
-		Quarantine:   p.quarantined,
+		Blocklist:    p.blocklist,
 		Log:          p.log,
 	})
 	p.client = cell.NewClient(cell.ClientOptions{
@@ -108,7 +108,7 @@
 		ListVersion:    func() int64 { return p.directory.Load().ListVersion },
 		OnUpstreamList: p.onRelayedUpstreams,
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
-		Quarantine:     p.quarantined,
+		Blocklist:      p.blocklist,
 	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:                 deps.Table,
@@ -131,16 +131,16 @@
 		Observer:              p.log,
 	})
 	p.follower = fleet.NewFollower(fleet.FollowerOptions{Source: deps.Source, Directory: p.directory, OnChange: p.onDirectoryChange, Observer: p.log, Peer: p.client})
-	p.quarantineStore = cell.NewQuarantineStore(cell.QuarantineStoreOptions{
+	p.blocklistStore = cell.NewBlocklistStore(cell.BlocklistStoreOptions{
 		Table:              deps.Table,
-		List:               p.quarantined,
+		List:               p.blocklist,
 		Fence:              p.scheduler.Fence,
 		HasActiveScheduler: p.client.HasActiveScheduler,
 		StoreEra:           func() int64 { return era.Of(p.election.LeaseVersion()) },
-		OnRead:             p.onQuarantineRead,
-		OnFailed:           p.log.QuarantineCallFailed,
+		OnRead:             p.onBlocklistRead,
+		OnFailed:           p.log.BlocklistCallFailed,
 	})
-	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Quarantined: p.quarantined, Log: p.log})
+	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Blocklist: p.blocklist, Log: p.log})
 	return p
 }
 
@@ -156,10 +156,10 @@
 	p.client.UnfollowLocal()
 }
 
-// onQuarantineRead adds the quarantined parts that the store has.
-func (p *Process) onQuarantineRead(entries map[string][]quarantine.Entry) {
-	p.quarantined.Merge(entries)
-	p.scheduler.AdoptQuarantined(entries)
+// onBlocklistRead adds the blocked prompts that the store has.
+func (p *Process) onBlocklistRead(entries map[string][]blocklist.Entry) {
+	p.blocklist.Merge(entries)
+	p.scheduler.AdoptBlocked(entries)
 }
 
 // onDirectoryChange is called after the follower changed the directory.
@@ -235,7 +235,7 @@
 	callerServer := newCallerServer(p.callerHandler(), p.deps.CallerTLS, callers)
 	group.Go(callerServer.serve)
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.quarantineStore.Run, p.sweep} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.blocklistStore.Run, p.sweep} {
 		group.Go(func() error { run(background); return nil })
 	}
 	if err := p.serveReadyAndMetrics(background, group); err != nil {
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 )
 
 const (
@@ -122,8 +122,8 @@
 	c.actions.Crashes = append(c.actions.Crashes, crashed)
 	c.noteProven(now)
 	if entry, found := c.ledger.RecordCrash(now, brokenOff[0].At, incarnation(upstreamID, startedMs), crashed.Suspects); found {
-		c.actions.Quarantined = append(c.actions.Quarantined, entry)
-		c.refuseQuarantined(now)
+		c.actions.Blocked = append(c.actions.Blocked, entry)
+		c.refuseBlocked(now)
 	}
 }
 
@@ -142,7 +142,7 @@
 }
 
 func (c *Cell) recordSound(now time.Time, req *Request) {
-	c.actions.Released = append(c.actions.Released, c.ledger.RecordSound(now, req.sharedParts())...)
+	c.actions.Unblocked = append(c.actions.Unblocked, c.ledger.RecordSound(now, req.sharedParts())...)
 }
 
 // incarnation identifies one run of an engine's process.
@@ -150,9 +150,9 @@
 	return upstreamID + "@" + strconv.FormatInt(startedMs, 10)
 }
 
-// refuseIfQuarantined refuses a request with a quarantined part, unless it may be the
+// refuseIfBlocked refuses a request with a blocked part, unless it may be the
 // part's next trial.
-func (c *Cell) refuseIfQuarantined(now time.Time, w *waiter) bool {
+func (c *Cell) refuseIfBlocked(now time.Time, w *waiter) bool {
 	if w.req.trial {
 		return false
 	}
@@ -169,11 +169,11 @@
 	return c.refuse(w, untilTrial, entry.Reason())
 }
 
-// refuseQuarantined refuses the waiting requests with a part that is quarantined by now.
-func (c *Cell) refuseQuarantined(now time.Time) {
+// refuseBlocked refuses the waiting requests with a part that is blocked by now.
+func (c *Cell) refuseBlocked(now time.Time) {
 	kept := c.waiting[:0]
 	for _, w := range c.waiting {
-		if !c.refuseIfQuarantined(now, w) {
+		if !c.refuseIfBlocked(now, w) {
 			kept = append(kept, w)
 		}
 	}
@@ -181,16 +181,16 @@
 	c.waiting = kept
 }
 
-// AdoptQuarantined adds parts that another router quarantined.
-func (c *Cell) AdoptQuarantined(now time.Time, entries []quarantine.Entry) Actions {
+// AdoptBlocked adds parts that another router blocked.
+func (c *Cell) AdoptBlocked(now time.Time, entries []blocklist.Entry) Actions {
 	c.ledger.Adopt(now, entries)
-	c.refuseQuarantined(now)
+	c.refuseBlocked(now)
 	return c.takeActions()
 }
 
-// Quarantined returns the quarantined parts.
-func (c *Cell) Quarantined() []quarantine.Entry { return c.ledger.Entries() }
+// Blocked returns the blocked prompts.
+func (c *Cell) Blocked() []blocklist.Entry { return c.ledger.Entries() }
 
-// TakeQuarantineChanged reports whether the quarantined parts, or their trials, changed
+// TakeBlocklistChanged reports whether the blocked prompts, or their trials, changed
 // since the last call.
-func (c *Cell) TakeQuarantineChanged() bool { return c.ledger.TakeChanged() }
+func (c *Cell) TakeBlocklistChanged() bool { return c.ledger.TakeChanged() }
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -77,14 +77,14 @@
 		sim.carryOut(sim.cell.Progress(sim.now, key, EndedByEngine))
 		sim.run(3 * time.Second)
 	}
-	is.Equal(len(sim.cell.Quarantined()), 0)
+	is.Equal(len(sim.cell.Blocked()), 0)
 	is.Equal(len(sim.refusals), 0)
 }
 
 // Requests with a part end one engine after the other while others wait. Those that wait with
-// the part must be refused as soon as it is quarantined, with the time of its trial; a trial
+// the part must be refused as soon as it is blocked, with the time of its trial; a trial
 // that is answered lets all in again.
-func TestWaitingRequestsWithAQuarantinedPartAreRefused(t *testing.T) {
+func TestWaitingRequestsWithABlockedPartAreRefused(t *testing.T) {
 	is := is.New(t)
 	spec := testSpec(2)
 	var engines []*fakeEngine
@@ -102,7 +102,7 @@
 		is.True(sim.crashUnder(key) != "")
 		sim.run(sameTimeApart)
 	}
-	is.Equal(len(sim.cell.Quarantined()), 1)
+	is.Equal(len(sim.cell.Blocked()), 1)
 	is.Equal(len(sim.refusals), 1)
 	is.Equal(sim.refusals[0].Key, waiting)
 	is.True(sim.refusals[0].RetryAfter > 50*time.Second)
@@ -119,7 +119,7 @@
 	sim.submitPrompt("m0", "fatal", "7")
 	is.Equal(len(sim.refusals), refusals+1) // one trial at a time
 	sim.finish(trial)
-	is.Equal(len(sim.cell.Quarantined()), 0)
+	is.Equal(len(sim.cell.Blocked()), 0)
 	g, ok = sim.granted(sim.submitPrompt("m0", "fatal", "8"))
 	is.True(ok)
 	is.True(!g.Trial)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,8 +25,8 @@
 	"slices"
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
-	"github.com/ragwortdoor/ragwortdoor/internal/quarantine"
 )
 
 // PromptPart is a piece of a prompt that requests may share. Parts with equal
@@ -70,7 +70,7 @@
 	MayMove bool
 
 	keys []partKey // of Parts; see partKeys
-	// trial is set when the request is let through to try a quarantined part.
+	// trial is set when the request is let through to try a blocked part.
 	trial bool
 }
 
@@ -85,7 +85,7 @@
 	Expected time.Duration
 	// Reason is what the request waited for; it is used in logs.
 	Reason string
-	// Trial is set when the request tries a part of its prompt that is quarantined.
+	// Trial is set when the request tries a part of its prompt that is blocked.
 	Trial bool
 }
 
@@ -120,10 +120,10 @@
 	Refusals []Refusal
 	Orders   []OrderCall
 	Inspects []InspectCall
-	// Crashes, Quarantined and Released are only for logs.
-	Crashes     []CrashedEngine
-	Quarantined []quarantine.Entry
-	Released    []quarantine.Entry
+	// Crashes, Blocked and Unblocked are only for logs.
+	Crashes   []CrashedEngine
+	Blocked   []blocklist.Entry
+	Unblocked []blocklist.Entry
 }
 
 // HasDecision reports whether the actions grant or refuse a request.
@@ -195,7 +195,7 @@
 	// dispatching is set while dispatch tries all waiting requests by rank.
 	dispatching bool
 	index       index
-	ledger      *quarantine.Ledger
+	ledger      *blocklist.Ledger
 	provenAt    time.Time
 }
 
@@ -231,7 +231,7 @@
 		models:  make(map[string]*model),
 		runs:    make(map[uint64]*run),
 		remote:  newRemoteLoads(opts),
-		ledger:  quarantine.NewLedger(),
+		ledger:  blocklist.NewLedger(),
 	}
 }
 
@@ -262,7 +262,7 @@
 	c.trafficSeen = true
 	c.modelOf(req.Model).demand.addRequest(now)
 	w := &waiter{req: req, since: now}
-	if c.refuseIfQuarantined(now, w) {
+	if c.refuseIfBlocked(now, w) {
 		return c.takeActions()
 	}
 	if c.queueIsFull(req.Model) {
