--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -43,7 +43,7 @@
 		if info.NotRun {
 			attempt.Result = ResultRefused
 		}
-		cr.heedUpstream(upstreamID, info)
+		cr.handler.notices.take(upstreamID, cr.call.ID, info)
 	case errors.As(err, &failure):
 		attempt.Err = err
 		attempt.Trace = failure.Trace
@@ -59,18 +59,6 @@
 	return resp, info, err
 }
 
-// heedUpstream takes in what an upstream says about itself in a response.
-func (cr *callerRequest) heedUpstream(upstreamID string, info ResponseInfo) {
-	if info.Leaving {
-		cr.handler.onLeaving(upstreamID, cr.call.ID)
-	}
-	if info.Pause > 0 {
-		pause := min(info.Pause, maxPause)
-		cr.handler.pauses.add(upstreamID, pause)
-		cr.handler.log.UpstreamPaused(upstreamID, cr.call.ID, pause, info.Pause)
-	}
-}
-
 // retryOrRefuse is called after an attempt without a response for the caller. It reports
 // false if the request may be sent to another upstream; otherwise it responds to the caller
 // with an error.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -49,9 +49,7 @@
 	pauses     *pauses
 	// blocklist has the prompt parts that crash engines.
 	blocklist *blocklist.List
-	// onLeaving is called when an upstream says, in the response to a request, that it is
-	// about to leave. It marks the upstream as draining before it returns.
-	onLeaving func(upstreamID, requestID string)
+	notices   *notices
 	budget    *retry.Budget
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
@@ -71,9 +69,7 @@
 	Directory *fleet.Directory
 	Pool      *exchange.Pool
 	Scheduler *cell.Client
-	// OnLeaving is called when an upstream says, in a response, that it is about to leave.
-	OnLeaving func(upstreamID, requestID string)
-	Pauses    *pauses
+	Notices   *notices
 	// Blocklist has the prompt parts that crash engines.
 	Blocklist *blocklist.List
 	Log       *Log
@@ -91,9 +87,9 @@
 		pool:      opts.Pool,
 		scheduler: opts.Scheduler,
 		balancer:  newBalancer(opts.Settings.FailureDomain),
-		pauses:    opts.Pauses,
+		pauses:    opts.Notices.pauses,
 		blocklist: opts.Blocklist,
-		onLeaving: opts.OnLeaving,
+		notices:   opts.Notices,
 		budget:    retry.NewBudget(opts.Settings.RetryShare*retryShareFactor, minRetriesPerSecond),
 		log:       opts.Log,
 	}
--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -1,13 +1,19 @@
 package entry
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
 // withHeader adds a header to the responses of a script.
@@ -121,3 +127,79 @@
 		})
 	}
 }
+
+// askedEngines sends orders and reads of inventories to the engines of the test as GET
+// requests to /order and /report.
+type askedEngines struct {
+	fakeEngines
+	pool *exchange.Pool
+}
+
+func (e askedEngines) Order(ctx context.Context, up *fleet.Upstream, _ fleet.Order) (fleet.OrderResult, error) {
+	_, _, err := e.pool.Fetch(ctx, up.Addr, &exchange.Request{Method: http.MethodGet, URI: "/order", Header: http.Header{}})
+	return fleet.OrderConflict, err
+}
+
+func (e askedEngines) Inspect(ctx context.Context, up *fleet.Upstream) (fleet.Inventory, error) {
+	var inventory fleet.Inventory
+	err := e.pool.FetchJSON(ctx, up.Addr, &exchange.Request{Method: http.MethodGet, URI: "/report", Header: http.Header{}}, &inventory)
+	return inventory, err
+}
+
+// An engine says that it leaves, or asks for a pause, in the answer to a read of its
+// inventory or to an order, before any request has reached it. That counts as in the answer
+// to a request.
+func TestNoticesInAnswersToTheRoutersOwnCalls(t *testing.T) {
+	report := `{"StartedMs": 1, "Models": [{"Name": "m", "Version": 1, "Adapters": ["a"]}]}`
+	for name, tc := range map[string]struct {
+		path   string // of the call whose answer has the notice
+		model  string // of the requests
+		notice func(script http.HandlerFunc) http.HandlerFunc
+	}{
+		"leaving, report": {"/report", "m", func(s http.HandlerFunc) http.HandlerFunc { return withHeader("Leaving", "1", s) }},
+		"pause, report":   {"/report", "m", func(http.HandlerFunc) http.HandlerFunc { return withHeader("Pause", "1m", refuse) }},
+		"leaving, order":  {"/order", "m/b", func(s http.HandlerFunc) http.HandlerFunc { return withHeader("Leaving", "1", s) }},
+		"pause, order":    {"/order", "m/b", func(http.HandlerFunc) http.HandlerFunc { return withHeader("Pause", "1m", refuse) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var told, requests atomic.Int32
+			engine := func(noticed bool) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					own := r.URL.Path == "/report" || r.URL.Path == "/order"
+					script := events(1, 2, true)
+					if own {
+						script = respond(http.StatusOK, report)
+					}
+					if noticed && r.URL.Path == tc.path {
+						told.Add(1)
+						script = tc.notice(script)
+					}
+					if noticed && !own {
+						requests.Add(1)
+					}
+					script(w, r)
+				}
+			}
+			source := &fakeSource{upstreams: []*upstream{newUpstream(t, "engine-1", engine(true)), newUpstream(t, "engine-2", engine(false))}, draining: map[string]bool{}}
+			router := startWith(t, source, askedEngines{pool: exchange.NewPool(exchange.Options{IDHeader: "Id"})})
+			router.waitUntil(t, func() bool {
+				if told.Load() == 0 && tc.path == "/order" {
+					router.send(t, "/stream/a", tc.model, 200*time.Millisecond) // its adapter has to be loaded
+				}
+				return told.Load() > 0
+			})
+			time.Sleep(50 * time.Millisecond) // the answer is on its way
+			requests.Store(0)
+			calls := told.Load()
+			for range 20 {
+				is.Equal(router.send(t, "/stream/a", "m", callerTimeout).status, http.StatusOK)
+			}
+			is.Equal(requests.Load(), int32(0))
+			if strings.HasPrefix(name, "pause") {
+				is.Equal(told.Load(), calls) // no further call either
+			}
+		})
+	}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -82,10 +82,10 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
-	pauses := &pauses{}
+	notices := &notices{pauses: &pauses{}, onLeaving: p.onLeaving, log: p.log}
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
 		Directory:    p.directory,
-		Engines:      considerateEngines{deps.Engines, pauses},
+		Engines:      considerateEngines{deps.Engines, deps.Dialect, notices},
 		Host:         settings.Host,
 		Cores:        settings.Cores,
 		LoadWindow:   settings.LoadWindow,
@@ -140,7 +140,7 @@
 		OnRead:             p.onBlocklistRead,
 		OnFailed:           p.log.BlocklistCallFailed,
 	})
-	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, OnLeaving: p.onLeaving, Pauses: pauses, Blocklist: p.blocklist, Log: p.log})
+	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, Notices: notices, Blocklist: p.blocklist, Log: p.log})
 	return p
 }
 
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -12,6 +12,14 @@
 // maxFetchBytes limits a response body that is read into memory.
 const maxFetchBytes = 1 << 20
 
+type observerKey struct{}
+
+// WithObserver returns a context in which Fetch and FetchJSON call observe with the head of
+// each response, before they read its body.
+func WithObserver(ctx context.Context, observe func(status int, header http.Header)) context.Context {
+	return context.WithValue(ctx, observerKey{}, observe)
+}
+
 // NewJSON returns a POST request with a JSON body. It modifies header.
 func NewJSON(path string, header http.Header, body any) (*Request, error) {
 	encoded, err := json.Marshal(body)
@@ -39,6 +47,9 @@
 		return 0, nil, err
 	}
 	defer resp.Close()
+	if observe, ok := ctx.Value(observerKey{}).(func(status int, header http.Header)); ok {
+		observe(resp.Status, resp.Header)
+	}
 	body, err = io.ReadAll(io.LimitReader(resp, maxFetchBytes))
 	if err != nil {
 		return 0, nil, err
