--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,8 +24,8 @@
 
 // send sends the request to an upstream and reads the head of the response. It logs a line
 // before the first byte is sent, so that a request leaves a trace if the process is killed,
-// and one with the result.
-func (cr *callerRequest) send(ctx context.Context, upstreamID, addr string, priority int) (*exchange.Response, ResponseInfo, error) {
+// and one with the result. answered is called with whether the upstream answered it.
+func (cr *callerRequest) send(ctx context.Context, upstreamID, addr string, priority int, answered func(bool)) (*exchange.Response, ResponseInfo, error) {
 	request := cr.upstreamRequest(upstreamID, priority)
 	attempt := AttemptRecord{ID: cr.call.ID, Number: cr.attempts, Upstream: upstreamID, Address: addr, Repeatable: cr.repeatable}
 	cr.handler.log.AttemptStarted(&attempt)
@@ -52,6 +52,7 @@
 			attempt.Result = ResultUnsent
 		}
 	}
+	answered(attempt.Result == ResultAnswered)
 	if !attempt.Result.provesNotRun() {
 		cr.record.MayHaveRun = true
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -185,6 +185,15 @@
 	report := func(outcome apiv1.PlacementOutcome) {
 		cr.handler.scheduler.ReportOutcome(placement.Number, outcome, cr.eventInterval())
 	}
+	answered, err := cr.handler.pauses.await(cr.ctx, placement.UpstreamID)
+	if err != nil {
+		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+		if errors.Is(err, errPaused) {
+			return false
+		}
+		cr.refuse(attemptRetryDelay, "the engine recovers from a pause: "+err.Error())
+		return true
+	}
 	release := cr.handler.balancer.begin(placement.UpstreamID)
 	defer release()
 	cr.recordAttempt(placement.UpstreamID)
@@ -193,7 +202,7 @@
 	cr.stall = cr.watchStalls(placement.Expected, cancel)
 	defer cr.stall.stop()
 	sentAt := time.Now()
-	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority)
+	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority, answered)
 	if err != nil {
 		return cr.handleSendError(err, placement, report)
 	}
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -29,20 +29,24 @@
 type pauses struct {
 	mu    sync.Mutex // serializes writers
 	until atomic.Pointer[map[string]time.Time]
+	// ramps let requests in by degrees after a pause.
+	ramps ramps
 }
 
 // add keeps requests from an upstream that asked for it. It is not a failure.
 func (p *pauses) add(id string, pause time.Duration) {
-	now := time.Now()
+	end := time.Now().Add(pause)
 	p.replace(func(until map[string]time.Time) {
-		if end := now.Add(pause); until[id].Before(end) {
+		if until[id].Before(end) {
 			until[id] = end
 		}
 	})
+	p.ramps.start(id, end)
 }
 
-// prune drops the pauses that are over.
+// prune drops the pauses and ramps that are over.
 func (p *pauses) prune() {
+	p.ramps.prune()
 	if p.until.Load() != nil {
 		p.replace(func(map[string]time.Time) {})
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,32 +21,47 @@
 			cr.refuse(cr.retryDelay(attemptRetryDelay), "no upstream is known, or all of them asked for a pause")
 			return
 		}
-		if cr.sendPlain(up) {
+		answered, err := cr.handler.pauses.await(cr.ctx, up.ID)
+		if errors.Is(err, errPaused) {
+			continue
+		}
+		if err != nil {
+			cr.refuse(attemptRetryDelay, "the upstreams recover from a pause: "+err.Error())
+			return
+		}
+		if cr.sendPlain(up, answered) {
 			return
 		}
 	}
 }
 
 func (cr *callerRequest) pickPlain() *fleet.Upstream {
-	var candidates []*fleet.Upstream
+	var candidates, recovering []*fleet.Upstream
 	for _, up := range cr.handler.directory.Load().ByService[cr.service.Name] {
 		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.pauses.left(up.ID) == 0 {
+			if cr.handler.pauses.ramps.isFull(up.ID) {
+				recovering = append(recovering, up)
+				continue
+			}
 			candidates = append(candidates, up)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = recovering
+	}
 	return cr.handler.balancer.pick(candidates)
 }
 
 // sendPlain sends the request to an upstream. It reports false if another one may be
 // tried.
-func (cr *callerRequest) sendPlain(up *fleet.Upstream) bool {
+func (cr *callerRequest) sendPlain(up *fleet.Upstream, answered func(bool)) bool {
 	done := cr.handler.balancer.begin(up.ID)
 	defer done()
 	cr.recordAttempt(up.ID)
 	ctx, cancel := cr.attemptContext()
 	defer cancel()
 	began := time.Now()
-	resp, info, err := cr.send(ctx, up.ID, up.Addr, noPriority)
+	resp, info, err := cr.send(ctx, up.ID, up.Addr, noPriority, answered)
 	if err != nil {
 		return cr.handlePlainError(up, err)
 	}
