scheduler: an engine replaced before it was asked counts as crashed; damaged entries block nothing

An engine that restarted under its id, or whose registration ended, before its inventory was read took the requests that had broken off on it along. A row with an entry without parts would have matched each prompt. A hello that was still being written shared its reports with the next one. TestEngineThatIsReplacedBeforeItIsAskedCrashed and TestEntryWithoutPartsBlocksNothing failed before.

--- a/internal/blocklist/sound.go
+++ b/internal/blocklist/sound.go
@@ -1,6 +1,9 @@
 package blocklist
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // soundParts remembers when parts were last in a completed response, for the parts used
 // most recently.
@@ -12,6 +15,9 @@
 	if len(s.recent) >= maxSoundParts {
 		s.older, s.recent = s.recent, make(map[string]time.Time)
 	}
+	if _, known := s.recent[part]; !known {
+		part = strings.Clone(part) // it may be a piece of a request's header
+	}
 	s.recent[part] = now
 }
 
--- a/internal/cell/blocklist.go
+++ b/internal/cell/blocklist.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
@@ -37,6 +39,9 @@
 func decodeBlocklist(list *apiv1.Blocklist) map[string][]blocklist.Entry {
 	entries := make(map[string][]blocklist.Entry)
 	for _, p := range list.GetEntries() {
+		if len(p.GetParts()) == 0 {
+			continue // it would match each prompt
+		}
 		e := blocklist.Entry{Parts: p.GetParts(), Since: time.UnixMilli(p.GetSinceMs()), Crashes: int(p.GetCrashes()), Trials: int(p.GetTrials())}
 		entries[p.GetService()] = append(entries[p.GetService()], e)
 	}
@@ -82,8 +87,9 @@
 	var reports []*apiv1.BrokenOffRequest
 	for _, b := range c.brokenOff {
 		if age := time.Since(b.at); age <= brokenOffTTL {
-			b.report.AgoUs = age.Microseconds()
-			reports = append(reports, b.report)
+			report := proto.CloneOf(b.report) // earlier copies may still be on their way
+			report.AgoUs = age.Microseconds()
+			reports = append(reports, report)
 		}
 	}
 	return reports
--- a/internal/cell/blocklist_test.go
+++ b/internal/cell/blocklist_test.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// A row that is damaged must not block all prompts.
+func TestEntryWithoutPartsBlocksNothing(t *testing.T) {
+	is := is.New(t)
+	list := decodeBlocklist(&apiv1.Blocklist{Entries: []*apiv1.BlockedPrompts{{Service: "s"}, {Service: "s", Parts: []string{"fatal"}}}})
+	is.Equal(len(list["s"]), 1)
+	is.Equal(list["s"][0].Parts, []string{"fatal"})
+}
+
 // The store comes back from a copy without the row.
 func TestBlocklistIsWrittenAgainAfterARestore(t *testing.T) {
 	is := is.New(t)
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
 var errRefused = errors.New("connection refused")
@@ -125,5 +127,40 @@
 	is.True(!g.Trial)
 }
 
+// An engine restarts under its id, or its registration ends, before the holder has read an
+// inventory: that is a crash too, but not the end of an engine that was draining.
+func TestEngineThatIsReplacedBeforeItIsAskedCrashed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		crashes int
+		change  func(e *fakeEngine, sim *simulation)
+	}{
+		"restarted": {1, func(e *fakeEngine, _ *simulation) { e.up = &fleet.Upstream{ID: e.up.ID, Service: "llm", StartedMs: 2} }},
+		"removed":   {1, func(e *fakeEngine, sim *simulation) { delete(sim.engines, e.up.ID) }},
+		"left": {0, func(e *fakeEngine, sim *simulation) {
+			e.up = &fleet.Upstream{ID: e.up.ID, Service: "llm", StartedMs: 1, Sequence: 9, Draining: true}
+			sim.update()
+			delete(sim.engines, e.up.ID)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			spec := testSpec(1)
+			e := newFakeEngine("e0", spec, "m0")
+			sim := newSimulation(spec, e)
+			sim.heartbeatAll()
+			sim.update()
+			sim.run(time.Second)
+			key := sim.submitPrompt("m0", "common", "own")
+			sim.cell.Progress(sim.now, key, EndedByEngine) // the inventory that it asks for is late
+			tc.change(e, sim)
+			var list []*fleet.Upstream
+			for _, e := range sim.engines {
+				list = append(list, e.up)
+			}
+			is.Equal(len(sim.cell.Update(sim.now, spec, list).Crashes), tc.crashes)
+		})
+	}
+}
+
 // sameTimeApart is the time between crashes that count each.
 const sameTimeApart = 600 * time.Millisecond
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -30,6 +30,7 @@
 	}
 	for id, e := range c.engines {
 		if !listed[id] {
+			c.confirmCrash(now, e, !e.up.Draining)
 			c.removeEngine(e)
 		}
 	}
@@ -54,6 +55,7 @@
 func (c *Cell) updateEngine(now time.Time, up *fleet.Upstream) {
 	e := c.engines[up.ID]
 	if e != nil && up.StartedMs > e.up.StartedMs {
+		c.confirmCrash(now, e, true)
 		c.removeEngine(e)
 		e = nil
 	}
