--- a/internal/cell/relay_test.go
+++ b/internal/cell/relay_test.go
@@ -97,6 +97,7 @@
 		for len(s.events) > 0 {
 			(<-s.events)()
 		}
+		s.refreshIfDue()
 	}
 	directory.SetConfig(fleet.NewConfig(1, nil, nil, fleet.Limits{}))
 	upstream := func(id string) fleet.Registration {
@@ -105,6 +106,7 @@
 	s.Start(LeaseTerm{Fence: 1})
 	directory.Merge(time.Now(), fleet.Change{Complete: true, Version: 5, Registrations: []fleet.Registration{upstream("stays"), upstream("leaves")}})
 	s.Refresh()
+	runEvents()
 	s.Stop()
 	runEvents()
 
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -113,10 +113,6 @@
 		s.opts.OnSuperseded(body.Superseded.GetAddress(), body.Superseded.GetLeaseVersion())
 	case *apiv1.SchedulerCall_Standing:
 		from.storeReachedAt = now
-	case *apiv1.SchedulerCall_LeavingUpstream:
-		if _, changed := s.opts.Directory.MarkLeaving(now, body.LeavingUpstream.GetId(), body.LeavingUpstream.GetStartedMs()); changed {
-			s.refresh()
-		}
 	case *apiv1.SchedulerCall_Leaving:
 		from.draining = true
 	case *apiv1.SchedulerCall_Withdrawal:
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -85,7 +85,10 @@
 type Scheduler struct {
 	opts   SchedulerOptions
 	events chan func()
-	ctx    context.Context
+	// refreshes holds an element while the directory has changes that are not applied. They
+	// go before events: heartbeats tell routers how old the list is that they were sent.
+	refreshes chan struct{}
+	ctx       context.Context
 	// inspections holds an element for each inventory that is being read.
 	inspections chan struct{}
 
@@ -118,6 +121,7 @@
 	return &Scheduler{
 		opts:        opts,
 		events:      make(chan func(), eventQueueSize),
+		refreshes:   make(chan struct{}, 1),
 		inspections: make(chan struct{}, maxInspections),
 		cells:       make(map[string]*scheduler.Cell),
 		sessions:    make(map[uint64]*session),
@@ -130,9 +134,12 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		s.refreshIfDue()
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.refreshes:
+			s.refresh()
 		case event := <-s.events:
 			event()
 		case <-ticker.C:
@@ -141,6 +148,15 @@
 	}
 }
 
+// refreshIfDue applies the changes of the directory, if there are any.
+func (s *Scheduler) refreshIfDue() {
+	select {
+	case <-s.refreshes:
+		s.refresh()
+	default:
+	}
+}
+
 // post queues an event. It never blocks: it drops the event and returns false if
 // the queue is full. Requests in dropped events time out at their routers.
 func (s *Scheduler) post(event func()) bool {
@@ -180,8 +196,14 @@
 	})
 }
 
-// Refresh applies the current configuration and upstream list of the directory.
-func (s *Scheduler) Refresh() { s.post(s.refresh) }
+// Refresh applies the current configuration and upstream list of the directory, before the
+// events that are queued.
+func (s *Scheduler) Refresh() {
+	select {
+	case s.refreshes <- struct{}{}:
+	default: // the one that is due sees the directory's latest state
+	}
+}
 
 func (s *Scheduler) refresh() {
 	snapshot := s.opts.Directory.Load()
@@ -332,13 +354,21 @@
 	return s.cells[service]
 }
 
-// post queues a call of the router for the scheduler's goroutine.
+// post queues a call of the router for the scheduler's goroutine. An upstream that leaves is
+// marked at once.
 func (s *session) post(call *apiv1.SchedulerCall) {
+	if leaving := call.GetLeavingUpstream(); leaving != nil {
+		if _, changed := s.owner.opts.Directory.MarkLeaving(time.Now(), leaving.GetId(), leaving.GetStartedMs()); changed {
+			s.owner.Refresh()
+		}
+		return
+	}
 	s.owner.post(func() { s.owner.handle(s, call) })
 }
 
-// sendHeartbeats sends a heartbeat to each router.
+// sendHeartbeats sends a heartbeat to each router, after what its list age covers.
 func (s *Scheduler) sendHeartbeats() {
+	s.refreshIfDue()
 	strongest := 0.0
 	now := time.Now()
 	for _, session := range s.sessions {
