--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -207,7 +207,7 @@
 		e.orders = -1
 		c.inspect(e, inspectInterval)
 	}
-	c.dispatch(now)
+	c.dispatchAfterEvent(now)
 	return c.takeActions()
 }
 
@@ -385,7 +385,7 @@
 	}
 	e.reported = true
 	c.reconcile(now, e, inventory)
-	c.dispatch(now)
+	c.dispatchAfterEvent(now)
 	return c.takeActions()
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -52,6 +52,18 @@
 	adapterLoad
 )
 
+// maxEventDispatch is the number of waiting requests times engines up to which each event
+// dispatches. Above it the next tick does: a new holder of a large fleet reads thousands of
+// inventories while thousands of requests wait.
+const maxEventDispatch = 20_000
+
+// dispatchAfterEvent dispatches unless that is left to the next tick.
+func (c *Cell) dispatchAfterEvent(now time.Time) {
+	if len(c.waiting)*len(c.engines) <= maxEventDispatch {
+		c.dispatch(now)
+	}
+}
+
 // dispatch tries to place the waiting requests, by rank and then by objective.
 func (c *Cell) dispatch(now time.Time) {
 	c.resetQueuedPrefill()
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -37,7 +37,7 @@
 	if first {
 		c.seedDemand()
 	}
-	c.dispatch(now)
+	c.dispatchAfterEvent(now)
 	return c.takeActions()
 }
 
