--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -130,10 +130,7 @@
 
 // askedEngines sends orders and reads of inventories to the engines of the test as GET
 // requests to /order and /report.
-type askedEngines struct {
-	fakeEngines
-	pool *exchange.Pool
-}
+type askedEngines struct{ pool *exchange.Pool }
 
 func (e askedEngines) Order(ctx context.Context, up *fleet.Upstream, _ fleet.Order) (fleet.OrderResult, error) {
 	_, _, err := e.pool.Fetch(ctx, up.Addr, &exchange.Request{Method: http.MethodGet, URI: "/order", Header: http.Header{}})
