--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -161,25 +161,29 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			var told, requests atomic.Int32
-			engine := func(noticed bool) http.HandlerFunc {
+			// The first engine that gets the call is the one that has the notice.
+			var chosen, told, requests atomic.Int32
+			engine := func(number int32) http.HandlerFunc {
 				return func(w http.ResponseWriter, r *http.Request) {
 					own := r.URL.Path == "/report" || r.URL.Path == "/order"
 					script := events(1, 2, true)
 					if own {
 						script = respond(http.StatusOK, report)
 					}
-					if noticed && r.URL.Path == tc.path {
+					if r.URL.Path == tc.path {
+						chosen.CompareAndSwap(0, number)
+					}
+					if r.URL.Path == tc.path && chosen.Load() == number {
 						told.Add(1)
 						script = tc.notice(script)
 					}
-					if noticed && !own {
+					if !own && chosen.Load() == number {
 						requests.Add(1)
 					}
 					script(w, r)
 				}
 			}
-			source := &fakeSource{upstreams: []*upstream{newUpstream(t, "engine-1", engine(true)), newUpstream(t, "engine-2", engine(false))}, draining: map[string]bool{}}
+			source := &fakeSource{upstreams: []*upstream{newUpstream(t, "engine-1", engine(1)), newUpstream(t, "engine-2", engine(2))}, draining: map[string]bool{}}
 			router := startWith(t, source, askedEngines{pool: exchange.NewPool(exchange.Options{IDHeader: "Id"})})
 			router.waitUntil(t, func() bool {
 				if told.Load() == 0 && tc.path == "/order" {
