entry: a planned stop does not fail because its listener is still in use

The server closes the listener a second time if the goroutine that accepts has not returned. The new test passes; that it fails without the fix was not run.

--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -48,15 +48,19 @@
 // answered, at the latest at the deadline. http.Server.Shutdown is no replacement: it
 // closes a connection without an answer if the request was not read completely before.
 func (s *callerServer) close(deadline time.Time) error {
-	err := s.listener.Close()
-	if errors.Is(err, net.ErrClosed) {
-		err = nil
-	}
+	err := ignoreClosed(s.listener.Close())
 	s.SetKeepAlivesEnabled(false)
 	for s.conns.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(closePollInterval)
 	}
-	return errors.Join(err, s.Server.Close())
+	return errors.Join(err, ignoreClosed(s.Server.Close())) // closes the listener again while serve uses it
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
 }
 
 // closeDeadline returns until when the process may wait for requests at its exit.
