blocklist: one rule for the parts that requests share; nothing is built while nothing is blocked

Which parts of a prompt count, all but the last, stood in the scheduler, the cell and the entry; now it is blocklist.SharedParts. Each submitted request built that list though no prompt was blocked. union is used in its package only, two receivers bore the initial of an old name, and a constant and a field of the log lacked their line. Behaviour is the same, no test is changed.

--- a/internal/blocklist/ledger.go
+++ b/internal/blocklist/ledger.go
@@ -51,6 +51,19 @@
 	Trials int
 }
 
+// SharedParts returns the ids of the parts of a prompt that several requests may have in
+// common: all but the last one.
+func SharedParts[P any](parts []P, id func(P) string) []string {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(parts)-1)
+	for i := range ids {
+		ids[i] = id(parts[i])
+	}
+	return ids
+}
+
 // Matches reports whether a prompt has all parts of the entry.
 func (e Entry) Matches(parts []string) bool {
 	for _, part := range e.Parts {
@@ -141,18 +154,18 @@
 		l.sound.add(now, part)
 	}
 	kept := l.blocked[:0]
-	for _, q := range l.blocked {
-		left := slices.DeleteFunc(slices.Clone(q.Parts), func(part string) bool { return slices.Contains(parts, part) })
+	for _, b := range l.blocked {
+		left := slices.DeleteFunc(slices.Clone(b.Parts), func(part string) bool { return slices.Contains(parts, part) })
 		switch {
 		case len(left) == 0:
-			released = append(released, q.Entry)
+			released = append(released, b.Entry)
 			l.changed = true
 			continue
-		case len(left) < len(q.Parts):
-			q.Parts = left
+		case len(left) < len(b.Parts):
+			b.Parts = left
 			l.changed = true
 		}
-		kept = append(kept, q)
+		kept = append(kept, b)
 	}
 	clear(l.blocked[len(kept):])
 	l.blocked = kept
@@ -253,20 +266,23 @@
 
 // explanationOf returns the entry that explains a crash, nil if there is none.
 func (l *Ledger) explanationOf(c *crash) *blocked {
-	for _, q := range l.blocked {
-		if !slices.ContainsFunc(q.Parts, func(part string) bool { return !c.isUnder(part) }) {
-			return q
+	for _, b := range l.blocked {
+		if !slices.ContainsFunc(b.Parts, func(part string) bool { return !c.isUnder(part) }) {
+			return b
 		}
 	}
 	return nil
 }
 
+// IsEmpty reports whether nothing is blocked.
+func (l *Ledger) IsEmpty() bool { return len(l.blocked) == 0 }
+
 // Check returns the entry that a prompt matches and the time until its next trial; ok is
 // false if there is none. Of several entries it returns the one with the latest trial.
 func (l *Ledger) Check(now time.Time, parts []string) (entry Entry, untilTrial time.Duration, ok bool) {
-	for _, q := range l.blocked {
-		if left := q.nextTrial.Sub(now); q.Matches(parts) && (!ok || left > untilTrial) {
-			entry, untilTrial, ok = q.Entry, left, true
+	for _, b := range l.blocked {
+		if left := b.nextTrial.Sub(now); b.Matches(parts) && (!ok || left > untilTrial) {
+			entry, untilTrial, ok = b.Entry, left, true
 		}
 	}
 	return entry, untilTrial, ok
@@ -274,10 +290,10 @@
 
 // BeginTrial counts a request that is let through although it matches entries.
 func (l *Ledger) BeginTrial(now time.Time, parts []string) {
-	for _, q := range l.blocked {
-		if q.Matches(parts) {
-			q.Trials++
-			q.nextTrial = now.Add(trialDelay(q.Trials))
+	for _, b := range l.blocked {
+		if b.Matches(parts) {
+			b.Trials++
+			b.nextTrial = now.Add(trialDelay(b.Trials))
 			l.changed = true
 		}
 	}
@@ -287,14 +303,14 @@
 // had reached.
 func (l *Ledger) Adopt(now time.Time, entries []Entry) {
 	for _, e := range entries {
-		covers := func(q *blocked) bool { return q.Matches(e.Parts) }
+		covers := func(b *blocked) bool { return b.Matches(e.Parts) }
 		i := slices.IndexFunc(l.blocked, covers)
 		if i < 0 {
 			l.insert(e, now.Add(trialDelay(e.Trials)))
 			continue
 		}
-		if q := l.blocked[i]; len(q.Parts) == len(e.Parts) && e.Trials > q.Trials {
-			q.Trials, q.nextTrial = e.Trials, now.Add(trialDelay(e.Trials))
+		if b := l.blocked[i]; len(b.Parts) == len(e.Parts) && e.Trials > b.Trials {
+			b.Trials, b.nextTrial = e.Trials, now.Add(trialDelay(e.Trials))
 			l.changed = true
 		}
 	}
@@ -302,7 +318,7 @@
 
 // insert adds an entry in place of those that match no other prompts.
 func (l *Ledger) insert(e Entry, nextTrial time.Time) {
-	l.blocked = slices.DeleteFunc(l.blocked, func(q *blocked) bool { return e.Matches(q.Parts) })
+	l.blocked = slices.DeleteFunc(l.blocked, func(b *blocked) bool { return e.Matches(b.Parts) })
 	l.blocked = append(l.blocked, &blocked{Entry: e, nextTrial: nextTrial})
 	l.changed = true
 }
@@ -310,8 +326,8 @@
 // Entries returns the entries, ordered by parts.
 func (l *Ledger) Entries() []Entry {
 	out := make([]Entry, 0, len(l.blocked))
-	for _, q := range l.blocked {
-		out = append(out, q.Entry)
+	for _, b := range l.blocked {
+		out = append(out, b.Entry)
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return slices.Compare(a.Parts, b.Parts) })
 	return out
--- a/internal/blocklist/list.go
+++ b/internal/blocklist/list.go
@@ -33,7 +33,7 @@
 func (l *List) Merge(entries map[string][]Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	merged := Union(l.Load(), entries)
+	merged := union(l.Load(), entries)
 	l.current.Store(&merged)
 }
 
@@ -47,8 +47,8 @@
 	return Entry{}, false
 }
 
-// Union returns the entries of both, with the trials of the one that had more.
-func Union(a, b map[string][]Entry) map[string][]Entry {
+// union returns the entries of both, with the trials of the one that had more.
+func union(a, b map[string][]Entry) map[string][]Entry {
 	out := make(map[string][]Entry, len(a))
 	maps.Copy(out, a)
 	for service, entries := range b {
--- a/internal/cell/blocklist.go
+++ b/internal/cell/blocklist.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -63,7 +64,7 @@
 	if r := c.running[number]; r != nil && !r.GetStarted() {
 		c.brokenOff = slices.DeleteFunc(c.brokenOff, func(b reportedBrokenOff) bool { return now.Sub(b.at) > brokenOffTTL })
 		c.brokenOff = append(c.brokenOff[max(0, len(c.brokenOff)-maxBrokenOff+1):], reportedBrokenOff{at: now, report: &apiv1.BrokenOffRequest{
-			Service: r.GetAsk().GetService(), RequestId: r.GetAsk().GetRequestId(), UpstreamId: r.GetUpstreamId(), StartedMs: startedMs, Parts: sharedParts(r.GetAsk()),
+			Service: r.GetAsk().GetService(), RequestId: r.GetAsk().GetRequestId(), UpstreamId: r.GetUpstreamId(), StartedMs: startedMs, Parts: blocklist.SharedParts(r.GetAsk().GetParts(), (*apiv1.PromptPart).GetId),
 		}})
 	}
 	delete(c.running, number)
@@ -72,16 +73,6 @@
 	c.sendLocked(call)
 }
 
-// sharedParts returns the ids of the parts that other requests may have in common with
-// this one: all but the last.
-func sharedParts(req *apiv1.PlacementAsk) []string {
-	var ids []string
-	for _, p := range req.GetParts()[:max(0, len(req.GetParts())-1)] {
-		ids = append(ids, p.GetId())
-	}
-	return ids
-}
-
 // brokenOffLocked returns the requests that broke off lately.
 func (c *Client) brokenOffLocked() []*apiv1.BrokenOffRequest {
 	var reports []*apiv1.BrokenOffRequest
@@ -142,9 +133,7 @@
 
 func (s *Scheduler) blocklistReply() *apiv1.SchedulerReply {
 	entries := make(map[string][]blocklist.Entry)
-	for service, parts := range s.opts.Blocklist.Load() {
-		entries[service] = parts
-	}
+	maps.Copy(entries, s.opts.Blocklist.Load())
 	for service, cell := range s.cells {
 		entries[service] = cell.Blocked()
 	}
--- a/internal/cell/blocklist_store.go
+++ b/internal/cell/blocklist_store.go
@@ -60,11 +60,11 @@
 }
 
 // Run reads and writes until ctx ends.
-func (q *BlocklistStore) Run(ctx context.Context) {
+func (b *BlocklistStore) Run(ctx context.Context) {
 	ticker := time.NewTicker(blocklistTickInterval)
 	defer ticker.Stop()
 	for {
-		q.step(ctx, time.Now())
+		b.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -73,79 +73,79 @@
 	}
 }
 
-func (q *BlocklistStore) step(ctx context.Context, now time.Time) {
-	if now.Before(q.nextCall) {
+func (b *BlocklistStore) step(ctx context.Context, now time.Time) {
+	if now.Before(b.nextCall) {
 		return
 	}
-	fence := q.opts.Fence()
-	era := q.opts.StoreEra()
-	if fence != 0 && (fence != q.fence || era != q.era) {
-		q.row = nil // another router may have written it, or the store was restored
+	fence := b.opts.Fence()
+	era := b.opts.StoreEra()
+	if fence != 0 && (fence != b.fence || era != b.era) {
+		b.row = nil // another router may have written it, or the store was restored
 	}
-	q.fence, q.era = fence, era
+	b.fence, b.era = fence, era
 	switch {
-	case q.row == nil:
-		q.read(ctx)
+	case b.row == nil:
+		b.read(ctx)
 	case fence != 0:
-		if list := encodeBlocklist(q.opts.List.Load()); !proto.Equal(list, q.row) {
-			q.write(ctx, list)
+		if list := encodeBlocklist(b.opts.List.Load()); !proto.Equal(list, b.row) {
+			b.write(ctx, list)
 		}
-	case !q.opts.HasActiveScheduler():
-		q.nextCall = now.Add(blocklistReadInterval)
-		q.read(ctx)
+	case !b.opts.HasActiveScheduler():
+		b.nextCall = now.Add(blocklistReadInterval)
+		b.read(ctx)
 	}
 }
 
-func (q *BlocklistStore) read(ctx context.Context) {
+func (b *BlocklistStore) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	row, err := q.opts.Table.Get(ctx, blocklistKey)
+	row, err := b.opts.Table.Get(ctx, blocklistKey)
 	if err != nil {
-		q.failed("read blocklist", err)
+		b.failed("read blocklist", err)
 		return
 	}
-	q.take(row)
+	b.take(row)
 }
 
 // take adds the parts of a row to those of this router.
-func (q *BlocklistStore) take(row external.Row) {
+func (b *BlocklistStore) take(row external.Row) {
 	list := &apiv1.Blocklist{}
 	if err := proto.Unmarshal(row.Value, list); err != nil {
-		q.failed("decode blocklist", err)
+		b.failed("decode blocklist", err)
 		list.Reset() // it is written anew
 	}
-	known := q.row != nil && row.Version == q.version
-	q.row, q.version = list, row.Version
+	known := b.row != nil && row.Version == b.version
+	b.row, b.version = list, row.Version
 	if !known && len(list.GetEntries()) > 0 {
-		q.opts.OnRead(decodeBlocklist(list))
+		b.opts.OnRead(decodeBlocklist(list))
 	}
 }
 
-func (q *BlocklistStore) write(ctx context.Context, list *apiv1.Blocklist) {
+func (b *BlocklistStore) write(ctx context.Context, list *apiv1.Blocklist) {
 	value, err := proto.Marshal(list)
 	if err != nil {
-		q.failed("encode blocklist", err)
+		b.failed("encode blocklist", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	result, err := q.opts.Table.Commit(ctx, external.Txn{
+	result, err := b.opts.Table.Commit(ctx, external.Txn{
 		ID:     crand.Text(),
-		Checks: []external.Check{{Key: blocklistKey, Version: q.version}},
+		Checks: []external.Check{{Key: blocklistKey, Version: b.version}},
 		Puts:   []external.Put{{Key: blocklistKey, Value: value}},
 	})
 	switch {
 	case err != nil:
-		q.row = nil // it may have been written
-		q.failed("write blocklist", err)
+		b.row = nil // it may have been written
+		b.failed("write blocklist", err)
 	case result.Committed:
-		q.row, q.version = list, result.Version
+		b.row, b.version = list, result.Version
 	case len(result.Conflicts) > 0:
-		q.take(result.Conflicts[0])
+		b.take(result.Conflicts[0])
 	}
 }
 
-func (q *BlocklistStore) failed(op string, err error) {
-	q.nextCall = time.Now().Add(blocklistRetryDelay)
-	q.opts.OnFailed(op, err)
+func (b *BlocklistStore) failed(op string, err error) {
+	b.nextCall = time.Now().Add(blocklistRetryDelay)
+	b.opts.OnFailed(op, err)
 }
--- a/internal/entry/blocklist.go
+++ b/internal/entry/blocklist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 )
@@ -17,24 +18,17 @@
 
 // checkBlocklist returns a *cell.RefusedError if a part of the prompt is blocked.
 func (cr *callerRequest) checkBlocklist() error {
-	if len(cr.call.Parts) < 2 || len(cr.handler.blocklist.Load()) == 0 {
+	if len(cr.handler.blocklist.Load()) == 0 {
 		return nil
 	}
-	entry, found := cr.handler.blocklist.Match(cr.service.Name, cr.partIDs()[:len(cr.call.Parts)-1])
+	shared := blocklist.SharedParts(cr.call.Parts, func(p PromptPart) string { return p.ID })
+	entry, found := cr.handler.blocklist.Match(cr.service.Name, shared)
 	if !found {
 		return nil
 	}
 	return &cell.RefusedError{RetryAfter: blocklistRetryDelay, Reason: entry.Reason()}
 }
 
-func (cr *callerRequest) partIDs() []string {
-	ids := make([]string, len(cr.call.Parts))
-	for i, part := range cr.call.Parts {
-		ids[i] = part.ID
-	}
-	return ids
-}
-
 // reportFailure reports a failed attempt to the scheduler, and whether the engine ended
 // the connection.
 func (cr *callerRequest) reportFailure(err error, placement cell.Placement) {
@@ -42,7 +36,10 @@
 		cr.handler.scheduler.ReportOutcome(placement.Number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED, 0)
 		return
 	}
-	cr.record.BrokenOff = cr.partIDs()
+	cr.record.BrokenOff = cr.record.BrokenOff[:0] // of an earlier attempt
+	for _, part := range cr.call.Parts {
+		cr.record.BrokenOff = append(cr.record.BrokenOff, part.ID)
+	}
 	var startedMs int64
 	if up := cr.handler.directory.Load().Upstreams[placement.UpstreamID]; up != nil {
 		startedMs = up.StartedMs
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -10,7 +10,8 @@
 const (
 	// provenTime is how long a response must have been arriving for its request not to be
 	// suspected of a crash: engines that a request crashes end as they begin to respond.
-	provenTime     = time.Second
+	provenTime = time.Second
+	// provenInterval is the shortest time between two looks at all responses in progress.
 	provenInterval = 200 * time.Millisecond
 	// maxBrokenOffAge is how long after a request broke off the end of its engine counts
 	// as a crash under it.
@@ -27,7 +28,7 @@
 	// router does not know it.
 	UpstreamID string
 	StartedMs  int64
-	// Parts are the suspects; see Request.sharedParts.
+	// Parts are the suspects; see blocklist.SharedParts.
 	Parts []string
 	At    time.Time
 }
@@ -40,17 +41,8 @@
 	Suspects []string
 }
 
-// sharedParts returns the ids of the prompt's parts that several requests may have in
-// common: all but the last one.
 func (a *Request) sharedParts() []string {
-	if len(a.Parts) < 2 {
-		return nil
-	}
-	ids := make([]string, len(a.Parts)-1)
-	for i := range ids {
-		ids[i] = a.Parts[i].ID
-	}
-	return ids
+	return blocklist.SharedParts(a.Parts, func(p PromptPart) string { return p.ID })
 }
 
 // noteBrokenOff handles the end of a run's connection. Whether the engine itself ended is
@@ -153,7 +145,7 @@
 // refuseIfBlocked refuses a request with a blocked part, unless it may be the
 // part's next trial.
 func (c *Cell) refuseIfBlocked(now time.Time, w *waiter) bool {
-	if w.req.trial {
+	if w.req.trial || c.ledger.IsEmpty() {
 		return false
 	}
 	shared := w.req.sharedParts()
