--- a/review/standin/case_prompt.go
+++ b/review/standin/case_prompt.go
@@ -10,8 +10,13 @@
 )
 
 func init() {
-	cases["prompt-groups"] = func(b *bench) { playPrompt(b, false) }
-	cases["prompt-begun"] = func(b *bench) { playPrompt(b, true) }
+	cases["prompt"] = func(b *bench) {
+		b.record("first play: the server crashes before the first byte of its answer; requests with the part come in groups")
+		playPrompt(b, false)
+		b.reset()
+		b.record("second play: the server crashes as it writes its second event; requests with the part come one by one")
+		playPrompt(b, true)
+	}
 }
 
 // fatalPart is the part of prompts that crashes each server that begins to write an answer.
@@ -119,8 +124,10 @@
 	log.mu.Unlock()
 	e.c.record("server %s crashes under %s, crash %d", name, id, n)
 	time.AfterFunc(4*time.Second, func() {
-		e.c.store.remove("servers", e.id())
-		e.start()
+		if e.c.plays(e.store) {
+			e.store.remove("servers", e.id())
+			e.start()
+		}
 	})
 }
 
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -65,6 +65,7 @@
 // is an incarnation.
 type engine struct {
 	c       *bench
+	store   *store
 	name    string // id of the present incarnation
 	starts  int
 	base    string
@@ -103,7 +104,7 @@
 }
 
 func (b *bench) newEngine(base, service, zone string, models ...string) *engine {
-	e := &engine{c: b, base: base, service: service, zone: zone, firstEvent: 120 * time.Millisecond, gap: 20 * time.Millisecond, events: 13}
+	e := &engine{c: b, store: b.store, base: base, service: service, zone: zone, firstEvent: 120 * time.Millisecond, gap: 20 * time.Millisecond, events: 13}
 	e.start(models...)
 	return e
 }
@@ -194,15 +195,15 @@
 	} else {
 		entry["slots"] = 6
 	}
-	e.c.store.put("servers", e.name, entry)
+	e.store.put("servers", e.name, entry)
 }
 
 // runBeats writes the registrations of all servers and lets those lapse that are silent for
 // three intervals.
-func (b *bench) runBeats() {
-	for {
+func (b *bench) runBeats(store *store, engines []*engine) {
+	for b.plays(store) {
 		time.Sleep(50 * time.Millisecond)
-		for _, e := range b.engines {
+		for _, e := range engines {
 			e.mu.Lock()
 			name := e.name
 			if time.Since(e.lastBeat) >= beat {
@@ -211,7 +212,7 @@
 			lapsed := time.Since(e.lastBeat) >= 3*beat
 			e.mu.Unlock()
 			if lapsed {
-				b.store.remove("servers", name)
+				store.remove("servers", name)
 			}
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// plays reports whether a store is that of the present play.
+func (b *bench) plays(s *store) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.store == s
+}
+
+// reset ends a play, so that another one can follow.
+func (b *bench) reset() {
+	b.end()
+	for _, e := range b.engines {
+		e.crash()
+	}
+	b.mu.Lock()
+	b.store = newStore()
+	b.mu.Unlock()
+	b.engines, b.routers, b.models = nil, nil, nil
+}
+
 // router is a process of the project on an entry host.
 type router struct {
 	b      *bench
@@ -88,6 +107,8 @@
 	path   string
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// proxy is between the process and the store.
+	proxy *proxy
 }
 
 func freePort(ip string) int {
@@ -102,7 +123,7 @@
 // newRouter writes the settings of an entry host and starts its process.
 func (b *bench) newRouter(i int, zone, storeAddr string) *router {
 	ip := fmt.Sprintf("127.0.0.%d", 11+i)
-	r := &router{b: b, node: fmt.Sprintf("edge-%s-1", zone), zone: zone, ip: ip}
+	r := &router{b: b, node: fmt.Sprintf("edge-%s-1", zone), zone: zone, ip: ip, proxy: b.newProxy(storeAddr)}
 	front, ready, control, peer := freePort(ip), freePort(ip), freePort(ip), freePort(ip)
 	if front == 0 || ready == 0 || control == 0 || peer == 0 {
 		b.fatal("no free port at %s", ip)
@@ -122,7 +143,7 @@
 			"requireFence": true, "leaseMs": 3000, "thawMs": 300, "ceilingWindowS": 5, "ceilingOver": 1.1,
 		},
 		"cloudApi": map[string]any{
-			"addr": storeAddr, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 6.0, "partWritesS": 200, "rowBytes": 65536, "across": false,
+			"addr": r.proxy.addr(), "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 6.0, "partWritesS": 200, "rowBytes": 65536, "across": false,
 			"historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0,
 		},
 	}
@@ -329,7 +350,7 @@
 		b.fatal("listen for the store: %v", err)
 	}
 	go func() { _ = http.Serve(l, b.store) }()
-	go b.runBeats()
+	go b.runBeats(b.store, b.engines)
 	for i, zone := range zones {
 		b.newRouter(i, zone, l.Addr().String())
 	}
