--- a/review/standin/case_limit.go
+++ b/review/standin/case_limit.go
@@ -64,6 +64,10 @@
 	armed = b.trouble
 	mu.Unlock()
 	holder := b.waitHolder()
+	for _, model := range []string{"m0/a3", "m3/a3", "m6/a3"} { // these orders are answered
+		chat(holder, model)
+	}
+	wg.Wait()
 	chat(holder, "m0/a2")
 	time.Sleep(300 * time.Millisecond)
 	if b.trouble {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -122,7 +122,8 @@
 
 // newRouter writes the settings of an entry host and starts its process.
 func (b *bench) newRouter(i int, zone, storeAddr string) *router {
-	ip := fmt.Sprintf("127.0.0.%d", 11+i)
+	// Plays beside each other don't share addresses.
+	ip := fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, 11+i)
 	r := &router{b: b, node: fmt.Sprintf("edge-%s-1", zone), zone: zone, ip: ip, proxy: b.newProxy(storeAddr)}
 	front, ready, control, peer := freePort(ip), freePort(ip), freePort(ip), freePort(ip)
 	if front == 0 || ready == 0 || control == 0 || peer == 0 {
