signals: SIGHUP has no default action from the start of a process to its exit

Cause: ReloadOnHangup ended with the context that SIGTERM cancels, and its signal.Stop gave SIGHUP back its default action, which ends the process. The same default held until ReloadOnHangup ran, while the settings are read.

Package signals receives SIGHUP from its initialization on and never stops; the reload goes on until the exit, and a stop follows the reloaded grace. dev takes SIGHUP as a stop, as before, but ends what it runs.

--- a/cmd/ragwortdoord/entry.go
+++ b/cmd/ragwortdoord/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/entry"
+	"github.com/ragwortdoor/ragwortdoor/internal/signals"
 	"github.com/ragwortdoor/ragwortdoor/platform"
 )
 
@@ -62,7 +63,7 @@
 		Pool:    pool,
 		Log:     logger,
 	})
-	go process.ReloadOnHangup(ctx, func() (entry.Settings, error) {
+	go process.ReloadOnHangup(signals.Hangups(), func() (entry.Settings, error) {
 		next, err := platform.LoadSettings(path)
 		return next.Entry, err
 	})
--- a/cmd/ragwortdoord/main.go
+++ b/cmd/ragwortdoord/main.go
@@ -3,17 +3,12 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/daemon"
+	"github.com/ragwortdoor/ragwortdoor/internal/signals"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := daemon.Main(ctx, os.Args, entryCommand())
-	stop()
-	os.Exit(code)
+	os.Exit(daemon.Main(signals.StopContext(), os.Args, entryCommand()))
 }
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -14,6 +14,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/entry"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/settings"
+	"github.com/ragwortdoor/ragwortdoor/internal/signals"
 )
 
 // Exit codes of ragwortdoord.
@@ -63,7 +64,8 @@
 		Name:  "ragwortdoord",
 		Usage: "serve rarely used language models",
 		Description: "Exit codes: 0 after a planned stop, 1 on a failure, 2 on wrong flags or settings.\n" +
-			"SIGTERM and SIGINT stop a process after its running requests have ended.",
+			"SIGTERM and SIGINT stop a process after its running requests have ended.\n" +
+			"SIGHUP makes a router read its settings again, also while it stops; it stops dev.",
 		Action:         unknownCommand,
 		OnUsageError:   onUsageError,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -141,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	go r.process.ReloadOnHangup(ctx, func() (entry.Settings, error) {
+	go r.process.ReloadOnHangup(signals.Hangups(), func() (entry.Settings, error) {
 		next, err := settings.LoadRouter(path)
 		return entrySettings(next), err
 	})
@@ -159,6 +161,12 @@
 	}
 	logger := decisionlog.New(level)
 	defer logger.Start(os.Stdout)()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		<-signals.Hangups() // the terminal was closed
+		cancel()
+	}()
 	return RunDev(ctx, DevOptions{Shape: shape, PlatformOnly: cmd.Bool(flagPlatformOnly), PortOffset: cmd.Int(flagPortOffset), Log: logger})
 }
 
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -62,33 +62,44 @@
 	t    testing.TB
 	name string
 	cmd  *exec.Cmd
-	logs *os.File
 	done chan struct{} // closed after Wait returned
 }
 
 func startProcess(t testing.TB, dir, role, name string, settings proto.Message) *process {
 	t.Helper()
 	path := filepath.Join(dir, name+".json")
-	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(settings)
-	if err != nil {
+	if err := os.WriteFile(path, encodeSettings(t, settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	logs, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
 		t.Fatal(err)
 	}
-	logs, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return startWithLog(t, role, name, path, logs)
+}
+
+func encodeSettings(t testing.TB, settings proto.Message) []byte {
+	t.Helper()
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, name: name, logs: logs, done: make(chan struct{})}
+	return data
+}
+
+// startWithLog starts a daemon process that writes its log to logs, which is closed here.
+func startWithLog(t testing.TB, role, name, path string, logs *os.File) *process {
+	t.Helper()
+	p := &process{t: t, name: name, done: make(chan struct{})}
 	p.cmd = exec.Command(daemonBinary, role, "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = logs, logs
-	if err := p.cmd.Start(); err != nil {
+	err := p.cmd.Start()
+	_ = logs.Close()
+	if err != nil {
 		t.Fatal(err)
 	}
 	go func() {
 		_ = p.cmd.Wait()
-		_ = logs.Close()
 		close(p.done)
 	}()
 	t.Cleanup(p.kill)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -263,9 +263,8 @@
 	p.handler.stop()
 	p.client.ReportDraining()
 	p.election.Resign()
-	deadline := began.Add(p.handler.reloadable.Load().stopGrace - stopMargin)
 	quietSince := time.Now()
-	for time.Now().Before(deadline) {
+	for time.Since(began) < p.handler.reloadable.Load().stopGrace-stopMargin {
 		time.Sleep(drainPollInterval)
 		if p.handler.inFlight.Load() > 0 {
 			quietSince = time.Now()
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
@@ -51,18 +48,11 @@
 	return pending
 }
 
-// ReloadOnHangup reloads the settings at each SIGHUP until ctx is cancelled. If load fails,
-// the settings stay as they are.
-func (p *Process) ReloadOnHangup(ctx context.Context, load func() (Settings, error)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+// ReloadOnHangup reloads the settings for each value of hangups until it is closed. It is to
+// run until the process exits: a stopping process applies settings, too. If load fails, the
+// settings stay as they are.
+func (p *Process) ReloadOnHangup(hangups <-chan os.Signal, load func() (Settings, error)) {
+	for range hangups {
 		next, err := load()
 		if err != nil {
 			p.deps.Log.Warn("reload", "outcome", "kept", "err", err)
