signals: a log whose reader is gone does not end the process

A process whose standard output is a pipe without a reader was ended by SIGPIPE with its next log line, and callers lost the requests it relayed.

TestProcessOutlivesTheReaderOfItsLog failed before (router never ready), passes.

--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -72,3 +72,18 @@
 	d.waitReady(0)
 	is.Equal(d.routers[0].stop(), ExitOK)
 }
+
+// Guards against a process that is ended by SIGPIPE because the reader of its log is gone.
+func TestProcessOutlivesTheReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := deploy(t, deploymentOptions{routers: 1, engines: []standin.EngineConfig{testEngineConfig()}, set: testSet(1)})
+	is.Equal(d.routers[0].stop(), ExitOK)
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	is.NoErr(reader.Close())
+	d.routers[0] = startWithLog(t, "router", "unread", filepath.Join(d.dir, d.routers[0].name+".json"), writer)
+	d.waitReady(0)
+	wantComplete(t, d.chat(0, "model-0", "unread", 5), "model-0", "unread", 5)
+	is.Equal(d.routers[0].stop(), ExitOK)
+}
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -14,9 +14,11 @@
 // settings as they are.
 var hangups = make(chan os.Signal, 1)
 
-// A SIGHUP may come while the other packages are initialized.
+// A SIGHUP may come while the other packages are initialized. Without a handler of SIGPIPE,
+// a log line ends the process once the reader of its output is gone.
 func init() {
 	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 }
 
 // Hangups returns the channel that receives SIGHUP. The process has only one such channel.
