fleet: a list that was read before a relayed one brings no upstream back

Cause: Merge asked only of relayed lists whether they are older than the directory. The router's own list, delayed by 1.2 s, was merged over the relayed one, and its server, unknown by then, was added again. The directory's version stayed the higher one, so no later read repeated the removal.

A list that is older by its version, or without versions by the start of its read, now neither adds nor removes upstreams; it only renews known ones. It is counted as source_reads_total{result="outdated"}.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -97,6 +97,8 @@
 	listReadBegan atomic.Pointer[time.Time]
 
 	mu sync.Mutex // serializes writers
+	// relayedRead is when the last relayed batch was read from the platform.
+	relayedRead time.Time
 	// retained maps the ids of removed registrations to the time until which they
 	// stay usable. They may only have expired while the list was unavailable.
 	retained map[string]time.Time
@@ -162,22 +164,30 @@
 	// Age is the time since a relayed batch was read from the platform; 0 for one that
 	// this process has read itself.
 	Age time.Duration
+	// Began is when the read of a batch was begun that this process has read itself.
+	Began time.Time
 	// Version is the version of the platform's list that the directory is complete for
 	// once the batch is applied. Each change of a registration has a higher one. 0 if the
 	// platform has no such version.
 	Version int64
 }
 
-// Merge applies a batch and returns the ids whose state changed. A relayed batch that is
-// older than the directory is ignored: it may list upstreams that have been removed
+// Merge applies a batch and returns the ids whose state changed. A batch that is older than
+// the directory neither adds nor removes upstreams: it may list some that have been removed
 // since.
 func (d *Directory) Merge(now time.Time, change Change) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	old := d.upstreams.Load()
 	if d.isOutdated(now, change) {
-		return nil
+		if change.Age > 0 {
+			return nil
+		}
+		change = renewals(old, change)
+	}
+	if change.Age > 0 {
+		d.relayedRead = now.Add(-change.Age)
 	}
-	old := d.upstreams.Load()
 	if isRestored(old, change) {
 		d.quarantine(now, old.removed)
 	}
@@ -213,18 +223,31 @@
 	return changed
 }
 
-// isOutdated reports whether a relayed batch is older than the directory. Without a
-// version it is older if it was read before this process began its own last read: a read
-// may take long, and what was relayed meanwhile is not in it.
+// isOutdated reports whether a batch is older than the directory. Two batches without
+// versions are compared by when they were read: a read may take long, and what was relayed
+// meanwhile is not in it.
 func (d *Directory) isOutdated(now time.Time, change Change) bool {
-	if change.Age <= 0 {
-		return false
-	}
 	if version := d.upstreams.Load().version; version > 0 && change.Version > 0 {
 		return change.Version < version
 	}
-	began := d.listReadBegan.Load()
-	return began != nil && began.After(now.Add(-change.Age))
+	if change.Age > 0 {
+		began := d.listReadBegan.Load()
+		return began != nil && began.After(now.Add(-change.Age))
+	}
+	return !change.Began.IsZero() && d.relayedRead.After(change.Began)
+}
+
+// renewals returns the part of an outdated batch that still counts: the sequence numbers of
+// one incarnation order its registrations, whenever they arrive.
+func renewals(old *upstreamSet, change Change) Change {
+	var known []Registration
+	for _, registration := range change.Registrations {
+		up, current := registration.Upstream, old.byID[registration.ID]
+		if up != nil && current != nil && up.StartedMs == current.StartedMs {
+			known = append(known, registration)
+		}
+	}
+	return Change{Registrations: known}
 }
 
 func (d *Directory) mergeRegistration(now time.Time, next map[string]*Upstream, registration Registration, grace time.Duration) bool {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -119,7 +119,9 @@
 
 // Values of ReadResult.
 const (
-	ReadOK          ReadResult = "ok"
+	ReadOK ReadResult = "ok"
+	// ReadOutdated is a read that another router's relayed list has overtaken.
+	ReadOutdated    ReadResult = "outdated"
 	ReadTimedOut    ReadResult = "timeout"
 	ReadHistoryGone ReadResult = "history gone"
 	ReadFailed      ReadResult = "failed"
@@ -206,7 +208,11 @@
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		update, err := f.opts.Source.Upstreams(callCtx, version, 0)
 		cancel()
-		f.opts.Observer.SourceRead(outage.what, readResult(err), time.Since(started))
+		result := readResult(err)
+		if result == ReadOK && update.ListVersion < f.opts.Directory.Load().ListVersion {
+			result = ReadOutdated
+		}
+		f.opts.Observer.SourceRead(outage.what, result, time.Since(started))
 		relayed = false
 		if errors.Is(err, ErrHistoryGone) && version > 0 {
 			version = 0
@@ -228,7 +234,7 @@
 		version = update.Version
 		recordRead(&f.opts.Directory.listReadBegan, started)
 		recordRead(&f.opts.Directory.listRead, time.Now())
-		f.merge(update, time.Until(graceUntil))
+		f.merge(update, started, time.Until(graceUntil))
 		retry.Sleep(ctx, upstreamPollInterval-time.Since(started))
 	}
 }
@@ -276,7 +282,8 @@
 	}
 }
 
-func (f *Follower) merge(update UpstreamUpdate, grace time.Duration) {
+// merge applies the result of a read that was begun at started.
+func (f *Follower) merge(update UpstreamUpdate, started time.Time, grace time.Duration) {
 	for _, registration := range update.Registrations {
 		if registration.Err != nil {
 			f.opts.Observer.RegistrationInvalid(registration.ID, registration.Err)
@@ -285,7 +292,7 @@
 	if len(update.Registrations) == 0 && !update.Complete && !f.opts.Directory.HasRetained() {
 		return
 	}
-	changed := f.opts.Directory.Merge(time.Now(), Change{Registrations: update.Registrations, Complete: update.Complete, ExpiryGrace: max(0, grace), Version: update.ListVersion})
+	changed := f.opts.Directory.Merge(time.Now(), Change{Registrations: update.Registrations, Complete: update.Complete, Began: started, ExpiryGrace: max(0, grace), Version: update.ListVersion})
 	if len(changed) == 0 && !update.Complete {
 		return
 	}
