scheduler: an older report or registration does not replace a newer one

Three paths were open. A report that was on its way for over 600 ms while the engine accepted an order took that order back out of the books, with the slot it uses. A report of an engine's former incarnation, after the registration of the next, filled the books with what the engine no longer holds. A registration of the former incarnation, after the next one's report, did the same.

A report's age now counts from when it was asked for. Reports and registrations of former incarnations are dropped; what an operator has set holds for both.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -81,7 +81,9 @@
 	// lastOrderAt is when the last order was accepted or completed; registrations
 	// lag behind it.
 	lastOrderAt time.Time
+	// inspectedAt is when the last inventory was requested, or is to be.
 	inspecting  bool
+	inspectedAt time.Time
 	// brokenOff are the requests that broke off before their first event, until it is known
 	// whether the engine ended. crashCheckAt is when an inventory was last requested for
 	// that.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -163,11 +163,12 @@
 	})
 }
 
-func (c *Cell) inspect(e *engine, after time.Duration) {
+func (c *Cell) inspect(now time.Time, e *engine, after time.Duration) {
 	if e.inspecting {
 		return
 	}
 	e.inspecting = true
+	e.inspectedAt = now.Add(after)
 	c.actions.Inspects = append(c.actions.Inspects, InspectCall{Upstream: e.up, After: after})
 }
 
@@ -196,7 +197,7 @@
 		e.order.uncertain = true
 		e.order.state = stepIdle
 		e.order.changedAt = now
-		c.inspect(e, inspectInterval)
+		c.inspect(now, e, inspectInterval)
 	case fleet.OrderFenced, fleet.OrderWrongUpstream:
 		// This router has lost the lease, or the engine's registration is about to be
 		// removed.
@@ -205,7 +206,7 @@
 	case fleet.OrderInvalid:
 		c.abandonPlan(e)
 		e.orders = -1
-		c.inspect(e, inspectInterval)
+		c.inspect(now, e, inspectInterval)
 	}
 	c.dispatchAfterEvent(now)
 	return c.takeActions()
@@ -233,7 +234,7 @@
 			c.sendStep(now, e, unloadTime)
 			return
 		}
-		c.inspect(e, inspectInterval)
+		c.inspect(now, e, inspectInterval)
 	default:
 		c.waitForCompletion(now, e, c.configuredLoadTime(e, s.model))
 	}
@@ -257,7 +258,7 @@
 	if interval := c.spec.LoadPollInterval; interval > 0 {
 		expected = min(expected, interval)
 	}
-	c.inspect(e, expected)
+	c.inspect(now, e, expected)
 }
 
 // completeStep records the end of a step.
@@ -321,7 +322,7 @@
 		return
 	}
 	if e.order.tries%triesPerInspect == 0 {
-		c.inspect(e, 0)
+		c.inspect(now, e, 0)
 		return
 	}
 	c.sendStep(now, e, min(maxBackoff, firstBackoff<<min(e.order.tries-1, 3)))
@@ -369,13 +370,17 @@
 		return c.takeActions()
 	}
 	e.inspecting = false
+	if err == nil && e.isOfFormerIncarnation(inventory) {
+		c.inspect(now, e, inspectInterval)
+		return c.takeActions()
+	}
 	if !errors.Is(err, fleet.ErrNotAsked) {
 		c.confirmCrash(now, e, err != nil || inventory.StartedMs > e.up.StartedMs)
 	}
 	if err != nil {
 		e.recordFailure(now)
 		if e.ended || !e.acceptsOrders() {
-			c.inspect(e, failedInspectInterval)
+			c.inspect(now, e, failedInspectInterval)
 		}
 		return c.takeActions()
 	}
@@ -389,6 +394,12 @@
 	return c.takeActions()
 }
 
+// isOfFormerIncarnation reports whether an inventory was on its way while the engine started
+// again.
+func (e *engine) isOfFormerIncarnation(inventory fleet.Inventory) bool {
+	return inventory.StartedMs != 0 && inventory.StartedMs < e.up.StartedMs
+}
+
 // resetEngine resets the state of an engine that restarted under the same id.
 func (c *Cell) resetEngine(e *engine, inventory fleet.Inventory) {
 	c.abandonPlan(e)
@@ -405,18 +416,18 @@
 	e.setTiers(inventory.OnDisk, inventory.InMemory)
 	switch {
 	case e.orders < 0:
-		c.adoptInventory(e, inventory)
+		c.adoptInventory(now, e, inventory)
 		return
-	case inventory.Orders < e.orders && now.Sub(e.lastOrderAt) < maxReportAge:
-		// The inventory is older than the last order.
+	case inventory.Orders < e.orders && e.inspectedAt.Sub(e.lastOrderAt) < maxReportAge:
+		// The inventory may be older than the last order: it may have been under way for long.
 		if e.plan != nil {
-			c.inspect(e, inspectInterval)
+			c.inspect(now, e, inspectInterval)
 		}
 		return
 	case inventory.Orders < e.orders:
 		// The engine replied that it accepted an order or was already in the ordered
 		// state, but did not count it. The assumed change may not have happened.
-		c.adoptInventory(e, inventory)
+		c.adoptInventory(now, e, inventory)
 		return
 	case inventory.Orders > e.orders:
 		c.handleUnknownOrder(now, e, inventory)
@@ -435,27 +446,27 @@
 		c.handleAccepted(now, e, e.plan.steps[0])
 		return
 	}
-	c.adoptInventory(e, inventory)
+	c.adoptInventory(now, e, inventory)
 }
 
 // adoptInventory replaces the state of an engine by its inventory. The inventory
 // of a busy engine does not show what is being loaded, so the engine gets no
 // orders until it is idle.
-func (c *Cell) adoptInventory(e *engine, inventory fleet.Inventory) {
+func (c *Cell) adoptInventory(now time.Time, e *engine, inventory fleet.Inventory) {
 	c.abandonPlan(e)
 	e.setReplicas(inventory.Models, c.spec)
 	e.addLoadingAdapters(inventory.LoadingAdapters)
 	e.orders = inventory.Orders
 	if inventory.Busy {
 		e.orders = -1
-		c.inspect(e, inspectInterval)
+		c.inspect(now, e, inspectInterval)
 	}
 }
 
 // advancePlan takes the plan in progress a step further.
 func (c *Cell) advancePlan(now time.Time, e *engine, inventory fleet.Inventory) {
 	if e.plan == nil {
-		if !inventory.Busy && now.Sub(e.lastOrderAt) > maxReportAge {
+		if !inventory.Busy && e.inspectedAt.Sub(e.lastOrderAt) > maxReportAge {
 			e.setReplicas(inventory.Models, c.spec)
 			e.addLoadingAdapters(inventory.LoadingAdapters)
 		}
@@ -483,7 +494,7 @@
 		e.setReplicas(inventory.Models, c.spec)
 		return
 	}
-	c.inspect(e, max(inspectInterval, c.spec.LoadPollInterval))
+	c.inspect(now, e, max(inspectInterval, c.spec.LoadPollInterval))
 }
 
 // isLoaded reports whether an inventory contains the model or adapter of a step.
@@ -514,6 +525,6 @@
 			e.order.uncertain = true
 		}
 		e.order.changedAt = now
-		c.inspect(e, 0)
+		c.inspect(now, e, 0)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -242,7 +242,7 @@
 	}
 	c.mayOrder = true
 	for _, e := range c.engines {
-		c.inspect(e, 0)
+		c.inspect(now, e, 0)
 	}
 	c.dispatch(now)
 	return c.takeActions()
@@ -322,7 +322,7 @@
 		c.noteNotRun(now, r)
 	case ModelMissing:
 		r.engine.markMissing(r.req.Model, r.req.Adapter)
-		c.inspect(r.engine, 0)
+		c.inspect(now, r.engine, 0)
 	case Failed:
 		r.engine.recordFailure(now)
 	case EndedByEngine:
--- a/internal/scheduler/update.go
+++ b/internal/scheduler/update.go
@@ -64,24 +64,32 @@
 		e.listedAt = now
 		c.engines[up.ID] = e
 		if c.mayOrder {
-			c.inspect(e, 0)
+			c.inspect(now, e, 0)
 		}
 		return
 	}
+	if up.StartedMs < e.up.StartedMs {
+		// The engine's inventory has shown a later start. Only what an operator has set
+		// does not depend on the incarnation.
+		current := *e.up
+		current.Cordoned = up.Cordoned
+		e.up = &current
+		return
+	}
 	if up.Sequence == e.up.Sequence && up.TakesWork() == e.up.TakesWork() {
 		return
 	}
 	e.up = up
 	e.setTiers(up.OnDisk, up.InMemory)
 	if e.plan == nil && now.Sub(e.lastOrderAt) > registrationLag {
-		c.adoptRegistration(e, up)
+		c.adoptRegistration(now, e, up)
 	}
 }
 
 // adoptRegistration adds the replicas and adapters that an engine without a plan
 // registered. A registration may be outdated, so nothing is removed; if
 // something is missing from it, an inventory is requested.
-func (c *Cell) adoptRegistration(e *engine, up *fleet.Upstream) {
+func (c *Cell) adoptRegistration(now time.Time, e *engine, up *fleet.Upstream) {
 	incomplete := len(up.Models) < len(e.replicas)
 	for _, m := range up.Models {
 		rep := e.replicas[m.Name]
@@ -97,7 +105,7 @@
 		}
 	}
 	if incomplete {
-		c.inspect(e, 0)
+		c.inspect(now, e, 0)
 	}
 }
 
