scheduler: only its effect shows whether an order without a reply was carried out

Cause: an unload got no reply, and the engine's report counted one order more. That fits two explanations; only one was checked. It was an adapter load of the former holder, carried out late. The model to be unloaded left the books, and the load that needed its memory was accepted.

A report now settles such an order by its effect. Another state replaces the books and voids the plan; a load or unload under way is awaited. Before an order is repeated, a report that shows more than the books replaces them, too.

--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -436,17 +436,41 @@
 	c.advancePlan(now, e, inventory)
 }
 
-// handleUnknownOrder handles orders that the engine counted but that this cell
-// has no reply for: one of its own whose reply was lost, or one of a previous
-// holder.
+// handleUnknownOrder handles orders that the engine counted but that this cell has no reply
+// for: one of its own, or a late one of a previous holder. Both give the same count. Only the
+// effect tells them apart. Once the count has risen, an order of this cell that had none is
+// void: the engine compares the count that it names.
 func (c *Cell) handleUnknownOrder(now time.Time, e *engine, inventory fleet.Inventory) {
-	isOwn := e.plan != nil && e.order.uncertain && inventory.Orders == e.orders+1
-	if isOwn {
+	if e.plan == nil || !e.order.uncertain || inventory.Orders != e.orders+1 {
+		c.adoptInventory(now, e, inventory)
+		return
+	}
+	s := e.plan.steps[0]
+	switch {
+	case !inventory.Busy && e.lacks(inventory):
+		c.adoptInventory(now, e, inventory)
+	case hasEffect(inventory, s):
+		e.orders = inventory.Orders
+		c.handleEffect(now, e, s)
+	case !inventory.Busy || s.adapter != "":
+		c.adoptInventory(now, e, inventory)
+	case s.unload:
+		// An unload, or another order, is under way.
+		c.inspect(now, e, max(inspectInterval, c.spec.LoadPollInterval))
+	default:
+		// The load is completed by its effect only, whatever is under way.
 		e.orders = inventory.Orders
-		c.handleAccepted(now, e, e.plan.steps[0])
+		c.handleAccepted(now, e, s)
+	}
+}
+
+// handleEffect handles a step whose effect an inventory shows.
+func (c *Cell) handleEffect(now time.Time, e *engine, s step) {
+	if s.adapter != "" && !s.unload {
+		c.handleAccepted(now, e, s) // it may still be loading
 		return
 	}
-	c.adoptInventory(now, e, inventory)
+	c.completeStep(now, e, s)
 }
 
 // adoptInventory replaces the state of an engine by its inventory. The inventory
@@ -477,6 +501,10 @@
 		return
 	}
 	if e.order.state == stepIdle {
+		if !inventory.Busy && e.lacks(inventory) {
+			c.adoptInventory(now, e, inventory)
+			return
+		}
 		after := time.Duration(0)
 		if inventory.Busy {
 			after = maxBackoff
@@ -490,13 +518,39 @@
 	}
 	e.order.polls++
 	if !inventory.Busy && e.order.polls > maxCompletionPolls {
-		c.abandonPlan(e)
-		e.setReplicas(inventory.Models, c.spec)
+		c.adoptInventory(now, e, inventory)
 		return
 	}
 	c.inspect(now, e, max(inspectInterval, c.spec.LoadPollInterval))
 }
 
+// hasEffect reports whether an inventory shows that a step was carried out.
+func hasEffect(inventory fleet.Inventory, s step) bool {
+	if s.adapter != "" && slices.Contains(inventory.LoadingAdapters, fleet.AdapterRef{Model: s.model, Adapter: s.adapter}) {
+		return !s.unload
+	}
+	if s.unload && s.adapter == "" && inventory.Busy {
+		return false
+	}
+	return isLoaded(inventory, s) != s.unload
+}
+
+// lacks reports whether an inventory shows a model or an adapter that the books don't have.
+func (e *engine) lacks(inventory fleet.Inventory) bool {
+	for _, m := range inventory.Models {
+		rep := e.replicas[m.Name]
+		if rep == nil {
+			return true
+		}
+		for _, name := range m.Adapters {
+			if rep.adapters[name] == nil {
+				return true
+			}
+		}
+	}
+	return slices.ContainsFunc(inventory.LoadingAdapters, func(ref fleet.AdapterRef) bool { return e.adapter(ref.Model, ref.Adapter) == nil })
+}
+
 // isLoaded reports whether an inventory contains the model or adapter of a step.
 func isLoaded(inventory fleet.Inventory, s step) bool {
 	for _, m := range inventory.Models {
