entry: a request that waited after its upstream was chosen is checked again

Cause: after a pause a request waits up to 3 s for the recovery of the upstream that was chosen for it, and the loop looked for another pause only. The set-up of a connection is a second wait, after which nothing was checked.

checkChoice asks whether the upstream drains, is cordoned, gone or in a pause, and whether the prompt is blocked: at each look at the ramp, and by exchange.Request.Confirm before the first byte. A void choice is made anew; it takes no attempt and no retry.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -22,11 +22,19 @@
 	cr.record.Attempts = cr.attempts
 }
 
+// undoAttempt takes back an attempt of which nothing was sent.
+func (cr *callerRequest) undoAttempt() {
+	cr.attempts--
+	cr.record.Attempts = cr.attempts
+}
+
 // send sends the request to an upstream and reads the head of the response. It logs a line
 // before the first byte is sent, so that a request leaves a trace if the process is killed,
-// and one with the result. answered is called with whether the upstream answered it.
-func (cr *callerRequest) send(ctx context.Context, upstreamID, addr string, priority int, answered func(bool)) (*exchange.Response, ResponseInfo, error) {
+// and one with the result. check is called right before that byte, answered with whether the
+// upstream answered the request.
+func (cr *callerRequest) send(ctx context.Context, upstreamID, addr string, priority int, check func() error, answered func(bool)) (*exchange.Response, ResponseInfo, error) {
 	request := cr.upstreamRequest(upstreamID, priority)
+	request.Confirm = check
 	attempt := AttemptRecord{ID: cr.call.ID, Number: cr.attempts, Upstream: upstreamID, Address: addr, Repeatable: cr.repeatable}
 	cr.handler.log.AttemptStarted(&attempt)
 	began := time.Now()
--- /dev/null
+++ b/internal/entry/choice.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"errors"
+
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
+	"github.com/ragwortdoor/ragwortdoor/internal/cell"
+)
+
+// errUpstreamLeft means that a request was not sent, because its upstream takes no more.
+var errUpstreamLeft = errors.New("the upstream drains, is cordoned or was removed since it was chosen")
+
+// checkChoice returns an error if an upstream may no longer get the request that it was chosen
+// for: errUpstreamLeft, errPaused or a *cell.RefusedError. A request waits between its choice
+// and its first byte, for an upstream that recovers from a pause and for a connection.
+func (cr *callerRequest) checkChoice(upstreamID string, trial bool) error {
+	if cr.handler.directory.Load().KnownUnusable(upstreamID) {
+		return errUpstreamLeft
+	}
+	if cr.handler.pauses.left(upstreamID) > 0 {
+		return errPaused
+	}
+	if trial {
+		return nil
+	}
+	return cr.checkBlocklist()
+}
+
+// isChoiceVoid reports whether an attempt ended before its first byte for an error of
+// checkChoice.
+func isChoiceVoid(err error) bool {
+	var refused *cell.RefusedError
+	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.As(err, &refused)
+}
+
+// handleVoidChoice handles an error of checkChoice for a placement. It reports false if another
+// one may be tried.
+func (cr *callerRequest) handleVoidChoice(err error, report func(apiv1.PlacementOutcome)) bool {
+	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
+	var refused *cell.RefusedError
+	if errors.As(err, &refused) {
+		cr.failPlacement(err)
+		return true
+	}
+	return false
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -250,6 +250,11 @@
 }
 
 func startWith(t testing.TB, source *fakeSource, engines fleet.Engines) *testRouter {
+	t.Helper()
+	return startWithDialect(t, source, engines, testDialect{})
+}
+
+func startWithDialect(t testing.TB, source *fakeSource, engines fleet.Engines, dialect Dialect) *testRouter {
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	source.config = fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
@@ -260,7 +265,7 @@
 	logger := decisionlog.New(log.ErrorLevel)
 	pool := exchange.NewPool(exchange.Options{IDHeader: "Id"})
 	p := New(settings, Deps{
-		Dialect: testDialect{}, Table: tabletest.New(), Source: source,
+		Dialect: dialect, Table: tabletest.New(), Source: source,
 		Engines: engines, Pool: pool, Log: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -185,12 +185,13 @@
 	report := func(outcome apiv1.PlacementOutcome) {
 		cr.handler.scheduler.ReportOutcome(placement.Number, outcome, cr.eventInterval())
 	}
-	answered, err := cr.handler.pauses.await(cr.ctx, placement.UpstreamID)
+	check := func() error { return cr.checkChoice(placement.UpstreamID, placement.Trial) }
+	answered, err := cr.handler.pauses.ramps.await(cr.ctx, placement.UpstreamID, check)
+	if isChoiceVoid(err) {
+		return cr.handleVoidChoice(err, report)
+	}
 	if err != nil {
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
-		if errors.Is(err, errPaused) {
-			return false
-		}
 		cr.refuse(attemptRetryDelay, "the engine recovers from a pause: "+err.Error())
 		return true
 	}
@@ -202,7 +203,7 @@
 	cr.stall = cr.watchStalls(placement.Expected, cancel)
 	defer cr.stall.stop()
 	sentAt := time.Now()
-	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority, answered)
+	resp, info, err := cr.send(ctx, placement.UpstreamID, placement.Address, cr.rank.Priority, check, answered)
 	if err != nil {
 		return cr.handleSendError(err, placement, report)
 	}
@@ -228,6 +229,10 @@
 		cr.refuse(attemptRetryDelay, "no answer in time: "+err.Error())
 		return true
 	}
+	if isChoiceVoid(err) {
+		cr.undoAttempt()
+		return cr.handleVoidChoice(err, report)
+	}
 	cr.reportFailure(err, placement)
 	cr.handler.balancer.recordFailure(cr.record.Upstream)
 	return cr.retryOrRefuse(err.Error())
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,15 +20,16 @@
 			cr.refuse(cr.retryDelay(attemptRetryDelay), "no upstream is known, or all of them asked for a pause")
 			return
 		}
-		answered, err := cr.handler.pauses.await(cr.ctx, up.ID)
-		if errors.Is(err, errPaused) {
+		check := func() error { return cr.checkChoice(up.ID, false) }
+		answered, err := cr.handler.pauses.ramps.await(cr.ctx, up.ID, check)
+		if isChoiceVoid(err) {
 			continue
 		}
 		if err != nil {
 			cr.refuse(attemptRetryDelay, "the upstreams recover from a pause: "+err.Error())
 			return
 		}
-		if cr.sendPlain(up, answered) {
+		if cr.sendPlain(up, check, answered) {
 			return
 		}
 	}
@@ -54,14 +54,14 @@
 
 // sendPlain sends the request to an upstream. It reports false if another one may be
 // tried.
-func (cr *callerRequest) sendPlain(up *fleet.Upstream, answered func(bool)) bool {
+func (cr *callerRequest) sendPlain(up *fleet.Upstream, check func() error, answered func(bool)) bool {
 	done := cr.handler.balancer.begin(up.ID)
 	defer done()
 	cr.recordAttempt(up.ID)
 	ctx, cancel := cr.attemptContext()
 	defer cancel()
 	began := time.Now()
-	resp, info, err := cr.send(ctx, up.ID, up.Addr, noPriority, answered)
+	resp, info, err := cr.send(ctx, up.ID, up.Addr, noPriority, check, answered)
 	if err != nil {
 		return cr.handlePlainError(up, err)
 	}
@@ -108,6 +108,10 @@
 		cr.fail("the caller left")
 		return true
 	}
+	if isChoiceVoid(err) {
+		cr.undoAttempt()
+		return false
+	}
 	cr.handler.balancer.recordFailure(up.ID)
 	return cr.retryOrRefuse(err.Error())
 }
--- a/internal/entry/ramp.go
+++ b/internal/entry/ramp.go
@@ -68,14 +68,14 @@
 }
 
 // await waits until the ramp of an upstream allows a request and counts it as in flight
-// until done is called, which says whether it was answered. The error is errPaused if the
-// upstream asked for another pause, or that of ctx.
-func (p *pauses) await(ctx context.Context, id string) (done func(answered bool), err error) {
+// until done is called, which says whether it was answered. The error is that of check, which
+// is called before each look at the ramp, or that of ctx.
+func (r *ramps) await(ctx context.Context, id string, check func() error) (done func(answered bool), err error) {
 	for {
-		if p.left(id) > 0 {
-			return nil, errPaused
+		if err := check(); err != nil {
+			return nil, err
 		}
-		if done, ok := p.ramps.begin(id); ok {
+		if done, ok := r.begin(id); ok {
 			return done, nil
 		}
 		if !retry.Sleep(ctx, rampPollInterval) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -46,10 +46,13 @@
 	ID     string
 	Method string
 	// URI is the request target, as received from the caller.
-	URI     string
-	Host    string
-	Header  http.Header
-	Body    []byte
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Confirm is called once the connection is there, before the first byte is sent; nil for
+	// no check. An error leaves the request unsent.
+	Confirm func() error
 	purpose purpose // purposeCaller if not set
 }
 
@@ -136,6 +139,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if req.Confirm != nil {
+		if err := req.Confirm(); err != nil {
+			p.put(addr, c)
+			return nil, &Error{Err: err}
+		}
+	}
 	writtenBefore := c.bytesWritten.Load()
 	c.sentIDs[req.ID] = struct{}{}
 	trace := Trace{Conn: c.number, ConnUses: c.uses()}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -236,3 +236,23 @@
 	resp.Close()
 	is.Equal(len(p.idle[s.addr]), 0)
 }
+
+// Guards against bytes that are sent although what was checked before no longer holds. The
+// connection stays usable.
+func TestUnconfirmedRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, okResponse)
+	p := NewPool(Options{IDHeader: "Id"})
+	refused := errors.New("the upstream leaves")
+	req := request("a")
+	req.Confirm = func() error { return refused }
+	_, err := p.Send(t.Context(), s.addr, req)
+	var sendErr *Error
+	is.True(errors.As(err, &sendErr))
+	is.True(errors.Is(err, refused))
+	is.True(!sendErr.Sent)
+	_, err = sendAndRead(p, s.addr, "a")
+	is.NoErr(err)
+	is.Equal(s.conns.Load(), int64(1))
+	is.Equal(s.requests.Load(), int64(1))
+}
