platform, native: one odd entry does not keep the lists from being read

On the product's own interface one drain row that can't be decoded did the same, and a host whose address can't be used was listed.

A host with a drain row that can't be decoded stays excluded.

TestOddHostsAndDrainsDoNotSpoilTheList is new.

--- a/internal/native/deployment.go
+++ b/internal/native/deployment.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -130,7 +131,9 @@
 	for _, row := range changes.Rows {
 		drain := &apiv1.DrainRow{}
 		if err := proto.Unmarshal(row.Value, drain); err != nil {
-			return nil, fmt.Errorf("can't decode row %s: %w (drain the host again)", row.Key, err)
+			// The host that the row is about stays excluded; the other rows hold.
+			drained[strings.TrimPrefix(row.Key, external.DrainPrefix)] = true
+			continue
 		}
 		drained[drain.GetHost()] = drain.GetDraining()
 	}
@@ -138,7 +141,7 @@
 }
 
 func registrationOf(host external.Host, revision int64, drained bool) fleet.Registration {
-	return fleet.Registration{ID: host.ID, Upstream: &fleet.Upstream{
+	up := &fleet.Upstream{
 		ID:            host.ID,
 		Service:       serviceNameOf(host),
 		Addr:          host.Address,
@@ -148,7 +151,11 @@
 		MemoryMB:      int64(host.MemoryMiB),
 		Sequence:      revision,
 		StartedMs:     host.StartedUnixMs,
-	}}
+	}
+	if err := up.Check(); err != nil {
+		return fleet.Registration{ID: host.ID, Err: err}
+	}
+	return fleet.Registration{ID: host.ID, Upstream: up}
 }
 
 // Names of the core's services: one for each plain service and each pool of engines.
@@ -243,6 +250,9 @@
 		model, adapter := splitModel(name)
 		inventory.LoadingAdapters = append(inventory.LoadingAdapters, fleet.AdapterRef{Model: model, Adapter: adapter})
 	}
+	if err := inventory.Check(); err != nil {
+		return fleet.Inventory{}, err
+	}
 	return inventory, nil
 }
 
--- a/internal/native/native_test.go
+++ b/internal/native/native_test.go
@@ -120,12 +120,34 @@
 	is.True(update.Registrations[0].Upstream.TakesWork())
 }
 
+// Guards against one odd entry that keeps the routers from following the list: the others
+// hold.
+func TestOddHostsAndDrainsDoNotSpoilTheList(t *testing.T) {
+	is := is.New(t)
+	d := newTestDeployment(t)
+	d.cluster.Hosts.Add(external.Host{ID: "odd", Role: external.RoleUpstream, Pool: "apps", Service: "giveaway-app", Address: "127.0.0.1:0"})
+	d.cluster.Hosts.Add(external.Host{ID: "app-01", Role: external.RoleUpstream, Pool: "apps", Service: "giveaway-app", Address: "127.0.0.1:2"})
+	d.cluster.Hosts.Add(external.Host{ID: "app-02", Role: external.RoleUpstream, Pool: "apps", Service: "giveaway-app", Address: "127.0.0.1:3"})
+	d.setDrainRow(t, "app-02", []byte("\xff\xff"))
+	update, err := d.Upstreams(t.Context(), 0, 0)
+	is.NoErr(err)
+	is.Equal(len(update.Registrations), 3)
+	is.True(update.Registrations[0].Err != nil)
+	is.True(update.Registrations[1].Upstream.TakesWork())
+	is.True(update.Registrations[2].Upstream.Cordoned) // somebody meant to drain it
+}
+
 func (d *testDeployment) setDrain(t *testing.T, host string, draining bool) {
 	t.Helper()
 	value, err := proto.Marshal(&apiv1.DrainRow{Host: host, Draining: draining})
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.setDrainRow(t, host, value)
+}
+
+func (d *testDeployment) setDrainRow(t *testing.T, host string, value []byte) {
+	t.Helper()
 	if _, err := d.table.Commit(context.Background(), external.Txn{ID: host + time.Now().String(), Puts: []external.Put{{Key: external.DrainKey(host), Value: value}}}); err != nil {
 		t.Fatal(err)
 	}
