fleet: the order of the list decides between two entries of one incarnation

An entry of another writer under a server's id, with a high sequence number, outlasted the server's own next entries: they counted as late copies, so that its drain was not seen and it stayed in use (DRAIN).

Within an era the versions of the list order what it says. Sequence numbers are compared only where versions don't tell: without them, for an outdated list and for a list that was restored from a copy.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/era"
 )
 
 // LoadedModel is a model that an engine has loaded, with its loaded adapters.
@@ -191,6 +193,7 @@
 	if isRestored(old, change) {
 		d.quarantine(now, old.removed)
 	}
+	ordered := isLaterVersion(old, change)
 	next := maps.Clone(old.byID)
 	if next == nil {
 		next = make(map[string]*Upstream)
@@ -199,7 +202,7 @@
 	seen := make(map[string]bool, len(change.Registrations))
 	for _, registration := range change.Registrations {
 		seen[registration.ID] = true
-		if d.mergeRegistration(now, next, registration, change.ExpiryGrace) {
+		if d.mergeRegistration(now, next, registration, ordered, change.ExpiryGrace) {
 			changed = append(changed, registration.ID)
 		}
 	}
@@ -250,7 +253,17 @@
 	return Change{Registrations: known}
 }
 
-func (d *Directory) mergeRegistration(now time.Time, next map[string]*Upstream, registration Registration, grace time.Duration) bool {
+// isLaterVersion reports whether a batch shows the list as it was after all that the directory
+// has. The list has been restored from a copy if the era differs: then the copy's registrations
+// are older ones.
+func isLaterVersion(old *upstreamSet, change Change) bool {
+	return old.version > 0 && change.Version >= old.version && era.Of(change.Version) == era.Of(old.version)
+}
+
+// mergeRegistration applies one registration. ordered is set if it is known to be later than the
+// present one of its incarnation, whatever their sequence numbers: another writer may have
+// written a higher one.
+func (d *Directory) mergeRegistration(now time.Time, next map[string]*Upstream, registration Registration, ordered bool, grace time.Duration) bool {
 	if registration.Err != nil {
 		// Another process may have written an invalid registration; the last valid
 		// one stays in use.
@@ -264,7 +277,7 @@
 	}
 	current := next[registration.ID]
 	received := registration.Upstream
-	if current != nil && isOlder(received, current) {
+	if current != nil && isOlder(received, current) && !(ordered && received.StartedMs == current.StartedMs) {
 		return false
 	}
 	delete(d.retained, registration.ID)
