entry: a stream goes on only with what continues it

It can happen here with answers that are well-formed and have a good status: an empty one ended the stream, and error texts, the head of a response, events from the start or with a gap were relayed. An error status was handled.

A response continues a stream if it has the status and the content type of the first one and goes on with the event after the last one. Until then nothing is written; if it ends before, the stream is broken off. Each line of an event must be a field, a comment or empty. The same holds for what a caller resumes.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -121,8 +121,9 @@
 	tried    []string
 	// responseStarted is set once the response head was written to the caller.
 	responseStarted bool
-	// lastEventID is the id of the last complete event sent to the caller.
-	lastEventID string
+	// firstEventID and lastEventID are the ids of the first and the last complete event sent
+	// to the caller.
+	firstEventID, lastEventID string
 	// firstEventAt and lastEventAt are when events were sent to the caller.
 	firstEventAt, lastEventAt time.Time
 	// stall watches the attempt at an engine that is under way.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -112,6 +112,10 @@
 	if resp.Header.Get("Content-Encoding") != "" {
 		return errEncoded
 	}
+	continuation, err := cr.newContinuation(resp)
+	if err != nil {
+		return err
+	}
 	flusher, _ := cr.w.(http.Flusher)
 	buffer := make([]byte, relayBufferBytes)
 	var pending []byte
@@ -120,7 +124,10 @@
 		n, err := resp.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		end, eventErr := completeEvents(pending)
-		if end > 0 {
+		if err := continuation.check(pending[:end]); err != nil {
+			return err
+		}
+		if end > 0 && !continuation.due {
 			cr.stall.event()
 			if first {
 				onFirst()
@@ -138,6 +145,9 @@
 			if first && !resp.Delimited {
 				return errTruncated // the connection may have ended for any reason
 			}
+			if err := continuation.end(); err != nil {
+				return err
+			}
 			return cr.endStream(resp, pending, flusher)
 		}
 		if err != nil {
@@ -178,6 +188,8 @@
 	}
 	now := time.Now()
 	if cr.lastEventAt.IsZero() {
+		first, _, _ := bytes.Cut(events, eventEnd)
+		cr.firstEventID = lastEventID(first)
 		cr.firstEventAt = now
 	} else {
 		cr.record.MaxGap = max(cr.record.MaxGap, now.Sub(cr.lastEventAt))
@@ -205,8 +217,8 @@
 )
 
 // completeEvents returns the index after the last complete event, 0 if there is none.
-// Empty lines count only in front of an event. The error is errNoEvent if the event is
-// followed by complete lines without a field.
+// Empty lines count only in front of an event. The error is errNoEvent if it is followed by
+// complete lines that are no event's, such as a line of text or the head of a response.
 func completeEvents(b []byte) (end int, err error) {
 	for at := 0; ; {
 		length := bytes.Index(b[at:], eventEnd)
@@ -217,7 +229,7 @@
 		at += length + len(eventEnd)
 		switch {
 		case len(bytes.TrimSpace(event)) == 0:
-		case !bytes.Contains(event, fieldEnd):
+		case !hasOnlyFields(event):
 			return end, errNoEvent
 		default:
 			end = at
@@ -225,6 +237,24 @@
 	}
 }
 
+// hasOnlyFields reports whether each line of an event is empty, a comment or has a field name
+// of letters, digits, hyphens and underscores in front of a colon.
+func hasOnlyFields(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimSpace(line)
+		name, _, found := bytes.Cut(line, fieldEnd)
+		if len(line) > 0 && !found || bytes.ContainsFunc(name, isNoFieldName) {
+			return false
+		}
+	}
+	return true
+}
+
+func isNoFieldName(r rune) bool {
+	isLetter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+	return !isLetter && (r < '0' || r > '9') && r != '-' && r != '_'
+}
+
 // lastEventID returns the id of the last event that has one, "" if none has.
 func lastEventID(events []byte) string {
 	lines := strings.Split(string(events), "\n")
