entry: a success that says it has not run is no refusal

Two headers of one response contradict each other: status 200 and "not run". It was taken for a refusal, and the request was sent again or refused as not run though it may have run (TWICE, REFUSED). Only error statuses now say so.

TestSuccessThatSaysNotRunIsNoRefusal failed before for both kinds of service (503, want 200), passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -45,6 +46,7 @@
 	switch {
 	case err == nil:
 		info = cr.handler.dialect.ReadResponse(resp.Status, resp.Header)
+		info.NotRun = info.NotRun && resp.Status >= http.StatusBadRequest // a success has run
 		attempt.Status = resp.Status
 		attempt.Trace = resp.Trace
 		attempt.Result = ResultAnswered
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -98,3 +98,22 @@
 		})
 	}
 }
+
+// Guards against a request that is sent again, or refused as not run, although it ran: a
+// success that also says that it has not run is a success.
+func TestSuccessThatSaysNotRunIsNoRefusal(t *testing.T) {
+	for path, tc := range map[string]struct {
+		model, id string
+		good      http.HandlerFunc
+	}{
+		"/once/a":   {"", "plain-1", respond(http.StatusOK, "done")},
+		"/stream/a": {"m", "engine-1", events(1, 2, true)},
+	} {
+		is := is.New(t)
+		u := newUpstream(t, tc.id, withHeader("Not-Run", "1", tc.good))
+		router := start(t, u)
+		got := router.send(t, path, tc.model, callerTimeout)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(u.runs(), 1)
+	}
+}
