blocklist, scheduler: crashes of one moment, and after the first event, count

Cause: crashes within half a second count as one, whatever their number, and a request with an event was no suspect.

A part that was never sound and under which five engines ended is suspended: one request each 2 s tries it, which releases or blocks it. Requests are suspects until their response has been arriving for a second.

--- a/internal/blocklist/ledger.go
+++ b/internal/blocklist/ledger.go
@@ -8,6 +8,9 @@
 // blocked: its requests are refused, but for a trial from time to time, whose success
 // releases it. Parts that nothing tells apart are blocked together: only requests that
 // have all of them are refused, and those that turn out to be sound leave the entry.
+//
+// Many engines that end in one moment may be those of a failure domain. What is suspect then is
+// only suspended, until one request at a time has shown what it is.
 package blocklist
 
 import (
@@ -102,7 +105,9 @@
 type Ledger struct {
 	crashes []*crash // by time
 	blocked []*blocked
-	sound   soundParts
+	// suspended has the entries of parts that may turn out to be sound.
+	suspended []*blocked
+	sound     soundParts
 	// changed is set when the entries change, until TakeChanged.
 	changed bool
 }
@@ -136,6 +141,7 @@
 			return c
 		}
 	}
+	l.expireSuspended(now)
 	expired := func(c *crash) bool { return now.Sub(c.at) > crashTTL }
 	l.crashes = slices.DeleteFunc(l.crashes, expired)
 	if len(l.crashes) >= maxCrashes {
@@ -153,23 +159,29 @@
 	for _, part := range parts {
 		l.sound.add(now, part)
 	}
-	kept := l.blocked[:0]
-	for _, b := range l.blocked {
+	var changed bool
+	l.blocked, released, changed = withoutSound(l.blocked, parts)
+	l.changed = l.changed || changed
+	l.suspended, _, _ = withoutSound(l.suspended, parts)
+	return released
+}
+
+// withoutSound returns the entries without the sound parts of a prompt, and those of which it
+// has all parts.
+func withoutSound(entries []*blocked, parts []string) (kept []*blocked, released []Entry, changed bool) {
+	kept = entries[:0]
+	for _, b := range entries {
 		left := slices.DeleteFunc(slices.Clone(b.Parts), func(part string) bool { return slices.Contains(parts, part) })
-		switch {
-		case len(left) == 0:
+		changed = changed || len(left) < len(b.Parts)
+		if len(left) == 0 {
 			released = append(released, b.Entry)
-			l.changed = true
 			continue
-		case len(left) < len(b.Parts):
-			b.Parts = left
-			l.changed = true
 		}
+		b.Parts = left
 		kept = append(kept, b)
 	}
-	clear(l.blocked[len(kept):])
-	l.blocked = kept
-	return released
+	clear(entries[len(kept):])
+	return kept, released, changed
 }
 
 // judge blocks the suspects of a crash against which most crashes count, if they are
@@ -194,10 +206,16 @@
 		}
 	}
 	needed := crashesToBlock
-	if ambiguous || !first.lastSound.IsZero() {
+	switch {
+	case ambiguous || !first.lastSound.IsZero():
 		needed = crashesToDecide
+	case l.isUnderTrial(last, entry.Parts):
+		needed = crashesUnderTrial
 	}
 	if first.crashes < needed {
+		if suspension, ok := suspensionOf(now, suspects); ok {
+			l.suspend(now, suspension)
+		}
 		return Entry{}, false
 	}
 	slices.Sort(entry.Parts)
@@ -245,7 +263,7 @@
 			if !c.isUnder(part) || !c.at.After(s.lastSound) || explanation != nil && !slices.Contains(explanation.Parts, part) {
 				continue
 			}
-			unexplained = unexplained || explanation == nil
+			unexplained = unexplained || explanation == nil || slices.Contains(l.suspended, explanation)
 			s.add(i, c.at)
 		}
 		if unexplained {
@@ -264,25 +282,30 @@
 	}
 }
 
-// explanationOf returns the entry that explains a crash, nil if there is none.
+// explanationOf returns the entry that explains a crash, nil if there is none. As long as
+// nothing speaks against it, a suspended part explains a crash, too.
 func (l *Ledger) explanationOf(c *crash) *blocked {
-	for _, b := range l.blocked {
-		if !slices.ContainsFunc(b.Parts, func(part string) bool { return !c.isUnder(part) }) {
-			return b
+	for _, entries := range [][]*blocked{l.blocked, l.suspended} {
+		for _, b := range entries {
+			if !slices.ContainsFunc(b.Parts, func(part string) bool { return !c.isUnder(part) }) {
+				return b
+			}
 		}
 	}
 	return nil
 }
 
-// IsEmpty reports whether nothing is blocked.
-func (l *Ledger) IsEmpty() bool { return len(l.blocked) == 0 }
+// IsEmpty reports whether nothing is blocked or suspended.
+func (l *Ledger) IsEmpty() bool { return len(l.blocked)+len(l.suspended) == 0 }
 
 // Check returns the entry that a prompt matches and the time until its next trial; ok is
 // false if there is none. Of several entries it returns the one with the latest trial.
 func (l *Ledger) Check(now time.Time, parts []string) (entry Entry, untilTrial time.Duration, ok bool) {
-	for _, b := range l.blocked {
-		if left := b.nextTrial.Sub(now); b.Matches(parts) && (!ok || left > untilTrial) {
-			entry, untilTrial, ok = b.Entry, left, true
+	for _, entries := range [][]*blocked{l.blocked, l.suspended} {
+		for _, b := range entries {
+			if left := b.nextTrial.Sub(now); b.Matches(parts) && (!ok || left > untilTrial) {
+				entry, untilTrial, ok = b.Entry, left, true
+			}
 		}
 	}
 	return entry, untilTrial, ok
@@ -297,6 +320,11 @@
 			l.changed = true
 		}
 	}
+	for _, b := range l.suspended {
+		if b.Matches(parts) {
+			b.nextTrial = now.Add(suspensionTrialInterval)
+		}
+	}
 }
 
 // Adopt adds entries of another router. Their trials begin anew with the delay that they
@@ -318,6 +346,7 @@
 
 // insert adds an entry in place of those that match no other prompts.
 func (l *Ledger) insert(e Entry, nextTrial time.Time) {
+	l.suspended = slices.DeleteFunc(l.suspended, func(b *blocked) bool { return e.Matches(b.Parts) })
 	l.blocked = slices.DeleteFunc(l.blocked, func(b *blocked) bool { return e.Matches(b.Parts) })
 	l.blocked = append(l.blocked, &blocked{Entry: e, nextTrial: nextTrial})
 	l.changed = true
--- a/internal/blocklist/ledger_test.go
+++ b/internal/blocklist/ledger_test.go
@@ -126,6 +126,52 @@
 	is.Equal(len(l.Entries()), 0)
 }
 
+// Requests with a fatal part come in groups: each group ends many engines in one moment, which
+// may also be a failure domain. From then on the part is tried by one request at a time.
+func TestPartOfManyCrashesAtOnceIsSuspended(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.RecordSound(at(0), []string{"common"})
+	for i := range crashesToSuspend {
+		_, _, ok := l.Check(at(1), []string{"common", "fatal"})
+		is.True(!ok)
+		l.RecordCrash(at(1), at(1), fmt.Sprint("e", i), []string{"common", "fatal", fmt.Sprint("bystander-", i)})
+	}
+	is.True(!l.IsEmpty())
+	is.Equal(len(l.Entries()), 0) // other routers are not told: it may be sound
+	_, _, ok := l.Check(at(1), []string{"common", "other"})
+	is.True(!ok)
+	trials := 0
+	for second := 2.0; second < 60; second += 0.1 {
+		if _, untilTrial, ok := l.Check(at(second), []string{"common", "fatal"}); ok && untilTrial <= 0 {
+			trials++
+			l.BeginTrial(at(second), []string{"common", "fatal"})
+			l.RecordCrash(at(second), at(second), fmt.Sprint("trial-", trials), []string{"common", "fatal"})
+		}
+	}
+	is.Equal(trials, 1)
+	is.Equal(entriesOf(l), []string{"fatal"})
+}
+
+// A failure domain takes engines whose requests have a new part in common. The first response
+// lets all its requests in again.
+func TestSuspendedPartThatIsSoundIsReleased(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	for i := range 40 {
+		l.RecordCrash(at(float64(i)/100), at(float64(i)/100), fmt.Sprint("e", i), []string{"new"})
+	}
+	_, untilTrial, ok := l.Check(at(1), []string{"new"})
+	is.True(ok && untilTrial <= 0)
+	l.BeginTrial(at(1), []string{"new"})
+	_, untilTrial, ok = l.Check(at(1.1), []string{"new"})
+	is.True(ok && untilTrial > 0 && untilTrial <= suspensionTrialInterval)
+	is.Equal(len(l.RecordSound(at(1.5), []string{"new"})), 0) // it never was blocked
+	is.True(l.IsEmpty())
+	_, _, ok = l.Check(at(1.6), []string{"new"})
+	is.True(!ok)
+}
+
 func TestAdoptedEntriesAreMerged(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger()
@@ -172,11 +218,14 @@
 )
 
 func (m *fleetModel) send(now time.Time, parts []string, fatal bool) {
-	if _, untilTrial, ok := m.ledger.Check(now, parts); ok && untilTrial > 0 {
-		if !fatal {
-			m.refused++
+	if _, untilTrial, ok := m.ledger.Check(now, parts); ok {
+		if untilTrial > 0 {
+			if !fatal {
+				m.refused++
+			}
+			return
 		}
-		return
+		m.ledger.BeginTrial(now, parts)
 	}
 	if fatal && !m.fifthCrash.IsZero() && now.Sub(m.fifthCrash) > learningTime {
 		m.fatalAfter++
@@ -221,47 +270,85 @@
 	e.runs = nil
 }
 
-// Requests that share parts in all ways run on a fleet whose engines also end for other
-// reasons, alone and by the domain. The fatal part must be found in time, and sound requests
-// must be served.
-func TestFatalPartIsFoundAmongSoundOnes(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		engines := rapid.IntRange(4, 200).Draw(t, "engines")
-		perSecond := rapid.IntRange(5, 200).Draw(t, "sound requests a second")
-		fatalGap := rapid.IntRange(50, 1500).Draw(t, "ms between fatal requests")
-		docs := rapid.IntRange(1, 200).Draw(t, "documents")
-		cold := rapid.Bool().Draw(t, "sound requests come later only")
-		losses := rapid.IntRange(0, 5).Draw(t, "losses of a domain")
-		m := &fleetModel{random: rand.New(rand.NewPCG(seed, 0)), ledger: NewLedger(), engines: make([]modelEngine, engines)}
-		prompt := func(second string) []string {
-			return []string{fmt.Sprint("system-", m.random.IntN(3)), second}
+// fleetPlay is a play of requests that share parts in all ways, on a fleet whose engines also
+// end for other reasons, alone and by the domain.
+type fleetPlay struct {
+	seed            uint64
+	engines         int
+	soundPerSecond  int
+	fatalGapMs      int
+	documents       int
+	soundComeLater  bool
+	lossesOfADomain int
+	fatalAtOnce     int
+}
+
+// run plays 40 s. The fatal part must be found in time, and sound requests must be served.
+func (p fleetPlay) run() error {
+	m := &fleetModel{random: rand.New(rand.NewPCG(p.seed, 0)), ledger: NewLedger(), engines: make([]modelEngine, p.engines)}
+	prompt := func(second string) []string {
+		return []string{fmt.Sprint("system-", m.random.IntN(3)), second}
+	}
+	for ms := 0; ms < 40_000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if m.random.IntN(100) < p.soundPerSecond && (!p.soundComeLater || ms > 7000) {
+			m.sound++
+			m.send(now, prompt(fmt.Sprint("doc-", m.random.IntN(p.documents))), false)
 		}
-		for ms := 0; ms < 40_000; ms += 10 {
-			now := start.Add(time.Duration(ms) * time.Millisecond)
-			if m.random.IntN(100) < perSecond && (!cold || ms > 7000) {
-				m.sound++
-				m.send(now, prompt(fmt.Sprint("doc-", m.random.IntN(docs))), false)
-			}
-			if ms > 5000 && ms%fatalGap < 10 {
+		if ms > 5000 && ms%(p.fatalGapMs*p.fatalAtOnce) < 10 {
+			for range p.fatalAtOnce {
 				m.send(now, prompt(fatalPart), true)
 			}
-			if m.random.IntN(4000) < losses {
-				for i := range max(1, engines/4) {
-					m.end(now, i)
-				}
+		}
+		if m.random.IntN(4000) < p.lossesOfADomain {
+			for i := range max(1, p.engines/4) {
+				m.end(now, i)
 			}
-			m.step(now)
 		}
-		if m.fatalAfter > 3 {
-			t.Fatalf("%d fatal requests were sent later than %v after the fifth crash; blocked: %v", m.fatalAfter, learningTime, entriesOf(m.ledger))
+		m.step(now)
+	}
+	if m.fatalAfter > 3 {
+		return fmt.Errorf("%d fatal requests were sent later than %v after the fifth crash; blocked: %v", m.fatalAfter, learningTime, entriesOf(m.ledger))
+	}
+	if m.refused > m.sound/10 {
+		return fmt.Errorf("%d of %d sound requests were refused; blocked: %v", m.refused, m.sound, entriesOf(m.ledger))
+	}
+	return nil
+}
+
+func TestFatalPartIsFoundAmongSoundOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		play := fleetPlay{
+			seed:            rapid.Uint64().Draw(t, "seed"),
+			engines:         rapid.IntRange(4, 200).Draw(t, "engines"),
+			soundPerSecond:  rapid.IntRange(5, 200).Draw(t, "sound requests a second"),
+			fatalGapMs:      rapid.IntRange(50, 1500).Draw(t, "ms between fatal requests"),
+			documents:       rapid.IntRange(1, 200).Draw(t, "documents"),
+			soundComeLater:  rapid.Bool().Draw(t, "sound requests come later only"),
+			lossesOfADomain: rapid.IntRange(0, 5).Draw(t, "losses of a domain"),
+			fatalAtOnce:     1,
 		}
-		if m.refused > m.sound/10 {
-			t.Fatalf("%d of %d sound requests were refused; blocked: %v", m.refused, m.sound, entriesOf(m.ledger))
+		if err := play.run(); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
 
+// Guards against fatal requests that come in groups, each of which ends several engines in one
+// moment.
+func TestFatalPartThatComesInGroupsIsFound(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		play := fleetPlay{
+			seed: seed, engines: 4 + random.IntN(197), soundPerSecond: 5 + random.IntN(196), fatalGapMs: 50 + random.IntN(1451),
+			documents: 1 + random.IntN(200), soundComeLater: random.IntN(2) == 0, lossesOfADomain: random.IntN(6), fatalAtOnce: 2 + random.IntN(9),
+		}
+		if err := play.run(); err != nil {
+			t.Errorf("%+v: %v", play, err)
+		}
+	}
+}
+
 // BenchmarkCrashes is the cost of one report, while the domain of a large fleet is lost and
 // each engine has other requests.
 func BenchmarkCrashes(b *testing.B) {
--- a/internal/cell/blocklist.go
+++ b/internal/cell/blocklist.go
@@ -61,18 +61,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if r := c.running[number]; r != nil && !r.GetStarted() {
+	if r := c.running[number]; r != nil && c.mayBeSuspectLocked(number, now) {
 		c.brokenOff = slices.DeleteFunc(c.brokenOff, func(b reportedBrokenOff) bool { return now.Sub(b.at) > brokenOffTTL })
 		c.brokenOff = append(c.brokenOff[max(0, len(c.brokenOff)-maxBrokenOff+1):], reportedBrokenOff{at: now, report: &apiv1.BrokenOffRequest{
 			Service: r.GetAsk().GetService(), RequestId: r.GetAsk().GetRequestId(), UpstreamId: r.GetUpstreamId(), StartedMs: startedMs, Parts: blocklist.SharedParts(r.GetAsk().GetParts(), (*apiv1.PromptPart).GetId),
 		}})
 	}
 	delete(c.running, number)
+	delete(c.startedAt, number)
 	call := progressCall(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_FAILED, 0)
 	call.GetProgress().BrokenOff = true
 	c.sendLocked(call)
 }
 
+// mayBeSuspectLocked reports whether the response of a request has been arriving for so short a
+// time that its engine may have crashed under it.
+func (c *Client) mayBeSuspectLocked(number uint64, now time.Time) bool {
+	startedAt, started := c.startedAt[number]
+	return !started || now.Sub(startedAt) < scheduler.ProvenTime
+}
+
 // brokenOffLocked returns the requests that broke off lately.
 func (c *Client) brokenOffLocked() []*apiv1.BrokenOffRequest {
 	var reports []*apiv1.BrokenOffRequest
--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -65,6 +65,8 @@
 	link    sender
 	pending map[uint64]*pendingRequest       // placement requests without a decision, by number
 	running map[uint64]*apiv1.RunningRequest // placed requests, by number
+	// startedAt is when the responses of placed requests began, by number.
+	startedAt map[uint64]time.Time
 	// brokenOff are the requests that broke off lately, oldest first.
 	brokenOff []reportedBrokenOff
 	// connected is set by the first heartbeat of the current link. lastReceived is
@@ -132,10 +134,11 @@
 		opts.Blocklist = &blocklist.List{}
 	}
 	return &Client{
-		opts:    opts,
-		pending: make(map[uint64]*pendingRequest),
-		running: make(map[uint64]*apiv1.RunningRequest),
-		linkUp:  make(chan struct{}),
+		opts:      opts,
+		pending:   make(map[uint64]*pendingRequest),
+		running:   make(map[uint64]*apiv1.RunningRequest),
+		startedAt: make(map[uint64]time.Time),
+		linkUp:    make(chan struct{}),
 	}
 }
 
--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -123,9 +123,11 @@
 	if outcome == apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED {
 		if r := c.running[number]; r != nil {
 			r.Started = true
+			c.startedAt[number] = time.Now()
 		}
 	} else {
 		delete(c.running, number)
+		delete(c.startedAt, number)
 	}
 	c.sendLocked(progressCall(number, outcome, eventInterval))
 }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// provenTime is how long a response must have been arriving for its request not to be
+	// ProvenTime is how long a response must have been arriving for its request not to be
 	// suspected of a crash: engines that a request crashes end as they begin to respond.
-	provenTime = time.Second
+	ProvenTime = time.Second
 	// provenInterval is the shortest time between two looks at all responses in progress.
 	provenInterval = 200 * time.Millisecond
 	// maxBrokenOffAge is how long after a request broke off the end of its engine counts
@@ -21,7 +21,8 @@
 	crashCheckDelay = 100 * time.Millisecond
 )
 
-// BrokenOff is a request whose engine ended the connection before the first event.
+// BrokenOff is a request whose engine ended the connection before the first event, or so soon
+// after it that the engine may have crashed as it began to respond.
 type BrokenOff struct {
 	RequestID string
 	// UpstreamID and StartedMs are the incarnation of the engine; StartedMs is 0 if the
@@ -36,7 +37,7 @@
 // CrashedEngine is an engine that ended under requests.
 type CrashedEngine struct {
 	UpstreamID string
-	// Requests are those that broke off before their first event, Suspects their parts.
+	// Requests are those that broke off as their responses began, Suspects their parts.
 	Requests []string
 	Suspects []string
 }
@@ -49,9 +50,11 @@
 // told by its inventory, or by its absence.
 func (c *Cell) noteBrokenOff(now time.Time, r *run) {
 	switch {
-	case r.started && now.Sub(r.startedAt) >= provenTime:
+	case r.started && r.startedAt.IsZero():
+		// It began under an earlier scheduler, at a time that is not known.
+	case r.started && now.Sub(r.startedAt) >= ProvenTime:
 		c.recordSound(now, r.req)
-	case !r.started:
+	default:
 		c.addBrokenOff(now, BrokenOff{RequestID: r.req.RequestID, UpstreamID: r.engine.up.ID, StartedMs: r.engine.up.StartedMs, Parts: r.req.sharedParts(), At: now})
 	}
 }
@@ -127,7 +130,7 @@
 	}
 	c.provenAt = now
 	for _, r := range c.runs {
-		if r.started && !r.startedAt.IsZero() && now.Sub(r.startedAt) >= provenTime {
+		if r.started && !r.startedAt.IsZero() && now.Sub(r.startedAt) >= ProvenTime {
 			c.recordSound(now, r.req)
 		}
 	}
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -164,3 +164,70 @@
 
 // sameTimeApart is the time between crashes that count each.
 const sameTimeApart = 600 * time.Millisecond
+
+// Engines that a request crashes may have sent its first events by then.
+func TestRequestThatHasJustBegunIsSuspected(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		age     time.Duration
+		blocked int
+	}{{"just begun", 100 * time.Millisecond, 1}, {"proven", 2 * ProvenTime, 0}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			spec := testSpec(1)
+			var engines []*fakeEngine
+			for i := range 4 {
+				engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
+			}
+			sim := newSimulation(spec, engines...)
+			sim.heartbeatAll()
+			sim.update()
+			sim.run(time.Second)
+			for i := range 3 {
+				key := sim.submitPrompt("m0", "fatal", fmt.Sprint(i))
+				sim.carryOut(sim.cell.Progress(sim.now, key, Started))
+				sim.run(tc.age)
+				is.True(sim.crashUnder(key) != "")
+				sim.run(sameTimeApart)
+			}
+			is.Equal(len(sim.cell.Blocked()), tc.blocked)
+		})
+	}
+}
+
+// Many engines end in one moment under requests with the same new part. Until one request has
+// shown what it is, the others with it are told to come back after that.
+func TestSuspendedPartIsTriedByOneRequestAtATime(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(1)
+	var engines []*fakeEngine
+	for i := range 8 {
+		engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
+	}
+	sim := newSimulation(spec, engines...)
+	sim.heartbeatAll()
+	sim.update()
+	sim.run(time.Second)
+	var keys []uint64
+	for i := range 6 {
+		keys = append(keys, sim.submitPrompt("m0", "new", fmt.Sprint(i)))
+	}
+	for _, key := range keys {
+		sim.crashUnder(key)
+	}
+	sim.run(100 * time.Millisecond)
+	for _, e := range engines {
+		e.refuses = false
+	}
+	sim.run(time.Second)
+	grants, refusals := len(sim.grants), len(sim.refusals)
+	trial := sim.submitPrompt("m0", "new", "7")
+	sim.submitPrompt("m0", "new", "8")
+	is.Equal(len(sim.grants), grants+1)
+	is.True(sim.grants[grants].Trial)
+	is.Equal(len(sim.refusals), refusals+1)
+	is.True(sim.refusals[refusals].RetryAfter < 3*time.Second)
+	sim.finish(trial)
+	_, ok := sim.granted(sim.submitPrompt("m0", "new", "9"))
+	is.True(ok)
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -84,7 +84,7 @@
 	// inspectedAt is when the last inventory was requested, or is to be.
 	inspecting  bool
 	inspectedAt time.Time
-	// brokenOff are the requests that broke off before their first event, until it is known
+	// brokenOff are the requests that broke off as their responses began, until it is known
 	// whether the engine ended. crashCheckAt is when an inventory was last requested for
 	// that.
 	brokenOff    []BrokenOff
