platform, external: one silent connection to the store does not cost a read after the other

Connections that go silent do so together, while new ones work. A read that timed out gave up its own connection only; the next one took another from the pool and timed out, too, up to 1.5 s each.

A call that times out closes the idle connections, so that the next one dials.

--- a/internal/external/client.go
+++ b/internal/external/client.go
@@ -86,7 +86,11 @@
 	defer cancel()
 	ctx, watch := progress.WithTimeout(ctx, c.timeout)
 	defer watch.Stop()
-	return watch.Err(call(ctx))
+	err := watch.Err(call(ctx))
+	if err != nil && ctx.Err() != nil {
+		c.CloseIdleConnections() // they may have gone silent, too
+	}
+	return err
 }
 
 // withOutcomeUnknown returns a copy of the *Error in err with OutcomeUnknown set
