entry: a request without a model is not looped for a blocked prompt

Found by reading the change: a request to a service of engines that names no model is sent like one to a plain service. If its prompt matched a blocked one, checkChoice refused each upstream, and servePlain chose again without end.

Blocked prompts are checked for placements only, as before the change.

TestRequestWithoutModelIsNotCheckedForBlockedPrompts did not end before, passes. Reports of a former incarnation are asked for again at the interval of failed ones; the simulations of crashes share their start.

--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -11,29 +11,35 @@
 var errUpstreamLeft = errors.New("the upstream drains, is cordoned or was removed since it was chosen")
 
 // checkChoice returns an error if an upstream may no longer get the request that it was chosen
-// for: errUpstreamLeft, errPaused or a *cell.RefusedError. A request waits between its choice
-// and its first byte, for an upstream that recovers from a pause and for a connection.
-func (cr *callerRequest) checkChoice(upstreamID string, trial bool) error {
+// for: errUpstreamLeft or errPaused. A request waits between its choice and its first byte, for
+// an upstream that recovers from a pause and for a connection.
+func (cr *callerRequest) checkChoice(upstreamID string) error {
 	if cr.handler.directory.Load().KnownUnusable(upstreamID) {
 		return errUpstreamLeft
 	}
 	if cr.handler.pauses.left(upstreamID) > 0 {
 		return errPaused
 	}
-	if trial {
-		return nil
+	return nil
+}
+
+// checkPlacement is checkChoice for a placement. It also returns a *cell.RefusedError if the
+// prompt was blocked meanwhile.
+func (cr *callerRequest) checkPlacement(placement cell.Placement) error {
+	if err := cr.checkChoice(placement.UpstreamID); err != nil || placement.Trial {
+		return err
 	}
 	return cr.checkBlocklist()
 }
 
 // isChoiceVoid reports whether an attempt ended before its first byte for an error of
-// checkChoice.
+// checkChoice or checkPlacement.
 func isChoiceVoid(err error) bool {
 	var refused *cell.RefusedError
 	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.As(err, &refused)
 }
 
-// handleVoidChoice handles an error of checkChoice for a placement. It reports false if another
+// handleVoidChoice handles an error of checkPlacement. It reports false if another
 // one may be tried.
 func (cr *callerRequest) handleVoidChoice(err error, report func(apiv1.PlacementOutcome)) bool {
 	report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_CANCELLED)
--- a/internal/entry/choice_test.go
+++ b/internal/entry/choice_test.go
@@ -135,3 +135,14 @@
 		}
 	}
 }
+
+// Guards against a loop without end: a request that names no model is not placed, and what is
+// blocked for its service does not hold for it.
+func TestRequestWithoutModelIsNotCheckedForBlockedPrompts(t *testing.T) {
+	is := is.New(t)
+	server := newUpstream(t, "engine-1", respond(http.StatusOK, "done"))
+	router := start(t, server)
+	router.process.blocklist.Merge(map[string][]blocklist.Entry{"llm": {{Parts: []string{"bad"}}}})
+	is.Equal(router.sendParts(t, "/stream/a", "", "r-1", "bad,own").status, http.StatusOK)
+	is.Equal(server.runs(), 1)
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -185,7 +185,7 @@
 	report := func(outcome apiv1.PlacementOutcome) {
 		cr.handler.scheduler.ReportOutcome(placement.Number, outcome, cr.eventInterval())
 	}
-	check := func() error { return cr.checkChoice(placement.UpstreamID, placement.Trial) }
+	check := func() error { return cr.checkPlacement(placement) }
 	answered, err := cr.handler.pauses.ramps.await(cr.ctx, placement.UpstreamID, check)
 	if isChoiceVoid(err) {
 		return cr.handleVoidChoice(err, report)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -20,7 +20,7 @@
 			cr.refuse(cr.retryDelay(attemptRetryDelay), "no upstream is known, or all of them asked for a pause")
 			return
 		}
-		check := func() error { return cr.checkChoice(up.ID, false) }
+		check := func() error { return cr.checkChoice(up.ID) }
 		answered, err := cr.handler.pauses.ramps.await(cr.ctx, up.ID, check)
 		if isChoiceVoid(err) {
 			continue
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -27,6 +27,19 @@
 	return req.Key
 }
 
+// newReadySimulation returns a simulation of n engines with model m0, whose reports the cell has.
+func newReadySimulation(spec *fleet.EngineSpec, n int) *simulation {
+	var engines []*fakeEngine
+	for i := range n {
+		engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
+	}
+	sim := newSimulation(spec, engines...)
+	sim.heartbeatAll()
+	sim.update()
+	sim.run(time.Second)
+	return sim
+}
+
 // crashUnder ends the engine of a granted request; its port refuses connections.
 func (sim *simulation) crashUnder(key uint64) string {
 	g, ok := sim.granted(key)
@@ -88,15 +101,7 @@
 // that is answered lets all in again.
 func TestWaitingRequestsWithABlockedPartAreRefused(t *testing.T) {
 	is := is.New(t)
-	spec := testSpec(2)
-	var engines []*fakeEngine
-	for i := range 4 {
-		engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
-	}
-	sim := newSimulation(spec, engines...)
-	sim.heartbeatAll()
-	sim.update()
-	sim.run(time.Second)
+	sim := newReadySimulation(testSpec(2), 4)
 	keys := []uint64{sim.submitPrompt("m0", "fatal", "1"), sim.submitPrompt("m0", "fatal", "2"), sim.submitPrompt("m0", "fatal", "3")}
 	waiting := sim.submitPrompt("m1", "fatal", "5")
 	is.Equal(sim.cell.Waiting(), 1)
@@ -109,7 +114,7 @@
 	is.Equal(sim.refusals[0].Key, waiting)
 	is.True(sim.refusals[0].RetryAfter > 50*time.Second)
 
-	for _, e := range engines {
+	for _, e := range sim.engines {
 		e.refuses = false
 	}
 	sim.run(2 * time.Minute)
@@ -174,15 +179,7 @@
 	}{{"just begun", 100 * time.Millisecond, 1}, {"proven", 2 * ProvenTime, 0}} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			spec := testSpec(1)
-			var engines []*fakeEngine
-			for i := range 4 {
-				engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
-			}
-			sim := newSimulation(spec, engines...)
-			sim.heartbeatAll()
-			sim.update()
-			sim.run(time.Second)
+			sim := newReadySimulation(testSpec(1), 4)
 			for i := range 3 {
 				key := sim.submitPrompt("m0", "fatal", fmt.Sprint(i))
 				sim.carryOut(sim.cell.Progress(sim.now, key, Started))
@@ -199,15 +196,7 @@
 // shown what it is, the others with it are told to come back after that.
 func TestSuspendedPartIsTriedByOneRequestAtATime(t *testing.T) {
 	is := is.New(t)
-	spec := testSpec(1)
-	var engines []*fakeEngine
-	for i := range 8 {
-		engines = append(engines, newFakeEngine(fmt.Sprint("e", i), spec, "m0"))
-	}
-	sim := newSimulation(spec, engines...)
-	sim.heartbeatAll()
-	sim.update()
-	sim.run(time.Second)
+	sim := newReadySimulation(testSpec(1), 8)
 	var keys []uint64
 	for i := range 6 {
 		keys = append(keys, sim.submitPrompt("m0", "new", fmt.Sprint(i)))
@@ -216,7 +205,7 @@
 		sim.crashUnder(key)
 	}
 	sim.run(100 * time.Millisecond)
-	for _, e := range engines {
+	for _, e := range sim.engines {
 		e.refuses = false
 	}
 	sim.run(time.Second)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -371,7 +371,7 @@
 	}
 	e.inspecting = false
 	if err == nil && e.isOfFormerIncarnation(inventory) {
-		c.inspect(now, e, inspectInterval)
+		c.inspect(now, e, failedInspectInterval)
 		return c.takeActions()
 	}
 	if !errors.Is(err, fleet.ErrNotAsked) {
