scheduler: a report that was not the due one is not taken for a later one

Found by reading the change: the age of a report counts from when it was asked for, but a report that is asked for at once, because a request broke off, may come while the regular one is due seconds later. It then counted as that one, and a report from before the last order gave the load under way up.

TestReportBeforeTheOneThatIsDue failed before (orders 4, want 5), passes.

--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -75,7 +75,7 @@
 	}
 	ip := parsed.Addr()
 	if parsed.Port() == 0 || ip.Zone() != "" || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast {
-		return fmt.Errorf("address %q is none of a single host: it needs a unicast IP without zone and a port", addr)
+		return fmt.Errorf("address %q is not that of a host: write a unicast IP without a zone, and a port", addr)
 	}
 	return nil
 }
--- a/internal/scheduler/late_report_test.go
+++ b/internal/scheduler/late_report_test.go
@@ -81,3 +81,22 @@
 	is.Equal(len(e.replicas), 0)
 	is.True(!e.up.TakesWork())
 }
+
+// Guards against a load that is given up: a report that is asked for because a request broke
+// off comes while the next one is due only later.
+func TestReportBeforeTheOneThatIsDue(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	m0 := fleet.LoadedModel{Name: "m0"}
+	cell := newInspectedCell(now, testUpstream(1, 1, m0))
+	cell.HandleInventory(now, "e1", inventoryOf(1, 4, m0), nil)
+	e := cell.engines["e1"]
+	orders := cell.Submit(now, &Request{Key: 1, Model: "m1", PromptTokens: 100, Objective: now.Add(time.Second), Deadline: now.Add(20 * time.Second)}).Orders
+	is.Equal(len(orders), 1)
+	cell.HandleOrderResult(now, "e1", orders[0].Order, fleet.OrderAccepted)
+	is.True(e.inspectedAt.After(now.Add(maxReportAge))) // when the load is expected to be over
+	now = now.Add(maxReportAge / 2)
+	cell.HandleInventory(now, "e1", inventoryOf(1, 4, m0), nil)
+	is.Equal(e.orders, int64(5))
+	is.True(e.plan != nil)
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -400,6 +400,15 @@
 	return inventory.StartedMs != 0 && inventory.StartedMs < e.up.StartedMs
 }
 
+// askedAfterOrder returns how long after the last order an inventory that arrives now was asked
+// for, at least. It may not be the one that is due next.
+func (e *engine) askedAfterOrder(now time.Time) time.Duration {
+	if e.inspectedAt.After(now) {
+		return now.Sub(e.lastOrderAt)
+	}
+	return e.inspectedAt.Sub(e.lastOrderAt)
+}
+
 // resetEngine resets the state of an engine that restarted under the same id.
 func (c *Cell) resetEngine(e *engine, inventory fleet.Inventory) {
 	c.abandonPlan(e)
@@ -418,7 +427,7 @@
 	case e.orders < 0:
 		c.adoptInventory(now, e, inventory)
 		return
-	case inventory.Orders < e.orders && e.inspectedAt.Sub(e.lastOrderAt) < maxReportAge:
+	case inventory.Orders < e.orders && e.askedAfterOrder(now) < maxReportAge:
 		// The inventory may be older than the last order: it may have been under way for long.
 		if e.plan != nil {
 			c.inspect(now, e, inspectInterval)
@@ -490,7 +499,7 @@
 // advancePlan takes the plan in progress a step further.
 func (c *Cell) advancePlan(now time.Time, e *engine, inventory fleet.Inventory) {
 	if e.plan == nil {
-		if !inventory.Busy && e.inspectedAt.Sub(e.lastOrderAt) > maxReportAge {
+		if !inventory.Busy && e.askedAfterOrder(now) > maxReportAge {
 			e.setReplicas(inventory.Models, c.spec)
 			e.addLoadingAdapters(inventory.LoadingAdapters)
 		}
