cell: blocked prompts that were read before the scheduler's list don't replace it

If the scheduler's list, without a prompt that it has released, arrives before a late answer, the prompt was added again, and this router refused its requests until the scheduler's next list.

A read that a list has overtaken is dropped, except by the scheduler itself, and what the scheduler sends is not looked for in the store any more.

TestBlocklistThatArrivesAfterARelayedOne failed before for a router, passes.

--- a/internal/blocklist/list.go
+++ b/internal/blocklist/list.go
@@ -12,6 +12,8 @@
 type List struct {
 	mu      sync.Mutex // serializes writers
 	current atomic.Pointer[map[string][]Entry]
+	// replaced counts the calls of Replace.
+	replaced atomic.Int64
 }
 
 // Load returns the entries by service. They must not be changed.
@@ -27,8 +29,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.current.Store(&entries)
+	l.replaced.Add(1)
 }
 
+// Replaced counts the calls of Replace. What was read before one of them may be outdated.
+func (l *List) Replaced() int64 { return l.replaced.Load() }
+
 // Merge adds entries that the list lacks.
 func (l *List) Merge(entries map[string][]Entry) {
 	l.mu.Lock()
--- a/internal/cell/blocklist_store.go
+++ b/internal/cell/blocklist_store.go
@@ -84,7 +84,7 @@
 	}
 	b.fence, b.era = fence, era
 	switch {
-	case b.row == nil:
+	case b.row == nil && (fence != 0 || b.opts.List.Replaced() == 0):
 		b.read(ctx)
 	case fence != 0:
 		if list := encodeBlocklist(b.opts.List.Load()); !proto.Equal(list, b.row) {
@@ -99,11 +99,15 @@
 func (b *BlocklistStore) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
+	replaced := b.opts.List.Replaced()
 	row, err := b.opts.Table.Get(ctx, blocklistKey)
 	if err != nil {
 		b.failed("read blocklist", err)
 		return
 	}
+	if b.opts.Fence() == 0 && b.opts.List.Replaced() != replaced {
+		return // the scheduler's list has overtaken it, and may lack what was released
+	}
 	b.take(row)
 }
 
--- a/internal/cell/blocklist_test.go
+++ b/internal/cell/blocklist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
@@ -166,3 +168,38 @@
 	_, found := client.opts.Blocklist.Match("s", []string{"fatal"})
 	is.True(found)
 }
+
+// lateTable answers a read after onGet, with the row as it was before.
+type lateTable struct {
+	external.TableService
+	onGet func()
+}
+
+func (t lateTable) Get(ctx context.Context, key string) (external.Row, error) {
+	row, err := t.TableService.Get(ctx, key)
+	t.onGet()
+	return row, err
+}
+
+// Guards against a prompt that is refused again although it was released: a router that starts
+// reads the store, and the scheduler's later list arrives before the answer.
+func TestBlocklistThatArrivesAfterARelayedOne(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fence int64
+		has   bool
+	}{"router": {0, false}, "scheduler that takes over": {1, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := tabletest.New()
+			holder := newBlocklistRouter(table, 1)
+			holder.run()
+			holder.add("released")
+			holder.run()
+			starts := newBlocklistRouter(table, tc.fence)
+			starts.linked = true
+			starts.opts.Table = lateTable{table, sync.OnceFunc(func() { starts.list.Replace(nil) })}
+			starts.run()
+			is.Equal(starts.has("released", "other"), tc.has)
+		})
+	}
+}
