scheduler: suspended prompts are logged, and those that wait are refused at once

Operators could not read back that a part was suspended, and requests with it that waited already were all let through. "prompt suspended" names the parts; of those that wait one tries them.

--- a/internal/blocklist/ledger.go
+++ b/internal/blocklist/ledger.go
@@ -107,7 +107,9 @@
 	blocked []*blocked
 	// suspended has the entries of parts that may turn out to be sound.
 	suspended []*blocked
-	sound     soundParts
+	// newlySuspended is for TakeSuspended.
+	newlySuspended []Entry
+	sound          soundParts
 	// changed is set when the entries change, until TakeChanged.
 	changed bool
 }
--- a/internal/blocklist/suspended.go
+++ b/internal/blocklist/suspended.go
@@ -55,6 +55,14 @@
 		return
 	}
 	l.suspended = append(l.suspended, &blocked{Entry: e, nextTrial: now})
+	l.newlySuspended = append(l.newlySuspended, e)
+}
+
+// TakeSuspended returns the entries that were suspended since the last call.
+func (l *Ledger) TakeSuspended() []Entry {
+	entries := l.newlySuspended
+	l.newlySuspended = nil
+	return entries
 }
 
 // isUnderTrial reports whether a crash came while its parts were tried by one request at a time.
--- a/internal/cell/blocklist.go
+++ b/internal/cell/blocklist.go
@@ -156,6 +156,9 @@
 	for _, e := range actions.Blocked {
 		s.opts.Log.PromptBlocked(service, e)
 	}
+	for _, e := range actions.Suspended {
+		s.opts.Log.PromptSuspended(service, e)
+	}
 	for _, e := range actions.Unblocked {
 		s.opts.Log.PromptUnblocked(service, e)
 	}
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -26,6 +26,7 @@
 
 func (noopLog) EngineCrashed(string, scheduler.CrashedEngine) {}
 func (noopLog) PromptBlocked(string, blocklist.Entry)         {}
+func (noopLog) PromptSuspended(string, blocklist.Entry)       {}
 func (noopLog) PromptUnblocked(string, blocklist.Entry)       {}
 
 func newClient(host, bootID string) *Client {
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -77,6 +77,7 @@
 	HandedOver(router string, fence int64)
 	EngineCrashed(service string, crashed scheduler.CrashedEngine)
 	PromptBlocked(service string, entry blocklist.Entry)
+	PromptSuspended(service string, entry blocklist.Entry)
 	PromptUnblocked(service string, entry blocklist.Entry)
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -252,6 +252,11 @@
 	l.out.Warn("prompt blocked", "service", service, "parts", e.String(), "crashes", e.Crashes)
 }
 
+// PromptSuspended implements cell.DecisionLog.
+func (l *Log) PromptSuspended(service string, e blocklist.Entry) {
+	l.out.Warn("prompt suspended", "service", service, "parts", e.String(), "crashes", e.Crashes)
+}
+
 // PromptUnblocked implements cell.DecisionLog.
 func (l *Log) PromptUnblocked(service string, e blocklist.Entry) {
 	l.out.Info("prompt unblocked", "service", service, "parts", e.String(), "trials", e.Trials)
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -116,8 +116,13 @@
 	}
 	c.actions.Crashes = append(c.actions.Crashes, crashed)
 	c.noteProven(now)
-	if entry, found := c.ledger.RecordCrash(now, brokenOff[0].At, incarnation(upstreamID, startedMs), crashed.Suspects); found {
+	entry, found := c.ledger.RecordCrash(now, brokenOff[0].At, incarnation(upstreamID, startedMs), crashed.Suspects)
+	if found {
 		c.actions.Blocked = append(c.actions.Blocked, entry)
+	}
+	suspended := c.ledger.TakeSuspended()
+	c.actions.Suspended = append(c.actions.Suspended, suspended...)
+	if found || len(suspended) > 0 {
 		c.refuseBlocked(now)
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -120,9 +120,10 @@
 	Refusals []Refusal
 	Orders   []OrderCall
 	Inspects []InspectCall
-	// Crashes, Blocked and Unblocked are only for logs.
+	// Crashes, Blocked, Suspended and Unblocked are only for logs.
 	Crashes   []CrashedEngine
 	Blocked   []blocklist.Entry
+	Suspended []blocklist.Entry
 	Unblocked []blocklist.Entry
 }
 
