entry, pace: what upstreams say about their limits is read and logged

Both interfaces read it, a book orders the statements of responses that arrive in any order, and a change is logged as "upstream limit". Nothing is decided by it yet.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -53,7 +53,7 @@
 		if info.NotRun {
 			attempt.Result = ResultRefused
 		}
-		cr.handler.notices.take(upstreamID, cr.call.ID, info)
+		cr.handler.notices.take(upstreamID, cr.call.ID, began, info)
 	case errors.As(err, &failure):
 		attempt.Err = err
 		attempt.Trace = failure.Trace
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
 // Settings of an entry process.
@@ -139,6 +141,8 @@
 	Leaving bool
 	// Pause is how long the upstream wants nothing from this router; 0 for no pause.
 	Pause time.Duration
+	// Limit is the rate of requests that the upstream takes from all routers together.
+	Limit pace.Notice
 	Load  *Load
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -9,6 +9,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
 
@@ -157,6 +158,12 @@
 	l.out.Info("upstream paused", "id", upstreamID, "request", requestID, "pause_ms", ms(pause), "asked_ms", ms(asked))
 }
 
+// UpstreamLimited logs what a router hears about the limit of an upstream when that changes.
+func (l *Log) UpstreamLimited(upstreamID, requestID string, notice pace.Notice) {
+	l.metrics.limitChanges.Add(1)
+	l.out.Info("upstream limit", "id", upstreamID, "request", requestID, "limited", notice.Kind == pace.Limited, "per_second", notice.PerSecond)
+}
+
 // RegistrationInvalid implements fleet.Observer.
 func (l *Log) RegistrationInvalid(id string, err error) {
 	l.out.Warn("entry names no upstream", "id", id, "err", err)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,6 +41,8 @@
 	// responses that asked for one.
 	leavingLearned expvar.Int
 	pauses         expvar.Int
+	// limitChanges counts the limits that upstreams named, changed or ended.
+	limitChanges expvar.Int
 	// engineCrashes counts engines that ended under requests, blockedPrompts the prompt
 	// parts that were blocked because of that, both by this router's scheduler.
 	engineCrashes  expvar.Int
@@ -117,6 +119,7 @@
 		{"config_version", &m.configVersion},
 		{"upstreams_leaving_total", &m.leavingLearned},
 		{"upstream_pauses_total", &m.pauses},
+		{"upstream_limit_changes_total", &m.limitChanges},
 		{"engine_crashes_total", &m.engineCrashes},
 		{"blocked_prompts_total", &m.blockedPrompts},
 	} {
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -1,15 +1,12 @@
 package entry
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
@@ -127,65 +124,3 @@
 	}
 	return max(delay, first+time.Duration(rand.Float64()*pauseSpread*float64(first)))
 }
-
-// notices are what upstreams say about themselves in responses to requests, orders and
-// reads of inventories.
-type notices struct {
-	pauses *pauses
-	// onLeaving is called when an upstream says that it is about to leave. It marks the
-	// upstream as draining before it returns.
-	onLeaving func(upstreamID, requestID string)
-	log       *Log
-}
-
-// take takes in the head of a response. requestID names the request in logs.
-func (n *notices) take(upstreamID, requestID string, info ResponseInfo) {
-	if info.Leaving {
-		n.onLeaving(upstreamID, requestID)
-	}
-	if info.Pause > 0 {
-		pause := min(info.Pause, maxPause)
-		n.pauses.add(upstreamID, pause)
-		n.log.UpstreamPaused(upstreamID, requestID, pause, info.Pause)
-	}
-}
-
-// considerateEngines sends nothing to engines in a pause, and takes in what engines say
-// about themselves.
-type considerateEngines struct {
-	fleet.Engines
-	dialect Dialect
-	notices *notices
-}
-
-// Names of calls in logs, in place of a request's id.
-const (
-	orderCall  = "order"
-	reportCall = "report"
-)
-
-// Order implements fleet.Engines. An order that is not sent counts as one that conflicts.
-func (e considerateEngines) Order(ctx context.Context, up *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
-	if e.notices.pauses.left(up.ID) > 0 {
-		return fleet.OrderConflict, nil
-	}
-	return e.Engines.Order(e.observe(ctx, up, orderCall), up, order)
-}
-
-// Inspect implements fleet.Engines.
-func (e considerateEngines) Inspect(ctx context.Context, up *fleet.Upstream) (fleet.Inventory, error) {
-	if e.notices.pauses.left(up.ID) > 0 {
-		return fleet.Inventory{}, errPaused
-	}
-	inventory, err := e.Engines.Inspect(e.observe(ctx, up, reportCall), up)
-	if err != nil && e.notices.pauses.left(up.ID) > 0 {
-		err = errPaused // that was its answer
-	}
-	return inventory, err
-}
-
-func (e considerateEngines) observe(ctx context.Context, up *fleet.Upstream, call string) context.Context {
-	return exchange.WithObserver(ctx, func(status int, header http.Header) {
-		e.notices.take(up.ID, call, e.dialect.ReadResponse(status, header))
-	})
-}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -20,6 +20,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
 
@@ -82,7 +83,7 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
-	notices := &notices{pauses: &pauses{}, onLeaving: p.onLeaving, log: p.log}
+	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(), startedMs: p.startedMs, onLeaving: p.onLeaving, log: p.log}
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
 		Directory:    p.directory,
 		Engines:      considerateEngines{deps.Engines, deps.Dialect, notices},
@@ -175,6 +176,14 @@
 	p.logUpstreams(p.directory.Load())
 }
 
+// startedMs returns the start time of an upstream's incarnation, 0 if it is not known.
+func (p *Process) startedMs(upstreamID string) int64 {
+	if up := p.directory.Load().Upstreams[upstreamID]; up != nil {
+		return up.StartedMs
+	}
+	return 0
+}
+
 // onLeaving is called when an upstream says in a response that it is about to leave. The
 // platform's list may not tell for seconds.
 func (p *Process) onLeaving(upstreamID, requestID string) {
@@ -288,6 +297,7 @@
 		case <-ticker.C:
 			p.deps.Pool.Sweep()
 			p.handler.pauses.prune()
+			p.handler.notices.limits.Prune(time.Now())
 			p.handler.balancer.prune(p.directory.Load().Upstreams)
 		}
 	}
--- a/internal/external/engine.go
+++ b/internal/external/engine.go
@@ -29,6 +29,9 @@
 	// HeaderPause is, on a 503 response, how long the upstream wants nothing from this
 	// router, in milliseconds.
 	HeaderPause = "Ragwortdoor-Pause-Ms"
+	// HeaderLimit is, on all responses of an upstream in need, the requests a second that it
+	// takes from all routers together, as a decimal number.
+	HeaderLimit = "Ragwortdoor-Limit"
 	// HeaderLastEvent is the id of the last event received before a stream is resumed.
 	HeaderLastEvent = "Last-Event-Id"
 )
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/entry"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
 const (
@@ -199,6 +200,7 @@
 		NotRun:        h.Get(external.HeaderOutcome) == external.OutcomeNotRun,
 		WrongUpstream: status == http.StatusMisdirectedRequest,
 		Leaving:       h.Get(external.HeaderDraining) == external.DrainingNow,
+		Limit:         pace.ParseNotice(h.Values(external.HeaderLimit)),
 	}
 	if ms, err := strconv.ParseUint(h.Get(external.HeaderPause), 10, 32); err == nil && status == http.StatusServiceUnavailable {
 		info.Pause = milliseconds(uint32(ms))
--- a/internal/native/native_test.go
+++ b/internal/native/native_test.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/sample"
 	"github.com/ragwortdoor/ragwortdoor/internal/standin"
 )
@@ -262,6 +263,7 @@
 	is.Equal(read(200, external.HeaderDraining, external.DrainingNow), entry.ResponseInfo{Signed: true, Leaving: true})
 	is.Equal(read(503, external.HeaderPause, "250"), entry.ResponseInfo{Signed: true, Pause: 250 * time.Millisecond})
 	is.Equal(read(200, external.HeaderPause, "250"), entry.ResponseInfo{Signed: true}) // only with a refusal
+	is.Equal(read(200, external.HeaderLimit, "2.5"), entry.ResponseInfo{Signed: true, Limit: pace.Notice{Kind: pace.Limited, PerSecond: 2.5}})
 	for _, malformed := range []string{"soon", "-1", "1.5", ""} {
 		is.Equal(read(503, external.HeaderPause, malformed), entry.ResponseInfo{Signed: true})
 	}
