--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -17,7 +17,9 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
+	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/testaddr"
 )
@@ -61,6 +63,7 @@
 	if pause := h.Get("Pause"); pause != "" {
 		info.Pause, _ = time.ParseDuration(pause) // the tests send valid ones
 	}
+	info.Limit = pace.ParseNotice(h.Values("Limit"))
 	return info
 }
 
@@ -255,17 +258,33 @@
 }
 
 func startWithDialect(t testing.TB, source *fakeSource, engines fleet.Engines, dialect Dialect) *testRouter {
+	t.Helper()
+	return startRouter(t, "entry-1", tabletest.New(), source, engines, dialect)
+}
+
+// startFleet starts routers that share a table service, the first of which schedules.
+func startFleet(t testing.TB, n int, source *fakeSource, engines fleet.Engines) []*testRouter {
+	t.Helper()
+	table := tabletest.New()
+	routers := make([]*testRouter, n)
+	for i := range routers {
+		routers[i] = startRouter(t, fmt.Sprint("entry-", i+1), table, source, engines, testDialect{})
+	}
+	return routers
+}
+
+func startRouter(t testing.TB, host string, table external.TableService, source *fakeSource, engines fleet.Engines, dialect Dialect) *testRouter {
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	source.config = fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
 	settings := Settings{
-		Host: "entry-1", FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
+		Host: host, FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
 		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
 	}
 	logger := decisionlog.New(log.ErrorLevel)
 	pool := exchange.NewPool(exchange.Options{IDHeader: "Id"})
 	p := New(settings, Deps{
-		Dialect: dialect, Table: tabletest.New(), Source: source,
+		Dialect: dialect, Table: table, Source: source,
 		Engines: engines, Pool: pool, Log: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
