pace: requests to an upstream keep to the limit that it names, over all routers

Cause: nothing read the limit; the scheduler placed by time to the first event, the balancer by load. The class: what each router may do by itself adds up over the fleet.

Change: routers report limits that they hear to the scheduler, which issues the requests to limited upstreams one by one at 0.9 of the limit, urgent ones first (internal/pace). For engines the limit is part of a placement's expected time; a model whose replicas all have limits gets another one, and loads go elsewhere. A request to a plain service asks the scheduler only for an upstream with a limit. What can't be sent in time is refused at once, with a Retry-After at the pace. Without a scheduler a few routers, chosen by rendezvous hashing, have shares that the last one assigned. Orders and reads of inventories are bounded apart.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -11,6 +11,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -125,6 +126,8 @@
 	// Blocklist has the blocked prompts that this router knows of; the client replaces
 	// them by those that the scheduler relays. Nil means an empty list.
 	Blocklist *blocklist.List
+	// Limits has the limits that this router knows of; nil means none.
+	Limits *pace.Router
 }
 
 // NewClient returns a client without a scheduler. It connects to none until Run is
@@ -133,6 +136,9 @@
 	if opts.Blocklist == nil {
 		opts.Blocklist = &blocklist.List{}
 	}
+	if opts.Limits == nil {
+		opts.Limits = pace.NewRouter(opts.Host)
+	}
 	return &Client{
 		opts:      opts,
 		pending:   make(map[uint64]*pendingRequest),
@@ -269,7 +275,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load())}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load()), Limits: encodeLimits(time.Now(), c.opts.Limits.Limits())}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
--- a/internal/cell/client_receive.go
+++ b/internal/cell/client_receive.go
@@ -63,6 +63,9 @@
 	case *apiv1.SchedulerReply_Blocklist:
 		c.opts.Blocklist.Replace(decodeBlocklist(body.Blocklist))
 		return
+	case *apiv1.SchedulerReply_Limits:
+		c.takeLimits(body.Limits)
+		return
 	case *apiv1.SchedulerReply_Queued:
 		if req := c.pending[body.Queued.GetNumber()]; req != nil {
 			req.confirmed = true
--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -11,6 +11,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 )
@@ -28,6 +29,8 @@
 func (noopLog) PromptBlocked(string, blocklist.Entry)         {}
 func (noopLog) PromptSuspended(string, blocklist.Entry)       {}
 func (noopLog) PromptUnblocked(string, blocklist.Entry)       {}
+func (noopLog) LimitGranted(string, pace.Decision)            {}
+func (noopLog) LimitRefused(string, pace.Decision)            {}
 
 func newClient(host, bootID string) *Client {
 	return NewClient(ClientOptions{
--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -84,9 +84,11 @@
 		return Placement{}, &RefusedError{RetryAfter: microseconds(refusal.GetRetryAfterUs()), Reason: refusal.GetReason()}
 	}
 	grant := reply.GetGrant()
-	c.mu.Lock()
-	c.running[req.GetNumber()] = &apiv1.RunningRequest{Ask: req, UpstreamId: grant.GetUpstreamId()}
-	c.mu.Unlock()
+	if len(req.GetLimited()) == 0 {
+		c.mu.Lock()
+		c.running[req.GetNumber()] = &apiv1.RunningRequest{Ask: req, UpstreamId: grant.GetUpstreamId()}
+		c.mu.Unlock()
+	}
 	return Placement{
 		Number:     req.GetNumber(),
 		UpstreamID: grant.GetUpstreamId(),
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -68,6 +68,8 @@
 		return
 	}
 	delete(s.sessions, from.number)
+	s.limitsChanged = true
+	s.withdrawLimited(func(key uint64) bool { return key>>requestNumberBits == from.number })
 	now := time.Now()
 	for key, service := range from.serviceByKey {
 		cell := s.cells[service]
@@ -115,8 +117,11 @@
 		from.storeReachedAt = now
 	case *apiv1.SchedulerCall_Leaving:
 		from.draining = true
+	case *apiv1.SchedulerCall_Limits:
+		s.noteLimits(now, body.Limits)
 	case *apiv1.SchedulerCall_Withdrawal:
 		key := from.key(body.Withdrawal.GetNumber())
+		s.withdrawLimited(func(other uint64) bool { return other == key })
 		if cell := s.cells[from.serviceByKey[key]]; cell != nil {
 			service := from.serviceByKey[key]
 			delete(from.serviceByKey, key)
@@ -153,10 +158,16 @@
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
+	s.limitsChanged = true
+	s.noteLimits(now, hello.GetLimits())
 	s.sendHeartbeats()
 }
 
 func (s *Scheduler) handleRequest(now time.Time, from *session, req *apiv1.PlacementAsk) {
+	if len(req.GetLimited()) > 0 {
+		s.handleLimitedRequest(now, from, req)
+		return
+	}
 	cell := s.cellForRequest(req.GetService())
 	if cell == nil {
 		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Refusal{Refusal: &apiv1.PlacementRefusal{
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -10,6 +10,7 @@
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
@@ -79,6 +80,8 @@
 	PromptBlocked(service string, entry blocklist.Entry)
 	PromptSuspended(service string, entry blocklist.Entry)
 	PromptUnblocked(service string, entry blocklist.Entry)
+	LimitGranted(router string, decision pace.Decision)
+	LimitRefused(router string, decision pace.Decision)
 }
 
 // Scheduler runs the cells on the router that holds the lease. Its state is
@@ -100,8 +103,12 @@
 	cells      map[string]*scheduler.Cell
 	sessions   map[uint64]*session
 	// relayed is the upstream list as it was last relayed in this term; nil before.
-	relayed     *relayedList
-	lastSession uint64 // number of the newest session
+	relayed *relayedList
+	// pace issues the requests to upstreams with a limit. limitsChanged is set while routers
+	// are to be told of limits or shares.
+	pace          *pace.Holder
+	limitsChanged bool
+	lastSession   uint64 // number of the newest session
 	// disconnected holds the requests of disconnected routers. Their upstreams may
 	// still run them.
 	disconnected  []disconnectedRequest
@@ -126,6 +133,7 @@
 		inspections: make(chan struct{}, maxInspections),
 		cells:       make(map[string]*scheduler.Cell),
 		sessions:    make(map[uint64]*session),
+		pace:        pace.NewHolder(),
 	}
 }
 
@@ -178,6 +186,7 @@
 		s.ordersFrom = began.Add(max(initialSyncWait, term.OrdersHeldBack))
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
+		s.pace = pace.NewHolder()
 		s.disconnected = nil
 		s.relayed = nil
 		s.refresh()
@@ -223,6 +232,7 @@
 				Holder:     s.opts.Host,
 				Fence:      s.term.Fence,
 				LoadWindow: s.opts.LoadWindow,
+				Pace:       s.pace,
 			})
 			s.cells[name] = cell
 			s.apply(name, cell.AdoptBlocked(now, s.opts.Blocklist.Load()[name]))
@@ -250,8 +260,11 @@
 		}
 		s.apply(name, cell.Tick(now))
 	}
+	s.applyPace(s.pace.Tick(now), 0)
 	if now.Sub(s.lastHeartbeat) >= heartbeatInterval {
 		s.lastHeartbeat = now
+		s.pace.Prune(now)
+		s.relayLimits(now)
 		s.sendHeartbeats()
 	}
 }
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -183,6 +185,28 @@
 	return time.Now().Before(b.reportedMissing[upstreamModel{id, model}])
 }
 
+// averageLatency is the average time to a complete response of a plain service.
+func (b *balancer) averageLatency() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.latency
+}
+
+// sound returns the candidates that are not ejected, the preferred one first; all of them if none
+// is sound.
+func (b *balancer) sound(candidates []*fleet.Upstream) []*fleet.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	sorted := slices.Clone(candidates)
+	slices.SortStableFunc(sorted, func(x, y *fleet.Upstream) int { return cmp.Compare(b.score(now, x), b.score(now, y)) })
+	ejected := slices.IndexFunc(sorted, func(up *fleet.Upstream) bool { return now.Before(b.state(up.ID).ejectedUntil) })
+	if ejected <= 0 {
+		return sorted
+	}
+	return sorted[:ejected]
+}
+
 // attemptTimeout is how long a response may take before another upstream is tried.
 func (b *balancer) attemptTimeout() time.Duration {
 	b.mu.Lock()
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -64,6 +64,9 @@
 		"id", r.ID, "outcome", string(r.Outcome), "status", r.Status, "route", r.Route, "service", r.Service,
 		"config", r.ConfigVersion, "upstream", r.Upstream, "sends", r.Attempts, "took_ms", ms(took),
 	}
+	if r.Model == "" && r.Waited > 0 {
+		keyvals = append(keyvals, "waited_ms", ms(r.Waited), "waited_for", r.WaitedFor)
+	}
 	if r.Model != "" {
 		keyvals = append(keyvals, "model", r.Model, "adapter", r.Adapter, "waited_ms", ms(r.Waited), "waited_for", r.WaitedFor,
 			"first_byte_ms", ms(r.FirstByte), "first_event_ms", ms(r.FirstEvent), "events", r.Events, "max_gap_ms", ms(r.MaxGap), "alone", r.WithoutScheduler)
@@ -211,6 +214,9 @@
 
 // Granted implements cell.DecisionLog.
 func (l *Log) Granted(service, router string, g scheduler.Grant) {
+	if g.Reason == pace.WaitReason {
+		l.metrics.limitedRequests.Add("waited", 1)
+	}
 	l.out.Info("granted", "id", g.Request.RequestID, "router", router, "service", service, "model", g.Request.Model, "adapter", g.Request.Adapter,
 		"upstream", g.Upstream.ID, "waited_ms", ms(g.Waited), "waited_for", g.Reason, "expected_ms", ms(g.Expected),
 		"entry", g.Upstream.Sequence)
@@ -218,10 +224,29 @@
 
 // Refused implements cell.DecisionLog.
 func (l *Log) Refused(service string, r scheduler.Refusal) {
+	if r.Reason == pace.RefusalReason {
+		l.metrics.limitedRequests.Add("refused", 1)
+	}
 	l.out.Info("refused", "id", r.Request.RequestID, "service", service, "model", r.Request.Model, "adapter", r.Request.Adapter,
 		"retry_after_ms", ms(r.RetryAfter), "reason", r.Reason)
 }
 
+// LimitGranted implements cell.DecisionLog.
+func (l *Log) LimitGranted(router string, d pace.Decision) {
+	waitedFor := ""
+	if d.Waited > 0 {
+		waitedFor = pace.WaitReason
+		l.metrics.limitedRequests.Add("waited", 1)
+	}
+	l.out.Info("granted", "id", d.Ask.RequestID, "router", router, "service", d.Ask.Service, "upstream", d.UpstreamID, "waited_ms", ms(d.Waited), "waited_for", waitedFor)
+}
+
+// LimitRefused implements cell.DecisionLog.
+func (l *Log) LimitRefused(_ string, d pace.Decision) {
+	l.metrics.limitedRequests.Add("refused", 1)
+	l.out.Info("refused", "id", d.Ask.RequestID, "service", d.Ask.Service, "retry_after_ms", ms(d.RetryAfter), "reason", pace.RefusalReason)
+}
+
 // Ordered implements cell.DecisionLog.
 func (l *Log) Ordered(service string, call scheduler.OrderCall, result fleet.OrderResult, took time.Duration, err error) {
 	l.metrics.orders.Add(1)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,6 +43,8 @@
 	pauses         expvar.Int
 	// limitChanges counts the limits that upstreams named, changed or ended.
 	limitChanges expvar.Int
+	// limitedRequests counts, by result, the requests that waited or were refused for a limit.
+	limitedRequests *expvar.Map
 	// engineCrashes counts engines that ended under requests, blockedPrompts the prompt
 	// parts that were blocked because of that, both by this router's scheduler.
 	engineCrashes  expvar.Int
@@ -54,7 +56,7 @@
 
 // NewMetrics returns metrics that are all zero.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), sourceReads: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), sourceReads: new(expvar.Map).Init(), limitedRequests: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
 }
 
 func (m *Metrics) request(r *RequestRecord, took time.Duration) {
@@ -106,6 +108,9 @@
 	m.sourceReads.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(w, "source_reads_total{%s} %s\n", kv.Key, kv.Value)
 	})
+	m.limitedRequests.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "limited_requests_total{result=%q} %s\n", kv.Key, kv.Value)
+	})
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -66,6 +66,10 @@
 		cr.refuse(cr.retryDelay(refused.RetryAfter), refused.Reason)
 		return
 	}
+	if errors.Is(err, errNoUpstream) {
+		cr.refuse(cr.retryDelay(attemptRetryDelay), err.Error())
+		return
+	}
 	cr.refuse(cr.retryDelay(attemptRetryDelay), "no place: "+err.Error())
 }
 
@@ -163,6 +167,10 @@
 		}
 	}
 	up := cr.handler.balancer.pick(candidates)
+	for up != nil && !cr.handler.notices.limits.TakeAlone(time.Now(), up.ID) {
+		candidates = slices.DeleteFunc(candidates, func(other *fleet.Upstream) bool { return other == up })
+		up = cr.handler.balancer.pick(candidates)
+	}
 	if up == nil {
 		return cell.Placement{}, false
 	}
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -20,7 +21,9 @@
 	// onLeaving is called when an upstream says that it is about to leave. It marks the
 	// upstream as draining before it returns.
 	onLeaving func(upstreamID, requestID string)
-	log       *Log
+	// onLimit is called when this router heard of a limit, of its change or its end.
+	onLimit func(limit pace.Limit)
+	log     *Log
 }
 
 // take takes in the head of the response to a request that was sent at askedAt. requestID names
@@ -46,13 +49,18 @@
 		return
 	}
 	heard := pace.Statement{Notice: info.Limit, AskedAt: askedAt, HeardAt: time.Now()}
-	if n.limits.Note(pace.Limit{UpstreamID: upstreamID, StartedMs: n.startedMs(upstreamID), Statement: heard}) {
+	limit := pace.Limit{UpstreamID: upstreamID, StartedMs: n.startedMs(upstreamID), Statement: heard}
+	if n.limits.Note(heard.HeardAt, limit) {
 		n.log.UpstreamLimited(upstreamID, requestID, info.Limit)
+		n.onLimit(limit)
 	}
 }
 
-// considerateEngines sends nothing to engines in a pause, and takes in what engines say
-// about themselves.
+// errLimited means that a call was not sent, because of the limit that the engine named.
+var errLimited = fmt.Errorf("%w: it takes no more calls a second", fleet.ErrNotAsked)
+
+// considerateEngines sends nothing to engines in a pause and little to those with a limit, and
+// takes in what engines say about themselves.
 type considerateEngines struct {
 	fleet.Engines
 	dialect Dialect
@@ -67,7 +75,7 @@
 
 // Order implements fleet.Engines. An order that is not sent counts as one that conflicts.
 func (e considerateEngines) Order(ctx context.Context, up *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
-	if e.notices.pauses.left(up.ID) > 0 {
+	if e.notices.pauses.left(up.ID) > 0 || !e.notices.limits.AllowControl(time.Now(), up.ID) {
 		return fleet.OrderConflict, nil
 	}
 	return e.Engines.Order(e.observe(ctx, up, orderCall), up, order)
@@ -78,6 +86,9 @@
 	if e.notices.pauses.left(up.ID) > 0 {
 		return fleet.Inventory{}, errPaused
 	}
+	if !e.notices.limits.AllowControl(time.Now(), up.ID) {
+		return fleet.Inventory{}, errLimited
+	}
 	inventory, err := e.Engines.Inspect(e.observe(ctx, up, reportCall), up)
 	if err != nil && e.notices.pauses.left(up.ID) > 0 {
 		err = errPaused // that was its answer
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -15,9 +14,9 @@
 // servePlain serves a request to a plain service.
 func (cr *callerRequest) servePlain() {
 	for {
-		up := cr.pickPlain()
-		if up == nil {
-			cr.refuse(cr.retryDelay(attemptRetryDelay), "no upstream is known, or all of them asked for a pause")
+		up, err := cr.choosePlain()
+		if err != nil {
+			cr.failPlacement(err)
 			return
 		}
 		check := func() error { return cr.checkChoice(up.ID) }
@@ -35,23 +34,6 @@
 	}
 }
 
-func (cr *callerRequest) pickPlain() *fleet.Upstream {
-	var candidates, recovering []*fleet.Upstream
-	for _, up := range cr.handler.directory.Load().ByService[cr.service.Name] {
-		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.pauses.left(up.ID) == 0 {
-			if cr.handler.pauses.ramps.isFull(up.ID) {
-				recovering = append(recovering, up)
-				continue
-			}
-			candidates = append(candidates, up)
-		}
-	}
-	if len(candidates) == 0 {
-		candidates = recovering
-	}
-	return cr.handler.balancer.pick(candidates)
-}
-
 // sendPlain sends the request to an upstream. It reports false if another one may be
 // tried.
 func (cr *callerRequest) sendPlain(up *fleet.Upstream, check func() error, answered func(bool)) bool {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -83,7 +83,7 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
-	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(), startedMs: p.startedMs, onLeaving: p.onLeaving, log: p.log}
+	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
 		Directory:    p.directory,
 		Engines:      considerateEngines{deps.Engines, deps.Dialect, notices},
@@ -110,6 +110,7 @@
 		OnUpstreamList: p.onRelayedUpstreams,
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
 		Blocklist:      p.blocklist,
+		Limits:         notices.limits,
 	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:                 deps.Table,
--- a/internal/pace/router.go
+++ b/internal/pace/router.go
@@ -2,24 +2,166 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// unknownRouters is the number of routers that a router assumes that no scheduler has told.
+	unknownRouters = 16
+	// controlBurst, controlPerSecond and controlShare limit the orders and reads of inventories
+	// at a limited upstream: at once, each second, and for each request of its limit.
+	controlBurst     = 3
+	controlPerSecond = 0.25
+	controlShare     = 0.5
 )
 
-// Router is what one router knows about limits. It is safe for concurrent use.
+// Router is what one router knows about limits, and its share of them while no scheduler is
+// connected. It is safe for concurrent use.
 type Router struct {
+	host string
+	// limited is the number of limited upstreams, so that requests need no lock without any.
+	limited atomic.Int32
+
 	mu   sync.Mutex
 	book *Book
+	// shares are those that a scheduler assigned, by upstream; routers is the number of routers
+	// that it knew, 0 before.
+	shares  map[string]float64
+	routers int
+	alone   *pacer
+	control map[string]*rate.Limiter
+	// heldUntil is when the scheduler is asked again for a request to an upstream that is not
+	// the only one.
+	heldUntil map[string]time.Time
 }
 
 // NewRouter returns a router that knows of no limit.
-func NewRouter() *Router { return &Router{book: NewBook()} }
+func NewRouter(host string) *Router {
+	return &Router{host: host, book: NewBook(), alone: newPacer(), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
+}
 
 // Note takes in a limit that this router heard or was told. It reports whether that changed
 // what it knows.
-func (r *Router) Note(limit Limit) bool {
+func (r *Router) Note(now time.Time, limit Limit) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.book.Note(limit) {
+		return false
+	}
+	r.update(now, limit.UpstreamID)
+	return true
+}
+
+// SetShares replaces the shares that a scheduler assigned to this router, by upstream. routers is
+// the number of routers that it knows.
+func (r *Router) SetShares(now time.Time, routers int, shares map[string]float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers, r.shares = routers, shares
+	for id := range r.control {
+		r.update(now, id)
+	}
+}
+
+// update adapts the rates of an upstream to its limit.
+func (r *Router) update(now time.Time, id string) {
+	limit, limited := r.book.Of(id)
+	if !limited {
+		r.alone.drop(id)
+		delete(r.control, id)
+		delete(r.heldUntil, id)
+	} else {
+		r.alone.set(now, id, r.share(limit))
+		control := rate.Limit(controlPerSecond + controlShare*limit.PerSecond)
+		if r.control[id] == nil {
+			r.control[id] = rate.NewLimiter(control, controlBurst)
+		}
+		r.control[id].SetLimitAt(now, control)
+	}
+	r.limited.Store(int32(len(r.control)))
+}
+
+func (r *Router) share(limit Limit) float64 {
+	if r.shares != nil {
+		if share, ok := r.shares[limit.UpstreamID]; ok {
+			return share
+		}
+	}
+	return ownShare(limit.UpstreamID, r.host, limit.PerSecond, r.knownRouters())
+}
+
+func (r *Router) knownRouters() int {
+	if r.routers > 0 {
+		return r.routers
+	}
+	return unknownRouters
+}
+
+// Limits returns what is known of the limits, those that have ended included.
+func (r *Router) Limits() []Limit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.All()
+}
+
+// IsLimited reports whether an upstream has a limit.
+func (r *Router) IsLimited(id string) bool {
+	if r.limited.Load() == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, limited := r.book.Of(id)
+	return limited
+}
+
+// TakeAlone counts a request that is sent without a scheduler. It reports false if this router's
+// share of the limit allows none.
+func (r *Router) TakeAlone(now time.Time, id string) bool {
+	if r.limited.Load() == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit, limited := r.book.Of(id)
+	if !limited {
+		return true
+	}
+	return r.share(limit) > 0 && r.alone.take(now, id)
+}
+
+// AllowControl counts an order or a read of an inventory. It reports false if the upstream has a
+// limit and had many of them.
+func (r *Router) AllowControl(now time.Time, id string) bool {
+	if r.limited.Load() == 0 {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limiter := r.control[id]
+	return limiter == nil || limiter.AllowN(now, 1)
+}
+
+// Hold keeps this router from asking for requests to an upstream for a while.
+func (r *Router) Hold(now time.Time, id string, length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.control[id] != nil {
+		r.heldUntil[id] = now.Add(length)
+	}
+}
+
+// IsHeld reports whether Hold applies to an upstream.
+func (r *Router) IsHeld(now time.Time, id string) bool {
+	if r.limited.Load() == 0 {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.book.Note(limit)
+	return now.Before(r.heldUntil[id])
 }
 
 // Prune forgets limits that were heard long ago.
@@ -27,4 +169,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.book.Prune(now)
+	for id := range r.control {
+		r.update(now, id)
+	}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -65,6 +65,8 @@
 	// queuedPrefill is the prefill time of the prompts that wait for a slot.
 	prefillSince  time.Time
 	queuedPrefill time.Duration
+	// queuedPace is the number of requests that wait for the engine's rate limit.
+	queuedPace int
 	// maxGap is the shortest MaxGap of all requests that were sent here; 0 if none
 	// had one.
 	maxGap time.Duration
--- a/internal/scheduler/inventories.go
+++ b/internal/scheduler/inventories.go
@@ -23,7 +23,9 @@
 		c.confirmCrash(now, e, err != nil || inventory.StartedMs > e.up.StartedMs)
 	}
 	if err != nil {
-		e.recordFailure(now)
+		if !errors.Is(err, fleet.ErrNotAsked) {
+			e.recordFailure(now)
+		}
 		if e.ended || !e.acceptsOrders() {
 			c.inspect(now, e, failedInspectInterval)
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
+)
 
 const (
 	// fullPassInterval is the interval at which all waiting requests are tried. The
@@ -8,7 +12,7 @@
 	// hundreds of them each time would starve the scheduler's other work.
 	fullPassInterval = 100 * time.Millisecond
 	// prefillWaitersPerPass is the number of requests for a model that wait for a
-	// prefill slot after which a partial pass skips further requests for it.
+	// prefill slot or for an engine's rate limit after which a partial pass skips further requests for it.
 	prefillWaitersPerPass = 4
 )
 
@@ -47,7 +51,7 @@
 // note records a request that waits on.
 func (p *pass) note(w *waiter) {
 	switch {
-	case w.reason == waitsForPrefill:
+	case w.reason == waitsForPrefill, w.reason == pace.WaitReason:
 		p.prefillWaiters[w.req.Model]++
 	case !w.req.isRestricted():
 		p.blocked[requirement{w.req.Model, w.req.Adapter}] = true
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -40,8 +40,9 @@
 	// requests.
 	cost    time.Duration
 	adapter adapterNeed
-	// prefillDelay is the wait for a prefill slot, prefill the prefill time.
-	prefillDelay, prefill time.Duration
+	// prefillDelay is the wait for a prefill slot, prefill the prefill time, paceDelay the wait
+	// for the engine's rate limit.
+	prefillDelay, prefill, paceDelay time.Duration
 }
 
 type adapterNeed int
@@ -67,6 +68,7 @@
 // dispatch tries to place the waiting requests, by rank and then by objective.
 func (c *Cell) dispatch(now time.Time) {
 	c.resetQueuedPrefill()
+	c.resetQueuedPace()
 	c.dispatching = true
 	defer func() { c.dispatching = false }()
 	if len(c.waiting) == 0 {
@@ -166,6 +168,9 @@
 		return false
 	case adapterNone:
 	}
+	if o.paceDelay > 0 {
+		return c.awaitPace(now, w, o)
+	}
 	if o.prefillDelay > 0 {
 		if !c.canWait(now, w, o) {
 			return c.refuse(w, o.firstEvent, "the engines are too busy")
@@ -175,6 +180,7 @@
 		return false
 	}
 	r := c.startRun(now, w.req, o.engine)
+	c.opts.Pace.Take(now, o.engine.up.ID)
 	c.actions.Grants = append(c.actions.Grants, Grant{
 		Trial:    w.req.trial,
 		Key:      w.req.Key,
@@ -274,11 +280,12 @@
 	prefill := c.modelOf(req.Model).prefillTime(e.cache.uncached(req))
 	o.prefill = prefill
 	o.prefillDelay = c.prefillDelay(now, e, prefill)
-	o.firstEvent = max(o.wait, e.backlog(now)+e.queuedPrefill, o.prefillDelay+e.queuedPrefill) + prefill + firstEventDelay + time.Duration(len(e.runs))*perRunDelay
+	o.paceDelay = c.paceDelay(now, e)
+	o.firstEvent = max(o.wait, e.backlog(now)+e.queuedPrefill, o.prefillDelay+e.queuedPrefill, o.paceDelay) + prefill + firstEventDelay + time.Duration(len(e.runs))*perRunDelay
 	if now.Before(e.ejectedUntil) {
 		o.firstEvent += ejectedPenalty
 	}
-	o.cost = o.firstEvent + e.streamCost(now, prefill) + time.Duration(e.failureRate*float64(failureCost))
+	o.cost = o.firstEvent + c.paceCost(e) + e.streamCost(now, prefill) + time.Duration(e.failureRate*float64(failureCost))
 	if e.up.FailureDomain != req.FailureDomain {
 		o.cost += otherDomainDelay
 	}
--- a/internal/scheduler/prepare.go
+++ b/internal/scheduler/prepare.go
@@ -69,12 +69,12 @@
 	if n == 0 || c.isLoading(name) {
 		return
 	}
-	gain := m.demand.requests * (queueingDelay(m.demand.work, n) - queueingDelay(m.demand.work, n+1))
+	gain := m.demand.requests*(queueingDelay(m.demand.work, n)-queueingDelay(m.demand.work, n+1)) + c.limitedGain(m)
 	if gain < replicaMargin {
 		return
 	}
 	isWorthwhile := func(e *engine) bool {
-		if e.replicas[name] != nil || e.tier[name] == tierRemote && gain < remoteReplicaGain {
+		if e.replicas[name] != nil || c.isLimited(e) || e.tier[name] == tierRemote && gain < remoteReplicaGain {
 			return false
 		}
 		_, loss, ok := c.victims(now, e, name)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -168,6 +168,23 @@
 	// LoadWindow is the sliding window in which the configured rate limits the loads
 	// that start from the weight store.
 	LoadWindow time.Duration
+	// Pace has the rate limits that engines named; nil means that none does.
+	Pace Pace
+}
+
+// Pace limits the requests to engines that name a rate limit.
+type Pace interface {
+	// Any reports whether any upstream has a limit.
+	Any() bool
+	// Delay returns the time until an upstream takes a request, 0 for one without a limit.
+	Delay(now time.Time, upstreamID string) time.Duration
+	// Interval returns the time between two requests to an upstream, 0 for one without a limit.
+	Interval(upstreamID string) time.Duration
+	// Take counts a request to an upstream whose Delay is 0.
+	Take(now time.Time, upstreamID string)
+	// RetryAfter returns when a refused request may come back that would wait too long for an
+	// upstream.
+	RetryAfter(now time.Time, upstreamID string, wait time.Duration) time.Duration
 }
 
 // Cell schedules the engines of one service.
@@ -193,6 +210,8 @@
 	fullPassAt  time.Time
 	// prefillQueued is set while a prompt waits for a prefill slot.
 	prefillQueued bool
+	// paceQueued is set while a request waits for the rate limit of an engine.
+	paceQueued bool
 	// dispatching is set while dispatch tries all waiting requests by rank.
 	dispatching bool
 	index       index
@@ -226,6 +245,9 @@
 
 // New returns a cell without engines. It sends no orders until AllowOrders.
 func New(opts Options) *Cell {
+	if opts.Pace == nil {
+		opts.Pace = unlimited{}
+	}
 	return &Cell{
 		opts:    opts,
 		engines: make(map[string]*engine),
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -216,6 +216,8 @@
 	// adapterLoadTime is the load time of an adapter.
 	adapterLoadTime time.Duration
 	nextKey         uint64
+	// pace has the limits of engines; nil for none. It is used from the next startCell on.
+	pace Pace
 	// loseReply, if set, reports whether the reply to an order is lost.
 	loseReply func() bool
 	// applyDelay, if set, returns how much later an order without reply is carried
@@ -250,7 +252,7 @@
 // startCell creates the cell of a new holder, which knows only the engines'
 // registrations.
 func (sim *simulation) startCell(fence int64) {
-	sim.cell = New(Options{Holder: "router-1", Fence: fence, LoadWindow: 5 * time.Second})
+	sim.cell = New(Options{Holder: "router-1", Fence: fence, LoadWindow: 5 * time.Second, Pace: sim.pace})
 	sim.update()
 	sim.carryOut(sim.cell.AllowOrders(sim.now))
 }
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -40,6 +40,7 @@
 	wait = c.configuredLoadTime(e, name) + orderTime*time.Duration(1+len(victims)) + reportLag
 	cost = wait + time.Duration(loss*float64(lossHorizon))
 	cost += time.Duration(c.engineWork(now, e) * engineLoadWeight * float64(time.Second))
+	cost += c.limitedLoadCost(e)
 	return wait, cost, true
 }
 
