entry: retry budgets of all routers and services add up to what the rule allows

Each router saved ten retries and had 0.3 a second on top, whatever the number of routers, and a service in trouble used what others had earned.

Each service has a budget of its own; the scheduler's heartbeat tells the number of routers, among which the saved retries and those on top are divided.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -76,11 +76,13 @@
 	connected    bool
 	lastReceived time.Time
 	renewedAt    time.Time
-	// configVersion, schedulerCores and leaseVersion are as the scheduler reported them.
+	// configVersion, schedulerCores, leaseVersion and the number of routers are as the
+	// scheduler reported them.
 	// configAt and listAt are when it last read the configuration and the upstream
 	// list. listReceived is set when the complete list has arrived over this link.
 	configVersion    int64
 	schedulerCores   float64
+	routers          int
 	leaseVersion     int64
 	configAt, listAt time.Time
 	listReceived     bool
--- a/internal/cell/client_receive.go
+++ b/internal/cell/client_receive.go
@@ -12,6 +12,7 @@
 	c.configVersion = heartbeat.GetConfigVersion()
 	c.leaseVersion = heartbeat.GetLeaseVersion()
 	c.schedulerCores = heartbeat.GetCores()
+	c.routers = int(heartbeat.GetRouters())
 	c.configAt = c.lastReceived.Add(-microseconds(heartbeat.GetConfigAgeUs()))
 	c.listAt = c.lastReceived.Add(-microseconds(heartbeat.GetListAgeUs()))
 	if c.connected {
--- a/internal/cell/client_state.go
+++ b/internal/cell/client_state.go
@@ -58,3 +58,10 @@
 	defer c.mu.Unlock()
 	return c.target == localTarget
 }
+
+// Routers returns the number of routers that the last scheduler knew, 0 before the first one.
+func (c *Client) Routers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.routers
+}
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -399,6 +399,7 @@
 		RenewedAgoUs: s.opts.RenewedAgo().Microseconds(),
 		LeaseVersion: leaseVersion,
 		Cores:        s.opts.Cores,
+		Routers:      int32(len(s.sessions)),
 		ConfigAgeUs:  configAge.Microseconds(),
 		ListAgeUs:    listAge.Microseconds(),
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -86,5 +86,5 @@
 // to another upstream: it is repeatable, or certainly did not run in any attempt so far.
 func (cr *callerRequest) acquireRetry() bool {
 	mayRun := cr.repeatable || !cr.record.MayHaveRun
-	return mayRun && len(cr.tried) < cr.route.Attempts && cr.ctx.Err() == nil && cr.handler.budget.AllowRetry()
+	return mayRun && len(cr.tried) < cr.route.Attempts && cr.ctx.Err() == nil && cr.budget.AllowRetry()
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -32,9 +32,6 @@
 	minRetryDelay = time.Millisecond
 	// attemptRetryDelay is the Retry-After when the last attempt failed or was refused.
 	attemptRetryDelay = 50 * time.Millisecond
-	// retryShareFactor keeps part of the retry budget in reserve.
-	retryShareFactor    = 0.75
-	minRetriesPerSecond = 0.3 // per router, on top of the share
 )
 
 // Handler is the http.Handler for callers' requests.
@@ -50,7 +47,7 @@
 	// blocklist has the prompt parts that crash engines.
 	blocklist *blocklist.List
 	notices   *notices
-	budget    *retry.Budget
+	budgets   *retryBudgets
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
 	// monotonic clock reading, so that a step of the wall clock does not matter.
@@ -90,7 +87,7 @@
 		pauses:    opts.Notices.pauses,
 		blocklist: opts.Blocklist,
 		notices:   opts.Notices,
-		budget:    retry.NewBudget(opts.Settings.RetryShare*retryShareFactor, minRetriesPerSecond),
+		budgets:   newRetryBudgets(opts.Settings.RetryShare),
 		log:       opts.Log,
 	}
 	h.reloadable.Store(newReloadable(opts.Settings))
@@ -106,6 +103,7 @@
 	call      Call
 	route     *fleet.Route
 	service   fleet.Service
+	budget    *retry.Budget
 	body      []byte
 	arrivedAt time.Time
 	// objective is when the first byte is expected, deadline when the response must be
@@ -263,7 +261,8 @@
 	stop := context.AfterFunc(cr.handler.abortCtx, cancel)
 	defer stop()
 	cr.ctx = ctx
-	cr.handler.budget.RecordCall()
+	cr.budget = cr.handler.budgets.of(cr.service.Name)
+	cr.budget.RecordCall()
 	if cr.call.Model != "" && cr.service.Engine != nil {
 		cr.serveModel()
 		return
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -258,7 +258,7 @@
 		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_NOT_RUN)
 		cr.handler.balancer.recordRefusal(cr.record.Upstream)
 	}
-	if cr.call.Adapter != "" && cr.attempts < maxAdapterAttempts && cr.handler.budget.AllowRetry() {
+	if cr.call.Adapter != "" && cr.attempts < maxAdapterAttempts && cr.budget.AllowRetry() {
 		return false
 	}
 	return cr.retryOrRefuse("the upstream refused the request")
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -298,6 +298,7 @@
 		case <-ticker.C:
 			p.deps.Pool.Sweep()
 			p.handler.pauses.prune()
+			p.handler.budgets.setRouters(p.client.Routers())
 			p.handler.notices.limits.Prune(time.Now())
 			p.handler.balancer.prune(p.directory.Load().Upstreams)
 		}
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -25,7 +25,7 @@
 // take effect at the next start.
 func (p *Process) Reload(next Settings) (pending []string) {
 	p.handler.reloadable.Store(newReloadable(next))
-	p.handler.budget.SetShare(next.RetryShare * retryShareFactor)
+	p.handler.budgets.setShare(next.RetryShare)
 	for _, field := range []struct {
 		name   string
 		differ bool
