entry: an address that belongs to another upstream is left alone longer each time

Cause, by the logs of both: the list names an upstream that has ended, at the address that another one has by then. A pause, and a limit, is kept by id; the requests for the former id are answered 421, which set that id aside for 0.1 s only. Now for 1 s, doubling to 8 s, until the registration has another address or start time.

Engines at such an address are still asked by the scheduler.

--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -22,6 +22,10 @@
 	// refusalEjection is the ejection time after an upstream refused a request for
 	// lack of capacity.
 	refusalEjection = 100 * time.Millisecond
+	// An upstream whose address belongs to another one is left alone for minMisdirection after
+	// the first response that says so; that doubles up to maxMisdirection.
+	minMisdirection = time.Second
+	maxMisdirection = 8 * time.Second
 	// maxLoadAge is how long a reported load is used.
 	maxLoadAge = 500 * time.Millisecond
 	// latencyWeight is the weight of a new sample in the moving average.
@@ -61,7 +65,11 @@
 	// from the last reported load.
 	otherLoad  int64
 	reportedAt time.Time
-	lastUsed   time.Time
+	// misdirected is the registration whose address belonged to another upstream, nil for none.
+	misdirected      *fleet.Upstream
+	misdirections    int // in a row
+	misdirectedUntil time.Time
+	lastUsed         time.Time
 }
 
 func newBalancer(domain string) *balancer {
@@ -140,7 +148,8 @@
 func (b *balancer) resetFailures(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state(id).consecutiveFailures = 0
+	s := b.state(id)
+	s.consecutiveFailures, s.misdirected = 0, nil
 }
 
 // recordSuccess records a complete response of a plain service and its latency.
@@ -170,6 +179,31 @@
 	}
 }
 
+// recordMisdirected records that another upstream has the address of a registration.
+func (b *balancer) recordMisdirected(up *fleet.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(up.ID)
+	if s.misdirected == nil || !sameRun(s.misdirected, up) {
+		s.misdirections = 0
+	}
+	s.misdirected = up
+	s.misdirectedUntil = time.Now().Add(min(maxMisdirection, minMisdirection<<min(s.misdirections, 4)))
+	s.misdirections++
+}
+
+// isMisdirected reports whether the address of a registration is known to belong to another
+// upstream.
+func (b *balancer) isMisdirected(up *fleet.Upstream) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[up.ID]
+	return s != nil && s.misdirected != nil && sameRun(s.misdirected, up) && time.Now().Before(s.misdirectedUntil)
+}
+
+// sameRun reports whether two registrations are of one incarnation at one address.
+func sameRun(a, b *fleet.Upstream) bool { return a.Addr == b.Addr && a.StartedMs == b.StartedMs }
+
 // reportMissing records that an upstream reported a model as not loaded.
 func (b *balancer) reportMissing(id, model string) {
 	b.mu.Lock()
--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -65,7 +65,7 @@
 func (cr *callerRequest) plainCandidates() (free, limited []*fleet.Upstream) {
 	var candidates, recovering []*fleet.Upstream
 	for _, up := range cr.handler.directory.Load().ByService[cr.service.Name] {
-		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.pauses.left(up.ID) == 0 {
+		if up.TakesWork() && !slices.Contains(cr.tried, up.ID) && cr.handler.pauses.left(up.ID) == 0 && !cr.handler.balancer.isMisdirected(up) {
 			if cr.handler.pauses.ramps.isFull(up.ID) {
 				recovering = append(recovering, up)
 				continue
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -51,7 +51,10 @@
 	cr.handler.balancer.updateLoad(up.ID, info.Load)
 	switch {
 	case info.NotRun:
-		if info.Pause == 0 {
+		switch {
+		case info.WrongUpstream:
+			cr.handler.balancer.recordMisdirected(up)
+		case info.Pause == 0:
 			cr.handler.balancer.recordRefusal(up.ID)
 		}
 		resp.Discard()
