entry: a stopping router sends no request that its end would cut

TestStoppingRouterSendsNothingThatItsEndWouldCut, two of three cases, before: 502, may have run, where the upstream had run it.

Now a request that has not been sent is refused as not run once 0.55 of the grace, or the drain delay if that is longer, has passed; other routers serve it.

--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -10,10 +10,16 @@
 // errUpstreamLeft means that a request was not sent, because its upstream takes no more.
 var errUpstreamLeft = errors.New("the upstream drains, is cordoned or was removed since it was chosen")
 
+// errStopping means that a request was not sent, because this router stops soon.
+var errStopping = errors.New("this router stops")
+
 // checkChoice returns an error if an upstream may no longer get the request that it was chosen
-// for: errUpstreamLeft or errPaused. A request waits between its choice and its first byte, for
+// for: errUpstreamLeft, errPaused or errStopping. A request waits between its choice and its first byte, for
 // an upstream that recovers from a pause and for a connection.
 func (cr *callerRequest) checkChoice(upstreamID string) error {
+	if cr.isTooLateToSend() {
+		return errStopping
+	}
 	if cr.handler.directory.Load().KnownUnusable(upstreamID) {
 		return errUpstreamLeft
 	}
@@ -36,7 +42,7 @@
 // checkChoice or checkPlacement.
 func isChoiceVoid(err error) bool {
 	var refused *cell.RefusedError
-	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.As(err, &refused)
+	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.Is(err, errStopping) || errors.As(err, &refused)
 }
 
 // handleVoidChoice handles an error of checkPlacement. It reports false if another
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -28,6 +28,9 @@
 	// stopRetryDelay is the Retry-After of a stopping router. It is short because other
 	// routers accept the request.
 	stopRetryDelay = 10 * time.Millisecond
+	// sendShare is the fraction of StopGrace after which a stopping router sends no request
+	// for the first time, unless its drain delay is longer.
+	sendShare = 0.55
 	// minRetryDelay is the shortest Retry-After.
 	minRetryDelay = time.Millisecond
 	// attemptRetryDelay is the Retry-After when the last attempt failed or was refused.
@@ -57,6 +60,10 @@
 	// answered at once.
 	abortCtx context.Context
 	abort    context.CancelFunc
+	// lateCtx is cancelled when a stopping router sends no more requests for the first time:
+	// the end of the drain would cut them.
+	lateCtx context.Context
+	endSend context.CancelFunc
 }
 
 // HandlerOptions configure a Handler.
@@ -75,9 +82,12 @@
 // NewHandler returns a handler that accepts requests until the process stops.
 func NewHandler(opts HandlerOptions) *Handler {
 	abortCtx, abort := context.WithCancel(context.Background())
+	lateCtx, endSend := context.WithCancel(abortCtx)
 	h := &Handler{
 		abortCtx:  abortCtx,
 		abort:     abort,
+		lateCtx:   lateCtx,
+		endSend:   endSend,
 		settings:  opts.Settings,
 		dialect:   opts.Dialect,
 		directory: opts.Directory,
@@ -153,10 +163,18 @@
 func (h *Handler) stop() {
 	now := time.Now()
 	h.stopAt.Store(&now)
+	settings := h.reloadable.Load()
+	time.AfterFunc(max(settings.drainDelay, time.Duration(sendShare*float64(settings.stopGrace))), h.endSend)
 }
 
 func (h *Handler) isStopping() bool { return h.stopAt.Load() != nil }
 
+// isTooLateToSend reports whether a request that has not run is refused, because the router
+// stops soon: other routers serve it.
+func (cr *callerRequest) isTooLateToSend() bool {
+	return !cr.record.MayHaveRun && cr.handler.lateCtx.Err() != nil
+}
+
 // isDrainDelayOver reports whether a request accepted now could be aborted by the end
 // of the process.
 func (h *Handler) isDrainDelayOver() bool {
--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -108,7 +108,7 @@
 	began := time.Now()
 	defer func() { cr.record.Waited += time.Since(began) }()
 	limited = cr.handler.balancer.sound(limited)
-	ctx, cancel := context.WithDeadline(cr.ctx, cr.callerWaitsUntil())
+	ctx, cancel := cr.waitContext()
 	defer cancel()
 	for {
 		placement, err := cr.handler.scheduler.Place(ctx, cr.limitedRequest(limited, true))
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -25,6 +25,10 @@
 // serveModel serves a request for a model.
 func (cr *callerRequest) serveModel() {
 	for range maxPlacements {
+		if cr.isTooLateToSend() {
+			cr.refuse(stopRetryDelay, errStopping.Error())
+			return
+		}
 		placement, err := cr.acquirePlacement()
 		if err != nil {
 			cr.failPlacement(err)
@@ -60,7 +64,21 @@
 	return cr.handler.pauses.left(placement.UpstreamID) > 0 // the next placement request names it
 }
 
+// waitContext returns the context in which a request waits to be sent.
+func (cr *callerRequest) waitContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(cr.ctx, cr.callerWaitsUntil())
+	if cr.record.MayHaveRun {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(cr.handler.lateCtx, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 func (cr *callerRequest) failPlacement(err error) {
+	if cr.isTooLateToSend() {
+		cr.refuse(stopRetryDelay, errStopping.Error())
+		return
+	}
 	var refused *cell.RefusedError
 	if errors.As(err, &refused) {
 		cr.refuse(cr.retryDelay(refused.RetryAfter), refused.Reason)
@@ -78,7 +96,7 @@
 func (cr *callerRequest) acquirePlacement() (cell.Placement, error) {
 	began := time.Now()
 	defer func() { cr.record.Waited += time.Since(began) }()
-	ctx, cancel := context.WithDeadline(cr.ctx, cr.callerWaitsUntil())
+	ctx, cancel := cr.waitContext()
 	defer cancel()
 	for {
 		placement, err := cr.handler.scheduler.Place(ctx, cr.placementRequest())
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,6 +14,10 @@
 // servePlain serves a request to a plain service.
 func (cr *callerRequest) servePlain() {
 	for {
+		if cr.isTooLateToSend() {
+			cr.refuse(stopRetryDelay, errStopping.Error())
+			return
+		}
 		up, err := cr.choosePlain()
 		if err != nil {
 			cr.failPlacement(err)
