--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -273,7 +274,14 @@
 	return routers
 }
 
-func startRouter(t testing.TB, host string, table external.TableService, source *fakeSource, engines fleet.Engines, dialect Dialect) *testRouter {
+// startSecure starts a router that serves callers over TLS.
+func startSecure(t testing.TB, config *tls.Config, upstreams ...*upstream) *testRouter {
+	t.Helper()
+	source := &fakeSource{upstreams: upstreams, draining: map[string]bool{}}
+	return startRouter(t, "entry-1", tabletest.New(), source, fakeEngines{}, testDialect{}, func(d *Deps) { d.CallerTLS = config })
+}
+
+func startRouter(t testing.TB, host string, table external.TableService, source *fakeSource, engines fleet.Engines, dialect Dialect, adapt ...func(*Deps)) *testRouter {
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	source.config = fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
@@ -283,12 +291,20 @@
 	}
 	logger := decisionlog.New(log.ErrorLevel)
 	pool := exchange.NewPool(exchange.Options{IDHeader: "Id"})
-	p := New(settings, Deps{
+	deps := Deps{
 		Dialect: dialect, Table: table, Source: source,
 		Engines: engines, Pool: pool, Log: logger,
-	})
+	}
+	scheme := "http://"
+	for _, change := range adapt {
+		change(&deps)
+	}
+	if deps.CallerTLS != nil {
+		scheme = "https://"
+	}
+	p := New(settings, deps)
 	ctx, cancel := context.WithCancel(context.Background())
-	router := &testRouter{process: p, url: "http://" + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
+	router := &testRouter{process: p, url: scheme + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
 	go func() { router.done <- p.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-router.done })
 	router.waitUntil(t, func() bool {
@@ -358,7 +374,7 @@
 func exchangeOnce(req *http.Request, timeout time.Duration) reply {
 	req.Host = "h"
 	req.Header.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{err: err}
