--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -23,33 +23,35 @@
 		return
 	}
 	s.limitsChanged = false
+	for _, session := range s.sessions {
+		s.sendLimits(now, session)
+	}
+}
+
+// sendLimits sends a router the limits and its shares of them.
+func (s *Scheduler) sendLimits(now time.Time, to *session) {
 	limits := s.pace.Limits()
-	if len(limits) == 0 {
+	if len(limits) == 0 || !to.synced {
 		return
 	}
+	list := encodeLimits(now, limits)
+	routers := s.routers()
+	list.Routers = int32(len(routers))
+	for _, limit := range list.GetLimits() {
+		limit.Share = pace.Share(limit.GetId(), limit.GetPerSecond(), routers, to.router)
+	}
+	to.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: list}})
+}
+
+// routers returns the hosts of the connected routers.
+func (s *Scheduler) routers() []string {
 	var routers []string
 	for _, session := range s.sessions {
 		if session.synced {
 			routers = append(routers, session.router)
 		}
 	}
-	byRouter := make(map[string]*apiv1.UpstreamLimits, len(routers))
-	for _, router := range routers {
-		byRouter[router] = &apiv1.UpstreamLimits{Routers: int32(len(routers))}
-	}
-	for _, limit := range limits {
-		shares := pace.Shares(limit.UpstreamID, limit.PerSecond, routers)
-		for router, list := range byRouter {
-			encoded := encodeLimit(now, limit)
-			encoded.Share = shares[router]
-			list.Limits = append(list.Limits, encoded)
-		}
-	}
-	for _, session := range s.sessions {
-		if session.synced {
-			session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: byRouter[session.router]}})
-		}
-	}
+	return routers
 }
 
 // handleLimitedRequest handles a request that needs one of some upstreams with a limit.
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -158,8 +158,9 @@
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
-	s.limitsChanged = true
 	s.noteLimits(now, hello.GetLimits())
+	s.sendLimits(now, from)
+	s.limitsChanged = true // the next heartbeat assigns the shares anew
 	s.sendHeartbeats()
 }
 
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -137,3 +137,22 @@
 		})
 	}
 }
+
+// Guards against requests that wait for a limit, or are refused, although another upstream of
+// their service has none.
+func TestWhatExceedsALimitGoesToOtherUpstreams(t *testing.T) {
+	t.Parallel()
+	limited := newLimitedServer(t, "app-1", 1)
+	other := newUpstream(t, "app-2", respond(http.StatusOK, "done"))
+	routers := startFleet(t, 3, &fakeSource{upstreams: []*upstream{limited.upstream, other}, draining: map[string]bool{}}, fakeEngines{})
+	end := time.Now().Add(limitGrace + limitWindow)
+	for n := 0; time.Now().Before(end); n++ {
+		began := time.Now()
+		got := routers[n%len(routers)].sendAs(t, fmt.Sprint("r-", n), "/once/x", "")
+		if got.status != http.StatusOK || time.Since(began) > 500*time.Millisecond {
+			t.Fatalf("request %d: status %d, error %v after %v", n, got.status, got.err, time.Since(began))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	limited.check(t, end)
+}
--- a/internal/standin/engine_chat.go
+++ b/internal/standin/engine_chat.go
@@ -58,6 +58,7 @@
 	if !readJSON(w, r, &body) {
 		return
 	}
+	nameLimit(w, e.Config().LimitPerSecond)
 	b, g, status := e.begin(r, body)
 	if g == nil {
 		refuse(w, status, "the engine does not hold the model or the adapter")
--- a/internal/standin/engine_config.go
+++ b/internal/standin/engine_config.go
@@ -23,6 +23,9 @@
 	// MaxBatch is the number of requests that run concurrently. Default 32.
 	MaxBatch int `json:"max_batch"`
 
+	// LimitPerSecond is the rate that all responses to requests name; 0 for none.
+	LimitPerSecond float64 `json:"limit_per_second"`
+
 	// AbortStreams is the number of next responses that are aborted: a stream after
 	// AbortAfterTokens tokens, any other response in the middle of its body.
 	AbortStreams     int `json:"cut_streams"`
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -104,3 +104,10 @@
 	_ = http.NewResponseController(w).Flush()
 	abortConnection()
 }
+
+// nameLimit sets the header with the requests a second that an upstream takes, 0 for no limit.
+func nameLimit(w http.ResponseWriter, perSecond float64) {
+	if perSecond > 0 {
+		w.Header().Set(external.HeaderLimit, strconv.FormatFloat(perSecond, 'g', -1, 64))
+	}
+}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -24,6 +24,8 @@
 	TruncateBodies int `json:"cut_bodies"`
 	// Draining makes all responses say that the service is about to leave.
 	Draining bool `json:"draining"`
+	// LimitPerSecond is the rate that all responses name; 0 for none.
+	LimitPerSecond float64 `json:"limit_per_second"`
 	// PauseMS makes the service refuse each call and ask for a pause, in milliseconds.
 	PauseMS int `json:"pause_ms"`
 }
@@ -135,6 +137,7 @@
 	if config.Draining {
 		w.Header().Set(external.HeaderDraining, external.DrainingNow)
 	}
+	nameLimit(w, config.LimitPerSecond)
 	if config.PauseMS > 0 {
 		s.countRefused()
 		w.Header().Set(external.HeaderPause, strconv.Itoa(config.PauseMS))
