--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -379,34 +378,3 @@
 	}
 	s.owner.post(func() { s.owner.handle(s, call) })
 }
-
-// sendHeartbeats sends a heartbeat to each router, after what its list age covers.
-func (s *Scheduler) sendHeartbeats() {
-	s.refreshIfDue()
-	strongest := 0.0
-	now := time.Now()
-	for _, session := range s.sessions {
-		if !session.draining && session.reachesStore(now) {
-			strongest = max(strongest, session.cores)
-		}
-	}
-	s.strongest.Store(math.Float64bits(strongest))
-	configAge, listAge := s.opts.Directory.ReadAges(now)
-	// Read before the age: the age must not be that of an earlier renewal.
-	leaseVersion := s.opts.LeaseVersion()
-	heartbeat := &apiv1.SchedulerBeat{
-		Fence:        s.term.Fence,
-		RenewedAgoUs: s.opts.RenewedAgo().Microseconds(),
-		LeaseVersion: leaseVersion,
-		Cores:        s.opts.Cores,
-		Routers:      int32(len(s.sessions)),
-		ConfigAgeUs:  configAge.Microseconds(),
-		ListAgeUs:    listAge.Microseconds(),
-	}
-	if config := s.opts.Directory.Load().Config; config != nil {
-		heartbeat.ConfigVersion = config.Version
-	}
-	for _, session := range s.sessions {
-		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Beat{Beat: heartbeat}})
-	}
-}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -28,9 +28,6 @@
 	// stopRetryDelay is the Retry-After of a stopping router. It is short because other
 	// routers accept the request.
 	stopRetryDelay = 10 * time.Millisecond
-	// sendShare is the fraction of StopGrace after which a stopping router sends no request
-	// for the first time, unless its drain delay is longer.
-	sendShare = 0.55
 	// minRetryDelay is the shortest Retry-After.
 	minRetryDelay = time.Millisecond
 	// attemptRetryDelay is the Retry-After when the last attempt failed or was refused.
@@ -158,34 +155,6 @@
 	}
 }
 
-// stop makes the router unready. Requests are still accepted, because callers keep
-// using their open connections.
-func (h *Handler) stop() {
-	now := time.Now()
-	h.stopAt.Store(&now)
-	settings := h.reloadable.Load()
-	time.AfterFunc(max(settings.drainDelay, time.Duration(sendShare*float64(settings.stopGrace))), h.endSend)
-}
-
-func (h *Handler) isStopping() bool { return h.stopAt.Load() != nil }
-
-// isTooLateToSend reports whether a request that has not run is refused, because the router
-// stops soon: other routers serve it.
-func (cr *callerRequest) isTooLateToSend() bool {
-	return !cr.record.MayHaveRun && cr.handler.lateCtx.Err() != nil
-}
-
-// isDrainDelayOver reports whether a request accepted now could be aborted by the end
-// of the process.
-func (h *Handler) isDrainDelayOver() bool {
-	at := h.stopAt.Load()
-	return at != nil && time.Since(*at) > h.drainDelay()
-}
-
-func (h *Handler) drainDelay() time.Duration {
-	return h.reloadable.Load().drainDelay
-}
-
 // prepare finds the route and reads the body. If that fails, it writes the error
 // response and reports false.
 func (cr *callerRequest) prepare() bool {
