scheduler: requests that break off don't multiply the reports of their engine

Cause, as traced there: a report that was read because a request broke off ended the mark of the regular one that was still due, so that both series went on; and each asked for another one while requests broke off, however many were due. Now a report ends the mark only once the regular one was due, and one report is due at a time for requests that broke off.

TestRequestsThatBreakOffDontMultiplyReports: 9,796 reports in 10 s before, 84 after, 200 allowed.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -83,9 +83,13 @@
 	}
 }
 
-// checkCrash requests an inventory, also while another one is due later.
+// checkCrash requests an inventory, also while another one is due later, unless one is due for
+// the same reason.
 func (c *Cell) checkCrash(now time.Time, e *engine, after time.Duration) {
-	e.crashCheckAt = now
+	if e.crashCheckAt.After(now) {
+		return
+	}
+	e.crashCheckAt = now.Add(after)
 	c.actions.Inspects = append(c.actions.Inspects, InspectCall{Upstream: e.up, After: after})
 }
 
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -220,3 +220,30 @@
 	_, ok := sim.granted(sim.submitPrompt("m0", "new", "9"))
 	is.True(ok)
 }
+
+// Guards against reports of an engine that are read ever more often while requests break off on
+// it: each asked for the next one, and a regular one that was due was asked for again.
+func TestRequestsThatBreakOffDontMultiplyReports(t *testing.T) {
+	is := is.New(t)
+	spec := testSpec(3)
+	e := newFakeEngine("e0", spec, "m0")
+	e.tiers["m1"], e.tiers["m2"] = tierDisk, tierDisk
+	e.heartbeat()
+	sim := newSimulation(spec, e)
+	sim.replyDelay = 30 * time.Millisecond
+	sim.run(time.Second)
+	before := sim.inspects
+	const rounds, pause = 500, 20 * time.Millisecond
+	for i := range rounds {
+		if i%50 == 0 {
+			sim.submit(fmt.Sprint("m", 1+i/50%2), "", 100) // loads, with regular reports
+		}
+		key := sim.submitPrompt("m0", "common", fmt.Sprint("own ", i))
+		if _, ok := sim.granted(key); ok {
+			sim.carryOut(sim.cell.Progress(sim.now, key, EndedByEngine))
+		}
+		sim.run(pause)
+	}
+	// Ten a second for the requests, and as many while a load is overdue.
+	is.True(sim.inspects-before <= 20*rounds*int(pause)/int(time.Second))
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -88,7 +88,7 @@
 	inspectedAt time.Time
 	// brokenOff are the requests that broke off as their responses began, until it is known
 	// whether the engine ended. crashCheckAt is when an inventory was last requested for
-	// that.
+	// that, or is to be.
 	brokenOff    []BrokenOff
 	crashCheckAt time.Time
 	// ended is set when the engine did not answer after requests broke off, until it does.
--- a/internal/scheduler/inventories.go
+++ b/internal/scheduler/inventories.go
@@ -14,7 +14,9 @@
 	if e == nil {
 		return c.takeActions()
 	}
-	e.inspecting = false
+	if !e.inspectedAt.After(now) {
+		e.inspecting = false // else it is not the one that is due, which is still to come
+	}
 	if err == nil && e.isOfFormerIncarnation(inventory) {
 		c.inspect(now, e, failedInspectInterval)
 		return c.takeActions()
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -211,6 +211,7 @@
 	grants   []Grant
 	refusals []Refusal
 	orders   int
+	inspects int
 	// replyDelay is the time from an order to its reply.
 	replyDelay time.Duration
 	// adapterLoadTime is the load time of an adapter.
@@ -284,6 +285,7 @@
 		sim.orders++
 		sim.schedule(call.After, func() { sim.deliver(cell, call) })
 	}
+	sim.inspects += len(a.Inspects)
 	for _, call := range a.Inspects {
 		sim.schedule(call.After+sim.replyDelay, func() {
 			if cell != sim.cell {
