--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -133,8 +133,12 @@
 }
 
 // ConfigInForce implements fleet.Observer.
-func (l *Log) ConfigInForce(version int64) {
+func (l *Log) ConfigInForce(version int64, leftOut []error) {
 	l.metrics.configVersion.Set(version)
+	l.metrics.configLeftOut.Add(int64(len(leftOut)))
+	for _, err := range leftOut {
+		l.out.Warn("config item left out", "version", version, "err", err)
+	}
 	l.out.Info("config in force", "version", version)
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -37,6 +37,8 @@
 	// sourceReads counts the reads of the platform's lists by list and result.
 	sourceReads   *expvar.Map
 	configVersion expvar.Int
+	// configLeftOut counts the items of configurations that are not valid.
+	configLeftOut expvar.Int
 	// leavingLearned counts upstreams that said in a response that they leave, pauses the
 	// responses that asked for one.
 	leavingLearned expvar.Int
@@ -122,6 +124,7 @@
 		{"upstream_changes_total", &m.listChanges},
 		{"upstreams", &m.upstreams},
 		{"config_version", &m.configVersion},
+		{"config_items_left_out_total", &m.configLeftOut},
 		{"upstreams_leaving_total", &m.leavingLearned},
 		{"upstream_pauses_total", &m.pauses},
 		{"upstream_limit_changes_total", &m.limitChanges},
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -134,6 +134,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// LeftOut says what of the published configuration is not valid and so not part of it.
+	LeftOut []error
 
 	byHost map[string]map[string]*Route
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -102,7 +102,9 @@
 
 // Observer is notified of what a Follower reads and of outages of its Source.
 type Observer interface {
-	ConfigInForce(version int64)
+	// ConfigInForce is called with what was left out of the configuration because it is not
+	// valid.
+	ConfigInForce(version int64, leftOut []error)
 	UpstreamsChanged(ids []string, known int)
 	RegistrationInvalid(id string, err error)
 	// SourceRead is called after each read, with its result.
@@ -176,7 +178,7 @@
 		recordRead(&f.opts.Directory.configRead, time.Now())
 		version = update.Version
 		if update.Config != nil && f.opts.Directory.SetConfig(update.Config) {
-			f.opts.Observer.ConfigInForce(update.Config.Version)
+			f.opts.Observer.ConfigInForce(update.Config.Version, update.Config.LeftOut)
 			f.opts.OnChange()
 		}
 		if version == 0 {
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -48,7 +48,7 @@
 
 type quietObserver struct{}
 
-func (quietObserver) ConfigInForce(int64)                               {}
+func (quietObserver) ConfigInForce(int64, []error)                      {}
 func (quietObserver) UpstreamsChanged([]string, int)                    {}
 func (quietObserver) RegistrationInvalid(string, error)                 {}
 func (quietObserver) SourceRead(string, ReadResult, time.Duration)      {}
