--- a/internal/pace/holder.go
+++ b/internal/pace/holder.go
@@ -57,7 +57,7 @@
 
 // NewHolder returns a holder that knows of no limit.
 func NewHolder() *Holder {
-	return &Holder{book: NewBook(), pacer: newPacer(), returns: make(map[string]time.Time)}
+	return &Holder{book: NewBook(), pacer: newPacer(useOfLimit), returns: make(map[string]time.Time)}
 }
 
 // Note takes in a limit that a router heard. It reports whether it changed what is known.
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -10,6 +10,9 @@
 	// useOfLimit is the part of a limit that is issued. The rest is for requests that arrive
 	// closer together than they were issued, and for changes of the scheduler.
 	useOfLimit = 0.9
+	// useAlone is the part of their shares that routers issue by themselves: a scheduler that
+	// they can't reach may issue the limit as well.
+	useAlone = 0.5
 	// burstTime is the time whose requests may be issued at once, at least one.
 	burstTime = 100 * time.Millisecond
 	// minPerSecond is the rate at an upstream that names a lower one: whether it still does is
@@ -19,13 +22,16 @@
 
 // pacer spaces the requests to limited upstreams: a token bucket for each, which is empty at
 // first. It is not safe for concurrent use.
-type pacer struct{ limiters map[string]*rate.Limiter }
+type pacer struct {
+	use      float64 // part of a limit that is issued
+	limiters map[string]*rate.Limiter
+}
 
-func newPacer() *pacer { return &pacer{limiters: make(map[string]*rate.Limiter)} }
+func newPacer(use float64) *pacer { return &pacer{use, make(map[string]*rate.Limiter)} }
 
-// set limits an upstream to perSecond, of which it issues useOfLimit.
+// set limits an upstream to perSecond.
 func (p *pacer) set(now time.Time, id string, perSecond float64) {
-	issued := rate.Limit(useOfLimit * max(perSecond, minPerSecond))
+	issued := rate.Limit(p.use * max(perSecond, minPerSecond))
 	burst := max(1, int(float64(issued)*burstTime.Seconds()))
 	if limiter := p.limiters[id]; limiter != nil {
 		limiter.SetLimitAt(now, issued)
--- a/internal/pace/router.go
+++ b/internal/pace/router.go
@@ -40,7 +40,7 @@
 
 // NewRouter returns a router that knows of no limit.
 func NewRouter(host string) *Router {
-	return &Router{host: host, book: NewBook(), alone: newPacer(), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
+	return &Router{host: host, book: NewBook(), alone: newPacer(useAlone), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
 }
 
 // Note takes in a limit that this router heard or was told. It reports whether that changed
