--- a/internal/blocklist/ledger.go
+++ b/internal/blocklist/ledger.go
@@ -147,7 +147,8 @@
 	expired := func(c *crash) bool { return now.Sub(c.at) > crashTTL }
 	l.crashes = slices.DeleteFunc(l.crashes, expired)
 	if len(l.crashes) >= maxCrashes {
-		l.crashes = slices.Delete(l.crashes, 0, 1)
+		i := l.leastTelling()
+		l.crashes = slices.Delete(l.crashes, i, i+1)
 	}
 	c := &crash{engine: engine, at: at, suspects: make(map[string]struct{})}
 	l.crashes = append(l.crashes, c)
@@ -155,6 +156,27 @@
 	return c
 }
 
+// leastTelling returns the index of the crash that is forgotten for another one: one without
+// suspects, else one of the most that count as one. The loss of a failure domain must not cost
+// the evidence of single crashes.
+func (l *Ledger) leastTelling() int {
+	if i := slices.IndexFunc(l.crashes, func(c *crash) bool { return len(c.suspects) == 0 }); i >= 0 {
+		return i
+	}
+	index, most := 0, 1
+	for from := 0; from < len(l.crashes); {
+		to := from + 1
+		for to < len(l.crashes) && l.crashes[to].at.Sub(l.crashes[from].at) < sameCauseWindow {
+			to++
+		}
+		if to-from > most {
+			index, most = to-1, to-from
+		}
+		from = to
+	}
+	return index
+}
+
 // RecordSound notes that a response to a prompt with these parts was completed. Entries of
 // which it has all parts are released and returned; the parts leave all others.
 func (l *Ledger) RecordSound(now time.Time, parts []string) (released []Entry) {
--- a/internal/blocklist/ledger_test.go
+++ b/internal/blocklist/ledger_test.go
@@ -349,6 +349,19 @@
 	}
 }
 
+// Guards against evidence that is forgotten because a failure domain is lost several times: its
+// engines, most of them without requests, took the place of those that a fatal part had ended.
+func TestEvidenceOutlastsLossesOfDomains(t *testing.T) {
+	for _, play := range []fleetPlay{
+		{seed: 0xe568, engines: 200, soundPerSecond: 48, fatalGapMs: 1116, documents: 1, lossesOfADomain: 3, fatalAtOnce: 3},
+		{seed: 0x184, engines: 200, soundPerSecond: 22, fatalGapMs: 1500, documents: 1, soundComeLater: true, lossesOfADomain: 4, fatalAtOnce: 4},
+	} {
+		if err := play.run(); err != nil {
+			t.Errorf("%+v: %v", play, err)
+		}
+	}
+}
+
 // BenchmarkCrashes is the cost of one report, while the domain of a large fleet is lost and
 // each engine has other requests.
 func BenchmarkCrashes(b *testing.B) {
