--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -42,11 +42,11 @@
 		if len(free)+len(limited) == 0 {
 			return nil, errNoUpstream
 		}
-		open := slices.DeleteFunc(slices.Clone(limited), func(up *fleet.Upstream) bool { return limits.IsHeld(time.Now(), up.ID) })
-		up := cr.handler.balancer.pick(append(open, free...))
 		if len(free) == 0 {
 			return cr.awaitLimit(limited)
 		}
+		limited = slices.DeleteFunc(limited, func(up *fleet.Upstream) bool { return limits.IsHeld(time.Now(), up.ID) })
+		up := cr.handler.balancer.pick(append(free, limited...))
 		if !slices.Contains(limited, up) {
 			return up, nil
 		}
@@ -126,6 +126,7 @@
 		if up := cr.takeAlone(limited); up != nil {
 			return up, nil
 		}
+		cr.record.WaitedFor = pace.WaitReason
 		if time.Since(began) > unlinkedWait {
 			return nil, &cell.RefusedError{RetryAfter: unlinkedRetryDelay + rand.N(unlinkedRetryDelay/2), Reason: pace.RefusalReason}
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -175,7 +175,7 @@
 	waited := l.milliseconds("waited_ms")
 	queueAndPrompt := l.milliseconds("first_event_ms")
 	switch {
-	case l.milliseconds("first_byte_ms") == 0 && 2*waited > l.milliseconds("took_ms"):
+	case l.milliseconds("first_byte_ms") == 0 && l.Fields["waited_for"] != "" && 2*waited > l.milliseconds("took_ms"):
 		return l.Fields["waited_for"]
 	case l.milliseconds("first_byte_ms") == 0:
 		return "answer" // not a request for a model
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -90,9 +90,11 @@
 time=2026-12-04T04:00:08.000Z level=info msg=request id=r-5 outcome=served status=200 took_ms=8100 model=m waited_ms=3928 waited_for="turn at the engine" first_byte_ms=3979 first_event_ms=45
 time=2026-12-04T04:00:09.000Z level=info msg=request id=r-6 outcome=served status=200 took_ms=2400 model=m waited_ms=3 first_byte_ms=1200 first_event_ms=1190
 time=2026-12-04T04:00:10.000Z level=info msg=request id=r-7 outcome=served status=200 took_ms=900
+time=2026-12-04T04:00:11.000Z level=info msg=request id=r-8 outcome=served status=200 took_ms=900 waited_ms=700 waited_for="limit of the upstream"
+time=2026-12-04T04:00:12.000Z level=info msg=request id=r-9 outcome=served status=200 took_ms=900 waited_ms=200 waited_for="limit of the upstream"
 `))
 	is.NoErr(err)
-	for id, cause := range map[string]string{"r-5": "turn at the engine", "r-6": "engine queue and prompt", "r-7": "answer"} {
+	for id, cause := range map[string]string{"r-5": "turn at the engine", "r-6": "engine queue and prompt", "r-7": "answer", "r-8": "limit of the upstream", "r-9": "answer"} {
 		timeline, found := Request(lines, id)
 		is.True(found)
 		is.Equal(timeline.Cause, cause)
