--- a/internal/pace/router.go
+++ b/internal/pace/router.go
@@ -84,11 +84,10 @@
 	r.limited.Store(int32(len(r.control)))
 }
 
+// share returns this router's part of a limit, which may have fallen since it was assigned.
 func (r *Router) share(limit Limit) float64 {
-	if r.shares != nil {
-		if share, ok := r.shares[limit.UpstreamID]; ok {
-			return share
-		}
+	if share, ok := r.shares[limit.UpstreamID]; ok {
+		return min(share, limit.PerSecond)
 	}
 	return ownShare(limit.UpstreamID, r.host, limit.PerSecond, r.knownRouters())
 }
