cell: limits are relayed as they change, and shares are assigned once a second

Changes of the last 50 ms now go out together, alone, with shares that are divided once; all shares follow routers that connect or leave once a second. Responses without a limit take no lock. A 421 names a limit like any other response.

--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -1,46 +1,58 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
-// noteLimits takes in limits that a router heard, and tells all routers of those that are news.
+// sharesInterval is the shortest time between two assignments of all shares, which are due when
+// routers connect or disconnect.
+const sharesInterval = time.Second
+
+// noteLimits takes in limits that a router heard. The next idle tick tells all routers of those
+// that are news.
 func (s *Scheduler) noteLimits(now time.Time, reported *apiv1.UpstreamLimits) {
 	for _, limit := range decodeLimits(now, reported) {
 		if s.pace.Note(now, limit) {
-			s.limitsChanged = true
+			s.limitNews[limit.UpstreamID] = true
 		}
 	}
-	s.relayLimits(now)
 }
 
-// relayLimits sends the limits and the shares of them to all routers if either has changed.
+// relayLimits sends all routers the limits that are news, with their shares, or all limits if the
+// shares are due.
 func (s *Scheduler) relayLimits(now time.Time) {
-	if !s.limitsChanged {
+	all := s.sharesDue && now.Sub(s.sharesAt) >= sharesInterval
+	if !all && len(s.limitNews) == 0 {
 		return
 	}
-	s.limitsChanged = false
-	for _, session := range s.sessions {
-		s.sendLimits(now, session)
+	limits := slices.DeleteFunc(s.pace.Limits(), func(l pace.Limit) bool { return !all && !s.limitNews[l.UpstreamID] })
+	if all {
+		s.sharesDue, s.sharesAt = false, now
 	}
-}
-
-// sendLimits sends a router the limits and its shares of them.
-func (s *Scheduler) sendLimits(now time.Time, to *session) {
-	limits := s.pace.Limits()
-	if len(limits) == 0 || !to.synced {
+	clear(s.limitNews)
+	routers := s.routers()
+	if len(limits) == 0 || len(routers) == 0 {
 		return
 	}
-	list := encodeLimits(now, limits)
-	routers := s.routers()
-	list.Routers = int32(len(routers))
-	for _, limit := range list.GetLimits() {
-		limit.Share = pace.Share(limit.GetId(), limit.GetPerSecond(), routers, to.router)
+	shares := make([]map[string]float64, len(limits))
+	for i, limit := range limits {
+		shares[i] = pace.Shares(limit.UpstreamID, limit.PerSecond, routers)
+	}
+	for _, session := range s.sessions {
+		if !session.synced {
+			continue
+		}
+		list := encodeLimits(now, limits)
+		list.Routers = int32(len(routers))
+		for i, limit := range list.GetLimits() {
+			limit.Share = shares[i][session.router]
+		}
+		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: list}})
 	}
-	to.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: list}})
 }
 
 // routers returns the hosts of the connected routers.
@@ -118,16 +130,19 @@
 	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Limits{Limits: report}})
 }
 
-// takeLimits takes in the limits that the scheduler knows, and the shares of this router.
+// takeLimits takes in limits that the scheduler knows, and the shares of this router.
 func (c *Client) takeLimits(told *apiv1.UpstreamLimits) {
 	now := time.Now()
+	for _, limit := range decodeLimits(now, told) {
+		c.opts.Limits.Note(now, limit)
+	}
+	if told.GetRouters() == 0 {
+		return
+	}
 	shares := make(map[string]float64, len(told.GetLimits()))
 	for _, limit := range told.GetLimits() {
 		shares[limit.GetId()] = limit.GetShare()
 	}
-	for _, limit := range decodeLimits(now, told) {
-		c.opts.Limits.Note(now, limit)
-	}
 	c.opts.Limits.SetShares(now, int(told.GetRouters()), shares)
 }
 
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -68,7 +68,7 @@
 		return
 	}
 	delete(s.sessions, from.number)
-	s.limitsChanged = true
+	s.sharesDue = true
 	s.withdrawLimited(func(key uint64) bool { return key>>requestNumberBits == from.number })
 	now := time.Now()
 	for key, service := range from.serviceByKey {
@@ -159,8 +159,10 @@
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
 	s.noteLimits(now, hello.GetLimits())
-	s.sendLimits(now, from)
-	s.limitsChanged = true // the next heartbeat assigns the shares anew
+	if limits := s.pace.Limits(); len(limits) > 0 {
+		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: encodeLimits(now, limits)}})
+	}
+	s.sharesDue = true
 	s.sendHeartbeats()
 }
 
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -103,11 +103,14 @@
 	sessions   map[uint64]*session
 	// relayed is the upstream list as it was last relayed in this term; nil before.
 	relayed *relayedList
-	// pace issues the requests to upstreams with a limit. limitsChanged is set while routers
-	// are to be told of limits or shares.
-	pace          *pace.Holder
-	limitsChanged bool
-	lastSession   uint64 // number of the newest session
+	// pace issues the requests to upstreams with a limit. limitNews has the limits that
+	// routers are to be told of. sharesDue is set when routers connect or disconnect, sharesAt
+	// is when shares were last assigned after that.
+	pace        *pace.Holder
+	limitNews   map[string]bool
+	sharesDue   bool
+	sharesAt    time.Time
+	lastSession uint64 // number of the newest session
 	// disconnected holds the requests of disconnected routers. Their upstreams may
 	// still run them.
 	disconnected  []disconnectedRequest
@@ -133,6 +136,7 @@
 		cells:       make(map[string]*scheduler.Cell),
 		sessions:    make(map[uint64]*session),
 		pace:        pace.NewHolder(),
+		limitNews:   make(map[string]bool),
 	}
 }
 
@@ -186,6 +190,7 @@
 		s.active = true
 		s.cells = make(map[string]*scheduler.Cell)
 		s.pace = pace.NewHolder()
+		clear(s.limitNews)
 		s.disconnected = nil
 		s.relayed = nil
 		s.refresh()
@@ -248,6 +253,7 @@
 	idle := now.Sub(s.lastIdleTick) >= idleTickInterval
 	if idle {
 		s.lastIdleTick = now
+		s.relayLimits(now)
 		s.endDisconnectedRequests(now, func(r disconnectedRequest) bool { return now.After(r.until) })
 	}
 	for name, cell := range s.cells {
@@ -263,7 +269,6 @@
 	if now.Sub(s.lastHeartbeat) >= heartbeatInterval {
 		s.lastHeartbeat = now
 		s.pace.Prune(now)
-		s.relayLimits(now)
 		s.sendHeartbeats()
 	}
 }
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -29,9 +29,7 @@
 // take takes in the head of the response to a request that was sent at askedAt. requestID names
 // the request in logs.
 func (n *notices) take(upstreamID, requestID string, askedAt time.Time, info ResponseInfo) {
-	if !info.WrongUpstream {
-		n.takeLimit(upstreamID, requestID, askedAt, info)
-	}
+	n.takeLimit(upstreamID, requestID, askedAt, info)
 	if info.Leaving {
 		n.onLeaving(upstreamID, requestID)
 	}
--- a/internal/pace/fleet_test.go
+++ b/internal/pace/fleet_test.go
@@ -149,9 +149,10 @@
 		}
 	}
 	for _, limit := range holder.Limits() {
+		shares := Shares(limit.UpstreamID, limit.PerSecond, hosts)
 		for _, r := range f.routers {
 			if r.linked {
-				share := Share(limit.UpstreamID, limit.PerSecond, hosts, r.host)
+				share := shares[r.host]
 				f.after(r.lag, func() {
 					r.Note(f.now, limit)
 					r.SetShares(f.now, len(hosts), map[string]float64{limit.UpstreamID: share})
--- a/internal/pace/router.go
+++ b/internal/pace/router.go
@@ -40,12 +40,15 @@
 
 // NewRouter returns a router that knows of no limit.
 func NewRouter(host string) *Router {
-	return &Router{host: host, book: NewBook(), alone: newPacer(useAlone), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
+	return &Router{host: host, book: NewBook(), alone: newPacer(useAlone), shares: make(map[string]float64), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
 }
 
 // Note takes in a limit that this router heard or was told. It reports whether that changed
 // what it knows.
 func (r *Router) Note(now time.Time, limit Limit) bool {
+	if limit.Kind == Unlimited && r.limited.Load() == 0 {
+		return false // nearly all responses
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.book.Note(limit) {
@@ -55,13 +58,14 @@
 	return true
 }
 
-// SetShares replaces the shares that a scheduler assigned to this router, by upstream. routers is
+// SetShares takes in the shares that a scheduler assigned to this router, by upstream. routers is
 // the number of routers that it knows.
 func (r *Router) SetShares(now time.Time, routers int, shares map[string]float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.routers, r.shares = routers, shares
-	for id := range r.control {
+	r.routers = routers
+	for id, share := range shares {
+		r.shares[id] = share
 		r.update(now, id)
 	}
 }
@@ -171,4 +175,9 @@
 	for id := range r.control {
 		r.update(now, id)
 	}
+	for id := range r.shares {
+		if _, limited := r.book.Of(id); !limited {
+			delete(r.shares, id)
+		}
+	}
 }
--- a/internal/pace/shares.go
+++ b/internal/pace/shares.go
@@ -1,7 +1,9 @@
 package pace
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -11,24 +13,26 @@
 // not by the size of the fleet.
 func shareHolders(perSecond float64) int { return 2 + int(min(perSecond, MaxPerSecond)/2) }
 
-// Share returns the part of an upstream's limit that a router has in times without a scheduler, in
-// requests a second. It is 0 for most routers of a large fleet.
-func Share(upstreamID string, perSecond float64, routers []string, router string) float64 {
-	holders := min(shareHolders(perSecond), len(routers))
-	own, before := weight(upstreamID, router), 0
-	for _, other := range routers {
-		if w := weight(upstreamID, other); w < own || w == own && other < router {
-			before++
-		}
+// Shares divides the limit of an upstream among routers for times without a scheduler, in requests
+// a second. In a large fleet most routers have no share.
+func Shares(upstreamID string, perSecond float64, routers []string) map[string]float64 {
+	holders := shareHolders(perSecond)
+	if holders < len(routers) {
+		routers = slices.Clone(routers)
+		slices.SortFunc(routers, func(a, b string) int {
+			return cmp.Or(cmp.Compare(weight(upstreamID, a), weight(upstreamID, b)), cmp.Compare(a, b))
+		})
+		routers = routers[:holders]
 	}
-	if before >= holders {
-		return 0
+	shares := make(map[string]float64, len(routers))
+	for _, router := range routers {
+		shares[router] = perSecond / float64(len(routers))
 	}
-	return perSecond / float64(holders)
+	return shares
 }
 
 // ownShare returns the share that a router assigns to itself if no scheduler did: about as many
-// routers take one as with Share.
+// routers take one as with Shares.
 func ownShare(upstreamID, router string, perSecond float64, routers int) float64 {
 	holders := min(shareHolders(perSecond), routers)
 	if float64(weight(upstreamID, router))/math.MaxUint64 > float64(holders)/float64(routers) {
