--- a/internal/entry/budgets.go
+++ b/internal/entry/budgets.go
@@ -42,8 +42,9 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		budget = retry.NewBudget(b.share, 0)
-		budget.SetBounds(b.bounds())
+		saved, perSecond := b.bounds()
+		budget = retry.NewBudget(b.share, perSecond)
+		budget.SetBounds(saved, perSecond)
 		b.byService[service] = budget
 	}
 	return budget
--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -59,7 +59,7 @@
 					writeCut(w, strings.Replace(raw, "Signed", "Id: "+r.Header.Get("Id")+"\r\nSigned", 1), int(cut.Load()), reset.Load())
 				}
 				upstreams := []*upstream{newUpstream(t, c.upstream+"-1", answer), newUpstream(t, c.upstream+"-2", answer)}
-				plain, secure := start(t, upstreams...), startSecure(t, config, upstreams...)
+				plain, secure := start(t, upstreams...), startSecure(t, config.Clone(), upstreams...)
 				idLine := len("Id: r-00000\r\n")
 				for n := 0; n < len(raw)+idLine; n++ {
 					for _, abrupt := range []bool{false, true} {
--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -131,6 +131,9 @@
 			return nil, &cell.RefusedError{RetryAfter: unlinkedRetryDelay + rand.N(unlinkedRetryDelay/2), Reason: pace.RefusalReason}
 		}
 		cr.awaitScheduler(ctx, unlinkedPoll)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 	}
 }
 
