--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -14,8 +14,8 @@
 var errStopping = errors.New("this router stops")
 
 // checkChoice returns an error if an upstream may no longer get the request that it was chosen
-// for: errUpstreamLeft, errPaused or errStopping. A request waits between its choice and its first byte, for
-// an upstream that recovers from a pause and for a connection.
+// for: errUpstreamLeft, errPaused or errStopping. A request waits between its choice and its first
+// byte, for an upstream that recovers from a pause and for a connection.
 func (cr *callerRequest) checkChoice(upstreamID string) error {
 	if cr.isTooLateToSend() {
 		return errStopping
