--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -100,12 +100,13 @@
 	for i := range results {
 		wg.Go(func() { results[i] = d.chat(0, "model-0", fmt.Sprintf("long %d", i), 200) })
 	}
-	d.eventually("the streams run", func() bool {
-		running := 0
+	d.eventually("the streams run, and have begun", func() bool {
+		running, tokens := 0, int64(0)
 		for _, engine := range d.cluster.Engines {
 			running += engine.Inventory().Running
+			tokens += engine.Counts().Tokens
 		}
-		return running == len(results)
+		return running == len(results) && tokens > 20*int64(len(results))
 	})
 	for _, engine := range d.cluster.Engines {
 		engine.Restart()
