pace: reports at a limited engine leave orders their part, and both can end its limit

What was seen: soak, with "limit most" 25 times: "0 of 30 sound requests were served", m1 refused as "can't be there in time" for 60 s. Traced: an engine without models had named a limit that had ended. Only a response to a caller ended limits, and none could come. Orders and reports shared one bound; the report, retried each 0.4 s, took each token, so that the order for m1 was never sent, and the model was loaded nowhere else because a load was planned there.

Now orders and reports are bounded apart, with the same sum, and a response to either ends a limit that such a response had named.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -143,7 +143,9 @@
 	Pause time.Duration
 	// Limit is the rate of requests that the upstream takes from all routers together.
 	Limit pace.Notice
-	Load  *Load
+	// control is set for responses to orders and reads of inventories, which bear no signature.
+	control bool
+	Load    *Load
 }
 
 // Dialect maps requests and responses to the headers of a platform. Implementations
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -40,13 +40,13 @@
 	}
 }
 
-// takeLimit takes in what a response says about the limit of its upstream. One that names none
-// ends a limit only if it is the upstream's own.
+// takeLimit takes in what a response says about the limit of its upstream. One to a caller that
+// names none ends a limit only if it is the upstream's own.
 func (n *notices) takeLimit(upstreamID, requestID string, askedAt time.Time, info ResponseInfo) {
-	if info.Limit.Kind == pace.Unlimited && !info.Signed {
+	if info.Limit.Kind == pace.Unlimited && !info.Signed && !info.control {
 		return
 	}
-	heard := pace.Statement{Notice: info.Limit, AskedAt: askedAt, HeardAt: time.Now()}
+	heard := pace.Statement{Notice: info.Limit, AskedAt: askedAt, HeardAt: time.Now(), Control: info.control}
 	limit := pace.Limit{UpstreamID: upstreamID, StartedMs: n.startedMs(upstreamID), Statement: heard}
 	if n.limits.Note(heard.HeardAt, limit) {
 		n.log.UpstreamLimited(upstreamID, requestID, info.Limit)
@@ -73,7 +73,7 @@
 
 // Order implements fleet.Engines. An order that is not sent counts as one that conflicts.
 func (e considerateEngines) Order(ctx context.Context, up *fleet.Upstream, order fleet.Order) (fleet.OrderResult, error) {
-	if e.notices.pauses.left(up.ID) > 0 || !e.notices.limits.AllowControl(time.Now(), up.ID) {
+	if e.notices.pauses.left(up.ID) > 0 || !e.notices.limits.AllowOrder(time.Now(), up.ID) {
 		return fleet.OrderConflict, nil
 	}
 	return e.Engines.Order(e.observe(ctx, up, orderCall), up, order)
@@ -84,7 +84,7 @@
 	if e.notices.pauses.left(up.ID) > 0 {
 		return fleet.Inventory{}, errPaused
 	}
-	if !e.notices.limits.AllowControl(time.Now(), up.ID) {
+	if !e.notices.limits.AllowReport(time.Now(), up.ID) {
 		return fleet.Inventory{}, errLimited
 	}
 	inventory, err := e.Engines.Inspect(e.observe(ctx, up, reportCall), up)
@@ -98,7 +98,7 @@
 	askedAt := time.Now()
 	return exchange.WithObserver(ctx, func(status int, header http.Header) {
 		info := e.dialect.ReadResponse(status, header)
-		info.Signed = false // responses to orders and reads of inventories bear no signature
+		info.Signed, info.control = false, status < http.StatusInternalServerError
 		e.notices.take(up.ID, call, askedAt, info)
 	})
 }
--- a/internal/pace/book.go
+++ b/internal/pace/book.go
@@ -12,6 +12,8 @@
 	// StartedMs is the start time of the incarnation in Unix milliseconds, 0 if unknown.
 	StartedMs int64
 	Statement
+	// inControl is set once a response to an order or a read of an inventory named a limit.
+	inControl bool
 }
 
 // Book has the last statement about each upstream. It is not safe for concurrent use.
@@ -31,7 +33,7 @@
 	restarted := ok && next.StartedMs > known.StartedMs && known.StartedMs != 0
 	switch {
 	case !ok || restarted:
-		if next.Kind == Unlimited && !ok {
+		if next.Kind == Unlimited && (!ok || next.Control) {
 			return false // as are nearly all upstreams
 		}
 	case next.StartedMs != 0 && next.StartedMs < known.StartedMs:
@@ -40,10 +42,13 @@
 		return false
 	case known.AskedAt.After(next.HeardAt):
 		return false
+	case next.Control && next.Kind == Unlimited && !known.inControl:
+		return false
 	}
 	if next.StartedMs == 0 {
 		next.StartedMs = known.StartedMs
 	}
+	next.inControl = known.inControl && !restarted || next.Control && next.Kind == Limited
 	b.limits[next.UpstreamID] = next
 	return !ok || known.Notice != next.Notice
 }
--- a/internal/pace/book_test.go
+++ b/internal/pace/book_test.go
@@ -36,7 +36,11 @@
 	start := time.Unix(1000, 0)
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 	say := func(started int64, kind Kind, rate, asked, heard float64) Limit {
-		return Limit{UpstreamID: "u", StartedMs: started, Statement: Statement{Notice{kind, rate}, at(asked), at(heard)}}
+		return Limit{UpstreamID: "u", StartedMs: started, Statement: Statement{Notice: Notice{kind, rate}, AskedAt: at(asked), HeardAt: at(heard)}}
+	}
+	control := func(l Limit) Limit {
+		l.Control = true
+		return l
 	}
 	for name, c := range map[string]struct {
 		said    []Limit
@@ -50,6 +54,8 @@
 		"ended by a later request":        {[]Limit{say(1, Limited, 2, 0, 1), say(1, Unlimited, 0, 1.1, 2)}, 0, false},
 		"ended by an overlapping one":     {[]Limit{say(1, Limited, 2, 0, 1), say(1, Unlimited, 0, 0.5, 2)}, 2, true},
 		"old limit after the end":         {[]Limit{say(1, Limited, 2, 0, 1), say(1, Unlimited, 0, 3, 4), say(1, Limited, 2, 0, 2)}, 0, false},
+		"control that never names it":     {[]Limit{say(1, Limited, 2, 0, 1), control(say(1, Unlimited, 0, 2, 3))}, 2, true},
+		"ended by control that named it":  {[]Limit{control(say(1, Limited, 2, 0, 1)), control(say(1, Unlimited, 0, 2, 3))}, 0, false},
 		"unreadable":                      {[]Limit{say(1, Limited, 2, 0, 1), say(1, Unreadable, 0, 2, 3)}, 2, true},
 		"another incarnation without one": {[]Limit{say(1, Limited, 2, 0, 1), say(2, Unlimited, 0, 0.5, 0.9)}, 0, false},
 		"late word of the one before":     {[]Limit{say(2, Limited, 2, 0, 1), say(1, Limited, 1, 2, 3)}, 2, true},
--- a/internal/pace/fleet_test.go
+++ b/internal/pace/fleet_test.go
@@ -246,7 +246,7 @@
 			if notice.Kind == Limited && r.toldAt.IsZero() {
 				r.toldAt = f.now
 			}
-			limit := Limit{UpstreamID: simUpstream, StartedMs: 1, Statement: Statement{notice, asked, f.now}}
+			limit := Limit{UpstreamID: simUpstream, StartedMs: 1, Statement: Statement{Notice: notice, AskedAt: asked, HeardAt: f.now}}
 			if holder := f.holder; r.Note(f.now, limit) && r.linked && holder != nil {
 				f.after(r.lag, func() { f.report(holder, limit) })
 			}
--- a/internal/pace/holder_test.go
+++ b/internal/pace/holder_test.go
@@ -13,7 +13,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	h := NewHolder()
-	h.Note(now, Limit{UpstreamID: "u", StartedMs: 1, Statement: Statement{Notice{Limited, 1 / useOfLimit}, now, now}})
+	h.Note(now, Limit{UpstreamID: "u", StartedMs: 1, Statement: Statement{Notice: Notice{Limited, 1 / useOfLimit}, AskedAt: now, HeardAt: now}})
 	now = now.Add(time.Second) // a request is allowed now, the next one a second later
 	var decisions []Decision
 	submit := func(key uint64, priority int, wait time.Duration, mayWait bool) {
--- a/internal/pace/notice.go
+++ b/internal/pace/notice.go
@@ -58,4 +58,7 @@
 	Notice
 	// AskedAt is when the request was sent, HeardAt when the head of its response arrived.
 	AskedAt, HeardAt time.Time
+	// Control is set for the response to an order or a read of an inventory. One without a
+	// limit ends the limit only if others have named it.
+	Control bool
 }
--- a/internal/pace/router.go
+++ b/internal/pace/router.go
@@ -11,13 +11,19 @@
 const (
 	// unknownRouters is the number of routers that a router assumes that no scheduler has told.
 	unknownRouters = 16
-	// controlBurst, controlPerSecond and controlShare limit the orders and reads of inventories
-	// at a limited upstream: at once, each second, and for each request of its limit.
-	controlBurst     = 3
-	controlPerSecond = 0.25
-	controlShare     = 0.5
+	// Orders, and apart from them reads of inventories, are limited at a limited upstream: how
+	// many at once, how many each second, and how many more for each request of its limit.
+	orderBurst       = 2
+	ordersPerSecond  = 0.15
+	reportBurst      = 1
+	reportsPerSecond = 0.1
+	controlShare     = 0.25
 )
 
+// controlLimiters limit the orders and reads of inventories at an upstream. Each has its own, so
+// that reads, which are repeated, leave something for the order that they are about.
+type controlLimiters struct{ orders, reports *rate.Limiter }
+
 // Router is what one router knows about limits, and its share of them while no scheduler is
 // connected. It is safe for concurrent use.
 type Router struct {
@@ -32,7 +38,7 @@
 	shares  map[string]float64
 	routers int
 	alone   *pacer
-	control map[string]*rate.Limiter
+	control map[string]controlLimiters
 	// heldUntil is when the scheduler is asked again for a request to an upstream that is not
 	// the only one.
 	heldUntil map[string]time.Time
@@ -40,7 +46,7 @@
 
 // NewRouter returns a router that knows of no limit.
 func NewRouter(host string) *Router {
-	return &Router{host: host, book: NewBook(), alone: newPacer(useAlone), shares: make(map[string]float64), control: make(map[string]*rate.Limiter), heldUntil: make(map[string]time.Time)}
+	return &Router{host: host, book: NewBook(), alone: newPacer(useAlone), shares: make(map[string]float64), control: make(map[string]controlLimiters), heldUntil: make(map[string]time.Time)}
 }
 
 // Note takes in a limit that this router heard or was told. It reports whether that changed
@@ -79,11 +85,13 @@
 		delete(r.heldUntil, id)
 	} else {
 		r.alone.set(now, id, r.share(limit))
-		control := rate.Limit(controlPerSecond + controlShare*limit.PerSecond)
-		if r.control[id] == nil {
-			r.control[id] = rate.NewLimiter(control, controlBurst)
+		control, ok := r.control[id]
+		if !ok {
+			control = controlLimiters{rate.NewLimiter(0, orderBurst), rate.NewLimiter(0, reportBurst)}
+			r.control[id] = control
 		}
-		r.control[id].SetLimitAt(now, control)
+		control.orders.SetLimitAt(now, rate.Limit(ordersPerSecond+controlShare*limit.PerSecond))
+		control.reports.SetLimitAt(now, rate.Limit(reportsPerSecond+controlShare*limit.PerSecond))
 	}
 	r.limited.Store(int32(len(r.control)))
 }
@@ -136,23 +144,31 @@
 	return r.share(limit) > 0 && r.alone.take(now, id)
 }
 
-// AllowControl counts an order or a read of an inventory. It reports false if the upstream has a
-// limit and had many of them.
-func (r *Router) AllowControl(now time.Time, id string) bool {
+// AllowOrder counts an order. It reports false if the upstream has a limit and had many of them.
+func (r *Router) AllowOrder(now time.Time, id string) bool {
+	return r.allowControl(now, id, func(c controlLimiters) *rate.Limiter { return c.orders })
+}
+
+// AllowReport is AllowOrder for a read of an inventory.
+func (r *Router) AllowReport(now time.Time, id string) bool {
+	return r.allowControl(now, id, func(c controlLimiters) *rate.Limiter { return c.reports })
+}
+
+func (r *Router) allowControl(now time.Time, id string, of func(controlLimiters) *rate.Limiter) bool {
 	if r.limited.Load() == 0 {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	limiter := r.control[id]
-	return limiter == nil || limiter.AllowN(now, 1)
+	control, limited := r.control[id]
+	return !limited || of(control).AllowN(now, 1)
 }
 
 // Hold keeps this router from asking for requests to an upstream for a while.
 func (r *Router) Hold(now time.Time, id string, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.control[id] != nil {
+	if _, limited := r.control[id]; limited {
 		r.heldUntil[id] = now.Add(length)
 	}
 }
