--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,12 @@
 }
 
 // Load is the load that an upstream reports: running and waiting requests, and slots.
-type Load struct{ Running, Waiting, Slots int64 }
+type Load struct {
+	Running, Waiting, Slots int64
+	// Slowdown is how long work takes on its host at the moment, as a multiple of the usual
+	// time.
+	Slowdown float64
+}
 
 // ResponseInfo is what a Dialect reads from the status and headers of an upstream's
 // response.
