workspace: callers have keys, and upstreams are told their workspace

Cause: nothing read tenants, Authorization or public routes. Keys went to the upstream, and withdrawn ones worked on.

Change: package workspace (keys as digests, quotas, sets of one configuration). The router checks a key on arrival, before the body, and right before the first byte of each attempt; waits end when a key is withdrawn.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -14,6 +14,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 const (
@@ -88,7 +89,9 @@
 	listReceived     bool
 	// partialList holds the parts of a list whose last part has not arrived; nil without.
 	partialList *apiv1.UpstreamList
-	linkUp      chan struct{} // closed and replaced when connected is set
+	// offeredWorkspaces is the version of the workspaces that were sent over this link.
+	offeredWorkspaces int64
+	linkUp            chan struct{} // closed and replaced when connected is set
 	// draining is set by ReportDraining.
 	draining bool
 	// handedOverVersion is the version of the lease row at the last handover. That
@@ -125,6 +128,10 @@
 	// with a lease that it hands over to this router. They must not call the client.
 	OnUpstreamList func(fleet.Change)
 	OnHandover     func(Handover)
+	// Workspaces returns the workspaces that this router knows of, nil for none. OnWorkspaces is
+	// called with those that the scheduler relays; it must not call the client.
+	Workspaces   func() *workspace.Set
+	OnWorkspaces func(*workspace.Set)
 	// Blocklist has the blocked prompts that this router knows of; the client replaces
 	// them by those that the scheduler relays. Nil means an empty list.
 	Blocklist *blocklist.List
@@ -141,6 +148,9 @@
 	if opts.Limits == nil {
 		opts.Limits = pace.NewRouter(opts.Host)
 	}
+	if opts.Workspaces == nil {
+		opts.Workspaces = func() *workspace.Set { return nil }
+	}
 	return &Client{
 		opts:      opts,
 		pending:   make(map[uint64]*pendingRequest),
@@ -277,7 +287,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load()), Limits: encodeLimits(time.Now(), c.opts.Limits.Limits())}
+	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load()), Limits: encodeLimits(time.Now(), c.opts.Limits.Limits()), WorkspacesVersion: c.workspacesVersion(), Routers: int32(c.routers)}
 	for _, r := range c.running {
 		hello.Running = append(hello.Running, r)
 	}
@@ -289,7 +299,7 @@
 	}
 	c.link = link
 	c.lastReceived = time.Now()
-	c.listReceived, c.partialList = false, nil
+	c.listReceived, c.partialList, c.offeredWorkspaces = false, nil, 0
 	return true
 }
 
--- a/internal/cell/client_receive.go
+++ b/internal/cell/client_receive.go
@@ -15,6 +15,7 @@
 	c.routers = int(heartbeat.GetRouters())
 	c.configAt = c.lastReceived.Add(-microseconds(heartbeat.GetConfigAgeUs()))
 	c.listAt = c.lastReceived.Add(-microseconds(heartbeat.GetListAgeUs()))
+	c.offerWorkspacesLocked(heartbeat.GetWorkspacesVersion())
 	if c.connected {
 		return
 	}
@@ -67,6 +68,9 @@
 	case *apiv1.SchedulerReply_Limits:
 		c.takeLimits(body.Limits)
 		return
+	case *apiv1.SchedulerReply_Workspaces:
+		c.opts.OnWorkspaces(decodeWorkspaces(body.Workspaces))
+		return
 	case *apiv1.SchedulerReply_Queued:
 		if req := c.pending[body.Queued.GetNumber()]; req != nil {
 			req.confirmed = true
--- a/internal/cell/client_state.go
+++ b/internal/cell/client_state.go
@@ -52,6 +52,14 @@
 	return c.configVersion, ok
 }
 
+// ConfigReadAt returns when the last connected scheduler had last read the configuration, as far
+// as this router heard, the zero time before the first heartbeat.
+func (c *Client) ConfigReadAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.configAt
+}
+
 // Schedules implements fleet.Peer.
 func (c *Client) Schedules() bool {
 	c.mu.Lock()
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -30,8 +30,12 @@
 		ConfigAgeUs:  configAge.Microseconds(),
 		ListAgeUs:    listAge.Microseconds(),
 	}
-	if config := s.opts.Directory.Load().Config; config != nil {
-		heartbeat.ConfigVersion = config.Version
+	snapshot := s.opts.Directory.Load()
+	if snapshot.Config != nil {
+		heartbeat.ConfigVersion = snapshot.Config.Version
+	}
+	if snapshot.Workspaces != nil {
+		heartbeat.WorkspacesVersion = snapshot.Workspaces.Version
 	}
 	for _, session := range s.sessions {
 		session.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Beat{Beat: heartbeat}})
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -119,6 +119,8 @@
 		from.draining = true
 	case *apiv1.SchedulerCall_Limits:
 		s.noteLimits(now, body.Limits)
+	case *apiv1.SchedulerCall_Workspaces:
+		s.opts.OnWorkspaces(decodeWorkspaces(body.Workspaces))
 	case *apiv1.SchedulerCall_Withdrawal:
 		key := from.key(body.Withdrawal.GetNumber())
 		s.withdrawLimited(func(other uint64) bool { return other == key })
@@ -158,6 +160,7 @@
 	if s.relayed != nil {
 		s.sendList(from, s.relayed.lackedBy(from.listVersion))
 	}
+	s.tellWorkspaces(from, hello.GetWorkspacesVersion())
 	s.noteLimits(now, hello.GetLimits())
 	if limits := s.pace.Limits(); len(limits) > 0 {
 		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Limits{Limits: encodeLimits(now, limits)}})
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 const (
@@ -61,6 +62,8 @@
 	// OnSuperseded is called when a router reports that another one holds the lease,
 	// with its address and the version of the lease row that names it.
 	OnSuperseded func(address string, leaseVersion int64)
+	// OnWorkspaces is called with workspaces of a newer configuration that a router has read.
+	OnWorkspaces func(*workspace.Set)
 	// Blocklist has the blocked prompts that this router knows of; nil means an empty
 	// list.
 	Blocklist *blocklist.List
@@ -106,10 +109,12 @@
 	// pace issues the requests to upstreams with a limit. limitNews has the limits that
 	// routers are to be told of. sharesDue is set when routers connect or disconnect, sharesAt
 	// is when shares were last assigned after that.
-	pace        *pace.Holder
-	limitNews   map[string]bool
-	sharesDue   bool
-	sharesAt    time.Time
+	pace      *pace.Holder
+	limitNews map[string]bool
+	sharesDue bool
+	sharesAt  time.Time
+	// workspaces are those that routers were last told of.
+	workspaces  *workspace.Set
 	lastSession uint64 // number of the newest session
 	// disconnected holds the requests of disconnected routers. Their upstreams may
 	// still run them.
@@ -225,6 +230,7 @@
 		return
 	}
 	s.relayList(snapshot)
+	s.relayWorkspaces(snapshot.Workspaces)
 	now := time.Now()
 	for name, service := range snapshot.Config.Services {
 		if service.Engine == nil {
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -14,12 +14,15 @@
 var errStopping = errors.New("this router stops")
 
 // checkChoice returns an error if an upstream may no longer get the request that it was chosen
-// for: errUpstreamLeft, errPaused or errStopping. A request waits between its choice and its first
+// for: errUpstreamLeft, errPaused, errStopping or errKeyWithdrawn. A request waits between its choice and its first
 // byte, for an upstream that recovers from a pause and for a connection.
 func (cr *callerRequest) checkChoice(upstreamID string) error {
 	if cr.isTooLateToSend() {
 		return errStopping
 	}
+	if err := cr.checkKey(); err != nil {
+		return err
+	}
 	if cr.handler.directory.Load().KnownUnusable(upstreamID) {
 		return errUpstreamLeft
 	}
@@ -42,7 +45,7 @@
 // checkChoice or checkPlacement.
 func isChoiceVoid(err error) bool {
 	var refused *cell.RefusedError
-	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.Is(err, errStopping) || errors.As(err, &refused)
+	return errors.Is(err, errUpstreamLeft) || errors.Is(err, errPaused) || errors.Is(err, errStopping) || errors.Is(err, errKeyWithdrawn) || errors.As(err, &refused)
 }
 
 // handleVoidChoice handles an error of checkPlacement. It reports false if another
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 // Settings of an entry process.
@@ -46,6 +47,9 @@
 	// LoadWindow is the window in which the rate limit of model loads from the weight
 	// store holds: in any window no more loads begin than the configured rate allows.
 	LoadWindow time.Duration
+	// StrictKeyAge is the age of the known configuration from which callers with keys are
+	// refused, because their keys may be withdrawn; 0 serves them however old it is.
+	StrictKeyAge time.Duration
 }
 
 // PromptPart is a part of a prompt that several requests may have in common.
@@ -64,6 +68,11 @@
 	// the output.
 	PromptTokens    int64
 	MaxOutputTokens int64
+	// TokensTold is set if the caller told both.
+	TokensTold bool
+	// Key is the digest of the caller's key; HasKey is false if it sent none.
+	Key    workspace.Key
+	HasKey bool
 	// Timeout is how long the caller waits for the complete response; 0 if not given.
 	Timeout time.Duration
 	// ResumeAfter is the id of the last event that the caller received.
@@ -122,6 +131,10 @@
 	// Priority is the rank in the upstream's queue, 0 first; negative if unspecified.
 	Priority    int
 	ResumeAfter string
+	// Guarded is set where callers need keys: neither their key nor a workspace that they name
+	// may reach the upstream. Workspace is the one that the caller belongs to, if any.
+	Guarded   bool
+	Workspace string
 }
 
 // Load is the load that an upstream reports: running and waiting requests, and slots.
@@ -186,4 +199,6 @@
 	OutcomeNoRoute            Outcome = "no_route"
 	OutcomeTooLarge           Outcome = "too_large"
 	OutcomeInvalid            Outcome = "invalid"
+	OutcomeUnauthorized       Outcome = "unauthorized"
+	OutcomeOverQuota          Outcome = "over_quota"
 )
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 const (
@@ -48,6 +49,7 @@
 	blocklist *blocklist.List
 	notices   *notices
 	budgets   *retryBudgets
+	keyWaits  keyWaits
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
 	// monotonic clock reading, so that a step of the wall clock does not matter.
@@ -103,12 +105,14 @@
 
 // callerRequest is the state of one request of a caller.
 type callerRequest struct {
-	handler   *Handler
-	w         http.ResponseWriter
-	r         *http.Request
-	ctx       context.Context
-	call      Call
-	route     *fleet.Route
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	call    Call
+	route   *fleet.Route
+	// workspace is that of the caller, nil without one.
+	workspace *workspace.Workspace
 	service   fleet.Service
 	budget    *retry.Budget
 	body      []byte
@@ -181,6 +185,13 @@
 		return false
 	}
 	cr.record.Route = cr.route.Name
+	cr.rank = Rank{Priority: cr.route.Priority}
+	if cr.call.Rank != nil {
+		cr.rank = *cr.call.Rank
+	}
+	if !cr.authorize(snapshot) {
+		return false
+	}
 	service, known := snapshot.Config.Services[cr.route.PickTarget(rand.Float64())]
 	if !known {
 		cr.refuse(startRetryDelay, "the route names no known service")
@@ -189,10 +200,6 @@
 	cr.service = service
 	cr.record.Service = service.Name
 	cr.repeatable = cr.route.Repeat == fleet.Repeatable || cr.call.Repeatable
-	cr.rank = Rank{Priority: cr.route.Priority}
-	if cr.call.Rank != nil {
-		cr.rank = *cr.call.Rank
-	}
 	cr.setDeadlines()
 	return cr.readBody(snapshot.Config.Limits.BodyBytes)
 }
@@ -318,6 +325,8 @@
 		TimeLeft:    cr.timeLeft(),
 		Priority:    priority,
 		ResumeAfter: cr.resumeAfter(),
+		Guarded:     cr.handler.directory.Load().Workspaces.AsksForKeys(),
+		Workspace:   workspaceName(cr.workspace),
 	})
 	return &exchange.Request{
 		ID:     cr.call.ID,
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 	"github.com/ragwortdoor/ragwortdoor/internal/testaddr"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 // testDialect is a Dialect with short header names.
@@ -34,6 +35,10 @@
 func (testDialect) ReadCall(r *http.Request) Call {
 	h := r.Header
 	call := Call{ID: h.Get("Id"), Model: h.Get("Model"), Adapter: h.Get("Adapter"), PromptTokens: 10, ResumeAfter: h.Get("Last")}
+	call.Key, call.HasKey = workspace.ParseBearer(h.Values("Authorization"))
+	if tokens, err := strconv.ParseInt(h.Get("Tokens"), 10, 64); err == nil {
+		call.PromptTokens, call.TokensTold = tokens, true
+	}
 	if parts := h.Get("Parts"); parts != "" {
 		for _, id := range strings.Split(parts, ",") {
 			call.Parts = append(call.Parts, PromptPart{ID: id, Tokens: 1})
@@ -48,6 +53,13 @@
 func (testDialect) Prepare(h http.Header, a Attempt) {
 	h.Set("Upstream", a.UpstreamID)
 	h.Set("Left", strconv.FormatInt(a.TimeLeft.Milliseconds(), 10))
+	if a.Guarded {
+		h.Del("Authorization")
+		h.Del("Workspace")
+	}
+	if a.Workspace != "" {
+		h.Set("Workspace", a.Workspace)
+	}
 	h.Del("Last")
 	if a.ResumeAfter != "" {
 		h.Set("Last", a.ResumeAfter)
@@ -229,6 +241,7 @@
 }
 
 type testRouter struct {
+	table   external.TableService
 	process *Process
 	url     string
 	ready   string
@@ -239,6 +252,7 @@
 
 var testRoutes = []fleet.Route{
 	{Name: "once", Host: "h", Prefix: "/once/", Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
+	{Name: "public", Host: "h", Prefix: "/public/", Attempts: 2, Public: true, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "again", Host: "h", Prefix: "/again/", Repeat: fleet.Repeatable, Attempts: 2, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "short", Host: "h", Prefix: "/short/", Attempts: 1, Timeout: 300 * time.Millisecond, Targets: []fleet.Target{{Service: "plain", Weight: 1}}},
 	{Name: "stream", Host: "h", Prefix: "/stream/", Stream: true, Attempts: 2, Objective: time.Second, Targets: []fleet.Target{{Service: "llm", Weight: 1}}},
@@ -304,7 +318,7 @@
 	}
 	p := New(settings, deps)
 	ctx, cancel := context.WithCancel(context.Background())
-	router := &testRouter{process: p, url: scheme + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
+	router := &testRouter{table: table, process: p, url: scheme + settings.CallerAddr, ready: "http://" + settings.ReadyAddr + "/ready", metrics: "http://" + settings.MetricsAddr + "/metrics", stop: cancel, done: make(chan error, 1)}
 	go func() { router.done <- p.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-router.done })
 	router.waitUntil(t, func() bool {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -15,8 +15,10 @@
 
 // RequestRecord is what is logged of a request.
 type RequestRecord struct {
-	ID            string
-	Route         string
+	ID    string
+	Route string
+	// Workspace is that of the caller, empty without one.
+	Workspace     string
 	Service       string
 	Model         string
 	Adapter       string
@@ -64,6 +66,9 @@
 		"id", r.ID, "outcome", string(r.Outcome), "status", r.Status, "route", r.Route, "service", r.Service,
 		"config", r.ConfigVersion, "upstream", r.Upstream, "sends", r.Attempts, "took_ms", ms(took),
 	}
+	if r.Workspace != "" {
+		keyvals = append(keyvals, "workspace", r.Workspace)
+	}
 	if r.Model == "" && r.Waited > 0 {
 		keyvals = append(keyvals, "waited_ms", ms(r.Waited), "waited_for", r.WaitedFor)
 	}
@@ -165,6 +170,11 @@
 	l.out.Info("upstream paused", "id", upstreamID, "request", requestID, "pause_ms", ms(pause), "asked_ms", ms(asked))
 }
 
+// WorkspacesRelayed logs workspaces that another router has read.
+func (l *Log) WorkspacesRelayed(version int64, count int) {
+	l.out.Info("workspaces relayed", "version", version, "workspaces", count)
+}
+
 // UpstreamLimited logs what a router hears about the limit of an upstream when that changes.
 func (l *Log) UpstreamLimited(upstreamID, requestID string, notice pace.Notice) {
 	l.metrics.limitChanges.Add(1)
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -25,8 +25,7 @@
 // serveModel serves a request for a model.
 func (cr *callerRequest) serveModel() {
 	for range maxPlacements {
-		if cr.isTooLateToSend() {
-			cr.refuse(stopRetryDelay, errStopping.Error())
+		if cr.mayNotContinue() {
 			return
 		}
 		placement, err := cr.acquirePlacement()
@@ -67,16 +66,16 @@
 // waitContext returns the context in which a request waits to be sent.
 func (cr *callerRequest) waitContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(cr.ctx, cr.callerWaitsUntil())
+	remove := cr.handler.keyWaits.add(cr, cancel)
 	if cr.record.MayHaveRun {
-		return ctx, cancel
+		return ctx, func() { remove(); cancel() }
 	}
 	stop := context.AfterFunc(cr.handler.lateCtx, cancel)
-	return ctx, func() { stop(); cancel() }
+	return ctx, func() { stop(); remove(); cancel() }
 }
 
 func (cr *callerRequest) failPlacement(err error) {
-	if cr.isTooLateToSend() {
-		cr.refuse(stopRetryDelay, errStopping.Error())
+	if cr.mayNotContinue() {
 		return
 	}
 	var refused *cell.RefusedError
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -14,8 +14,7 @@
 // servePlain serves a request to a plain service.
 func (cr *callerRequest) servePlain() {
 	for {
-		if cr.isTooLateToSend() {
-			cr.refuse(stopRetryDelay, errStopping.Error())
+		if cr.mayNotContinue() {
 			return
 		}
 		up, err := cr.choosePlain()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -20,6 +20,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 const (
@@ -93,6 +94,7 @@
 		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
 		OnFenced:     func() { p.election.ReportFenced() },
 		OnSuperseded: func(address string, leaseVersion int64) { p.election.ReportSuperseded(address, leaseVersion) },
+		OnWorkspaces: p.onRelayedWorkspaces,
 		Blocklist:    p.blocklist,
 		Log:          p.log,
 	})
@@ -106,6 +108,8 @@
 		Observer:       p.log,
 		ListVersion:    func() int64 { return p.directory.Load().ListVersion },
 		OnUpstreamList: p.onRelayedUpstreams,
+		Workspaces:     func() *workspace.Set { return p.directory.Load().Workspaces },
+		OnWorkspaces:   p.onRelayedWorkspaces,
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
 		Blocklist:      p.blocklist,
 		Limits:         notices.limits,
@@ -165,9 +169,20 @@
 // onDirectoryChange is called after the follower changed the directory.
 func (p *Process) onDirectoryChange() {
 	p.scheduler.Refresh()
+	p.handler.keyWaits.recheck()
 	p.logUpstreams(p.directory.Load())
 }
 
+// onRelayedWorkspaces takes in the workspaces that another router has read.
+func (p *Process) onRelayedWorkspaces(set *workspace.Set) {
+	if !p.directory.SetWorkspaces(set) {
+		return
+	}
+	p.log.WorkspacesRelayed(set.Version, len(set.All()))
+	p.handler.keyWaits.recheck()
+	p.scheduler.Refresh()
+}
+
 // onRelayedUpstreams merges the upstream list that the scheduler relayed. The scheduler
 // decides which expired registrations are retained.
 func (p *Process) onRelayedUpstreams(change fleet.Change) {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -24,6 +24,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 // Repeat says whether a request may run more than once.
@@ -63,6 +65,8 @@
 	// Priority ranks the route's requests; 0 is the most urgent.
 	Priority int
 	Targets  []Target
+	// Public is set when callers need no key.
+	Public bool
 }
 
 // Target is a service that receives a share of a route's requests, by weight.
@@ -134,6 +138,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces are those of the configuration; nil where callers need no key.
+	Workspaces *workspace.Set
 	// LeftOut says what of the published configuration is not valid and so not part of it.
 	LeftOut []error
 
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
+	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
 
 // LoadedModel is a model that an engine has loaded, with its loaded adapters.
@@ -57,6 +58,9 @@
 // immutable.
 type Snapshot struct {
 	Config *Config
+	// Workspaces are those of the newest configuration that this router knows of, which may be
+	// newer than Config. It is never nil once Config is known.
+	Workspaces *workspace.Set
 	// Upstreams maps ids to the known upstreams, draining ones included.
 	Upstreams map[string]*Upstream
 	ByService map[string][]*Upstream
@@ -89,8 +93,10 @@
 // Directory merges updates from the platform into snapshots. It is safe for
 // concurrent use; Load never blocks.
 type Directory struct {
-	config    atomic.Pointer[Config]
-	upstreams atomic.Pointer[upstreamSet]
+	config atomic.Pointer[Config]
+	// workspaces are the newest known ones, of the configuration or relayed.
+	workspaces atomic.Pointer[workspace.Set]
+	upstreams  atomic.Pointer[upstreamSet]
 	// configRead and listRead are the times of the last successful reads; nil
 	// before the first. They include the monotonic clock reading.
 	configRead atomic.Pointer[time.Time]
@@ -140,7 +146,7 @@
 // read atomically together; neither depends on the other.
 func (d *Directory) Load() *Snapshot {
 	set := d.upstreams.Load()
-	return &Snapshot{Config: d.config.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removed: set.removed}
+	return &Snapshot{Config: d.config.Load(), Workspaces: d.workspaces.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removed: set.removed}
 }
 
 // SetConfig puts a configuration in force. It returns false and changes nothing
@@ -151,10 +157,40 @@
 	if current := d.config.Load(); current != nil && current.Version >= c.Version {
 		return false
 	}
+	workspaces := c.Workspaces
+	if workspaces == nil {
+		workspaces = workspace.OpenSet(c.Version)
+	}
+	d.setWorkspaces(workspaces)
 	d.config.Store(c)
 	return true
 }
 
+// SetWorkspaces takes in the workspaces of a configuration that another router has read. It
+// returns false and changes nothing if those of the same or a newer one are known.
+func (d *Directory) SetWorkspaces(set *workspace.Set) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.setWorkspaces(set)
+}
+
+func (d *Directory) setWorkspaces(set *workspace.Set) bool {
+	if known := d.workspaces.Load(); known != nil && known.Version >= set.Version {
+		return false
+	}
+	d.workspaces.Store(set)
+	return true
+}
+
+// ConfigReadAt returns when this router last read the configuration, the zero time before the
+// first read.
+func (d *Directory) ConfigReadAt() time.Time {
+	if at := d.configRead.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Change is a batch of registrations.
 type Change struct {
 	Registrations []Registration
