pace: quotas of workspaces, dealt by the scheduler in amounts that expire

Cause: nothing counted what a workspace asks for.

Change: pace.Dealer at the scheduler, pace.Allowances at the routers, one bucket type for these and for the limits of upstreams. A request costs its tokens once, on arrival and before its body, and nothing if it has not run. All that may spend at the same moment (a scheduler, one whose lease may be gone, routers without one) have parts that add up to one quota.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -89,6 +89,8 @@
 	listReceived     bool
 	// partialList holds the parts of a list whose last part has not arrived; nil without.
 	partialList *apiv1.UpstreamList
+	// quotaWaits has the requests that wait for a quota, by workspace.
+	quotaWaits map[string]*quotaWait
 	// offeredWorkspaces is the version of the workspaces that were sent over this link.
 	offeredWorkspaces int64
 	linkUp            chan struct{} // closed and replaced when connected is set
@@ -135,8 +137,10 @@
 	// Blocklist has the blocked prompts that this router knows of; the client replaces
 	// them by those that the scheduler relays. Nil means an empty list.
 	Blocklist *blocklist.List
-	// Limits has the limits that this router knows of; nil means none.
+	// Limits has the limits that this router knows of; nil means none. Quotas has what it may
+	// spend of the quotas of workspaces; nil means nothing.
 	Limits *pace.Router
+	Quotas *pace.Allowances
 }
 
 // NewClient returns a client without a scheduler. It connects to none until Run is
@@ -148,15 +152,19 @@
 	if opts.Limits == nil {
 		opts.Limits = pace.NewRouter(opts.Host)
 	}
+	if opts.Quotas == nil {
+		opts.Quotas = pace.NewAllowances(opts.Host, pace.Tolerance{})
+	}
 	if opts.Workspaces == nil {
 		opts.Workspaces = func() *workspace.Set { return nil }
 	}
 	return &Client{
-		opts:      opts,
-		pending:   make(map[uint64]*pendingRequest),
-		running:   make(map[uint64]*apiv1.RunningRequest),
-		startedAt: make(map[uint64]time.Time),
-		linkUp:    make(chan struct{}),
+		opts:       opts,
+		pending:    make(map[uint64]*pendingRequest),
+		running:    make(map[uint64]*apiv1.RunningRequest),
+		startedAt:  make(map[uint64]time.Time),
+		quotaWaits: make(map[string]*quotaWait),
+		linkUp:     make(chan struct{}),
 	}
 }
 
@@ -347,6 +355,7 @@
 		close(req.decision)
 		delete(c.pending, number)
 	}
+	c.failQuotaWaitsLocked()
 	if c.connected {
 		c.connected = false
 		c.opts.Observer.SchedulerLost(c.target, err)
--- a/internal/cell/client_receive.go
+++ b/internal/cell/client_receive.go
@@ -13,6 +13,7 @@
 	c.leaseVersion = heartbeat.GetLeaseVersion()
 	c.schedulerCores = heartbeat.GetCores()
 	c.routers = int(heartbeat.GetRouters())
+	c.opts.Quotas.SetRouters(c.lastReceived, c.routers)
 	c.configAt = c.lastReceived.Add(-microseconds(heartbeat.GetConfigAgeUs()))
 	c.listAt = c.lastReceived.Add(-microseconds(heartbeat.GetListAgeUs()))
 	c.offerWorkspacesLocked(heartbeat.GetWorkspacesVersion())
@@ -68,6 +69,9 @@
 	case *apiv1.SchedulerReply_Limits:
 		c.takeLimits(body.Limits)
 		return
+	case *apiv1.SchedulerReply_QuotaGrant:
+		c.takeQuotaGrantLocked(body.QuotaGrant)
+		return
 	case *apiv1.SchedulerReply_Workspaces:
 		c.opts.OnWorkspaces(decodeWorkspaces(body.Workspaces))
 		return
--- a/internal/cell/election.go
+++ b/internal/cell/election.go
@@ -267,6 +267,12 @@
 	return e.RenewedAgo() < e.opts.LeaseTime-fencedOrderMargin || e.storeFailing.Load()
 }
 
+// LeaseFresh reports whether the lease was renewed so lately that no other router can have taken
+// it over.
+func (e *Election) LeaseFresh() bool {
+	return !e.fenced.Load() && e.supersededBy.Load() == nil && e.RenewedAgo() < renewalTimeout
+}
+
 func (e *Election) recordRenewal(sent time.Time) {
 	e.lastRenewal.Store(int64(sent.Sub(e.startedAt)))
 	e.mustRenew.Store(false)
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -70,6 +70,7 @@
 	delete(s.sessions, from.number)
 	s.sharesDue = true
 	s.withdrawLimited(func(key uint64) bool { return key>>requestNumberBits == from.number })
+	s.dealer.Withdraw(from.number)
 	now := time.Now()
 	for key, service := range from.serviceByKey {
 		cell := s.cells[service]
@@ -119,6 +120,10 @@
 		from.draining = true
 	case *apiv1.SchedulerCall_Limits:
 		s.noteLimits(now, body.Limits)
+	case *apiv1.SchedulerCall_QuotaAsk:
+		s.handleQuotaAsk(now, from, body.QuotaAsk)
+	case *apiv1.SchedulerCall_QuotaReturn:
+		s.handleQuotaReturn(now, body.QuotaReturn)
 	case *apiv1.SchedulerCall_Workspaces:
 		s.opts.OnWorkspaces(decodeWorkspaces(body.Workspaces))
 	case *apiv1.SchedulerCall_Withdrawal:
@@ -137,6 +142,7 @@
 func (s *Scheduler) handleHello(now time.Time, from *session, hello *apiv1.SchedulerHello) {
 	from.router = hello.GetRouter()
 	from.cores = hello.GetCores()
+	s.quotaRouters.told = max(s.quotaRouters.told, int(hello.GetRouters()))
 	from.address = hello.GetAddress()
 	// The hello lists the router's running requests.
 	s.endDisconnectedRequests(now, func(r disconnectedRequest) bool { return r.router == from.router })
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -62,6 +62,8 @@
 	// OnSuperseded is called when a router reports that another one holds the lease,
 	// with its address and the version of the lease row that names it.
 	OnSuperseded func(address string, leaseVersion int64)
+	// LeaseFresh reports whether no other router can have taken the lease; nil if none ever can.
+	LeaseFresh func() bool
 	// OnWorkspaces is called with workspaces of a newer configuration that a router has read.
 	OnWorkspaces func(*workspace.Set)
 	// Blocklist has the blocked prompts that this router knows of; nil means an empty
@@ -113,6 +115,12 @@
 	limitNews map[string]bool
 	sharesDue bool
 	sharesAt  time.Time
+	// dealer deals the quotas of workspaces. lastTick is when the last tick was, on a clock that
+	// also runs while the host is suspended.
+	dealer       *pace.Dealer
+	quotaRouters quotaRouters
+	bootNow      func() time.Time
+	lastTick     time.Time
 	// workspaces are those that routers were last told of.
 	workspaces  *workspace.Set
 	lastSession uint64 // number of the newest session
@@ -133,15 +141,21 @@
 	if opts.Blocklist == nil {
 		opts.Blocklist = &blocklist.List{}
 	}
+	if opts.LeaseFresh == nil {
+		opts.LeaseFresh = func() bool { return true }
+	}
 	return &Scheduler{
-		opts:        opts,
-		events:      make(chan func(), eventQueueSize),
-		refreshes:   make(chan struct{}, 1),
-		inspections: make(chan struct{}, maxInspections),
-		cells:       make(map[string]*scheduler.Cell),
-		sessions:    make(map[uint64]*session),
-		pace:        pace.NewHolder(),
-		limitNews:   make(map[string]bool),
+		opts:         opts,
+		events:       make(chan func(), eventQueueSize),
+		refreshes:    make(chan struct{}, 1),
+		inspections:  make(chan struct{}, maxInspections),
+		cells:        make(map[string]*scheduler.Cell),
+		sessions:     make(map[uint64]*session),
+		pace:         pace.NewHolder(),
+		limitNews:    make(map[string]bool),
+		dealer:       pace.NewDealer(),
+		quotaRouters: newQuotaRouters(time.Now()),
+		bootNow:      newBootClock(),
 	}
 }
 
@@ -196,6 +210,9 @@
 		s.cells = make(map[string]*scheduler.Cell)
 		s.pace = pace.NewHolder()
 		clear(s.limitNews)
+		s.dealer = pace.NewDealer()
+		s.quotaRouters = newQuotaRouters(began)
+		s.workspaces = nil
 		s.disconnected = nil
 		s.relayed = nil
 		s.refresh()
@@ -272,6 +289,7 @@
 		s.apply(name, cell.Tick(now))
 	}
 	s.applyPace(s.pace.Tick(now), 0)
+	s.tickQuotas(now, idle)
 	if now.Sub(s.lastHeartbeat) >= heartbeatInterval {
 		s.lastHeartbeat = now
 		s.pace.Prune(now)
--- a/internal/cell/workspaces.go
+++ b/internal/cell/workspaces.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"time"
+
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
@@ -9,7 +11,11 @@
 // may turn some routers away, and a withdrawn key must not work there for as long.
 func (s *Scheduler) relayWorkspaces(set *workspace.Set) {
 	told := s.workspaces
+	if set == told {
+		return
+	}
 	s.workspaces = set
+	s.dealer.SetQuotas(time.Now(), Quotas(set))
 	if set.Equal(told) || !set.AsksForKeys() && !told.AsksForKeys() {
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,8 @@
 	// StrictKeyAge is the age of the known configuration from which callers with keys are
 	// refused, because their keys may be withdrawn; 0 serves them however old it is.
 	StrictKeyAge time.Duration
+	// QuotaTolerance is what may pass beyond the quota of a workspace.
+	QuotaTolerance pace.Tolerance
 }
 
 // PromptPart is a part of a prompt that several requests may have in common.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -15,6 +15,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
@@ -50,6 +51,7 @@
 	notices   *notices
 	budgets   *retryBudgets
 	keyWaits  keyWaits
+	quotas    *pace.Allowances
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
 	// monotonic clock reading, so that a step of the wall clock does not matter.
@@ -73,6 +75,8 @@
 	Pool      *exchange.Pool
 	Scheduler *cell.Client
 	Notices   *notices
+	// Quotas has what this router may spend of the quotas of workspaces.
+	Quotas *pace.Allowances
 	// Blocklist has the prompt parts that crash engines.
 	Blocklist *blocklist.List
 	Log       *Log
@@ -97,6 +101,7 @@
 		blocklist: opts.Blocklist,
 		notices:   opts.Notices,
 		budgets:   newRetryBudgets(opts.Settings.RetryShare),
+		quotas:    opts.Quotas,
 		log:       opts.Log,
 	}
 	h.reloadable.Store(newReloadable(opts.Settings))
@@ -113,10 +118,14 @@
 	route   *fleet.Route
 	// workspace is that of the caller, nil without one.
 	workspace *workspace.Workspace
-	service   fleet.Service
-	budget    *retry.Budget
-	body      []byte
-	arrivedAt time.Time
+	// quotaCost is what the request cost of its workspace's quota, quotaSpent from what it was
+	// taken.
+	quotaCost  int64
+	quotaSpent pace.SpentFrom
+	service    fleet.Service
+	budget     *retry.Budget
+	body       []byte
+	arrivedAt  time.Time
 	// objective is when the first byte is expected, deadline when the response must be
 	// complete.
 	objective time.Time
@@ -153,7 +162,10 @@
 	if cr.call.ID != "" {
 		w.Header().Set(h.dialect.IDHeader(), cr.call.ID)
 	}
-	defer func() { h.log.Request(&cr.record, time.Since(cr.arrivedAt)) }()
+	defer func() {
+		cr.settleQuota()
+		h.log.Request(&cr.record, time.Since(cr.arrivedAt))
+	}()
 	if cr.prepare() {
 		cr.serve()
 	}
@@ -189,7 +201,8 @@
 	if cr.call.Rank != nil {
 		cr.rank = *cr.call.Rank
 	}
-	if !cr.authorize(snapshot) {
+	cr.setDeadlines()
+	if !cr.authorize(snapshot) || !cr.acquireQuota() {
 		return false
 	}
 	service, known := snapshot.Config.Services[cr.route.PickTarget(rand.Float64())]
@@ -200,7 +213,6 @@
 	cr.service = service
 	cr.record.Service = service.Name
 	cr.repeatable = cr.route.Repeat == fleet.Repeatable || cr.call.Repeatable
-	cr.setDeadlines()
 	return cr.readBody(snapshot.Config.Limits.BodyBytes)
 }
 
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -32,6 +32,10 @@
 	// Waited is the time until the placement, WaitedFor the reason for the wait.
 	Waited    time.Duration
 	WaitedFor string
+	// QuotaWaited is the time until the workspace's quota had room for the request, or did not.
+	QuotaWaited time.Duration
+	// QuotaCost is what the request cost of its workspace's quota; 0 if it has not run.
+	QuotaCost int64
 	// WithoutScheduler is set when the router chose the upstream by itself.
 	WithoutScheduler bool
 	// MayHaveRun is set by an attempt that is not known not to have run, and is never
@@ -67,7 +71,7 @@
 		"config", r.ConfigVersion, "upstream", r.Upstream, "sends", r.Attempts, "took_ms", ms(took),
 	}
 	if r.Workspace != "" {
-		keyvals = append(keyvals, "workspace", r.Workspace)
+		keyvals = append(keyvals, "workspace", r.Workspace, "quota_waited_ms", ms(r.QuotaWaited), "quota_cost", r.QuotaCost)
 	}
 	if r.Model == "" && r.Waited > 0 {
 		keyvals = append(keyvals, "waited_ms", ms(r.Waited), "waited_for", r.WaitedFor)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -47,6 +47,9 @@
 	limitChanges expvar.Int
 	// limitedRequests counts, by result, the requests that waited or were refused for a limit.
 	limitedRequests *expvar.Map
+	// workspaceRequests counts the requests of workspaces by outcome, workspaceCosts what those
+	// cost of its quota that it had room for.
+	workspaceRequests, workspaceCosts *expvar.Map
 	// engineCrashes counts engines that ended under requests, blockedPrompts the prompt
 	// parts that were blocked because of that, both by this router's scheduler.
 	engineCrashes  expvar.Int
@@ -58,12 +61,17 @@
 
 // NewMetrics returns metrics that are all zero.
 func NewMetrics() *Metrics {
-	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), sourceReads: new(expvar.Map).Init(), limitedRequests: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
+	return &Metrics{outcomes: new(expvar.Map).Init(), results: new(expvar.Map).Init(), sourceReads: new(expvar.Map).Init(), limitedRequests: new(expvar.Map).Init(), workspaceRequests: new(expvar.Map).Init(), workspaceCosts: new(expvar.Map).Init(), histograms: make(map[string]*hdrhistogram.Histogram)}
 }
 
 func (m *Metrics) request(r *RequestRecord, took time.Duration) {
 	m.outcomes.Add(string(r.Outcome), 1)
 	m.observe("request_seconds", took)
+	if r.Workspace != "" {
+		m.workspaceRequests.Add(fmt.Sprintf("workspace=%q,outcome=%q", r.Workspace, string(r.Outcome)), 1)
+		m.workspaceCosts.Add(fmt.Sprintf("workspace=%q", r.Workspace), r.QuotaCost)
+		m.observe("quota_wait_seconds", r.QuotaWaited)
+	}
 	if r.Model == "" {
 		return
 	}
@@ -113,6 +121,12 @@
 	m.limitedRequests.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(w, "limited_requests_total{result=%q} %s\n", kv.Key, kv.Value)
 	})
+	m.workspaceRequests.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "workspace_requests_total{%s} %s\n", kv.Key, kv.Value)
+	})
+	m.workspaceCosts.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "workspace_cost_total{%s} %s\n", kv.Key, kv.Value)
+	})
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -82,6 +82,7 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	bootID := rand.Text()
+	quotas := pace.NewAllowances(settings.Host, settings.QuotaTolerance)
 	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
 	p.scheduler = cell.NewScheduler(cell.SchedulerOptions{
 		Directory:    p.directory,
@@ -94,6 +95,7 @@
 		LeaseVersion: func() int64 { return p.election.LeaseVersion() },
 		OnFenced:     func() { p.election.ReportFenced() },
 		OnSuperseded: func(address string, leaseVersion int64) { p.election.ReportSuperseded(address, leaseVersion) },
+		LeaseFresh:   func() bool { return p.election.LeaseFresh() },
 		OnWorkspaces: p.onRelayedWorkspaces,
 		Blocklist:    p.blocklist,
 		Log:          p.log,
@@ -113,6 +115,7 @@
 		OnHandover:     func(offer cell.Handover) { p.election.Accept(offer) },
 		Blocklist:      p.blocklist,
 		Limits:         notices.limits,
+		Quotas:         quotas,
 	})
 	p.election = cell.NewElection(cell.ElectionOptions{
 		Table:                 deps.Table,
@@ -144,7 +147,7 @@
 		OnRead:             p.onBlocklistRead,
 		OnFailed:           p.log.BlocklistCallFailed,
 	})
-	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, Notices: notices, Blocklist: p.blocklist, Log: p.log})
+	p.handler = NewHandler(HandlerOptions{Settings: settings, Dialect: deps.Dialect, Directory: p.directory, Pool: deps.Pool, Scheduler: p.client, Notices: notices, Quotas: quotas, Blocklist: p.blocklist, Log: p.log})
 	return p
 }
 
@@ -169,7 +172,7 @@
 // onDirectoryChange is called after the follower changed the directory.
 func (p *Process) onDirectoryChange() {
 	p.scheduler.Refresh()
-	p.handler.keyWaits.recheck()
+	p.onWorkspaces()
 	p.logUpstreams(p.directory.Load())
 }
 
@@ -179,10 +182,16 @@
 		return
 	}
 	p.log.WorkspacesRelayed(set.Version, len(set.All()))
-	p.handler.keyWaits.recheck()
+	p.onWorkspaces()
 	p.scheduler.Refresh()
 }
 
+// onWorkspaces is called after the workspaces of the directory may have changed.
+func (p *Process) onWorkspaces() {
+	p.handler.keyWaits.recheck()
+	p.handler.quotas.SetQuotas(time.Now(), cell.Quotas(p.directory.Load().Workspaces))
+}
+
 // onRelayedUpstreams merges the upstream list that the scheduler relayed. The scheduler
 // decides which expired registrations are retained.
 func (p *Process) onRelayedUpstreams(change fleet.Change) {
@@ -258,7 +267,7 @@
 	callerServer := newCallerServer(p.callerHandler(), p.deps.CallerTLS, callers)
 	group.Go(callerServer.serve)
 	group.Go(func() error { return peers.Serve(background) })
-	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.blocklistStore.Run, p.sweep} {
+	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.blocklistStore.Run, p.sweep, p.returnQuotas} {
 		group.Go(func() error { run(background); return nil })
 	}
 	if err := p.serveReadyAndMetrics(background, group); err != nil {
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -81,12 +81,11 @@
 	cr.writeError(ErrorResponse{Status: http.StatusUnauthorized, Kind: "unknown_key", Text: reason})
 }
 
-// answerBeforeBody lets a response be sent before the request's body has been read: net/http would
-// wait for the body.
+// answerBeforeBody lets a response be sent before the request's body has been read. On a connection
+// that is kept open, net/http reads the body first.
 func (cr *callerRequest) answerBeforeBody() {
-	if cr.body == nil {
-		// Without support for it, the response is sent after the body.
-		_ = http.NewResponseController(cr.w).EnableFullDuplex()
+	if cr.body == nil && cr.r.ContentLength != 0 {
+		cr.w.Header().Set("Connection", "close")
 	}
 }
 
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,3 +199,96 @@
 	is.Equal(router.sendWithKey(t, "/public/a", "").status, http.StatusOK)
 	is.Equal(up.runs(), 1)
 }
+
+// sendTokens sends a request for a model that costs some tokens.
+func (router *testRouter) sendTokens(t testing.TB, path, tokens string) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, router.url+path, strings.NewReader("the body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "r-1")
+	req.Header.Set("Tokens", tokens)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	return exchangeOnce(req, callerTimeout)
+}
+
+// startWithQuota starts a router whose workspace may spend 1000 tokens at once and 10 a second.
+func startWithQuota(t testing.TB, upstreams ...*upstream) *testRouter {
+	t.Helper()
+	router := start(t, upstreams...)
+	quota := workspace.Quota{PerSecond: 100_000, Burst: 1000, CountsTokens: true, PlainCost: 100}
+	router.process.onRelayedWorkspaces(workspaces(10, quota, testKey))
+	time.Sleep(300 * time.Millisecond) // a dealer's buckets are empty at first
+	quota.PerSecond = 10
+	router.process.onRelayedWorkspaces(workspaces(11, quota, testKey))
+	return router
+}
+
+// A quota is kept: what it has no room for is refused at once, with the time at which it will have.
+// Requests that don't tell their tokens cost what the workspace says.
+func TestQuotaIsKept(t *testing.T) {
+	is := is.New(t)
+	up := newUpstream(t, "plain-1", respond(http.StatusOK, "done"))
+	router := startWithQuota(t, up)
+	is.Equal(router.sendTokens(t, "/once/a", "800").status, http.StatusOK)
+	is.Equal(router.sendTokens(t, "/once/a", "many").status, http.StatusOK) // costs 100
+	refused := router.sendTokens(t, "/once/a", "150")
+	is.Equal(refused.status, http.StatusTooManyRequests)
+	is.True(refused.header.Get("Retry-After") > "0.5" && refused.header.Get("Retry-After") != "0.000")
+	is.Equal(up.runs(), 2)
+	is.Equal(router.sendTokens(t, "/public/a", "50").status, http.StatusOK) // the caller's key counts there too
+	is.Equal(up.runs(), 3)
+	router.process.onRelayedWorkspaces(workspaces(12, workspace.Quota{}, testKey))
+	is.Equal(router.sendTokens(t, "/once/a", "5000").status, http.StatusOK)
+}
+
+// A request that has not run costs nothing, and one that is retried costs its tokens once.
+func TestQuotaCountsWhatRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		scripts []http.HandlerFunc
+		status  int
+		// next is what the second request costs, nextStatus how it is answered.
+		next       string
+		nextStatus int
+	}{
+		"refused by all": {[]http.HandlerFunc{refuse, refuse, respond(http.StatusOK, "done")}, http.StatusServiceUnavailable, "900", http.StatusOK},
+		"retried":        {[]http.HandlerFunc{refuse, respond(http.StatusOK, "done")}, http.StatusOK, "90", http.StatusOK},
+		"ran":            {[]http.HandlerFunc{respond(http.StatusOK, "done")}, http.StatusOK, "900", http.StatusTooManyRequests},
+		"may have run":   {[]http.HandlerFunc{abortResponse(""), respond(http.StatusOK, "done")}, http.StatusBadGateway, "900", http.StatusTooManyRequests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var served atomic.Int32
+			script := func(w http.ResponseWriter, r *http.Request) {
+				c.scripts[min(int(served.Add(1)), len(c.scripts))-1](w, r)
+			}
+			router := startWithQuota(t, newUpstream(t, "plain-1", script), newUpstream(t, "plain-2", script))
+			is.Equal(router.sendTokens(t, "/once/a", "900").status, c.status)
+			time.Sleep(150 * time.Millisecond) // upstreams that refused are avoided for a moment
+			is.Equal(router.sendTokens(t, "/once/a", c.next).status, c.nextStatus)
+		})
+	}
+}
+
+// Guards against one quota for each router: what the first one spent is missing at the others.
+func TestQuotaIsThatOfTheFleet(t *testing.T) {
+	is := is.New(t)
+	up := newUpstream(t, "plain-1", respond(http.StatusOK, "done"))
+	routers := startFleet(t, 3, &fakeSource{upstreams: []*upstream{up}, draining: map[string]bool{}}, fakeEngines{})
+	quota := workspace.Quota{PerSecond: 100, Burst: 1000, CountsTokens: true}
+	routers[0].process.onRelayedWorkspaces(workspaces(10, quota, testKey))
+	served := 0
+	began := time.Now()
+	for time.Since(began) < 3*time.Second {
+		for _, router := range routers {
+			if router.sendTokens(t, "/once/a", "90").status == http.StatusOK {
+				served += 90
+			}
+		}
+	}
+	allowed := quota.PerSecond*time.Since(began).Seconds() + quota.Burst
+	is.True(float64(served) <= allowed) // beyond the quota
+	is.True(served >= 180)              // less than two seconds of it
+}
--- a/internal/pace/holder.go
+++ b/internal/pace/holder.go
@@ -52,12 +52,12 @@
 	pacer   *pacer
 	waiting []*Ask
 	// returns is when the last refused request was told to come back, by upstream.
-	returns map[string]time.Time
+	returns map[string]*returns
 }
 
 // NewHolder returns a holder that knows of no limit.
 func NewHolder() *Holder {
-	return &Holder{book: NewBook(), pacer: newPacer(useOfLimit), returns: make(map[string]time.Time)}
+	return &Holder{book: NewBook(), pacer: newPacer(useOfLimit), returns: make(map[string]*returns)}
 }
 
 // Note takes in a limit that a router heard. It reports whether it changed what is known.
@@ -80,7 +80,7 @@
 // Prune forgets limits that were heard long ago.
 func (h *Holder) Prune(now time.Time) {
 	h.book.Prune(now)
-	for id := range h.pacer.limiters {
+	for id := range h.pacer.buckets {
 		if _, limited := h.book.Of(id); !limited {
 			h.pacer.drop(id)
 			delete(h.returns, id)
@@ -89,7 +89,7 @@
 }
 
 // Any reports whether any upstream has a limit.
-func (h *Holder) Any() bool { return len(h.pacer.limiters) > 0 }
+func (h *Holder) Any() bool { return len(h.pacer.buckets) > 0 }
 
 // Delay returns the time until an upstream takes a request, 0 for one without a limit.
 func (h *Holder) Delay(now time.Time, id string) time.Duration { return h.pacer.delay(now, id) }
@@ -103,12 +103,10 @@
 // RetryAfter returns when a request may come back that is refused because it would wait too long
 // for an upstream. Requests that are refused one after the other return at the upstream's pace.
 func (h *Holder) RetryAfter(now time.Time, id string, wait time.Duration) time.Duration {
-	at := now.Add(wait)
-	if last, ok := h.returns[id]; ok && last.After(at) && last.Sub(now) < maxReturn {
-		at = last
+	if h.returns[id] == nil {
+		h.returns[id] = &returns{}
 	}
-	h.returns[id] = at.Add(h.pacer.interval(id))
-	return at.Sub(now)
+	return h.returns[id].next(now, wait, h.pacer.interval(id))
 }
 
 // Submit adds a request. The decisions may be about others, too.
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -1,10 +1,6 @@
 package pace
 
-import (
-	"time"
-
-	"golang.org/x/time/rate"
-)
+import "time"
 
 const (
 	// useOfLimit is the part of a limit that is issued. The rest is for requests that arrive
@@ -23,52 +19,41 @@
 // pacer spaces the requests to limited upstreams: a token bucket for each, which is empty at
 // first. It is not safe for concurrent use.
 type pacer struct {
-	use      float64 // part of a limit that is issued
-	limiters map[string]*rate.Limiter
+	use     float64 // part of a limit that is issued
+	buckets map[string]*bucket
 }
 
-func newPacer(use float64) *pacer { return &pacer{use, make(map[string]*rate.Limiter)} }
+func newPacer(use float64) *pacer { return &pacer{use, make(map[string]*bucket)} }
 
 // set limits an upstream to perSecond.
 func (p *pacer) set(now time.Time, id string, perSecond float64) {
-	issued := rate.Limit(p.use * max(perSecond, minPerSecond))
-	burst := max(1, int(float64(issued)*burstTime.Seconds()))
-	if limiter := p.limiters[id]; limiter != nil {
-		limiter.SetLimitAt(now, issued)
-		limiter.SetBurstAt(now, burst)
-		return
+	if p.buckets[id] == nil {
+		p.buckets[id] = &bucket{}
 	}
-	limiter := rate.NewLimiter(issued, burst)
-	limiter.AllowN(now, burst)
-	p.limiters[id] = limiter
+	issued := p.use * max(perSecond, minPerSecond)
+	p.buckets[id].set(now, issued, max(1, float64(int(issued*burstTime.Seconds()))))
 }
 
-func (p *pacer) drop(id string) { delete(p.limiters, id) }
+func (p *pacer) drop(id string) { delete(p.buckets, id) }
 
 // delay returns the time until a request may be sent, 0 for an upstream without a limit.
 func (p *pacer) delay(now time.Time, id string) time.Duration {
-	limiter := p.limiters[id]
-	if limiter == nil {
-		return 0
-	}
-	missing := 1 - limiter.TokensAt(now)
-	if missing <= 0 {
-		return 0
+	if bucket := p.buckets[id]; bucket != nil {
+		return bucket.until(now, 0, 1)
 	}
-	return max(time.Nanosecond, time.Duration(missing/float64(limiter.Limit())*float64(time.Second)))
+	return 0
 }
 
 // take counts a request. It reports false if it may not be sent yet.
 func (p *pacer) take(now time.Time, id string) bool {
-	limiter := p.limiters[id]
-	return limiter == nil || limiter.AllowN(now, 1)
+	bucket := p.buckets[id]
+	return bucket == nil || bucket.take(now, 1)
 }
 
 // interval returns the time between two requests, 0 for an upstream without a limit.
 func (p *pacer) interval(id string) time.Duration {
-	limiter := p.limiters[id]
-	if limiter == nil {
-		return 0
+	if bucket := p.buckets[id]; bucket != nil {
+		return time.Duration(float64(time.Second) / bucket.rate)
 	}
-	return time.Duration(float64(time.Second) / float64(limiter.Limit()))
+	return 0
 }
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -26,6 +26,7 @@
 	cat <<-'END'
 		config TestPublisherStateMachine
 		external TestCommitSettledIsExactlyOnceUnderLostAnswers
+		pace TestQuotaHoldsOverDrawnFaults
 		retry TestBudgetAgainstOracle
 		scheduler TestCellMachine
 	END
