scheduler: prompts take as long as the speed of an engine's host says

Cause: engines of a service differ in speed by 2.2 for good and are 2.5 times slower for a second at a time (their fourth load figure), while the scheduler took all for alike.

Change: balance.Speed for each engine, from the heads of responses and reports. The time of a prompt at an engine, and with it the choice and the pacing of prompts, is scaled by it; what is learned of a model's prefill time is that of usual speed. docs/design/balance.md.

--- a/internal/cell/placement.go
+++ b/internal/cell/placement.go
@@ -123,10 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if outcome == apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED {
-		if r := c.running[number]; r != nil {
-			r.Started = true
-			c.startedAt[number] = time.Now()
-		}
+		c.noteStartedLocked(number)
 	} else {
 		delete(c.running, number)
 		delete(c.startedAt, number)
@@ -134,6 +131,24 @@
 	c.sendLocked(progressCall(number, outcome, eventInterval))
 }
 
+// ReportStarted is ReportOutcome for the first event of a response that said how long work takes at
+// the engine, as a multiple of the usual time; 0 if it did not.
+func (c *Client) ReportStarted(number uint64, slowdown float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteStartedLocked(number)
+	call := progressCall(number, apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED, 0)
+	call.GetProgress().Slowdown = slowdown
+	c.sendLocked(call)
+}
+
+func (c *Client) noteStartedLocked(number uint64) {
+	if r := c.running[number]; r != nil {
+		r.Started = true
+		c.startedAt[number] = time.Now()
+	}
+}
+
 func progressCall(number uint64, outcome apiv1.PlacementOutcome, eventInterval time.Duration) *apiv1.SchedulerCall {
 	progress := &apiv1.PlacementProgress{Number: number, Outcome: outcome, EventIntervalUs: eventInterval.Microseconds()}
 	return &apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Progress{Progress: progress}}
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -251,6 +251,7 @@
 	if outcome != scheduler.Started {
 		delete(from.serviceByKey, key)
 	}
+	cell.LearnSlowdown(now, key, progress.GetSlowdown())
 	cell.LearnEventInterval(microseconds(progress.GetEventIntervalUs()))
 	s.apply(service, cell.Progress(now, key, outcome))
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -144,6 +144,9 @@
 	firstEventID, lastEventID string
 	// firstEventAt and lastEventAt are when events were sent to the caller.
 	firstEventAt, lastEventAt time.Time
+	// slowdown is how long work takes at the engine of the attempt under way, as a multiple of
+	// the usual time; 0 if its response does not say so.
+	slowdown float64
 	// stall watches the attempt at an engine that is under way.
 	stall  *stallWatch
 	record RequestRecord
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -233,6 +233,10 @@
 		return cr.handleSendError(err, placement, report)
 	}
 	defer resp.Close()
+	cr.slowdown = 0
+	if info.Load != nil {
+		cr.slowdown = info.Load.Slowdown
+	}
 	switch {
 	case info.NotRun:
 		resp.Discard()
@@ -307,7 +311,7 @@
 func (cr *callerRequest) handleStream(resp *exchange.Response, sentAt time.Time, placement cell.Placement, report func(apiv1.PlacementOutcome)) bool {
 	err := cr.relayStream(resp, func() {
 		cr.record.FirstEvent = time.Since(sentAt)
-		report(apiv1.PlacementOutcome_PLACEMENT_OUTCOME_STARTED)
+		cr.handler.scheduler.ReportStarted(placement.Number, cr.slowdown)
 	})
 	if err == nil {
 		cr.handler.balancer.resetFailures(cr.record.Upstream)
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -76,7 +76,7 @@
 	if e.notices.pauses.left(up.ID) > 0 || !e.notices.limits.AllowOrder(time.Now(), up.ID) {
 		return fleet.OrderConflict, nil
 	}
-	return e.Engines.Order(e.observe(ctx, up, orderCall), up, order)
+	return e.Engines.Order(e.observe(ctx, up, orderCall, func(ResponseInfo) {}), up, order)
 }
 
 // Inspect implements fleet.Engines.
@@ -87,18 +87,23 @@
 	if !e.notices.limits.AllowReport(time.Now(), up.ID) {
 		return fleet.Inventory{}, errLimited
 	}
-	inventory, err := e.Engines.Inspect(e.observe(ctx, up, reportCall), up)
+	var load *Load
+	inventory, err := e.Engines.Inspect(e.observe(ctx, up, reportCall, func(info ResponseInfo) { load = info.Load }), up)
+	if load != nil {
+		inventory.Slowdown = load.Slowdown
+	}
 	if err != nil && e.notices.pauses.left(up.ID) > 0 {
 		err = errPaused // that was its answer
 	}
 	return inventory, err
 }
 
-func (e considerateEngines) observe(ctx context.Context, up *fleet.Upstream, call string) context.Context {
+func (e considerateEngines) observe(ctx context.Context, up *fleet.Upstream, call string, also func(ResponseInfo)) context.Context {
 	askedAt := time.Now()
 	return exchange.WithObserver(ctx, func(status int, header http.Header) {
 		info := e.dialect.ReadResponse(status, header)
 		info.Signed, info.control = false, status < http.StatusInternalServerError
 		e.notices.take(up.ID, call, askedAt, info)
+		also(info)
 	})
 }
--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -25,6 +25,8 @@
 	KVTotal  int64 // KV cache capacity in tokens
 	OnDisk   []string
 	InMemory []string
+	// Slowdown is how long work takes, as a multiple of the usual time; 0 if unknown.
+	Slowdown float64
 }
 
 // Order instructs an engine to load or unload a model, or an adapter of a model
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -104,11 +104,22 @@
 		return
 	}
 	took := now.Sub(r.grantedAt) - firstEventDelay
-	sample := min(maxPrefillPerToken, max(minPrefillPerToken, took/time.Duration(r.uncached)))
+	sample := min(maxPrefillPerToken, max(minPrefillPerToken, scaled(took, 1/r.slowdown)/time.Duration(r.uncached)))
 	m := c.modelOf(r.req.Model)
 	m.perToken += time.Duration(sampleWeight * float64(sample-m.perToken))
 }
 
+// LearnSlowdown takes in how long work takes at the engine of a request, as a multiple of the usual
+// time; 0 changes nothing.
+func (c *Cell) LearnSlowdown(now time.Time, key uint64, slowdown float64) {
+	if r := c.runs[key]; r != nil && slowdown > 0 {
+		r.engine.speed.Observe(now, slowdown)
+	}
+}
+
+// scaled multiplies a duration.
+func scaled(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
+
 func (m *model) raiseAdapterDelay() {
 	m.adapterDelay = min(maxAdapterDelay, m.adapterDelay*3/2)
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragwortdoor/ragwortdoor/internal/balance"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 )
 
@@ -103,6 +104,7 @@
 	ejectedUntil        time.Time
 	// failureRate is a moving average, 0 to 1.
 	failureRate float64
+	speed       balance.Speed
 }
 
 type tier int
--- a/internal/scheduler/inventories.go
+++ b/internal/scheduler/inventories.go
@@ -72,6 +72,9 @@
 // reconcile compares an inventory with the plan in progress.
 func (c *Cell) reconcile(now time.Time, e *engine, inventory fleet.Inventory) {
 	e.setTiers(inventory.OnDisk, inventory.InMemory)
+	if inventory.Slowdown > 0 {
+		e.speed.Observe(now, inventory.Slowdown)
+	}
 	switch {
 	case e.orders < 0:
 		c.adoptInventory(now, e, inventory)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -277,11 +277,12 @@
 			return o, false
 		}
 	}
-	prefill := c.modelOf(req.Model).prefillTime(e.cache.uncached(req))
+	slowdown := e.speed.Slowdown(now)
+	prefill := scaled(c.modelOf(req.Model).prefillTime(e.cache.uncached(req)), slowdown)
 	o.prefill = prefill
 	o.prefillDelay = c.prefillDelay(now, e, prefill)
 	o.paceDelay = c.paceDelay(now, e)
-	o.firstEvent = max(o.wait, e.backlog(now)+e.queuedPrefill, o.prefillDelay+e.queuedPrefill, o.paceDelay) + prefill + firstEventDelay + time.Duration(len(e.runs))*perRunDelay
+	o.firstEvent = max(o.wait, e.backlog(now)+e.queuedPrefill, o.prefillDelay+e.queuedPrefill, o.paceDelay) + prefill + firstEventDelay + scaled(time.Duration(len(e.runs))*perRunDelay, slowdown)
 	if now.Before(e.ejectedUntil) {
 		o.firstEvent += ejectedPenalty
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -238,7 +238,9 @@
 	// uncached is the number of prompt tokens to be prefilled.
 	uncached    int64
 	soloPrefill bool
-	started     bool
+	// slowdown is that of the engine when the request was granted.
+	slowdown float64
+	started  bool
 	// startedAt is when the first event arrived, zero if that is not known.
 	startedAt time.Time
 }
@@ -393,16 +395,19 @@
 
 func (c *Cell) startRun(now time.Time, req *Request, e *engine) *run {
 	uncached := e.cache.uncached(req)
+	slowdown := e.speed.Slowdown(now)
+	work := c.modelOf(req.Model).prefillTime(uncached)
 	r := &run{
+		slowdown:    slowdown,
 		req:         req,
 		engine:      e,
 		grantedAt:   now,
 		uncached:    uncached,
-		prefill:     c.modelOf(req.Model).prefillTime(uncached),
+		prefill:     scaled(work, slowdown),
 		soloPrefill: len(e.pending) == 0,
 	}
 	c.runs[req.Key] = r
-	c.modelOf(req.Model).demand.addWork(now, r.prefill)
+	c.modelOf(req.Model).demand.addWork(now, work)
 	c.notePrefill(now, e)
 	e.addRun(now, r)
 	return r
