fleet: lists that another router relays end an outage of the list

The store had turned that router away from 2.5 s to 11.5 s; from 3.1 s on the scheduler relayed its lists. When the router read again at 18.3 s, it took 15.2 s for the length of the outage, and so kept what was missing in the list for 2 s, as expired. Ruled out: a late relay; the other routers that read at the same moment dropped the server.

Change: a relayed list ends the outage. TestRelayedListsEndAnOutage fails without it.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -196,6 +196,7 @@
 	for ctx.Err() == nil {
 		if f.canSkipRead(false) && !f.opts.Directory.awaitsRenewals() {
 			relayed = true
+			outage.succeeded() // the list is known, though it was not read here
 			f.releaseQuarantined()
 			retry.Sleep(ctx, peerPollInterval)
 			continue
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -211,3 +212,40 @@
 	time.Sleep(2 * upstreamPollInterval)
 	is.Equal(len(source.calls), reads) // the scheduler's list is enough again
 }
+
+// failingSource is a source that fails until it is healed; then it lists no upstream.
+type failingSource struct {
+	cutOffSource
+	healed atomic.Bool
+}
+
+func (s *failingSource) Upstreams(context.Context, int64, time.Duration) (UpstreamUpdate, error) {
+	if !s.healed.Load() {
+		return UpstreamUpdate{}, errors.New("turned away")
+	}
+	return UpstreamUpdate{Complete: true, Version: 9, ListVersion: 9}, nil
+}
+
+// The store turns a router away for a moment; a scheduler relays its lists from then on, until it is
+// lost. Guards against the whole time in between counting as an outage of the list, after which
+// upstreams that were removed are kept for a while: they may be draining.
+func TestRelayedListsEndAnOutage(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	directory := NewDirectory()
+	directory.Merge(time.Now(), Change{Complete: true, Version: 5, Registrations: []Registration{registration("gone", 1, 5, false)}})
+	source, peer := &failingSource{}, &stubPeer{}
+	peer.lost.Store(true)
+	follower := NewFollower(FollowerOptions{Source: source, Directory: directory, OnChange: func() {}, Observer: quietObserver{}, Peer: peer})
+	go follower.RunUpstreams(ctx)
+	time.Sleep(200 * time.Millisecond)
+	peer.lost.Store(false)
+	time.Sleep(expiryOutage + 200*time.Millisecond)
+	source.healed.Store(true)
+	peer.lost.Store(true)
+	for giveUp := time.Now().Add(expiryGrace - 500*time.Millisecond); directory.Load().Upstreams["gone"] != nil && time.Now().Before(giveUp); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(directory.Load().KnownUnusable("gone"))
+}
