turn: one order for all waits, fair among workspaces; what can't be served is refused at once

Cause: requests waited by rank and objective alone, so that a workspace that sends six times its usual took the room of the others.

Change: package turn, used by the scheduler and for limited upstreams; a workspace's weight is the rate of its quota.

--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -77,6 +77,8 @@
 		Ageing:    microseconds(req.GetAgeingUs()),
 		Deadline:  now.Add(microseconds(req.GetGiveUpUs())),
 		MayWait:   req.GetMayWait(),
+		Workspace: req.GetWorkspace(),
+		Weight:    req.GetWorkspaceWeight(),
 	}
 	if !s.applyPace(s.pace.Submit(now, ask), ask.Key) {
 		from.reply(&apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Queued{Queued: &apiv1.PlacementQueued{Number: req.GetNumber()}}})
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -228,8 +228,11 @@
 		Tried:         req.GetTried(),
 		Avoid:         req.GetAvoid(),
 		MayMove:       req.GetMayMove(),
-		MaxGap:        microseconds(req.GetMaxGapUs()),
-		Ageing:        microseconds(req.GetAgeingUs()),
+
+		Workspace:       req.GetWorkspace(),
+		WorkspaceWeight: req.GetWorkspaceWeight(),
+		MaxGap:          microseconds(req.GetMaxGapUs()),
+		Ageing:          microseconds(req.GetAgeingUs()),
 	}
 	for _, p := range req.GetParts() {
 		out.Parts = append(out.Parts, scheduler.PromptPart{ID: p.GetId(), Tokens: p.GetTokens()})
--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -168,5 +168,5 @@
 	for _, up := range limited {
 		ask.Limited = append(ask.Limited, up.ID)
 	}
-	return ask
+	return cr.claimFor(ask)
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -162,7 +162,7 @@
 	for _, p := range cr.call.Parts {
 		req.Parts = append(req.Parts, &apiv1.PromptPart{Id: p.ID, Tokens: p.Tokens})
 	}
-	return req
+	return cr.claimFor(req)
 }
 
 // mayTryAnother reports whether an upstream that did not get the request yet may get it.
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
 	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
 )
@@ -69,6 +70,16 @@
 	return w.Name
 }
 
+// claimFor names the caller's workspace in a placement request. Its weight is its quota: what it is
+// entitled to.
+func (cr *callerRequest) claimFor(ask *apiv1.PlacementAsk) *apiv1.PlacementAsk {
+	if cr.workspace != nil {
+		ask.Workspace = cr.workspace.Name
+		ask.WorkspaceWeight = cr.workspace.Quota.PerSecond
+	}
+	return ask
+}
+
 // refuseKey responds with 401 to a request that has not run.
 func (cr *callerRequest) refuseKey(reason string) {
 	if cr.record.MayHaveRun || cr.responseStarted || cr.callerDisconnected() {
--- a/internal/pace/holder.go
+++ b/internal/pace/holder.go
@@ -1,9 +1,10 @@
 package pace
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/turn"
 )
 
 const (
@@ -29,6 +30,10 @@
 	Ageing   time.Duration
 	// Deadline is when the request must have been sent.
 	Deadline time.Time
+	// Workspace is that of the caller, empty for none; Weight is its claim in proportion to that
+	// of others.
+	Workspace string
+	Weight    float64
 	// MayWait is false for a request that can be served elsewhere.
 	MayWait bool
 
@@ -51,6 +56,7 @@
 	book    *Book
 	pacer   *pacer
 	waiting []*Ask
+	shares  turn.Shares
 	// returns is when the last refused request was told to come back, by upstream.
 	returns map[string]*returns
 }
@@ -130,7 +136,7 @@
 	if len(h.waiting) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(h.waiting, func(a, b *Ask) int { return cmp.Compare(a.rank(now), b.rank(now)) })
+	turn.Sort(now, h.waiting, func(a *Ask) turn.Claim { return a.claim(now) }, &h.shares)
 	var decisions []Decision
 	schedule := make(map[string]time.Duration) // until the next free request, by upstream
 	kept := h.waiting[:0]
@@ -139,6 +145,7 @@
 		switch {
 		case wait == 0:
 			h.Take(now, id)
+			h.shares.Use(now, ask.claim(now))
 			schedule[id] = h.Delay(now, id)
 			decisions = append(decisions, Decision{Ask: ask, UpstreamID: id, Waited: now.Sub(ask.since)})
 		case !ask.MayWait:
@@ -172,6 +179,12 @@
 	return best, bestWait
 }
 
+// claim is what the request is ordered by: requests of one rank and workspace in the order of their
+// arrival.
+func (a *Ask) claim(now time.Time) turn.Claim {
+	return turn.Claim{Rank: a.rank(now), Due: a.since, Workspace: a.Workspace, Weight: a.Weight, Cost: 1}
+}
+
 func (a *Ask) rank(now time.Time) int {
 	if a.Ageing <= 0 {
 		return a.Priority
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,11 +1,11 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/turn"
 )
 
 const (
@@ -65,7 +65,7 @@
 	}
 }
 
-// dispatch tries to place the waiting requests, by rank and then by objective.
+// dispatch tries to place the waiting requests in their turn.
 func (c *Cell) dispatch(now time.Time) {
 	c.resetQueuedPrefill()
 	c.resetQueuedPace()
@@ -74,9 +74,7 @@
 	if len(c.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(c.waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), a.req.Objective.Compare(b.req.Objective))
-	})
+	turn.Sort(now, c.waiting, func(w *waiter) turn.Claim { return w.claim(now) }, &c.shares)
 	kept := c.waiting[:0]
 	pass := c.newPass(now)
 	for _, w := range c.waiting {
@@ -115,6 +113,9 @@
 		return c.admit(now, w, ready)
 	}
 	if !loads {
+		if wait, hopeless := c.isHopeless(now, w); hopeless {
+			return c.refuse(w, wait, "model can't be there in time")
+		}
 		w.reason = "no room"
 		c.retire(now, w.req)
 		return false
@@ -180,6 +181,7 @@
 		return false
 	}
 	r := c.startRun(now, w.req, o.engine)
+	c.shares.Use(now, w.claim(now))
 	c.opts.Pace.Take(now, o.engine.up.ID)
 	c.actions.Grants = append(c.actions.Grants, Grant{
 		Trial:    w.req.trial,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/blocklist"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/turn"
 )
 
 // PromptPart is a piece of a prompt that requests may share. Parts with equal
@@ -65,6 +66,10 @@
 	Tried []string
 	// Avoid are upstreams that take no requests from the router for a while.
 	Avoid []string
+	// Workspace is that of the caller, empty for none; WorkspaceWeight is its claim in proportion
+	// to that of others.
+	Workspace       string
+	WorkspaceWeight float64
 	// MayMove is set when the request has to go to an upstream that is not in Tried.
 	// Otherwise, if Tried is not empty, it has to go to one that is.
 	MayMove bool
@@ -216,6 +221,7 @@
 	dispatching bool
 	index       index
 	ledger      *blocklist.Ledger
+	shares      turn.Shares
 	provenAt    time.Time
 }
 
@@ -294,12 +300,28 @@
 		c.refuse(w, capacityRetryDelay, "the model's queue is full")
 		return c.takeActions()
 	}
+	if req.Workspace != "" && c.waitingCount(req.Model) > 0 {
+		c.waiting = append(c.waiting, w) // others may come first
+		c.dispatchAfterEvent(now)
+		return c.takeActions()
+	}
 	if !c.decide(now, w) {
 		c.waiting = append(c.waiting, w)
 	}
 	return c.takeActions()
 }
 
+// claim is what a waiting request is ordered by.
+func (w *waiter) claim(now time.Time) turn.Claim {
+	return turn.Claim{
+		Rank:      w.rank(now),
+		Due:       w.req.Objective,
+		Workspace: w.req.Workspace,
+		Weight:    w.req.WorkspaceWeight,
+		Cost:      float64(max(1, w.req.PromptTokens+w.req.OutputTokens)),
+	}
+}
+
 // Adopt adds a request that was granted by a previous holder, or that a router
 // placed without the scheduler.
 func (c *Cell) Adopt(now time.Time, req *Request, upstreamID string, started bool) {
