entry: routers that are cut off refuse at once, and spend more of their part of the quotas

Change: a router without a scheduler for more than 2 s refuses at once what needs one, with a Retry-After of 50 ms: other routers have a scheduler. Without one, routers spend three quarters of their part of a quota instead of half, and of its burst; a scheduler leaves as much to those that are not connected.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -77,6 +77,8 @@
 	connected    bool
 	lastReceived time.Time
 	renewedAt    time.Time
+	// unlinkedAt is when connected was reset, at first when this process began.
+	unlinkedAt time.Time
 	// configVersion, schedulerCores, leaseVersion and the number of routers are as the
 	// scheduler reported them.
 	// configAt and listAt are when it last read the configuration and the upstream
@@ -163,6 +165,7 @@
 		pending:    make(map[uint64]*pendingRequest),
 		running:    make(map[uint64]*apiv1.RunningRequest),
 		startedAt:  make(map[uint64]time.Time),
+		unlinkedAt: time.Now(),
 		quotaWaits: make(map[string]*quotaWait),
 		linkUp:     make(chan struct{}),
 	}
@@ -358,6 +361,7 @@
 	c.failQuotaWaitsLocked()
 	if c.connected {
 		c.connected = false
+		c.unlinkedAt = time.Now()
 		c.opts.Observer.SchedulerLost(c.target, err)
 	}
 }
--- a/internal/cell/client_state.go
+++ b/internal/cell/client_state.go
@@ -60,6 +60,16 @@
 	return c.configAt
 }
 
+// UnlinkedFor returns the time since a scheduler was connected last, 0 while one is.
+func (c *Client) UnlinkedFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.connected {
+		return 0
+	}
+	return time.Since(c.unlinkedAt)
+}
+
 // Schedules implements fleet.Peer.
 func (c *Client) Schedules() bool {
 	c.mu.Lock()
--- a/internal/entry/limited.go
+++ b/internal/entry/limited.go
@@ -128,7 +128,7 @@
 		}
 		cr.record.WaitedFor = pace.WaitReason
 		if time.Since(began) > unlinkedWait {
-			return nil, &cell.RefusedError{RetryAfter: unlinkedRetryDelay + rand.N(unlinkedRetryDelay/2), Reason: pace.RefusalReason}
+			return nil, &cell.RefusedError{RetryAfter: cr.handler.unlinkedRetryDelay(), Reason: pace.RefusalReason}
 		}
 		cr.awaitScheduler(ctx, unlinkedPoll)
 		if ctx.Err() != nil {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -110,6 +110,9 @@
 		if placement, ok := cr.placeWithoutScheduler(); ok {
 			return placement, nil
 		}
+		if cr.handler.isCutOff() {
+			return cell.Placement{}, &cell.RefusedError{RetryAfter: cr.handler.unlinkedRetryDelay(), Reason: "no scheduler is connected, and no engine that this router knows has the model loaded"}
+		}
 		if err := cr.handler.scheduler.WaitLinked(ctx); err != nil {
 			return cell.Placement{}, err
 		}
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -21,6 +22,8 @@
 	unlinkedQuotaShare = 0.25
 	// quotaReturnInterval is how often routers give back what they did not spend.
 	quotaReturnInterval = 250 * time.Millisecond
+	// cutOffRetryDelay is the Retry-After of a router without a scheduler, while others have one.
+	cutOffRetryDelay = 50 * time.Millisecond
 )
 
 // errNoQuota means that no scheduler is connected to deal the quota of a workspace.
@@ -48,11 +51,23 @@
 	case cr.callerDisconnected():
 		cr.fail("the caller left")
 	default:
-		cr.refuse(unlinkedRetryDelay, err.Error())
+		cr.refuse(cr.handler.unlinkedRetryDelay(), err.Error())
 	}
 	return false
 }
 
+// isCutOff reports whether this router has had no scheduler for longer than a change of the
+// scheduler takes. Other routers are likely to have one.
+func (h *Handler) isCutOff() bool { return h.scheduler.UnlinkedFor() > unlinkedWait }
+
+// unlinkedRetryDelay is the Retry-After of a request that needs a scheduler.
+func (h *Handler) unlinkedRetryDelay() time.Duration {
+	if h.isCutOff() {
+		return cutOffRetryDelay // another router takes it
+	}
+	return unlinkedRetryDelay + rand.N(unlinkedRetryDelay/2)
+}
+
 // spendQuota asks the scheduler; while none is connected, it uses this router's own part.
 func (cr *callerRequest) spendQuota(cost int64) (pace.SpentFrom, error) {
 	name, began := cr.workspace.Name, time.Now()
@@ -68,7 +83,7 @@
 		if cr.handler.quotas.TakeAlone(time.Now(), name, float64(cost)) {
 			return pace.SpentFrom{Alone: true}, nil
 		}
-		if ctx.Err() != nil || time.Now().After(giveUp) || cr.isTooLateToSend() {
+		if ctx.Err() != nil || time.Now().After(giveUp) || cr.isTooLateToSend() || cr.handler.isCutOff() {
 			return spent, errNoQuota
 		}
 		cr.awaitScheduler(ctx, unlinkedPoll)
--- a/internal/pace/allowances.go
+++ b/internal/pace/allowances.go
@@ -114,13 +114,18 @@
 		return
 	}
 	first := account.alone.at.IsZero()
-	capacity := toleranceShare * a.tolerance.of(account.quota) / float64(a.routers)
-	account.alone.set(now, useAlone*account.quota.PerSecond/float64(a.routers), capacity)
+	capacity := a.aloneBurst(account.quota) / float64(a.routers)
+	account.alone.set(now, aloneShare*account.quota.PerSecond/float64(a.routers), capacity)
 	if first {
 		account.alone.level = capacity
 	}
 }
 
+// aloneBurst is what all routers without a dealer may spend at once.
+func (a *Allowances) aloneBurst(quota Quota) float64 {
+	return toleranceShare*a.tolerance.of(quota) + aloneShare*quota.Burst
+}
+
 // Take spends a cost and reports whether the allowance had it.
 func (a *Allowances) Take(now time.Time, workspace string, cost float64) (SpentFrom, bool) {
 	a.mu.Lock()
@@ -213,7 +218,7 @@
 		return false
 	}
 	if cost > account.alone.capacity {
-		holders := toleranceShare * a.tolerance.of(account.quota) / cost
+		holders := a.aloneBurst(account.quota) / cost
 		if float64(weight(workspace, a.host))/math.MaxUint64 >= holders/float64(a.routers) {
 			return false
 		}
--- a/internal/pace/dealer.go
+++ b/internal/pace/dealer.go
@@ -14,6 +14,9 @@
 	// more than they need now, spareShare the part of the rest that one of them gets.
 	spareLevel = 0.5
 	spareShare = 0.25
+	// aloneShare is the part of its share of a quota that a router spends without a dealer. Where
+	// routers are cut off, their callers are too; where they are gone, others have their callers.
+	aloneShare = 0.75
 	// unknownRetry is after what time a request may come back whose workspace the dealer does
 	// not know yet.
 	unknownRetry = 300 * time.Millisecond
@@ -221,15 +224,15 @@
 }
 
 // Part returns the part of the quotas that a dealer may deal, so that all parts together are at
-// most one. A router that is not connected to any dealer spends half of its part. Routers that a
+// most one. A router that is not connected to any dealer spends aloneShare of its own. Routers that a
 // dealer has never seen may belong to an earlier one, which still has a majority of them.
 func Part(in PartInputs) float64 {
 	known := max(in.Known, in.Connected, 1)
 	each := 1 / float64(known)
 	if in.LeaseFresh {
-		part := 1 - useAlone*float64(known-in.Connected)*each
+		part := 1 - aloneShare*float64(known-in.Connected)*each
 		if 2*in.Unseen >= known {
-			part -= (1 - useAlone) * float64(in.Unseen) * each
+			part -= (1 - aloneShare) * float64(in.Unseen) * each
 		}
 		return part
 	}
@@ -239,5 +242,5 @@
 	case 2*in.Connected > known:
 		return float64(in.Connected) * each
 	}
-	return useAlone * float64(in.Connected) * each
+	return aloneShare * float64(in.Connected) * each
 }
