pace: a quota that is exceeded has room for light requests

Change: a tenth of the burst is for requests that cost less than is usual in their workspace, and they go first.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -91,8 +91,8 @@
 	listReceived     bool
 	// partialList holds the parts of a list whose last part has not arrived; nil without.
 	partialList *apiv1.UpstreamList
-	// quotaWaits has the requests that wait for a quota, by workspace.
-	quotaWaits map[string]*quotaWait
+	// quotaWaits has the requests that wait for a quota, by key.
+	quotaWaits map[quotaKey]*quotaWait
 	// offeredWorkspaces is the version of the workspaces that were sent over this link.
 	offeredWorkspaces int64
 	linkUp            chan struct{} // closed and replaced when connected is set
@@ -166,7 +166,7 @@
 		running:    make(map[uint64]*apiv1.RunningRequest),
 		startedAt:  make(map[uint64]time.Time),
 		unlinkedAt: time.Now(),
-		quotaWaits: make(map[string]*quotaWait),
+		quotaWaits: make(map[quotaKey]*quotaWait),
 		linkUp:     make(chan struct{}),
 	}
 }
--- a/internal/cell/quota_client.go
+++ b/internal/cell/quota_client.go
@@ -15,7 +15,13 @@
 // QuotaRefusal is why a request was refused that its workspace's quota has no room for.
 const QuotaRefusal = "the workspace's quota has no room for the request"
 
-// quotaWait are the requests of a workspace that wait for a grant, in the order of their arrival.
+// quotaKey names the light requests of a workspace, or the others.
+type quotaKey struct {
+	workspace string
+	light     bool
+}
+
+// quotaWait are the requests of one key that wait for a grant, in the order of their arrival.
 type quotaWait struct {
 	requests []*quotaRequest
 	// askedAt is when the scheduler was last asked.
@@ -43,7 +49,8 @@
 		return spent, nil
 	}
 	request := &quotaRequest{cost: float64(cost), until: now.Add(maxWait), decided: make(chan quotaDecision, 1)}
-	if err := c.enqueueQuota(now, workspace, request); err != nil {
+	key := quotaKey{workspace, c.opts.Quotas.IsLight(workspace, request.cost)}
+	if err := c.enqueueQuota(now, key, request); err != nil {
 		return pace.SpentFrom{}, err
 	}
 	timer := time.NewTimer(maxWait + confirmTimeout)
@@ -56,39 +63,39 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
-	if c.dequeueQuota(workspace, request) {
+	if c.dequeueQuota(key, request) {
 		return pace.SpentFrom{}, err
 	}
 	decision := <-request.decided // it was decided meanwhile
 	return decision.spent, decision.err
 }
 
-func (c *Client) enqueueQuota(now time.Time, workspace string, request *quotaRequest) error {
+func (c *Client) enqueueQuota(now time.Time, key quotaKey, request *quotaRequest) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.connected {
 		return ErrNoScheduler
 	}
-	if delay := c.opts.Quotas.RefusedFor(now, workspace, request.cost); delay > 0 {
+	if delay := c.opts.Quotas.RefusedFor(now, key.workspace, request.cost); delay > 0 {
 		return &RefusedError{RetryAfter: delay, Reason: QuotaRefusal}
 	}
-	wait := c.quotaWaits[workspace]
+	wait := c.quotaWaits[key]
 	if wait == nil {
 		wait = &quotaWait{}
-		c.quotaWaits[workspace] = wait
+		c.quotaWaits[key] = wait
 	}
 	wait.requests = append(wait.requests, request)
 	if len(wait.requests) == 1 || now.Sub(wait.askedAt) > quotaAnswerTimeout {
-		c.askQuotaLocked(now, workspace, wait)
+		c.askQuotaLocked(now, key, wait)
 	}
 	return nil
 }
 
 // dequeueQuota removes a request that gives up. It reports false if the request was decided.
-func (c *Client) dequeueQuota(workspace string, request *quotaRequest) bool {
+func (c *Client) dequeueQuota(key quotaKey, request *quotaRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wait := c.quotaWaits[workspace]
+	wait := c.quotaWaits[key]
 	if wait == nil {
 		return false
 	}
@@ -96,7 +103,7 @@
 		if other == request {
 			wait.requests = append(wait.requests[:i], wait.requests[i+1:]...)
 			if len(wait.requests) == 0 {
-				delete(c.quotaWaits, workspace)
+				delete(c.quotaWaits, key)
 			}
 			return true
 		}
@@ -105,17 +112,18 @@
 }
 
 // askQuotaLocked asks the scheduler for what the requests of a workspace need.
-func (c *Client) askQuotaLocked(now time.Time, workspace string, wait *quotaWait) {
+func (c *Client) askQuotaLocked(now time.Time, key quotaKey, wait *quotaWait) {
 	wait.askedAt = now
 	all := 0.0
 	for _, request := range wait.requests {
 		all += request.cost
 	}
 	c.sendLocked(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_QuotaAsk{QuotaAsk: &apiv1.QuotaAsk{
-		Workspace: workspace,
+		Workspace: key.workspace,
+		Light:     key.light,
 		First:     int64(wait.requests[0].cost),
 		All:       int64(all),
-		Spare:     int64(c.opts.Quotas.Spare(now, workspace)),
+		Spare:     int64(c.opts.Quotas.Spare(now, key.workspace)),
 		WaitUs:    max(0, wait.requests[0].until.Sub(now)).Microseconds(),
 	}}})
 }
@@ -128,7 +136,8 @@
 	if grant.GetAmount() > 0 {
 		c.opts.Quotas.Grant(now, name, float64(grant.GetAmount()), grant.GetFence())
 	}
-	wait := c.quotaWaits[name]
+	key := quotaKey{name, grant.GetLight()}
+	wait := c.quotaWaits[key]
 	if wait == nil {
 		return
 	}
@@ -138,7 +147,7 @@
 		if grant.GetAmount() > 0 {
 			spent, ok := c.opts.Quotas.Take(now, name, request.cost)
 			if !ok {
-				c.askQuotaLocked(now, name, wait)
+				c.askQuotaLocked(now, key, wait)
 				return
 			}
 			decision.spent = spent
@@ -149,16 +158,16 @@
 		request.decided <- decision
 		wait.requests = wait.requests[1:]
 	}
-	delete(c.quotaWaits, name)
+	delete(c.quotaWaits, key)
 }
 
 // failQuotaWaitsLocked ends all waits when the link to the scheduler is lost.
 func (c *Client) failQuotaWaitsLocked() {
-	for name, wait := range c.quotaWaits {
+	for key, wait := range c.quotaWaits {
 		for _, request := range wait.requests {
 			request.decided <- quotaDecision{err: ErrNoScheduler}
 		}
-		delete(c.quotaWaits, name)
+		delete(c.quotaWaits, key)
 	}
 }
 
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -84,6 +84,7 @@
 		All:       float64(ask.GetAll()),
 		Spare:     float64(ask.GetSpare()),
 		Until:     now.Add(microseconds(ask.GetWaitUs())),
+		Light:     ask.GetLight(),
 	}))
 }
 
@@ -105,6 +106,7 @@
 			Amount:       int64(grant.Amount),
 			RetryAfterUs: grant.RetryAfter.Microseconds(),
 			Fence:        s.term.Fence,
+			Light:        grant.Light,
 		}}})
 	}
 }
--- a/internal/pace/allowances.go
+++ b/internal/pace/allowances.go
@@ -11,6 +11,8 @@
 	slotTime = 250 * time.Millisecond
 	// refusedTime is how long a router refuses by itself after the dealer did.
 	refusedTime = 50 * time.Millisecond
+	// usualCostWeight is the weight of a request in the usual cost.
+	usualCostWeight = 0.05
 	// toleranceShare is the part of the tolerance of a quota that routers without a dealer use
 	// up for small requests, and again for large ones.
 	toleranceShare = 0.25
@@ -53,6 +55,8 @@
 	// one before.
 	slotAt             time.Time
 	spent, spentBefore float64
+	// usualCost is a moving average of the costs of requests.
+	usualCost float64
 	// Until refusedUntil requests that cost refusedCost or more are refused without the dealer.
 	refusedUntil time.Time
 	refusedCost  float64
@@ -151,6 +155,23 @@
 	a.spent += cost
 }
 
+// IsLight reports whether a request costs less than is usual in its workspace, and takes its cost
+// in.
+func (a *Allowances) IsLight(workspace string, cost float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	account := a.accounts[workspace]
+	if account == nil {
+		return false
+	}
+	if account.usualCost == 0 {
+		account.usualCost = cost
+	}
+	light := cost < account.usualCost
+	account.usualCost += usualCostWeight * (cost - account.usualCost)
+	return light
+}
+
 // Spare returns what the router is likely to need until it asks next.
 func (a *Allowances) Spare(now time.Time, workspace string) float64 {
 	a.mu.Lock()
--- a/internal/pace/bucket.go
+++ b/internal/pace/bucket.go
@@ -51,11 +51,11 @@
 	b.level = min(b.capacity, b.level+n)
 }
 
-// until returns the time until n tokens can be taken after others were taken that are ahead, 0 if
-// they can be now. It is at most maxReturn, also for a bucket without a rate.
-func (b *bucket) until(now time.Time, ahead, n float64) time.Duration {
+// until returns the time until n tokens can be taken after others were taken that are ahead, so that
+// a reserve is left, 0 if they can be now. It is at most maxReturn, also for a bucket without a rate.
+func (b *bucket) until(now time.Time, ahead, n, reserve float64) time.Duration {
 	b.advance(now)
-	missing := ahead + min(n, b.capacity) - b.level
+	missing := ahead + min(n+reserve, b.capacity) - b.level
 	if missing <= 0 {
 		return 0
 	}
--- a/internal/pace/dealer.go
+++ b/internal/pace/dealer.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -17,6 +18,9 @@
 	// aloneShare is the part of its share of a quota that a router spends without a dealer. Where
 	// routers are cut off, their callers are too; where they are gone, others have their callers.
 	aloneShare = 0.75
+	// lightReserve is the part of the burst that only light requests may use. Without it, a few
+	// requests that cost much crowd out many that cost little.
+	lightReserve = 0.1
 	// unknownRetry is after what time a request may come back whose workspace the dealer does
 	// not know yet.
 	unknownRetry = 300 * time.Millisecond
@@ -41,6 +45,8 @@
 	First, All, Spare float64
 	// Until is how long the first request can wait.
 	Until time.Time
+	// Light is set for requests that cost less than is usual in the workspace.
+	Light bool
 }
 
 // QuotaGrant answers a QuotaAsk.
@@ -51,6 +57,8 @@
 	Amount float64
 	// RetryAfter is when the refused request may come back.
 	RetryAfter time.Duration
+	// Light is that of the ask.
+	Light bool
 }
 
 // Dealer deals the quotas of workspaces to the routers, in amounts that expire. Its buckets are
@@ -127,9 +135,9 @@
 	account := d.accounts[ask.Workspace]
 	if account == nil {
 		if d.unlimited[ask.Workspace] {
-			return []QuotaGrant{{To: ask.From, Workspace: ask.Workspace, Amount: ask.All + ask.Spare}}
+			return []QuotaGrant{{To: ask.From, Workspace: ask.Workspace, Amount: ask.All + ask.Spare, Light: ask.Light}}
 		}
-		return []QuotaGrant{{To: ask.From, Workspace: ask.Workspace, RetryAfter: unknownRetry}}
+		return []QuotaGrant{{To: ask.From, Workspace: ask.Workspace, RetryAfter: unknownRetry, Light: ask.Light}}
 	}
 	account.waiting = append(account.waiting, ask)
 	return account.serve(now, nil)
@@ -161,19 +169,21 @@
 	return grants
 }
 
-// serve decides about the asks of a workspace in the order of their arrival.
+// serve decides about the asks of a workspace: light ones, then the others, in the order of their
+// arrival.
 func (a *dealtQuota) serve(now time.Time, grants []QuotaGrant) []QuotaGrant {
+	slices.SortStableFunc(a.waiting, func(x, y *QuotaAsk) int { return cmp.Compare(x.reserve(), y.reserve()) })
 	kept := a.waiting[:0]
 	ahead := 0.0
 	for _, ask := range a.waiting {
-		wait := a.bucket.until(now, ahead, ask.First)
+		wait := a.bucket.until(now, ahead, ask.First, ask.reserve()*a.bucket.capacity)
 		switch {
 		case ahead == 0 && wait == 0:
-			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, Amount: a.deal(now, ask)})
+			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, Amount: a.deal(now, ask), Light: ask.Light})
 		case now.Add(wait).After(ask.Until):
 			a.refused++
 			interval := time.Duration(ask.All / max(a.bucket.rate, 1e-9) * float64(time.Second))
-			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, RetryAfter: a.returns.next(now, wait, min(interval, maxReturn))})
+			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, RetryAfter: a.returns.next(now, wait, min(interval, maxReturn)), Light: ask.Light})
 		default:
 			ahead += ask.First
 			kept = append(kept, ask)
@@ -184,10 +194,18 @@
 	return grants
 }
 
+// reserve is the part of the burst that the ask leaves.
+func (a *QuotaAsk) reserve() float64 {
+	if a.Light {
+		return 0
+	}
+	return lightReserve
+}
+
 // deal takes what an ask gets: at least the cost of its first request.
 func (a *dealtQuota) deal(now time.Time, ask *QuotaAsk) float64 {
 	a.bucket.take(now, ask.First)
-	more := min(max(0, ask.All-ask.First), a.bucket.available(now))
+	more := min(max(0, ask.All-ask.First), max(0, a.bucket.available(now)-ask.reserve()*a.bucket.capacity))
 	if left := a.bucket.available(now) - more; left > spareLevel*a.bucket.capacity {
 		more += min(ask.Spare, spareShare*left)
 	}
--- a/internal/pace/pacer.go
+++ b/internal/pace/pacer.go
@@ -39,7 +39,7 @@
 // delay returns the time until a request may be sent, 0 for an upstream without a limit.
 func (p *pacer) delay(now time.Time, id string) time.Duration {
 	if bucket := p.buckets[id]; bucket != nil {
-		return bucket.until(now, 0, 1)
+		return bucket.until(now, 0, 1, 0)
 	}
 	return 0
 }
