explain: what workspaces used, and whose requests their quotas refused

Operators read from router logs, per workspace and per second, what was served, what the quota had no room for and what it cost; explain and late name the quota as a cause. Commands workspaces and quota.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -152,6 +152,9 @@
 	if ms := f["first_byte_ms"]; ms != "" && ms != "0" {
 		text += ", first byte after " + ms + " ms"
 	}
+	if ms := f["quota_waited_ms"]; ms != "" && ms != "0" {
+		text += fmt.Sprintf(", of workspace %s, for whose quota it waited %s ms", f["workspace"], ms)
+	}
 	if f["alone"] == "true" {
 		text += ", placed without a scheduler"
 	}
@@ -174,7 +177,10 @@
 	}
 	waited := l.milliseconds("waited_ms")
 	queueAndPrompt := l.milliseconds("first_event_ms")
+	quota := l.milliseconds("quota_waited_ms")
 	switch {
+	case quota > max(waited, queueAndPrompt) && 2*quota > l.milliseconds("took_ms"):
+		return quotaCause
 	case l.milliseconds("first_byte_ms") == 0 && l.Fields["waited_for"] != "" && 2*waited > l.milliseconds("took_ms"):
 		return l.Fields["waited_for"]
 	case l.milliseconds("first_byte_ms") == 0:
--- a/internal/operator/cli/cli_test.go
+++ b/internal/operator/cli/cli_test.go
@@ -269,6 +269,7 @@
 func TestExplainAndLate(t *testing.T) {
 	f := newFixture(t)
 	f.writeFile("other.log", "not a log\n")
+	f.writeFile("workspaces.log", "time=2026-12-04T04:00:01.200Z level=info msg=request id=r-2 outcome=over_quota status=429 took_ms=1 workspace=port quota_cost=0\n")
 	f.runSteps([]step{
 		{"explain --log DIR/router.log r-1", ExitOK, "place on e-1 after 1600 ms, waited for model load", ""},
 		{"explain --log DIR/other.log --log DIR/router.log r-1", ExitOK, "main cause: model load", "skipped 1 lines that are not log lines"},
@@ -278,6 +279,10 @@
 		{"late --log DIR/router.log", ExitOK, "model load  1", ""},
 		{"late --log DIR/router.log --above 6s", ExitOK, "0 of 1", ""},
 		{"late --log DIR/router.log --model other", ExitOK, "0 of 0", ""},
+		{"workspaces --log DIR/workspaces.log", ExitOK, "port       1         0       1", ""},
+		{"workspaces --log DIR/workspaces.log --since -1s", ExitUsage, "", "positive duration"},
+		{"quota --log DIR/workspaces.log port", ExitOK, "2026-12-04T04:00:01Z  1         0     1", ""},
+		{"quota --log DIR/workspaces.log", ExitUsage, "", ""},
 		{"late --log DIR/absent.log", ExitUsage, "", `absent.log" does not exist`},
 	})
 }
--- a/internal/operator/cli/log_commands.go
+++ b/internal/operator/cli/log_commands.go
@@ -42,9 +42,64 @@
 			},
 			Action: late,
 		},
+		{
+			Name: "workspaces", Usage: "show from router logs what workspaces used, and whose requests were refused",
+			Flags: []cli.Flag{
+				logFlag(),
+				&cli.DurationFlag{Name: flagSince, Usage: "only requests that ended less than this duration ago; 0 means all"},
+			},
+			Action: workspaces,
+		},
+		{
+			Name: "quota", Usage: "show from router logs what a workspace used of its quota in each second", ArgsUsage: "WORKSPACE",
+			Flags:  []cli.Flag{logFlag()},
+			Action: quota,
+		},
 	}
 }
 
+func workspaces(_ context.Context, cmd *cli.Command) error {
+	if _, err := arguments(cmd, 0, 0); err != nil {
+		return err
+	}
+	var since time.Time
+	switch ago := cmd.Duration(flagSince); {
+	case ago < 0:
+		return usageErrorf("--since must be a positive duration such as 90m or 2s")
+	case ago > 0:
+		since = time.Now().Add(-ago)
+	}
+	lines, err := readLogs(cmd)
+	if err != nil {
+		return err
+	}
+	uses := explain.Workspaces(lines, since)
+	return writeOutput(cmd, uses, func(w io.Writer) {
+		writeRow(w, "WORKSPACE", "REQUESTS", "SERVED", "OVER QUOTA", "NOT SERVED", "COST/S", "MOST IN 1 S", "LONGEST QUOTA WAIT", "MAIN REASON")
+		for _, u := range uses {
+			writeRow(w, u.Workspace, u.Requests, u.Served, u.OverQuota, u.NotServed, fmt.Sprintf("%.1f", u.CostPerSecond), u.MaxPerSecond, u.LongestWait, orDash(u.MainReason))
+		}
+	})
+}
+
+func quota(_ context.Context, cmd *cli.Command) error {
+	args, err := arguments(cmd, 1, 1)
+	if err != nil {
+		return err
+	}
+	lines, err := readLogs(cmd)
+	if err != nil {
+		return err
+	}
+	seconds := explain.QuotaUse(lines, args[0])
+	return writeOutput(cmd, seconds, func(w io.Writer) {
+		writeRow(w, "SECOND", "REQUESTS", "COST", "OVER QUOTA")
+		for _, s := range seconds {
+			writeRow(w, s.At.UTC().Format(time.RFC3339), s.Requests, s.Cost, s.OverQuota)
+		}
+	})
+}
+
 // readLogs reads the log lines of all --log files.
 func readLogs(cmd *cli.Command) ([]explain.Line, error) {
 	var all []explain.Line
