memory: what callers make a router hold is bounded

Change: package memory, a budget of a fifth of the host's memory for heads, bodies and responses; those that stand still longest make room, else the largest. The collector works without delay from half of the memory on; heads are limited to 32 KiB. docs/design/memory.md.

--- a/internal/entry/callerserver.go
+++ b/internal/entry/callerserver.go
@@ -16,6 +16,9 @@
 	// exitMargin is how long before the end of StopGrace that wait ends at the latest.
 	exitMargin        = 100 * time.Millisecond
 	closePollInterval = 10 * time.Millisecond
+	// maxHeaderBytes limits the head of a request; net/http allows 4 KiB more. Deployments
+	// allow callers less.
+	maxHeaderBytes = 32 << 10
 )
 
 // callerServer is the HTTP server for callers.
@@ -28,7 +31,7 @@
 
 func newCallerServer(handler http.Handler, config *tls.Config, l net.Listener) *callerServer {
 	s := &callerServer{listener: l}
-	s.Server = &http.Server{Handler: handler, TLSConfig: config, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ConnState: s.countConn}
+	s.Server = &http.Server{Handler: handler, TLSConfig: config, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout, ConnState: s.countConn}
 	return s
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,9 @@
 	// StrictKeyAge is the age of the known configuration from which callers with keys are
 	// refused, because their keys may be withdrawn; 0 serves them however old it is.
 	StrictKeyAge time.Duration
+	// MemoryBytes is the memory of the host. Callers may take a part of it; 0 if unknown, then
+	// they may take any.
+	MemoryBytes int64
 	// QuotaTolerance is what may pass beyond the quota of a workspace.
 	QuotaTolerance pace.Tolerance
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/retry"
 	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
@@ -52,6 +52,7 @@
 	budgets   *retryBudgets
 	keyWaits  keyWaits
 	quotas    *pace.Allowances
+	memory    *memory.Budget
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
 	// monotonic clock reading, so that a step of the wall clock does not matter.
@@ -102,6 +103,7 @@
 		notices:   opts.Notices,
 		budgets:   newRetryBudgets(opts.Settings.RetryShare),
 		quotas:    opts.Quotas,
+		memory:    memory.NewBudget(int64(callerMemoryShare * float64(opts.Settings.MemoryBytes))),
 		log:       opts.Log,
 	}
 	h.reloadable.Store(newReloadable(opts.Settings))
@@ -125,7 +127,9 @@
 	service    fleet.Service
 	budget     *retry.Budget
 	body       []byte
-	arrivedAt  time.Time
+	// hold is the memory that the request takes.
+	hold      *memory.Hold
+	arrivedAt time.Time
 	// objective is when the first byte is expected, deadline when the response must be
 	// complete.
 	objective time.Time
@@ -169,7 +173,8 @@
 		cr.settleQuota()
 		h.log.Request(&cr.record, time.Since(cr.arrivedAt))
 	}()
-	if cr.prepare() {
+	defer func() { cr.hold.Close() }()
+	if cr.openHold() && cr.prepare() {
 		cr.serve()
 	}
 }
@@ -248,7 +253,11 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(cr.w, cr.r.Body, limit))
+	body, err := cr.readAll(http.MaxBytesReader(cr.w, cr.r.Body, limit))
+	if errors.Is(err, memory.ErrExhausted) {
+		cr.refuseForMemory()
+		return false
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		cr.record.Outcome = OutcomeTooLarge
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -81,6 +81,7 @@
 func New(settings Settings, deps Deps) *Process {
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
+	setMemoryLimit(settings.MemoryBytes)
 	bootID := rand.Text()
 	quotas := pace.NewAllowances(settings.Host, settings.QuotaTolerance)
 	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	cr.holdResponse(int64(len(body)))
 	if complete {
 		cr.writeHead(resp, int64(len(body)))
 		_, _ = cr.w.Write(body) // fails only if the caller disconnected
@@ -117,6 +118,7 @@
 		return err
 	}
 	flusher, _ := cr.w.(http.Flusher)
+	cr.holdResponse(relayBufferBytes)
 	buffer := make([]byte, relayBufferBytes)
 	var pending []byte
 	first := true
