exchange: a status that HTTP does not have is no response

Cause: statuses 600 and 999 of an upstream reached the callers of calls that may not be repeated, and of streams; 000 to 099 did not. Such responses now fail the exchange: the caller gets 502, since the request may have run.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -233,14 +233,28 @@
 	return nil, ErrMismatchedResponse
 }
 
+// minStatus and maxStatus bound the statuses of HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// ErrOddStatus means that a response has a status that HTTP does not have.
+var ErrOddStatus = errors.New("the response has a status that is not from 100 to 599")
+
 // readFinalHead reads the head of the next response that is not informational.
 func (c *conn) readFinalHead(method string) (*http.Response, error) {
 	c.headLimit.begin()
 	defer c.headLimit.end()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+			return nil, fmt.Errorf("%w: %d", ErrOddStatus, resp.StatusCode)
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 	}
 }
