pace: quotas are dealt in whole amounts

Found in the read-through: amounts are whole numbers in messages, so that up to one request's cost of each grant was taken from the quota and reached no router. TestQuotaInRequestsIsUsed fails without it.

--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -57,12 +57,11 @@
 
 // tickQuotas adapts the part of the quotas that is dealt here and decides about what waits.
 func (s *Scheduler) tickQuotas(now time.Time, idle bool) {
-	if bootNow := s.bootNow(); bootNow.Sub(s.lastTick) > dealerGap {
+	bootNow := s.bootNow()
+	if bootNow.Sub(s.lastTick) > dealerGap {
 		s.dealer.Reset(now)
-		s.lastTick = bootNow
-	} else {
-		s.lastTick = bootNow
 	}
+	s.lastTick = bootNow
 	if idle {
 		connected := 0
 		for _, session := range s.sessions {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -149,48 +149,6 @@
 	return &Snapshot{Config: d.config.Load(), Workspaces: d.workspaces.Load(), Upstreams: set.byID, ByService: set.byService, UpstreamListKnown: set.listKnown, ListVersion: set.version, removed: set.removed}
 }
 
-// SetConfig puts a configuration in force. It returns false and changes nothing
-// if the same or a newer version is in force.
-func (d *Directory) SetConfig(c *Config) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if current := d.config.Load(); current != nil && current.Version >= c.Version {
-		return false
-	}
-	workspaces := c.Workspaces
-	if workspaces == nil {
-		workspaces = workspace.OpenSet(c.Version)
-	}
-	d.setWorkspaces(workspaces)
-	d.config.Store(c)
-	return true
-}
-
-// SetWorkspaces takes in the workspaces of a configuration that another router has read. It
-// returns false and changes nothing if those of the same or a newer one are known.
-func (d *Directory) SetWorkspaces(set *workspace.Set) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.setWorkspaces(set)
-}
-
-func (d *Directory) setWorkspaces(set *workspace.Set) bool {
-	if known := d.workspaces.Load(); known != nil && known.Version >= set.Version {
-		return false
-	}
-	d.workspaces.Store(set)
-	return true
-}
-
-// ConfigReadAt returns when this router last read the configuration, the zero time before the
-// first read.
-func (d *Directory) ConfigReadAt() time.Time {
-	if at := d.configRead.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
-}
-
 // Change is a batch of registrations.
 type Change struct {
 	Registrations []Registration
--- a/internal/pace/dealer.go
+++ b/internal/pace/dealer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -209,6 +210,7 @@
 	if left := a.bucket.available(now) - more; left > spareLevel*a.bucket.capacity {
 		more += min(ask.Spare, spareShare*left)
 	}
+	more = math.Floor(more) // messages have whole amounts
 	a.bucket.take(now, more)
 	a.dealt += ask.First + more
 	return ask.First + more
--- a/internal/pace/dealer_test.go
+++ b/internal/pace/dealer_test.go
@@ -71,3 +71,21 @@
 		}
 	}
 }
+
+// Guards against parts of a request that are dealt and get lost: amounts are whole in messages.
+func TestQuotaInRequestsIsUsed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := NewDealer()
+	d.SetQuotas(now, map[string]Quota{"w": {PerSecond: 3, Burst: 2}})
+	granted := int64(0)
+	const seconds = 100
+	for range seconds * 10 {
+		now = now.Add(100 * time.Millisecond)
+		for _, g := range d.Ask(now, &QuotaAsk{Workspace: "w", First: 1, All: 4, Spare: 2, Until: now, Light: true}) {
+			granted += int64(g.Amount)
+		}
+	}
+	is.True(granted >= 9*3*seconds/10)
+	is.True(granted <= 3*seconds+2)
+}
--- a/internal/scheduler/limits.go
+++ b/internal/scheduler/limits.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/turn"
 )
 
 const (
@@ -54,6 +56,17 @@
 	return w.req.Priority - int(now.Sub(w.since)/w.req.Ageing)
 }
 
+// claim is what a waiting request is ordered by.
+func (w *waiter) claim(now time.Time) turn.Claim {
+	return turn.Claim{
+		Rank:      w.rank(now),
+		Due:       w.req.Objective,
+		Workspace: w.req.Workspace,
+		Weight:    w.req.WorkspaceWeight,
+		Cost:      float64(max(1, w.req.PromptTokens+w.req.OutputTokens)),
+	}
+}
+
 // adapterLoadsAllowed reports whether the limit on concurrent adapter loads
 // allows another one.
 func (c *Cell) adapterLoadsAllowed(now time.Time) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -139,32 +139,6 @@
 	return slices.ContainsFunc(a.Grants, isGrant) || slices.ContainsFunc(a.Refusals, isRefusal)
 }
 
-// Outcome is the progress or the result of a granted request.
-type Outcome int
-
-// Values of Outcome.
-const (
-	// Started means that the first event arrived.
-	Started Outcome = iota
-	// Finished means that the response is complete.
-	Finished
-	// NotRun means that the engine refused the request before it ran.
-	NotRun
-	// ModelMissing means that the engine does not have the model or adapter loaded.
-	ModelMissing
-	// Failed means that the engine aborted the response or did not respond in time.
-	Failed
-	// Cancelled means that the caller disconnected or its deadline passed.
-	Cancelled
-	// EndedByEngine is Failed by the end of the engine's connection.
-	EndedByEngine
-)
-
-var outcomeNames = [...]string{"started", "finished", "not_run", "model_missing", "failed", "cancelled", "ended_by_engine"}
-
-// String returns the outcome's name.
-func (o Outcome) String() string { return outcomeNames[o] }
-
 // Options configure a Cell.
 type Options struct {
 	// Holder and Fence identify the holder of the cell's lease in orders.
@@ -311,17 +285,6 @@
 	return c.takeActions()
 }
 
-// claim is what a waiting request is ordered by.
-func (w *waiter) claim(now time.Time) turn.Claim {
-	return turn.Claim{
-		Rank:      w.rank(now),
-		Due:       w.req.Objective,
-		Workspace: w.req.Workspace,
-		Weight:    w.req.WorkspaceWeight,
-		Cost:      float64(max(1, w.req.PromptTokens+w.req.OutputTokens)),
-	}
-}
-
 // Adopt adds a request that was granted by a previous holder, or that a router
 // placed without the scheduler.
 func (c *Cell) Adopt(now time.Time, req *Request, upstreamID string, started bool) {
@@ -383,19 +346,6 @@
 	return c.takeActions()
 }
 
-// noteNotRun handles a request that the engine refused: if its adapter was
-// ordered only recently, adapters take longer to load than assumed; otherwise
-// the engine is full.
-func (c *Cell) noteNotRun(now time.Time, r *run) {
-	if r.req.Adapter != "" {
-		if a := r.engine.adapter(r.req.Model, r.req.Adapter); a != nil && now.Sub(a.loadedAt) < adapterLoadGrace {
-			c.modelOf(r.req.Model).raiseAdapterDelay()
-			return
-		}
-	}
-	r.engine.recordFull(now)
-}
-
 // Tick advances the time. It is due every few milliseconds while requests wait.
 func (c *Cell) Tick(now time.Time) Actions {
 	c.remote.tick(now)
