--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -55,6 +55,15 @@
 	return quotas
 }
 
+// QuotaStates returns how the quotas of workspaces stand, by name; nil if this router does not
+// schedule. It is safe for concurrent use.
+func (s *Scheduler) QuotaStates() map[string]pace.QuotaState {
+	if states := s.quotaStates.Load(); states != nil {
+		return *states
+	}
+	return nil
+}
+
 // tickQuotas adapts the part of the quotas that is dealt here and decides about what waits.
 func (s *Scheduler) tickQuotas(now time.Time, idle bool) {
 	bootNow := s.bootNow()
--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -132,6 +132,8 @@
 	// strongest is the processor share of the strongest connected router that
 	// reaches the store, as float64 bits.
 	strongest atomic.Uint64
+	// quotaStates is how the quotas stood at the last heartbeat; nil outside of a term.
+	quotaStates atomic.Pointer[map[string]pace.QuotaState]
 }
 
 // NewScheduler returns an inactive scheduler; Run and Start make it active.
@@ -225,6 +227,7 @@
 	s.post(func() {
 		s.active = false
 		s.fence.Store(0)
+		s.quotaStates.Store(nil)
 		s.cells = make(map[string]*scheduler.Cell)
 		for _, session := range s.sessions {
 			session.disconnect()
@@ -294,6 +297,8 @@
 	if now.Sub(s.lastHeartbeat) >= heartbeatInterval {
 		s.lastHeartbeat = now
 		s.pace.Prune(now)
+		states := s.dealer.States(now)
+		s.quotaStates.Store(&states)
 		s.sendHeartbeats()
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -4,7 +4,10 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -13,6 +16,7 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
 const (
@@ -55,6 +59,9 @@
 	engineCrashes  expvar.Int
 	blockedPrompts expvar.Int
 
+	// quotas returns how quotas stand on the router that schedules; nil for none.
+	quotas func() map[string]pace.QuotaState
+
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram // microseconds
 }
@@ -127,6 +134,7 @@
 	m.workspaceCosts.Do(func(kv expvar.KeyValue) {
 		fmt.Fprintf(w, "workspace_cost_total{%s} %s\n", kv.Key, kv.Value)
 	})
+	m.writeQuotas(w)
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
@@ -150,6 +158,20 @@
 	m.writeHistograms(w)
 }
 
+func (m *Metrics) writeQuotas(w io.Writer) {
+	if m.quotas == nil {
+		return
+	}
+	states := m.quotas()
+	for _, name := range slices.Sorted(maps.Keys(states)) {
+		state := states[name]
+		fmt.Fprintf(w, "quota_per_second{workspace=%q} %g\n", name, state.PerSecond)
+		fmt.Fprintf(w, "quota_left{workspace=%q} %g\n", name, state.Left)
+		fmt.Fprintf(w, "quota_dealt{workspace=%q} %g\n", name, state.Dealt)
+		fmt.Fprintf(w, "quota_refusals{workspace=%q} %d\n", name, state.Refused)
+	}
+}
+
 func (m *Metrics) writeHistograms(w http.ResponseWriter) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -101,6 +101,7 @@
 		Blocklist:    p.blocklist,
 		Log:          p.log,
 	})
+	p.metrics.quotas = p.scheduler.QuotaStates
 	p.client = cell.NewClient(cell.ClientOptions{
 		Host:           settings.Host,
 		BootID:         bootID,
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -235,6 +235,14 @@
 	is.Equal(router.sendTokens(t, "/once/a", "many").status, http.StatusOK) // costs 100
 	refused := router.sendTokens(t, "/once/a", "150")
 	is.Equal(refused.status, http.StatusTooManyRequests)
+	router.waitUntil(t, func() bool {
+		resp, err := http.Get(router.metrics)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		return strings.Contains(string(text), `quota_per_second{workspace="port-office"} 10`) && strings.Contains(string(text), `workspace_requests_total{workspace="port-office",outcome="over_quota"} 1`)
+	})
 	is.True(refused.header.Get("Retry-After") > "0.5" && refused.header.Get("Retry-After") != "0.000")
 	is.Equal(up.runs(), 2)
 	is.Equal(router.sendTokens(t, "/public/a", "50").status, http.StatusOK) // the caller's key counts there too
