workspace: a relayed list of workspaces only takes keys away

Change: keys that a newer configuration adds wait for the configuration itself; those that it takes away end at once.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -349,7 +349,7 @@
 		TimeLeft:    cr.timeLeft(),
 		Priority:    priority,
 		ResumeAfter: cr.resumeAfter(),
-		Guarded:     cr.handler.directory.Load().Workspaces.AsksForKeys(),
+		Guarded:     cr.handler.directory.Load().AsksForKeys(),
 		Workspace:   workspaceName(cr.workspace),
 	})
 	return &exchange.Request{
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -183,11 +183,13 @@
 
 // fakeSource is a fleet.Source with a fixed configuration and fixed upstreams.
 type fakeSource struct {
-	config    *fleet.Config
-	upstreams []*upstream
-	mu        sync.Mutex
-	draining  map[string]bool
-	version   int64
+	config *fleet.Config
+	// workspaces are those of the configuration, nil for none.
+	workspaces *workspace.Set
+	upstreams  []*upstream
+	mu         sync.Mutex
+	draining   map[string]bool
+	version    int64
 }
 
 // remove drops an upstream from the list.
@@ -299,6 +301,7 @@
 	t.Helper()
 	spec := &fleet.EngineSpec{Slots: 8, KVTokens: 10_000, MemoryMB: 100, AdapterSlots: 1, Models: map[string]fleet.Model{"m": {Name: "m", MemoryMB: 10}, "absent": {Name: "absent", MemoryMB: 1000}}}
 	source.config = fleet.NewConfig(3, testRoutes, map[string]fleet.Service{"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: spec}}, fleet.Limits{BodyBytes: 1000})
+	source.config.Workspaces = source.workspaces
 	settings := Settings{
 		Host: host, FailureDomain: "a", CallerAddr: testaddr.Free(t), ReadyAddr: testaddr.Free(t), PeerAddr: testaddr.Free(t), MetricsAddr: testaddr.Free(t),
 		StopGrace: 2 * time.Second, LeaseTime: 3 * time.Second, EnginesCheckFence: true, RetryShare: 10,
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -27,7 +27,7 @@
 		cr.refuseKey("no workspace holds the caller's key: send a valid one as a bearer token")
 		return false
 	}
-	if snapshot.Workspaces.AsksForKeys() && !cr.route.Public && cr.handler.keysAreStale() {
+	if snapshot.AsksForKeys() && !cr.route.Public && cr.handler.keysAreStale() {
 		cr.refuse(staleKeysRetryDelay, "this router can't know which keys are withdrawn: it has had no news of the configuration for too long")
 		return false
 	}
@@ -44,11 +44,11 @@
 // keyHolder returns the workspace of the caller, nil without one. ok is false if the caller needs
 // a key that a workspace holds.
 func (cr *callerRequest) keyHolder(snapshot *fleet.Snapshot) (holder *workspace.Workspace, ok bool) {
-	if !snapshot.Workspaces.AsksForKeys() {
+	if !snapshot.AsksForKeys() {
 		return nil, true
 	}
 	if cr.call.HasKey {
-		holder = snapshot.Workspaces.Holder(cr.call.Key)
+		holder = snapshot.KeyHolder(cr.call.Key)
 	}
 	return holder, holder != nil || cr.route.Public
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -59,7 +59,7 @@
 type Snapshot struct {
 	Config *Config
 	// Workspaces are those of the newest configuration that this router knows of, which may be
-	// newer than Config. It is never nil once Config is known.
+	// newer than Config. It is never nil once Config is known. See KeyHolder.
 	Workspaces *workspace.Set
 	// Upstreams maps ids to the known upstreams, draining ones included.
 	Upstreams map[string]*Upstream
@@ -84,6 +84,23 @@
 	return removed
 }
 
+// AsksForKeys reports whether callers need a key.
+func (s *Snapshot) AsksForKeys() bool { return s.Config != nil && s.Config.Workspaces.AsksForKeys() }
+
+// KeyHolder returns the workspace that holds a key, nil for none. Workspaces of a newer configuration
+// only take keys away: a router that let new ones in would show callers a version whose routes it does
+// not have.
+func (s *Snapshot) KeyHolder(key workspace.Key) *workspace.Workspace {
+	holder := s.Config.Workspaces.Holder(key)
+	if holder == nil || s.Workspaces.Version <= s.Config.Version || !s.Workspaces.AsksForKeys() {
+		return holder
+	}
+	if newer := s.Workspaces.Holder(key); newer == nil || newer.Name != holder.Name {
+		return nil
+	}
+	return holder
+}
+
 // Usable returns the upstream if new work may be sent to it.
 func (s *Snapshot) Usable(id string) (*Upstream, bool) {
 	up := s.Upstreams[id]
