One piece of code where the change had written a second

- cell: broadcast sends to all connected routers, for the blocklist and for workspaces; quotas take the connected routers from routers().
- entry: one loop with a ticker (every); one table for the counters with labels; one comparison of a caller's key with its workspace (recheckKey).
- pace: one choice of routers by hash (isAmong), one time for an amount at a rate (timeFor).
Two comments described earlier code. quotaRefusal and allowanceTTL are not used outside of their packages.
- fleet: the newer of two sets of workspaces is workspace.Newer, which only a test called.

--- a/internal/cell/blocklist.go
+++ b/internal/cell/blocklist.go
@@ -131,12 +131,7 @@
 
 // relayBlocklist sends the blocked prompts of all services to all routers.
 func (s *Scheduler) relayBlocklist() {
-	reply := s.blocklistReply()
-	for _, session := range s.sessions {
-		if session.synced {
-			session.reply(reply)
-		}
-	}
+	s.broadcast(s.blocklistReply())
 }
 
 func (s *Scheduler) blocklistReply() *apiv1.SchedulerReply {
--- a/internal/cell/quota_client.go
+++ b/internal/cell/quota_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
@@ -12,8 +13,8 @@
 // unless it has lost the question.
 const quotaAnswerTimeout = time.Second
 
-// QuotaRefusal is why a request was refused that its workspace's quota has no room for.
-const QuotaRefusal = "the workspace's quota has no room for the request"
+// quotaRefusal is why a request was refused that its workspace's quota has no room for.
+const quotaRefusal = "the workspace's quota has no room for the request"
 
 // quotaKey names the light requests of a workspace, or the others.
 type quotaKey struct {
@@ -77,7 +78,7 @@
 		return ErrNoScheduler
 	}
 	if delay := c.opts.Quotas.RefusedFor(now, key.workspace, request.cost); delay > 0 {
-		return &RefusedError{RetryAfter: delay, Reason: QuotaRefusal}
+		return &RefusedError{RetryAfter: delay, Reason: quotaRefusal}
 	}
 	wait := c.quotaWaits[key]
 	if wait == nil {
@@ -99,16 +100,15 @@
 	if wait == nil {
 		return false
 	}
-	for i, other := range wait.requests {
-		if other == request {
-			wait.requests = append(wait.requests[:i], wait.requests[i+1:]...)
-			if len(wait.requests) == 0 {
-				delete(c.quotaWaits, key)
-			}
-			return true
-		}
+	i := slices.Index(wait.requests, request)
+	if i < 0 {
+		return false
+	}
+	wait.requests = slices.Delete(wait.requests, i, i+1)
+	if len(wait.requests) == 0 {
+		delete(c.quotaWaits, key)
 	}
-	return false
+	return true
 }
 
 // askQuotaLocked asks the scheduler for what the requests of a workspace need.
@@ -153,7 +153,7 @@
 			decision.spent = spent
 		} else {
 			delay := c.opts.Quotas.Refuse(now, name, request.cost, microseconds(grant.GetRetryAfterUs()))
-			decision.err = &RefusedError{RetryAfter: delay, Reason: QuotaRefusal}
+			decision.err = &RefusedError{RetryAfter: delay, Reason: quotaRefusal}
 		}
 		request.decided <- decision
 		wait.requests = wait.requests[1:]
--- a/internal/cell/quotas.go
+++ b/internal/cell/quotas.go
@@ -72,14 +72,11 @@
 	}
 	s.lastTick = bootNow
 	if idle {
-		connected := 0
-		for _, session := range s.sessions {
-			if session.synced {
-				connected++
-				s.quotaRouters.seenAt[session.router] = now
-			}
+		routers := s.routers()
+		for _, router := range routers {
+			s.quotaRouters.seenAt[router] = now
 		}
-		s.dealer.SetPart(now, pace.Part(s.quotaRouters.inputs(now, connected, s.opts.LeaseFresh())))
+		s.dealer.SetPart(now, pace.Part(s.quotaRouters.inputs(now, len(routers), s.opts.LeaseFresh())))
 	}
 	s.replyQuotas(s.dealer.Tick(now))
 }
--- a/internal/cell/routers.go
+++ b/internal/cell/routers.go
@@ -59,6 +59,15 @@
 	return session
 }
 
+// broadcast sends a message to all routers that are connected.
+func (s *Scheduler) broadcast(reply *apiv1.SchedulerReply) {
+	for _, session := range s.sessions {
+		if session.synced {
+			session.reply(reply)
+		}
+	}
+}
+
 func (s *session) detach() {
 	s.owner.post(func() { s.owner.handleDetach(s) })
 }
--- a/internal/cell/workspaces.go
+++ b/internal/cell/workspaces.go
@@ -19,12 +19,7 @@
 	if set.Equal(told) || !set.AsksForKeys() && !told.AsksForKeys() {
 		return
 	}
-	reply := workspacesReply(set)
-	for _, session := range s.sessions {
-		if session.synced {
-			session.reply(reply)
-		}
-	}
+	s.broadcast(workspacesReply(set))
 }
 
 // tellWorkspaces tells a router that has just connected of the workspaces if its own are older.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -116,24 +116,19 @@
 // ServeHTTP writes the metrics as text, one "name value" per line.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	m.outcomes.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "requests_total{outcome=%q} %s\n", kv.Key, kv.Value)
-	})
-	m.results.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "sends_total{result=%q} %s\n", kv.Key, kv.Value)
-	})
-	m.sourceReads.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "source_reads_total{%s} %s\n", kv.Key, kv.Value)
-	})
-	m.limitedRequests.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "limited_requests_total{result=%q} %s\n", kv.Key, kv.Value)
-	})
-	m.workspaceRequests.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "workspace_requests_total{%s} %s\n", kv.Key, kv.Value)
-	})
-	m.workspaceCosts.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "workspace_cost_total{%s} %s\n", kv.Key, kv.Value)
-	})
+	for _, vector := range []struct {
+		format string // of a label's value, or of all labels, and the counter
+		values *expvar.Map
+	}{
+		{"requests_total{outcome=%q} %s\n", m.outcomes},
+		{"sends_total{result=%q} %s\n", m.results},
+		{"source_reads_total{%s} %s\n", m.sourceReads},
+		{"limited_requests_total{result=%q} %s\n", m.limitedRequests},
+		{"workspace_requests_total{%s} %s\n", m.workspaceRequests},
+		{"workspace_cost_total{%s} %s\n", m.workspaceCosts},
+	} {
+		vector.values.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, vector.format, kv.Key, kv.Value) })
+	}
 	m.writeQuotas(w)
 	for _, counter := range []struct {
 		name  string
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -313,18 +313,25 @@
 }
 
 func (p *Process) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	every(ctx, sweepInterval, func() {
+		p.deps.Pool.Sweep()
+		p.handler.pauses.prune()
+		p.handler.budgets.setRouters(p.client.Routers())
+		p.handler.notices.limits.Prune(time.Now())
+		p.handler.balancer.prune(p.directory.Load().Upstreams)
+	})
+}
+
+// every calls a function at intervals until ctx is done.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			p.deps.Pool.Sweep()
-			p.handler.pauses.prune()
-			p.handler.budgets.setRouters(p.client.Routers())
-			p.handler.notices.limits.Prune(time.Now())
-			p.handler.balancer.prune(p.directory.Load().Upstreams)
+			do()
 		}
 	}
 }
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -110,14 +110,5 @@
 
 // returnQuotas gives back what was dealt and not spent, until ctx is done.
 func (p *Process) returnQuotas(ctx context.Context) {
-	ticker := time.NewTicker(quotaReturnInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			p.client.ReturnUnspentQuotas(time.Now())
-		}
-	}
+	every(ctx, quotaReturnInterval, func() { p.client.ReturnUnspentQuotas(time.Now()) })
 }
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -53,11 +53,17 @@
 	return holder, holder != nil || cr.route.Public
 }
 
+// recheckKey reports whether the caller's key is valid now, or none is needed, and whether the
+// request still is that of its workspace.
+func (cr *callerRequest) recheckKey() (valid, same bool) {
+	holder, ok := cr.keyHolder(cr.handler.directory.Load())
+	return ok, ok && workspaceName(holder) == workspaceName(cr.workspace)
+}
+
 // checkKey returns errKeyWithdrawn if the caller may no longer send the request for its
 // workspace.
 func (cr *callerRequest) checkKey() error {
-	holder, ok := cr.keyHolder(cr.handler.directory.Load())
-	if !ok || workspaceName(holder) != workspaceName(cr.workspace) {
+	if _, same := cr.recheckKey(); !same {
 		return errKeyWithdrawn
 	}
 	return nil
@@ -107,14 +113,14 @@
 		cr.refuse(stopRetryDelay, errStopping.Error())
 		return true
 	}
-	holder, ok := cr.keyHolder(cr.handler.directory.Load())
+	valid, same := cr.recheckKey()
 	switch {
-	case !ok:
-		cr.refuseKey(errKeyWithdrawn.Error())
-	case workspaceName(holder) != workspaceName(cr.workspace):
+	case same:
+		return false
+	case valid:
 		cr.refuse(minRetryDelay, errKeyWithdrawn.Error())
 	default:
-		return false
+		cr.refuseKey(errKeyWithdrawn.Error())
 	}
 	return true
 }
--- a/internal/fleet/directory_config.go
+++ b/internal/fleet/directory_config.go
@@ -32,11 +32,10 @@
 }
 
 func (d *Directory) setWorkspaces(set *workspace.Set) bool {
-	if known := d.workspaces.Load(); known != nil && known.Version >= set.Version {
-		return false
-	}
-	d.workspaces.Store(set)
-	return true
+	known := d.workspaces.Load()
+	newest := workspace.Newer(known, set)
+	d.workspaces.Store(newest)
+	return newest != known
 }
 
 // ConfigReadAt returns when this router last read the configuration, the zero time before the
--- a/internal/pace/allowances.go
+++ b/internal/pace/allowances.go
@@ -1,7 +1,6 @@
 package pace
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -32,8 +31,8 @@
 }
 
 // Allowances are what this router may spend of the quotas of workspaces. A dealer deals them; while
-// none is connected, the router spends half of its part of each quota. It is safe for concurrent
-// use.
+// none is connected, the router spends aloneShare of its part of each quota. It is safe for
+// concurrent use.
 type Allowances struct {
 	host      string
 	tolerance Tolerance
@@ -51,7 +50,7 @@
 	expiresAt time.Time
 	// fence is that of the dealer who dealt it.
 	fence int64
-	// slot is the number of the current slot, spent what was spent in it and spentBefore in the
+	// slotAt is when the current slot began, spent what was spent in it and spentBefore in the
 	// one before.
 	slotAt             time.Time
 	spent, spentBefore float64
@@ -192,7 +191,7 @@
 		account.left, account.fence = 0, fence
 	}
 	account.left += amount
-	account.expiresAt = now.Add(AllowanceTTL)
+	account.expiresAt = now.Add(allowanceTTL)
 	account.refusedUntil = time.Time{}
 }
 
@@ -222,11 +221,7 @@
 }
 
 func (a *allowance) comeBack(now time.Time, cost float64, wait time.Duration) time.Duration {
-	interval := maxReturn
-	if a.quota.PerSecond > 0 {
-		interval = min(maxReturn, time.Duration(cost/a.quota.PerSecond*float64(time.Second)))
-	}
-	return a.returns.next(now, wait, interval)
+	return a.returns.next(now, wait, timeFor(cost, a.quota.PerSecond))
 }
 
 // TakeAlone spends a cost without a dealer and reports whether this router's own part had it. A
@@ -238,11 +233,8 @@
 	if account == nil || account.quota.PerSecond <= 0 || a.routers == 0 {
 		return false
 	}
-	if cost > account.alone.capacity {
-		holders := a.aloneBurst(account.quota) / cost
-		if float64(weight(workspace, a.host))/math.MaxUint64 >= holders/float64(a.routers) {
-			return false
-		}
+	if cost > account.alone.capacity && !isAmong(a.aloneBurst(account.quota)/cost, float64(a.routers), workspace, a.host) {
+		return false
 	}
 	return account.alone.take(now, cost)
 }
--- a/internal/pace/bucket.go
+++ b/internal/pace/bucket.go
@@ -59,10 +59,15 @@
 	if missing <= 0 {
 		return 0
 	}
-	if b.rate <= 0 || missing/b.rate > maxReturn.Seconds() {
+	return max(time.Nanosecond, timeFor(missing, b.rate))
+}
+
+// timeFor returns the time that an amount takes at a rate per second, at most maxReturn.
+func timeFor(amount, rate float64) time.Duration {
+	if rate <= 0 || amount/rate > maxReturn.Seconds() {
 		return maxReturn
 	}
-	return max(time.Nanosecond, time.Duration(missing/b.rate*float64(time.Second)))
+	return time.Duration(amount / rate * float64(time.Second))
 }
 
 // returns spreads the times at which refused requests may come back.
--- a/internal/pace/dealer.go
+++ b/internal/pace/dealer.go
@@ -10,8 +10,8 @@
 const (
 	// minBurstTime is the time whose amount a quota with a smaller burst allows at once.
 	minBurstTime = 250 * time.Millisecond
-	// AllowanceTTL is how long a router may spend what it was dealt.
-	AllowanceTTL = 500 * time.Millisecond
+	// allowanceTTL is how long a router may spend what it was dealt.
+	allowanceTTL = 500 * time.Millisecond
 	// spareLevel is the part of its burst that a quota must have left for routers to be dealt
 	// more than they need now, spareShare the part of the rest that one of them gets.
 	spareLevel = 0.5
@@ -54,7 +54,7 @@
 type QuotaGrant struct {
 	To        uint64
 	Workspace string
-	// Amount may be spent within AllowanceTTL; 0 for a refusal.
+	// Amount may be spent within allowanceTTL; 0 for a refusal.
 	Amount float64
 	// RetryAfter is when the refused request may come back.
 	RetryAfter time.Duration
@@ -183,8 +183,8 @@
 			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, Amount: a.deal(now, ask), Light: ask.Light})
 		case now.Add(wait).After(ask.Until):
 			a.refused++
-			interval := time.Duration(ask.All / max(a.bucket.rate, 1e-9) * float64(time.Second))
-			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, RetryAfter: a.returns.next(now, wait, min(interval, maxReturn)), Light: ask.Light})
+			retryAfter := a.returns.next(now, wait, timeFor(ask.All, a.bucket.rate))
+			grants = append(grants, QuotaGrant{To: ask.From, Workspace: ask.Workspace, RetryAfter: retryAfter, Light: ask.Light})
 		default:
 			ahead += ask.First
 			kept = append(kept, ask)
--- a/internal/pace/quota_fleet_test.go
+++ b/internal/pace/quota_fleet_test.go
@@ -329,7 +329,7 @@
 			case "down":
 				f.check(t, from)
 				f.setQuota(Quota{f.quota.PerSecond / 4, f.quota.Burst / 4})
-				f.run(AllowanceTTL, demand, at)
+				f.run(allowanceTTL, demand, at)
 				from = len(f.spent)
 			case "up":
 				f.check(t, from)
--- a/internal/pace/shares.go
+++ b/internal/pace/shares.go
@@ -35,12 +35,18 @@
 // routers take one as with Shares.
 func ownShare(upstreamID, router string, perSecond float64, routers int) float64 {
 	holders := min(shareHolders(perSecond), routers)
-	if float64(weight(upstreamID, router))/math.MaxUint64 > float64(holders)/float64(routers) {
+	if !isAmong(float64(holders), float64(routers), upstreamID, router) {
 		return 0
 	}
 	return perSecond / float64(holders)
 }
 
+// isAmong reports whether a router is one of those that a hash of id chooses: on average holders of
+// all routers.
+func isAmong(holders, routers float64, id, router string) bool {
+	return float64(weight(id, router))/math.MaxUint64 <= holders/routers
+}
+
 // weight orders the routers of an upstream (rendezvous hashing).
 func weight(upstreamID, router string) uint64 {
 	return xxhash.Sum64String(upstreamID + "\x00" + router)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -381,22 +381,3 @@
 	})
 	return http.StatusAccepted, ""
 }
-
-// reserve reports whether mib of memory are free for a load and counts the peak. A
-// load that does not fit crashes the engine. The caller holds mu.
-func (e *Engine) reserve(b *boot, mib uint32) bool {
-	need := mib
-	for _, loaded := range b.models {
-		need += loaded.memory
-		for _, adapter := range loaded.adapters {
-			need += adapter.memory
-		}
-	}
-	if need <= e.options.MemoryMiB {
-		e.counts.PeakMemoryMiB = max(e.counts.PeakMemoryMiB, int64(need))
-		return true
-	}
-	e.counts.OvercommitAttempts++
-	e.restartLocked()
-	return false
-}
