--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -89,9 +89,14 @@
 
 // startWithLog starts a daemon process that writes its log to logs, which is closed here.
 func startWithLog(t testing.TB, role, name, path string, logs *os.File) *process {
+	t.Helper()
+	return startProgram(t, daemonBinary, role, name, path, logs)
+}
+
+func startProgram(t testing.TB, binary, role, name, path string, logs *os.File) *process {
 	t.Helper()
 	p := &process{t: t, name: name, done: make(chan struct{})}
-	p.cmd = exec.Command(daemonBinary, role, "--settings", path)
+	p.cmd = exec.Command(binary, role, "--settings", path)
 	p.cmd.Stdout, p.cmd.Stderr = logs, logs
 	err := p.cmd.Start()
 	_ = logs.Close()
@@ -221,6 +226,12 @@
 }
 
 func (d *deployment) addRouter(i int, fences bool) {
+	cfg := d.newRouterSettings(i, fences)
+	d.routers = append(d.routers, startProcess(d.t, d.dir, "router", cfg.GetHost(), cfg))
+}
+
+// newRouterSettings adds a router to the host list and returns its settings.
+func (d *deployment) newRouterSettings(i int, fences bool) *apiv1.RouterSettings {
 	host := external.Host{ID: fmt.Sprintf("router-%d", i), Role: external.RoleRouter, Address: testaddr.Free(d.t), OperatorAddress: testaddr.Free(d.t), FailureDomain: "a"}
 	d.cluster.Hosts.Add(host)
 	cfg := &apiv1.RouterSettings{
@@ -233,7 +244,7 @@
 		Security:           d.security,
 	}
 	d.routerSettings = append(d.routerSettings, cfg)
-	d.routers = append(d.routers, startProcess(d.t, d.dir, "router", host.ID, cfg))
+	return cfg
 }
 
 // restartRouter starts a router again after it has exited.
