listener: heads count before they are parsed

Callers saw a router that ran out of memory while heads of legal size, made of many short lines, stopped short of their end or came all at once.

Cause: a request was accounted for in its handler. Until then net/http keeps each line, with some 110 bytes beside its text, for up to 10 s; a head of 31 KiB is some 500 KB. The refusal did not help either: net/http keeps the request while its connection lingers.

Now the connection is accounted for, from its acceptance to its close. A head without room gets the refusal of a request that has not run, and its connection lingers without the request. A holder that grows waits until those that make room have really given back theirs, so that memory on its way out is not spent twice; holders of more than 64 KiB leave a quarter of the budget to ordinary requests.

--- a/internal/entry/callerserver_test.go
+++ b/internal/entry/callerserver_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/listener"
 )
 
 // lingeringListener stays in Accept for a while after it was closed.
@@ -27,9 +29,9 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	l := lingeringListener{inner, make(chan struct{})}
-	s := newCallerServer(http.NotFoundHandler(), nil, l)
+	s := newCallerServer(listener.New(l, nil, nil), http.NotFoundHandler(), nil)
 	served := make(chan error, 1)
-	go func() { served <- s.serve() }()
+	go func() { served <- s.Serve() }()
 	time.Sleep(50 * time.Millisecond) // serve has the listener
 	time.AfterFunc(100*time.Millisecond, func() { close(l.release) })
 	is.NoErr(s.close(time.Now()))
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -52,7 +52,6 @@
 	budgets   *retryBudgets
 	keyWaits  keyWaits
 	quotas    *pace.Allowances
-	memory    *memory.Budget
 	log       *Log
 	// stopAt is when the process began to stop, nil before. The pointer keeps the
 	// monotonic clock reading, so that a step of the wall clock does not matter.
@@ -103,7 +102,6 @@
 		notices:   opts.Notices,
 		budgets:   newRetryBudgets(opts.Settings.RetryShare),
 		quotas:    opts.Quotas,
-		memory:    memory.NewBudget(int64(callerMemoryShare * float64(opts.Settings.MemoryBytes))),
 		log:       opts.Log,
 	}
 	h.reloadable.Store(newReloadable(opts.Settings))
@@ -127,7 +125,7 @@
 	service    fleet.Service
 	budget     *retry.Budget
 	body       []byte
-	// hold is the memory that the request takes.
+	// hold accounts for the memory of the caller's connection.
 	hold      *memory.Hold
 	arrivedAt time.Time
 	// objective is when the first byte is expected, deadline when the response must be
@@ -163,7 +161,7 @@
 	if h.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
-	cr := &callerRequest{handler: h, w: w, r: r, arrivedAt: time.Now()}
+	cr := &callerRequest{handler: h, w: w, r: r, hold: memory.HoldOf(r.Context()), arrivedAt: time.Now()}
 	cr.call = h.dialect.ReadCall(r)
 	cr.record = RequestRecord{ID: cr.call.ID, Model: cr.call.Model, Adapter: cr.call.Adapter}
 	if cr.call.ID != "" {
@@ -173,8 +171,7 @@
 		cr.settleQuota()
 		h.log.Request(&cr.record, time.Since(cr.arrivedAt))
 	}()
-	defer func() { cr.hold.Close() }()
-	if cr.openHold() && cr.prepare() {
+	if cr.prepare() {
 		cr.serve()
 	}
 }
@@ -253,7 +250,7 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := cr.readAll(http.MaxBytesReader(cr.w, cr.r.Body, limit))
+	body, err := cr.hold.ReadAll(http.MaxBytesReader(cr.w, cr.r.Body, limit), cr.r.ContentLength)
 	if errors.Is(err, memory.ErrExhausted) {
 		cr.refuseForMemory()
 		return false
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -47,7 +48,7 @@
 func servePattern(ctx context.Context, l net.Listener, pattern string, handler http.Handler) error {
 	mux := http.NewServeMux()
 	mux.Handle(pattern, handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // ends Serve
 	defer stop()
 	return serveHTTP(server, l)
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,14 +12,15 @@
 	"github.com/matryer/is"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/memory"
+	"github.com/ragwortdoor/ragwortdoor/internal/tabletest"
 )
 
 // A body that stops short of its end must not keep others out, and a refusal is one that has not run.
 func TestBodiesAtRestMakeRoom(t *testing.T) {
 	is := is.New(t)
 	up := newUpstream(t, "plain-1", respond(http.StatusOK, "done"))
-	router := start(t, up)
-	router.process.handler.memory = memory.NewBudget(100 << 10)
+	const limit = 200 << 10
+	router := startWithMemory(t, limit, up)
 	for range 10 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(router.url, "http://"))
 		is.NoErr(err)
@@ -26,12 +28,38 @@
 		_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\nId: rest\r\nTimeout: 20000\r\nContent-Length: 4\r\n\r\nbod")
 		is.NoErr(err)
 	}
-	router.waitUntil(t, func() bool { used, _ := router.process.handler.memory.Use(); return used > 60<<10 })
+	router.waitUntil(t, func() bool { return router.process.memory.Use().Bytes > limit-(40<<10) })
 	time.Sleep(2 * memory.MinIdle)
 	is.Equal(router.send(t, "/once/a", "", callerTimeout).status, http.StatusOK)
-	router.process.handler.memory = memory.NewBudget(1)
-	refused := router.send(t, "/once/a", "", callerTimeout)
-	is.Equal(refused.status, http.StatusServiceUnavailable)
-	is.True(refused.header.Get("Retry-After") != "")
 	is.Equal(up.runs(), 1)
 }
+
+// A request for whose head there is no room gets the refusal of one that has not run, also while its
+// caller still sends.
+func TestHeadsWithoutRoomAreRefused(t *testing.T) {
+	is := is.New(t)
+	up := newUpstream(t, "plain-1", respond(http.StatusOK, "done"))
+	router := startWithMemory(t, 200<<10, up)
+	req, err := http.NewRequest(http.MethodPost, router.url+"/once/a", strings.NewReader(strings.Repeat("x", 900)))
+	is.NoErr(err)
+	req.Header.Set("Id", "r-1")
+	for i := range 1000 {
+		req.Header.Set("Line-"+strconv.Itoa(i), "1")
+	}
+	refused := exchangeOnce(req, callerTimeout)
+	is.NoErr(refused.err)
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.Equal(refused.header.Get("Retry-After"), "0.500")
+	is.Equal(up.runs(), 0)
+	is.Equal(router.send(t, "/once/a", "", callerTimeout).status, http.StatusOK)
+	router.waitUntil(t, func() bool { return router.process.memory.Use().Holders == 0 })
+}
+
+// startWithMemory starts a router whose callers may take limit bytes.
+func startWithMemory(t *testing.T, limit int64, upstreams ...*upstream) *testRouter {
+	t.Helper()
+	source := &fakeSource{upstreams: upstreams, draining: map[string]bool{}}
+	return startRouter(t, "entry-1", tabletest.New(), source, fakeEngines{}, testDialect{}, func(d *Deps) {
+		d.Memory = memory.NewBudget(memory.Limits{Bytes: limit})
+	})
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -18,6 +18,8 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/listener"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/transport"
 	"github.com/ragwortdoor/ragwortdoor/internal/workspace"
@@ -25,10 +27,6 @@
 
 const (
 	sweepInterval = time.Second
-	// callerIdleTimeout limits how long a caller's connection may stay unused.
-	callerIdleTimeout = 2 * time.Minute
-	// headerTimeout limits the time to read a request's head.
-	headerTimeout = 10 * time.Second
 	// stopMargin is how long before the end of StopGrace the process exits by itself.
 	stopMargin = 300 * time.Millisecond
 	// drainDelayShare is the drain delay as a fraction of StopGrace if the settings give
@@ -48,6 +46,8 @@
 	Engines fleet.Engines
 	Pool    *exchange.Pool
 	Log     *decisionlog.Logger
+	// Memory bounds what others make the process hold; nil for bounds by the settings.
+	Memory *memory.Budget
 	// Credentials secure the connections between routers, CallerTLS those of callers;
 	// the zero values mean no TLS, for trusted networks.
 	Credentials transport.Credentials
@@ -61,6 +61,7 @@
 	settings  Settings
 	deps      Deps
 	metrics   *Metrics
+	memory    *memory.Budget
 	log       *Log
 	directory *fleet.Directory
 	handler   *Handler
@@ -82,6 +83,9 @@
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
 	setMemoryLimit(settings.MemoryBytes)
+	if p.memory = deps.Memory; p.memory == nil {
+		p.memory = newMemoryBudget(settings)
+	}
 	bootID := rand.Text()
 	quotas := pace.NewAllowances(settings.Host, settings.QuotaTolerance)
 	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
@@ -254,10 +258,14 @@
 // address can't be used or a server fails.
 func (p *Process) Run(ctx context.Context) error {
 	p.deps.Log.Info("start", "host", p.settings.Host, "domain", p.settings.FailureDomain, "callers", p.settings.CallerAddr, "peers", p.settings.PeerAddr)
-	callers, err := listen(p.settings.CallerAddr)
+	callers, err := listener.Listen(p.settings.CallerAddr, p.memory, p.deps.CallerTLS)
 	if err != nil {
 		return err
 	}
+	refusal, err := headRefusal(p.deps.Dialect)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
 	peers, err := transport.Listen(p.settings.PeerAddr, p.deps.Credentials, p.scheduler.Serve)
 	if err != nil {
 		return err
@@ -266,8 +274,8 @@
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	group, background := errgroup.WithContext(background)
-	callerServer := newCallerServer(p.callerHandler(), p.deps.CallerTLS, callers)
-	group.Go(callerServer.serve)
+	callerServer := newCallerServer(callers, p.callerHandler(), refusal)
+	group.Go(callerServer.Serve)
 	group.Go(func() error { return peers.Serve(background) })
 	for _, run := range []func(context.Context){p.follower.RunConfig, p.follower.RunUpstreams, p.scheduler.Run, p.client.Run, p.election.Run, p.blocklistStore.Run, p.sweep, p.returnQuotas} {
 		group.Go(func() error { run(background); return nil })
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,6 +1,7 @@
-// Package memory bounds the bytes that a process holds for others that may keep it waiting: requests
-// as they are read and responses that are not read. When the bound is reached, those that have stood
-// still longest make room, or else the largest.
+// Package memory bounds the bytes that a process holds for others that may keep it waiting, and the
+// number of their connections: heads and bodies as they are read, responses that are not read. When
+// the bound is reached, connections at rest make room: the one that has stood still longest, or else
+// the largest.
 package memory
 
 import (
@@ -9,112 +10,120 @@
 	"time"
 )
 
-// MinIdle is how long a holder must have stood still to make room for a smaller one.
-const MinIdle = 300 * time.Millisecond
+const (
+	// MinIdle is how long a holder must have stood still to make room for a larger one.
+	MinIdle = 300 * time.Millisecond
+	// smallBytes is what a holder takes at most to use all of the budget. Larger ones leave
+	// smallReserve of it free, so that ordinary requests pass beside large ones.
+	smallBytes   = 64 << 10
+	smallReserve = 0.25
+)
 
 // ErrExhausted means that the budget has no room, and that no other holder could make any.
 var ErrExhausted = errors.New("this router holds as many bytes for callers as it may: come back later, or send less at once")
 
-// Budget is a number of bytes that holders share. It is safe for concurrent use.
-type Budget struct {
-	limit int64 // 0 for no limit
-
-	mu      sync.Mutex
-	used    int64
-	holders map[*Hold]struct{}
-	evicted int64
+// Limits bound a Budget.
+type Limits struct {
+	// Bytes and Holders are the most that all holders take and how many there are; 0 for no
+	// limit.
+	Bytes   int64
+	Holders int
 }
 
-// NewBudget returns a budget of limit bytes; 0 is no limit.
-func NewBudget(limit int64) *Budget {
-	return &Budget{limit: limit, holders: make(map[*Hold]struct{})}
+// Use is how a budget is used.
+type Use struct {
+	Limits
+	Bytes   int64
+	Holders int
+	// Evicted counts the holders that had to make room so far, Refused those that found none.
+	Evicted, Refused int64
 }
 
-// Hold is what one request holds. It is not safe for concurrent use.
-type Hold struct {
-	budget *Budget
-	evict  func()
-	// The rest belongs to the budget's lock.
-	bytes      int64
-	progressAt time.Time
-	// atRest is set while the other side keeps the holder waiting.
-	atRest  bool
-	evicted bool
+// Budget is what holders share. It is safe for concurrent use.
+type Budget struct {
+	limits Limits
+
+	mu sync.Mutex
+	// released is broadcast when bytes were given back or a holder was evicted.
+	released *sync.Cond
+	holders  map[*Hold]struct{}
+	used     int64
+	// leaving is the part of used that belongs to evicted holders, which give it back soon,
+	// and evictedOpen their number. awaited is what waits for it.
+	leaving, awaited int64
+	evictedOpen      int
+	evicted, refused int64
 }
 
-// Open returns a hold of no bytes. evict is called, on another holder's goroutine, when it has to make
-// room; it must end the request and return at once.
-func (b *Budget) Open(evict func()) *Hold {
-	h := &Hold{budget: b, evict: evict}
-	if b.limit <= 0 {
-		return h
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	h.progressAt = time.Now()
-	b.holders[h] = struct{}{}
-	return h
+// NewBudget returns a budget with the given limits.
+func NewBudget(limits Limits) *Budget {
+	b := &Budget{limits: limits, holders: make(map[*Hold]struct{})}
+	b.released = sync.NewCond(&b.mu)
+	return b
 }
 
-// Grow adds bytes that are about to be held. The error is ErrExhausted.
-func (h *Hold) Grow(now time.Time, n int64) error {
-	b := h.budget
-	if b.limit <= 0 {
-		return nil
-	}
+// Limits returns the limits of the budget.
+func (b *Budget) Limits() Limits { return b.limits }
+
+// Use returns how the budget is used.
+func (b *Budget) Use() Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h.progressAt = now
-	if h.evicted || !b.makeRoom(now, h, n) {
-		return ErrExhausted
-	}
-	h.add(n)
-	return nil
+	return Use{Limits: b.limits, Bytes: b.used, Holders: len(b.holders), Evicted: b.evicted, Refused: b.refused}
 }
 
-// Add is Grow for bytes that are held already: they count even if there is no room.
-func (h *Hold) Add(now time.Time, n int64) {
-	b := h.budget
-	if b.limit <= 0 {
-		return
-	}
+// Open returns a hold of n bytes, which is at rest. evict is called, on another holder's goroutine,
+// when it has to make room: it must make the owner call Close soon, and return at once. The error is
+// ErrExhausted.
+func (b *Budget) Open(now time.Time, n int64, evict func()) (*Hold, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h.progressAt = now
-	if !h.evicted {
-		b.makeRoom(now, h, n)
-		h.add(n)
+	h := &Hold{budget: b, evict: evict, progressAt: now, atRest: true}
+	for b.limits.Holders > 0 && len(b.holders)-b.evictedOpen >= b.limits.Holders {
+		if !b.evictOne(now, h, n) {
+			b.refused++
+			return nil, ErrExhausted
+		}
 	}
+	if !b.makeRoom(now, h, n) {
+		b.refused++
+		return nil, ErrExhausted
+	}
+	b.holders[h] = struct{}{}
+	h.add(n)
+	return h, nil
 }
 
-func (h *Hold) add(n int64) {
-	h.bytes += n
-	h.budget.used += n
-}
-
-// makeRoom evicts holders until there is room for n more bytes of one. It reports false if there is
-// none.
+// makeRoom evicts holders until there is room for n more bytes of one, once those that were evicted
+// have given back what they hold. It reports false if there is none.
 func (b *Budget) makeRoom(now time.Time, asks *Hold, n int64) bool {
-	for b.used+n > b.limit {
-		victim := b.victim(now, asks, n)
-		if victim == nil {
+	for b.used-b.leaving+b.awaited+n > b.limitOf(asks, n) {
+		if !b.evictOne(now, asks, n) {
 			return false
 		}
-		b.used -= victim.bytes
-		victim.bytes, victim.evicted = 0, true
-		delete(b.holders, victim)
-		b.evicted++
-		victim.evict()
 	}
 	return true
 }
 
-// victim returns the holder at rest that has stood still longest, or else the largest one that is
-// larger than what asks; nil if there is none.
-func (b *Budget) victim(now time.Time, asks *Hold, n int64) *Hold {
+const unlimited = int64(1) << 62
+
+// limitOf returns what all holders may take after one has grown by n bytes.
+func (b *Budget) limitOf(asks *Hold, n int64) int64 {
+	switch {
+	case b.limits.Bytes <= 0:
+		return unlimited
+	case asks.bytes+n > smallBytes:
+		return b.limits.Bytes - int64(smallReserve*float64(b.limits.Bytes))
+	}
+	return b.limits.Bytes
+}
+
+// evictOne evicts the holder at rest that has stood still longest, or else the largest one that is
+// larger than what asks. It reports false if there is none.
+func (b *Budget) evictOne(now time.Time, asks *Hold, n int64) bool {
 	var longest, largest *Hold
 	for h := range b.holders {
-		if h == asks || !h.atRest || h.bytes == 0 {
+		if h == asks || !h.atRest || h.evicted {
 			continue
 		}
 		if now.Sub(h.progressAt) >= MinIdle && (longest == nil || h.progressAt.Before(longest.progressAt)) {
@@ -124,38 +133,18 @@
 			largest = h
 		}
 	}
-	if longest != nil {
-		return longest
-	}
-	return largest
-}
-
-// SetAtRest says whether the other side may keep the holder waiting from now on: only then can it be
-// made to give way.
-func (h *Hold) SetAtRest(now time.Time, atRest bool) {
-	if h.budget.limit <= 0 {
-		return
+	victim := longest
+	if victim == nil {
+		victim = largest
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.atRest, h.progressAt = atRest, now
-}
-
-// Close gives all bytes back.
-func (h *Hold) Close() {
-	if h.budget.limit <= 0 {
-		return
+	if victim == nil {
+		return false
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.budget.used -= h.bytes
-	h.bytes = 0
-	delete(h.budget.holders, h)
-}
-
-// Use returns the bytes that are held, and how many holders had to make room so far.
-func (b *Budget) Use() (used, evicted int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.used, b.evicted
+	victim.evicted = true
+	b.leaving += victim.bytes
+	b.evictedOpen++
+	b.evicted++
+	victim.evict()
+	b.released.Broadcast() // the victim may wait itself
+	return true
 }
