entry: the connections that others open are bounded

Callers got no answer, or the process ended, once clients had opened as many connections as it may have descriptors: links to upstreams, to the store and to other routers found none.

Cause: nothing limited accepted connections. Now they take at most two fifths of the descriptors (maxFds of the platform's settings and the limit of the process, whichever is lower), at all HTTP listeners together. The rule that makes room for bytes makes room for connections: the one at rest that has stood still longest ends, and a new one is closed before it is read if there is none.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,9 @@
 	// MemoryBytes is the memory of the host. Callers may take a part of it; 0 if unknown, then
 	// they may take any.
 	MemoryBytes int64
+	// MaxDescriptors is how many descriptors the process may have open; 0 if unknown. The
+	// limit of the process counts as well.
+	MaxDescriptors int
 	// QuotaTolerance is what may pass beyond the quota of a workspace.
 	QuotaTolerance pace.Tolerance
 }
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"math"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/ragwortdoor/ragwortdoor/internal/memory"
@@ -13,6 +15,10 @@
 	// the router itself, stacks and the kernel's buffers.
 	callerMemoryShare = 0.2
 	heapShare         = 0.5
+	// acceptedShare is the part of the descriptors that accepted connections may take. As many
+	// may go to upstreams under their requests, the rest is for idle connections, the store,
+	// other routers and files.
+	acceptedShare = 0.4
 	// memoryRetryDelay is the Retry-After of a request that the budget has no room for.
 	memoryRetryDelay = 500 * time.Millisecond
 )
@@ -26,7 +32,24 @@
 
 // newMemoryBudget returns the budget of a process with the given settings.
 func newMemoryBudget(settings Settings) *memory.Budget {
-	return memory.NewBudget(memory.Limits{Bytes: int64(callerMemoryShare * float64(settings.MemoryBytes))})
+	return memory.NewBudget(memory.Limits{
+		Bytes:   int64(callerMemoryShare * float64(settings.MemoryBytes)),
+		Holders: int(acceptedShare * float64(maxDescriptors(settings))),
+	})
+}
+
+// maxDescriptors returns how many descriptors the process may have open by its settings and by the
+// limit of the process, 0 if neither is known.
+func maxDescriptors(settings Settings) int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return settings.MaxDescriptors
+	}
+	most := int(min(limit.Cur, math.MaxInt32))
+	if settings.MaxDescriptors > 0 {
+		most = min(most, settings.MaxDescriptors)
+	}
+	return most
 }
 
 // holdResponse accounts for a response, or its buffer, that waits for the caller to read it. Callers
