exchange: idle connections to upstreams are bounded

Callers found a router without descriptors after a client had sent many requests with one id on its connections.

Cause: a connection to an upstream never carries the same id twice, so each of these requests opened one, and kept it idle for 4 s; nothing limited idle connections. Beyond a tenth of the descriptors, those that have been idle longest are closed.

TestIdleConnectionsAreBounded shows the order; before, there was no such limit to set.

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -19,6 +19,8 @@
 	// may go to upstreams under their requests, the rest is for idle connections, the store,
 	// other routers and files.
 	acceptedShare = 0.4
+	// idleShare is the part that idle connections to upstreams may take.
+	idleShare = 0.1
 	// memoryRetryDelay is the Retry-After of a request that the budget has no room for.
 	memoryRetryDelay = 500 * time.Millisecond
 )
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -86,6 +86,7 @@
 	if p.memory = deps.Memory; p.memory == nil {
 		p.memory = newMemoryBudget(settings)
 	}
+	deps.Pool.SetMaxIdle(int(idleShare * float64(maxDescriptors(settings))))
 	bootID := rand.Text()
 	quotas := pace.NewAllowances(settings.Host, settings.QuotaTolerance)
 	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -153,6 +153,28 @@
 	is.Equal(s.conns.Load(), int64(1))
 }
 
+// Guards against idle connections without a bound: requests with the same id never share one.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	first, second := serve(t, okResponse, okResponse), serve(t, okResponse, okResponse)
+	p := NewPool(Options{IDHeader: "Id"})
+	p.SetMaxIdle(3)
+	for range 5 {
+		for _, addr := range []string{first.addr, second.addr} {
+			_, err := sendAndRead(p, addr, "same")
+			is.NoErr(err)
+		}
+	}
+	is.Equal([]int{len(p.idle[first.addr]), len(p.idle[second.addr]), p.idleCount}, []int{1, 2, 3})
+	_, err := sendAndRead(p, second.addr, "other")
+	is.NoErr(err)
+	is.Equal(p.Stats().Reuses, uint64(1))
+	p.SetMaxIdle(0)
+	p.idle[first.addr][0].idleTimeout = 0
+	p.Sweep()
+	is.Equal(p.idleCount, 2)
+}
+
 // Guards against an unsolicited second response being taken for the response to the
 // next request.
 func TestUnsolicitedBytesCloseTheConnection(t *testing.T) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -20,8 +20,11 @@
 type Pool struct {
 	opts Options
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu sync.Mutex
+	// idle has the idle connections by address, each list in the order in which they became
+	// idle. maxIdle limits their number idleCount; 0 for no limit.
+	idle               map[string][]*conn
+	maxIdle, idleCount int
 
 	stats counters
 }
@@ -36,6 +39,39 @@
 	return &Pool{opts: opts, idle: make(map[string][]*conn)}
 }
 
+// SetMaxIdle limits the idle connections to all upstreams together: beyond n, those that have been
+// idle longest are closed. 0 is no limit.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
+	p.closeExcess()
+}
+
+// closeExcess closes the idle connections beyond the limit.
+func (p *Pool) closeExcess() {
+	for p.maxIdle > 0 && p.idleCount > p.maxIdle {
+		oldest := ""
+		for addr, list := range p.idle {
+			if oldest == "" || list[0].idleSince.Before(p.idle[oldest][0].idleSince) {
+				oldest = addr
+			}
+		}
+		_ = p.remove(oldest, 0).Conn.Close() // the connection is discarded
+	}
+}
+
+// remove takes an idle connection out of the pool.
+func (p *Pool) remove(addr string, i int) *conn {
+	list := p.idle[addr]
+	c := list[i]
+	p.idleCount--
+	if p.idle[addr] = slices.Delete(list, i, i+1); len(p.idle[addr]) == 0 {
+		delete(p.idle, addr)
+	}
+	return c
+}
+
 // Stats returns the counters.
 func (p *Pool) Stats() Stats {
 	return Stats{Dials: p.stats.dials.Load(), Reuses: p.stats.reuses.Load(), DialFailures: p.stats.dialFailures.Load()}
@@ -71,9 +107,7 @@
 	if found < 0 {
 		return nil
 	}
-	c := list[found]
-	p.idle[addr] = slices.Delete(list, found, found+1)
-	return c
+	return p.remove(addr, found)
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
@@ -100,6 +134,8 @@
 		return
 	}
 	p.idle[addr] = append(p.idle[addr], c)
+	p.idleCount++
+	p.closeExcess()
 }
 
 // Sweep closes connections that have been idle for longer than their idle timeout.
@@ -114,6 +150,7 @@
 				continue
 			}
 			_ = c.Conn.Close() // the connection is discarded
+			p.idleCount--
 		}
 		if len(kept) == 0 {
 			delete(p.idle, addr)
