transport: sessions, streams and frames between routers are accounted for

Callers got no answer while clients opened sessions at the address for other routers with thousands of streams that said nothing, or with frames of 4 MiB that stopped just short of their end.

Cause: nothing there counted, and a frame's memory was taken when its length had arrived. The address now uses the process's budget: a session has at most 16 streams (routers open one), each stream and each piece of a frame counts before it is taken, and sessions make room like other connections. A session that has sent a frame keeps its place, so that a crowd of callers does not cut routers off; such sessions take at most half of the budget.

TestSessionsAreAccountedFor has the order in which sessions give way; Listen had no budget before.

--- a/internal/cell/client_test.go
+++ b/internal/cell/client_test.go
@@ -69,7 +69,7 @@
 	})
 	go s.Run(ctx)
 	s.Start(LeaseTerm{Fence: 1})
-	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, s.Serve)
+	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, nil, s.Serve)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +136,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, func(ctx context.Context, _ *transport.Stream) { <-ctx.Done() })
+	server, err := transport.Listen("127.0.0.1:0", transport.Credentials{}, nil, func(ctx context.Context, _ *transport.Stream) { <-ctx.Done() })
 	is.NoErr(err)
 	go server.Serve(ctx)
 	client := newClient("r1", "boot")
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -267,7 +267,7 @@
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
-	peers, err := transport.Listen(p.settings.PeerAddr, p.deps.Credentials, p.scheduler.Serve)
+	peers, err := transport.Listen(p.settings.PeerAddr, p.deps.Credentials, p.memory, p.scheduler.Serve)
 	if err != nil {
 		return err
 	}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// connBytes is what a connection takes by itself: stacks and buffers.
-	connBytes = 16 << 10
+	// ConnBytes is what a connection takes by itself: stacks and buffers.
+	ConnBytes = 16 << 10
 	// tlsBytes is what TLS takes beside, with the records of a handshake.
 	tlsBytes = 48 << 10
 	// The pause after a connection could not be accepted begins with minAcceptPause.
@@ -104,7 +104,7 @@
 
 // open returns a connection that is accounted for, nil if there is no room.
 func (l *Listener) open(raw net.Conn) *Conn {
-	conn := &Conn{Conn: raw, base: connBytes}
+	conn := &Conn{Conn: raw, base: ConnBytes}
 	if l.config != nil {
 		conn.Conn = tls.Server(raw, l.config)
 		conn.base += tlsBytes
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -73,7 +73,7 @@
 		is.NoErr(err)
 		is.Equal(resp.StatusCode, http.StatusOK)
 	}
-	waitUntil(t, func() bool { return budget.Use().Bytes <= connBytes+readBufferBytes/5*(headerLineBytes+5) })
+	waitUntil(t, func() bool { return budget.Use().Bytes <= ConnBytes+readBufferBytes/5*(headerLineBytes+5) })
 	is.NoErr(c.Close())
 	waitUntil(t, func() bool { return budget.Use().Holders == 0 && budget.Use().Bytes == 0 })
 }
--- a/internal/settings/security_test.go
+++ b/internal/settings/security_test.go
@@ -61,7 +61,7 @@
 	creds, err := Credentials(securityFiles(t))
 	is.NoErr(err)
 	is.Equal(string(creds.Token), "0123456789abcdef") // without the line break
-	server, err := transport.Listen("127.0.0.1:0", creds, func(context.Context, *transport.Stream) {})
+	server, err := transport.Listen("127.0.0.1:0", creds, nil, func(context.Context, *transport.Stream) {})
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error)
--- a/internal/transport/muxconn.go
+++ b/internal/transport/muxconn.go
@@ -35,15 +35,16 @@
 	return c.Conn.Close()
 }
 
-// newStream returns a Stream whose reads end when the connection is closed.
-func (c *muxConn) newStream(stream *yamux.Stream) *Stream {
+// newStream returns a Stream whose reads end when the connection is closed. accounted is nil on the
+// dialing end.
+func (c *muxConn) newStream(stream *yamux.Stream, accounted *accountedConn) *Stream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.streams[stream] = struct{}{}
 	if c.closed {
 		endReads(stream)
 	}
-	return newStream(&trackedStream{Stream: stream, owner: c})
+	return newStream(&trackedStream{Stream: stream, owner: c}, accounted)
 }
 
 // endReads makes reads fail that find no received bytes.
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -19,7 +18,7 @@
 
 	keepAliveInterval = 5 * time.Second
 	writeTimeout      = 5 * time.Second
-	acceptBacklog     = 1024 // streams
+	acceptBacklog     = maxStreams
 )
 
 func yamuxConfig() *yamux.Config {
@@ -92,137 +91,8 @@
 	if err != nil {
 		return nil, wrapDisconnected("open stream", err)
 	}
-	return s.conn.newStream(stream), nil
+	return s.conn.newStream(stream, nil), nil
 }
 
 // Close closes the session and its streams.
 func (s *Session) Close() error { return s.mux.Close() }
-
-// Handler serves one stream and closes it. It must return when ctx is done.
-type Handler func(ctx context.Context, stream *Stream)
-
-// Server accepts sessions and serves their streams.
-type Server struct {
-	listener net.Listener
-	creds    Credentials
-	handler  Handler
-
-	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
-	closed   bool
-	wg       sync.WaitGroup
-}
-
-// Listen binds addr, "IP:PORT". Call Serve to accept sessions.
-func Listen(addr string, creds Credentials, handler Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w (stop the process that uses the port, or change \"listen\")", addr, err)
-	}
-	if creds.Server != nil {
-		listener = tls.NewListener(listener, creds.Server)
-	}
-	return &Server{
-		listener: listener,
-		creds:    creds,
-		handler:  handler,
-		sessions: make(map[*yamux.Session]struct{}),
-	}, nil
-}
-
-// Addr returns the bound address.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
-
-// Serve accepts sessions until ctx is done or Close is called.
-func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // unblocks Accept
-	defer stop()
-	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			s.wg.Wait()
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("accept: %w", err)
-		}
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			s.serveConn(ctx, conn)
-		}()
-	}
-}
-
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	if err := authenticate(conn, s.creds.Token, sideServer, sideClient); err != nil {
-		_ = conn.Close() // the peer reports the failure
-		return
-	}
-	tracked := newMuxConn(conn)
-	mux, err := yamux.Server(tracked, yamuxConfig())
-	if err != nil {
-		_ = conn.Close() // the peer reports the failure
-		return
-	}
-	if !s.track(mux) {
-		_ = mux.Close() // the server has been closed
-		return
-	}
-	defer s.untrack(mux)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.serveStreams(ctx, mux, tracked)
-}
-
-func (s *Server) serveStreams(ctx context.Context, mux *yamux.Session, conn *muxConn) {
-	var streams sync.WaitGroup
-	defer streams.Wait()
-	defer func() { _ = mux.Close() }() // the session has ended already
-	for {
-		stream, err := mux.AcceptStream()
-		if err != nil {
-			return
-		}
-		streams.Add(1)
-		go func() {
-			defer streams.Done()
-			s.handler(ctx, conn.newStream(stream))
-		}()
-	}
-}
-
-func (s *Server) track(mux *yamux.Session) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return false
-	}
-	s.sessions[mux] = struct{}{}
-	return true
-}
-
-func (s *Server) untrack(mux *yamux.Session) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.sessions, mux)
-}
-
-// Close stops accepting sessions and closes the open ones.
-func (s *Server) Close() error {
-	s.mu.Lock()
-	s.closed = true
-	sessions := make([]*yamux.Session, 0, len(s.sessions))
-	for mux := range s.sessions {
-		sessions = append(sessions, mux)
-	}
-	s.mu.Unlock()
-	err := s.listener.Close()
-	for _, mux := range sessions {
-		_ = mux.Close() // the peers see the disconnect either way
-	}
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -39,7 +39,7 @@
 
 func serve(t *testing.T, creds transport.Credentials, handler transport.Handler) *transport.Server {
 	t.Helper()
-	server, err := transport.Listen(loopback, creds, handler)
+	server, err := transport.Listen(loopback, creds, nil, handler)
 	if err != nil {
 		t.Fatal(err)
 	}
