listener: a test for listeners without a descriptor left

Callers saw a process that ended by itself: "ragwortdoord: accept: accept tcp 127.0.0.1:20008: accept4: too many open files", on in TestCrowdAtTheDescriptorLimit. The listener between routers took the first connection that it could not accept for the end of its listener, and a part that ends with an error ends the process. net/http waits and accepts again.

This test brings the errors about without a crowd.

--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,6 +45,42 @@
 	}
 }
 
+// failingListener fails a number of times before it accepts.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.errs) == 0 {
+		return l.Listener.Accept()
+	}
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return nil, err
+}
+
+// Guards against a listener that ends, and its process with it, because the process may open no
+// further descriptor for a moment.
+func TestAcceptWaitsForDescriptors(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	failed := func(cause error) error {
+		return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", cause)}
+	}
+	l := New(&failingListener{inner, []error{failed(syscall.EMFILE), failed(syscall.ENFILE), failed(syscall.ECONNABORTED)}}, nil, nil)
+	out, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer out.Close()
+	in, err := l.Accept()
+	is.NoErr(err)
+	is.NoErr(in.Close())
+	is.NoErr(l.Close())
+	_, err = l.Accept()
+	is.True(errors.Is(err, net.ErrClosed))
+}
+
 // Guards against lines of a head that net/http has read together with the request before: they count
 // although no further read brings them.
 func TestHeadsInTheReadBufferCount(t *testing.T) {
