daemon: the native deployment bounds what callers make it hold

Callers of `ragwortdoord router` and `dev` saw a process that ran out of memory under bodies and heads of legal size.

Causes: the bound came from a setting that only the users' platform has, and the native dialect read the body of a chat request before anything counted. The settings memory_mb and max_descriptors say what the host has; without them the control group or the machine does (automemlimit, a library, reads it; a budget of a host without memoryMb on the platform gets the same).

The chat body over the limit: 404 on, 413 now.

--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -18,9 +18,10 @@
 
 // Crowds of callers and of operators that are not ours to control, as in package platform.
 const (
-	crowdMemoryMb  = 144
-	crowdBodyBytes = 4 << 20
-	crowdHeadBytes = 15 << 10
+	crowdMemoryMb       = 144
+	crowdMaxDescriptors = 3075
+	crowdBodyBytes      = 4 << 20
+	crowdHeadBytes      = 15 << 10
 )
 
 var crowdBounds = crowdtest.Bounds{PeakMb: 100, Descriptors: 1500}
@@ -39,7 +40,7 @@
 	}
 	d := deploy(t, deploymentOptions{services: []standin.ServiceConfig{{}}, set: testSet(1), security: security})
 	cfg := d.newRouterSettings(0, false)
-	cfg.MaxBodyBytes = crowdBodyBytes
+	cfg.MaxBodyBytes, cfg.MemoryMb, cfg.MaxDescriptors = crowdBodyBytes, crowdMemoryMb, crowdMaxDescriptors
 	path := filepath.Join(d.dir, "crowd.json")
 	if err := os.WriteFile(path, encodeSettings(t, cfg), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -321,6 +321,7 @@
 		{"POST", "/services/none/x", ``, 404, "unknown_service"},
 		{"GET", "/elsewhere", ``, 404, "unknown_path"},
 		{"POST", "/services/bookings/x", string(make([]byte, 2<<20)), 413, "body_too_large"},
+		{"POST", "/v1/chat/completions", `{"model": "` + string(make([]byte, 2<<20)), 413, "body_too_large"},
 	} {
 		request, err := http.NewRequest(tc.method, d.url(0)+tc.path, bytes.NewBufferString(tc.body))
 		is.NoErr(err)
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -124,6 +124,8 @@
 		EnginesCheckFence: cfg.GetEnginesCheckFences(),
 		RetryShare:        cfg.GetRetryBudget(),
 		LoadWindow:        loadWindow,
+		MemoryBytes:       int64(cfg.GetMemoryMb()) << 20,
+		MaxDescriptors:    int(cfg.GetMaxDescriptors()),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,8 +50,8 @@
 	// StrictKeyAge is the age of the known configuration from which callers with keys are
 	// refused, because their keys may be withdrawn; 0 serves them however old it is.
 	StrictKeyAge time.Duration
-	// MemoryBytes is the memory of the host. Callers may take a part of it; 0 if unknown, then
-	// they may take any.
+	// MemoryBytes is the memory of the host. Callers may take a part of it; 0 for what the
+	// process's control group or the machine has.
 	MemoryBytes int64
 	// MaxDescriptors is how many descriptors the process may have open; 0 if unknown. The
 	// limit of the process counts as well.
@@ -96,6 +96,8 @@
 	// NonStreaming is set when the caller wants the output of a model in one piece, not
 	// as an event stream.
 	NonStreaming bool
+	// BodyErr is why the body could not be read, if the Dialect reads it.
+	BodyErr error
 	// Problem is set for an invalid request, which is answered without an upstream.
 	Problem *Problem
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -189,6 +189,10 @@
 		return false
 	}
 	cr.record.ConfigVersion = snapshot.Config.Version
+	if cr.call.BodyErr != nil {
+		cr.failBody(cr.call.BodyErr)
+		return false
+	}
 	if problem := cr.call.Problem; problem != nil {
 		cr.record.Outcome = OutcomeInvalid
 		cr.record.Reason = problem.Text
@@ -251,23 +255,28 @@
 		limit = defaultBodyBytes
 	}
 	body, err := cr.hold.ReadAll(http.MaxBytesReader(cr.w, cr.r.Body, limit), cr.r.ContentLength)
-	if errors.Is(err, memory.ErrExhausted) {
-		cr.refuseForMemory()
+	if err != nil {
+		cr.failBody(err)
 		return false
 	}
+	cr.body = body
+	return true
+}
+
+// failBody responds to a request whose body could not be read.
+func (cr *callerRequest) failBody(err error) {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		cr.refuseForMemory()
+	case errors.As(err, &tooLarge):
 		cr.record.Outcome = OutcomeTooLarge
 		cr.writeError(ErrorResponse{Status: http.StatusRequestEntityTooLarge, Kind: "body_too_large", Text: "the body is larger than the configured limit"})
-		return false
-	}
-	if err != nil {
+	default:
 		cr.record.Outcome = OutcomeCallerDisconnected
 		cr.record.Reason = err.Error()
 		panic(http.ErrAbortHandler) // the request body is truncated
 	}
-	cr.body = body
-	return true
 }
 
 func (cr *callerRequest) serve() {
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/KimMachineGun/automemlimit/memlimit"
+
 	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 )
 
@@ -25,6 +27,22 @@
 	memoryRetryDelay = 500 * time.Millisecond
 )
 
+// hostMemory returns the memory of the host in bytes by the settings, or else what the process's
+// control group or the machine has; 0 if that is not known.
+func hostMemory(settings Settings) int64 {
+	if settings.MemoryBytes > 0 {
+		return settings.MemoryBytes
+	}
+	machine, err := memlimit.FromSystem()
+	if err != nil {
+		return 0
+	}
+	if group, err := memlimit.FromCgroup(); err == nil { // an error stands for no limit
+		machine = min(machine, group)
+	}
+	return int64(min(machine, math.MaxInt64))
+}
+
 // setMemoryLimit makes the collector work harder before the process outgrows its host.
 func setMemoryLimit(hostBytes int64) {
 	if hostBytes > 0 {
@@ -32,10 +50,10 @@
 	}
 }
 
-// newMemoryBudget returns the budget of a process with the given settings.
-func newMemoryBudget(settings Settings) *memory.Budget {
+// newMemoryBudget returns the budget of a process with the given settings on a host with hostBytes.
+func newMemoryBudget(settings Settings, hostBytes int64) *memory.Budget {
 	return memory.NewBudget(memory.Limits{
-		Bytes:   int64(callerMemoryShare * float64(settings.MemoryBytes)),
+		Bytes:   int64(callerMemoryShare * float64(hostBytes)),
 		Holders: int(acceptedShare * float64(maxDescriptors(settings))),
 	})
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -82,9 +82,10 @@
 func New(settings Settings, deps Deps) *Process {
 	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
 	p.log = NewLog(deps.Log, p.metrics)
-	setMemoryLimit(settings.MemoryBytes)
+	hostBytes := hostMemory(settings)
+	setMemoryLimit(hostBytes)
 	if p.memory = deps.Memory; p.memory == nil {
-		p.memory = newMemoryBudget(settings)
+		p.memory = newMemoryBudget(settings, hostBytes)
 	}
 	deps.Pool.SetMaxIdle(int(idleShare * float64(maxDescriptors(settings))))
 	bootID := rand.Text()
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -18,6 +18,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/entry"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
@@ -87,10 +88,14 @@
 }
 
 func (d Dialect) readChat(r *http.Request, index *config.Index, call *entry.Call) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, d.MaxBodyBytes+1))
+	data, err := memory.HoldOf(r.Context()).ReadAll(io.LimitReader(r.Body, d.MaxBodyBytes+1), r.ContentLength)
 	r.Body = rejoin(data, r.Body)
-	if err != nil || int64(len(data)) > d.MaxBodyBytes {
-		return // the core reads the body again and responds with the error
+	if err == nil && int64(len(data)) > d.MaxBodyBytes {
+		err = &http.MaxBytesError{Limit: d.MaxBodyBytes}
+	}
+	if err != nil {
+		call.BodyErr = err
+		return
 	}
 	var body chatBody
 	if err := json.Unmarshal(data, &body); err != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -88,6 +88,13 @@
 	c.add(field, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("choose a number from %d to %d", low, high))
 }
 
+// inRangeIfSet checks a number that stands for a default if it is 0.
+func (c *checker) inRangeIfSet(field string, value, low, high uint32) {
+	if value != 0 {
+		c.inRange(field, value, low, high)
+	}
+}
+
 // fraction checks that a value is from 0 to 1.
 func (c *checker) fraction(field string, value float64) {
 	if c.invalid[field] || (value >= 0 && value <= 1 && !math.IsNaN(value)) {
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -25,6 +25,8 @@
 	minLeaseTTLMs, maxLeaseTTLMs       = 1000, 60_000
 	minTablePollMs, maxTablePollMs     = 50, 5000
 	maxCores                           = 1024
+	minMemoryMb, maxMemoryMb           = 64, 64 << 20
+	minDescriptors, maxDescriptors     = 128, 1 << 30
 )
 
 // setDefault sets *field to value unless the file sets it at path.
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -31,6 +31,8 @@
 	c.inRange("lease_ttl_ms", s.GetLeaseTtlMs(), minLeaseTTLMs, maxLeaseTTLMs)
 	c.inRange("table_poll_ms", s.GetTablePollMs(), minTablePollMs, maxTablePollMs)
 	c.fraction("retry_budget", s.GetRetryBudget())
+	c.inRangeIfSet("memory_mb", s.GetMemoryMb(), minMemoryMb, maxMemoryMb)
+	c.inRangeIfSet("max_descriptors", s.GetMaxDescriptors(), minDescriptors, maxDescriptors)
 	if cores := s.GetCores(); !(cores > 0 && cores <= maxCores) {
 		c.add("cores", fmt.Sprintf("%g is out of range", cores), "write the processor share of this host, for example 0.5")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -82,11 +82,11 @@
 			"security.tls_cert_file: missing", "security.tls_key_file: missing", "security.tls_ca_file: missing",
 		}},
 		{"certificate without key", addFields(validRouter, `"security": {"tls_cert_file": "c.pem"}`), []string{"security.tls_key_file: missing, but other TLS files are set", "security.tls_ca_file: missing, but other TLS files are set"}},
-		{"out of range", addFields(validRouter, `"max_body_bytes": 1, "stop_timeout_ms": 0, "lease_ttl_ms": 1, "table_poll_ms": 1,
+		{"out of range", addFields(validRouter, `"max_body_bytes": 1, "memory_mb": 1, "max_descriptors": 9, "stop_timeout_ms": 0, "lease_ttl_ms": 1, "table_poll_ms": 1,
 			"stop_linger_ms": 99999, "retry_budget": -1, "cores": 0, "log": {"level": "loud"}`), []string{
 			`log.level: "loud" is not known; choose one of debug`,
 			"max_body_bytes: 1 is out of range; choose a number from 1024 to 67108864", "stop_timeout_ms: 0", "stop_linger_ms: 99999", "lease_ttl_ms: 1 is out",
-			"table_poll_ms: 1", "retry_budget: -1", "cores: 0",
+			"table_poll_ms: 1", "retry_budget: -1", "memory_mb: 1 is out", "max_descriptors: 9", "cores: 0",
 		}},
 		{"yes instead of true", addFields(validRouter, `"engines_check_fences": "yes"`), []string{
 			`engines_check_fences: must be true or false, not the string "yes"; write the value without quotes`,
