--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -9,6 +9,7 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/era"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 	"github.com/ragwortdoor/ragwortdoor/internal/scheduler"
 )
@@ -179,6 +180,12 @@
 	l.out.Info("workspaces relayed", "version", version, "workspaces", count)
 }
 
+// MadeRoom logs how many connections had to make room since the last line, and how often there was
+// none.
+func (l *Log) MadeRoom(evicted, refused int64, use memory.Use) {
+	l.out.Warn("made room", "evicted", evicted, "refused", refused, "held_bytes", use.Bytes, "held_bytes_limit", use.Limits.Bytes, "connections", use.Holders, "connections_limit", use.Limits.Holders, "remedy", "none for a moment: see docs/operators/crowds.md if ordinary callers are refused")
+}
+
 // UpstreamLimited logs what a router hears about the limit of an upstream when that changes.
 func (l *Log) UpstreamLimited(upstreamID, requestID string, notice pace.Notice) {
 	l.metrics.limitChanges.Add(1)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 	"github.com/ragwortdoor/ragwortdoor/internal/pace"
 )
 
@@ -61,6 +62,8 @@
 
 	// quotas returns how quotas stand on the router that schedules; nil for none.
 	quotas func() map[string]pace.QuotaState
+	// memory returns what others make the process hold; nil for nothing that is accounted for.
+	memory func() memory.Use
 
 	mu         sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram // microseconds
@@ -130,6 +133,7 @@
 		vector.values.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, vector.format, kv.Key, kv.Value) })
 	}
 	m.writeQuotas(w)
+	m.writeMemory(w)
 	for _, counter := range []struct {
 		name  string
 		value *expvar.Int
@@ -167,6 +171,26 @@
 	}
 }
 
+func (m *Metrics) writeMemory(w io.Writer) {
+	if m.memory == nil {
+		return
+	}
+	use := m.memory()
+	for _, figure := range []struct {
+		name  string
+		value int64
+	}{
+		{"held_bytes", use.Bytes},
+		{"held_bytes_limit", use.Limits.Bytes},
+		{"connections", int64(use.Holders)},
+		{"connections_limit", int64(use.Limits.Holders)},
+		{"connections_evicted_total", use.Evicted},
+		{"holds_refused_total", use.Refused},
+	} {
+		fmt.Fprintf(w, "%s %d\n", figure.name, figure.value)
+	}
+}
+
 func (m *Metrics) writeHistograms(w http.ResponseWriter) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -108,6 +108,7 @@
 		Log:          p.log,
 	})
 	p.metrics.quotas = p.scheduler.QuotaStates
+	p.metrics.memory = p.memory.Use
 	p.client = cell.NewClient(cell.ClientOptions{
 		Host:           settings.Host,
 		BootID:         bootID,
@@ -323,7 +324,12 @@
 }
 
 func (p *Process) sweep(ctx context.Context) {
+	var logged memory.Use
 	every(ctx, sweepInterval, func() {
+		if use := p.memory.Use(); use.Evicted != logged.Evicted || use.Refused != logged.Refused {
+			p.log.MadeRoom(use.Evicted-logged.Evicted, use.Refused-logged.Refused, use)
+			logged = use
+		}
 		p.deps.Pool.Sweep()
 		p.handler.pauses.prune()
 		p.handler.budgets.setRouters(p.client.Routers())
