native: messages of a chat request are read one by one

Callers saw a router that ran out of memory under chat requests of legal size, and a single request of 900 KB with 300,000 empty messages was not answered within its minute.

Cause: all messages were parsed together; an empty one takes 3 bytes of the body and more than a hundred as a Go value with its part of the prompt. Each part also went to the scheduler; more than 4 MiB of them end the session between the two routers, which the next session repeats, and with it every wait for a placement.

Messages are now read one by one, and 256 parts count for the choice of an engine. Tokens are counted for all of them.

TestChatOfManyMessagesIsServed fails on after 65 s and passes in 4 s.

--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -128,3 +128,20 @@
 		}
 	})
 }
+
+// Guards against a request whose prompt has so many parts that the router can't tell the scheduler.
+func TestChatOfManyMessagesIsServed(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, deploymentOptions{routers: 2, engines: []standin.EngineConfig{testEngineConfig()}, set: testSet(1)})
+	body := `{"model":"model-0","max_tokens":2,"messages":[{}` + strings.Repeat(",{}", 300_000) + `]}`
+	for i := range d.routers {
+		response, err := d.client.Post(d.url(i)+"/v1/chat/completions", "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("router %d: status %d", i, response.StatusCode)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,10 @@
 	QuotaTolerance pace.Tolerance
 }
 
+// MaxPromptParts is how many parts of a prompt count for the choice of its engine, from the first one
+// on.
+const MaxPromptParts = 256
+
 // PromptPart is a part of a prompt that several requests may have in common.
 type PromptPart struct {
 	ID     string
@@ -71,7 +75,8 @@
 	ID      string
 	Model   string // empty for a plain service
 	Adapter string
-	Parts   []PromptPart
+	// Parts are those of the prompt, in order; routers use the first MaxPromptParts.
+	Parts []PromptPart
 	// PromptTokens and MaxOutputTokens are the length of the prompt and the limit of
 	// the output.
 	PromptTokens    int64
--- a/internal/native/dialect.go
+++ b/internal/native/dialect.go
@@ -12,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	apiv1 "github.com/ragwortdoor/ragwortdoor/api/ragwortdoor/v1"
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/entry"
@@ -77,16 +75,6 @@
 	return &entry.Problem{Status: http.StatusNotFound, Kind: kind, Text: text}
 }
 
-type chatBody struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int64  `json:"max_tokens"`
-	Messages  []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
-}
-
 func (d Dialect) readChat(r *http.Request, index *config.Index, call *entry.Call) {
 	data, err := memory.HoldOf(r.Context()).ReadAll(io.LimitReader(r.Body, d.MaxBodyBytes+1), r.ContentLength)
 	r.Body = rejoin(data, r.Body)
@@ -115,11 +103,7 @@
 	if body.MaxTokens <= 0 {
 		call.MaxOutputTokens = defaultMaxTokens
 	}
-	for _, message := range body.Messages {
-		part := entry.PromptPart{ID: strconv.FormatUint(xxhash.Sum64(message.Content), 16), Tokens: int64(len(message.Content)+bytesPerToken-1) / bytesPerToken}
-		call.Parts = append(call.Parts, part)
-		call.PromptTokens += part.Tokens
-	}
+	call.Parts, call.PromptTokens = body.Messages.parts, body.Messages.tokens
 	applyPriorityClass(priorityClassOf(r, index, target.Model), call)
 }
 
