entry: parts of prompts are accounted for

Callers saw routers that ran out of memory under complete requests whose heads name very many parts of a prompt.

Cause: a head of 15 KiB names some 2,500 parts; each is a value in the request, one in the message to the scheduler and one with the scheduler, which has those of all routers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -75,7 +75,7 @@
 	ID      string
 	Model   string // empty for a plain service
 	Adapter string
-	// Parts are those of the prompt, in order; routers use the first MaxPromptParts.
+	// Parts are the first MaxPromptParts of the prompt, in order.
 	Parts []PromptPart
 	// PromptTokens and MaxOutputTokens are the length of the prompt and the limit of
 	// the output.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -171,6 +171,10 @@
 		cr.settleQuota()
 		h.log.Request(&cr.record, time.Since(cr.arrivedAt))
 	}()
+	if err := cr.hold.Grow(time.Now(), promptPartBytes*int64(len(cr.call.Parts))); err != nil {
+		cr.refuseForMemory()
+		return
+	}
 	if cr.prepare() {
 		cr.serve()
 	}
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -23,6 +23,9 @@
 	acceptedShare = 0.4
 	// idleShare is the part that idle connections to upstreams may take.
 	idleShare = 0.1
+	// promptPartBytes is what a part of a prompt takes in a request and in what is asked of the
+	// scheduler for it.
+	promptPartBytes = 256
 	// memoryRetryDelay is the Retry-After of a request that the budget has no room for.
 	memoryRetryDelay = 500 * time.Millisecond
 )
