cell: the first message of a link has a bound

Callers of a router got no placements from the scheduler for as long as many requests with long ids were under way there.

Cause: the first message of a link lists the requests that run. Above 4 MiB the scheduler ends the session, and the next one begins with the same message. The message now lists as many as 1 MiB has room for.

Evidence: TestLinkWithManyLargeRequests, 1,000 requests with ids of 30 KiB: no link within 20 s before, linked at once after.

--- a/internal/cell/client.go
+++ b/internal/cell/client.go
@@ -298,10 +298,7 @@
 	if c.target != target || c.link != nil {
 		return false
 	}
-	hello := &apiv1.SchedulerHello{Router: c.opts.Host, BootId: c.opts.BootID, Cores: c.opts.Cores, Address: c.opts.Address, ListVersion: c.opts.ListVersion(), AcceptsListParts: true, Draining: c.draining, BrokenOff: c.brokenOffLocked(), Blocklist: encodeBlocklist(c.opts.Blocklist.Load()), Limits: encodeLimits(time.Now(), c.opts.Limits.Limits()), WorkspacesVersion: c.workspacesVersion(), Routers: int32(c.routers)}
-	for _, r := range c.running {
-		hello.Running = append(hello.Running, r)
-	}
+	hello := c.helloLocked()
 	if link.send(&apiv1.SchedulerCall{Body: &apiv1.SchedulerCall_Hello{Hello: hello}}) != nil {
 		return false
 	}
