operator: what comes to the operators' API is accounted for

Callers and operators saw a router that ran out of memory while clients sent bodies of tens of MiB, or heads of 900 KB, to the operators' address.

Cause: bodies of up to 64 MiB were read and parsed, and heads of up to 1 MiB, without anything that counts. A body counts as it is read, and four times more before it is parsed; without room the call gets 503 and may be repeated.

--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -95,7 +95,7 @@
 	if creds.Client != nil {
 		scheme = "https"
 	}
-	r.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, operator.NewServer(operator.ServerOptions{
+	r.operator, err = listenHTTP(cfg.GetOperatorListen(), creds, r.process.Memory(), operator.NewServer(operator.ServerOptions{
 		Publisher:  config.NewPublisher(c.table, c.objects, config.PublisherOptions{Fleet: r.fleet(c.hosts), Log: logger}),
 		Table:      c.table,
 		Hosts:      c.hosts,
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -381,5 +381,8 @@
 // IsStopping reports whether a planned stop has begun.
 func (p *Process) IsStopping() bool { return p.handler.isStopping() }
 
+// Memory returns what accounts for what others make the process hold.
+func (p *Process) Memory() *memory.Budget { return p.memory }
+
 // Metrics returns the handler that serves the counters and histograms.
 func (p *Process) Metrics() http.Handler { return p.metrics }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/pprof"
@@ -16,10 +18,15 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/config"
 	"github.com/ragwortdoor/ragwortdoor/internal/decisionlog"
 	"github.com/ragwortdoor/ragwortdoor/internal/external"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 )
 
-// maxRequestBytes limits the size of a request body.
-const maxRequestBytes = 64 << 20
+const (
+	// maxRequestBytes limits the size of a request body.
+	maxRequestBytes = 64 << 20
+	// parsedShare is what an object set takes beside its body, as a multiple of it.
+	parsedShare = 4
+)
 
 // ServerOptions configure the operator API of one router.
 type ServerOptions struct {
@@ -117,8 +124,11 @@
 // or error as JSON.
 func (s *server) jsonHandler(handle func(r *http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
-		value, err := handle(r)
+		err := readBody(w, r)
+		var value any
+		if err == nil {
+			value, err = handle(r)
+		}
 		if err != nil {
 			apiErr := toError(err)
 			s.Log.Warn("operator call failed", "method", r.Method, "path", r.URL.Path, "kind", apiErr.Kind, "err", err)
@@ -129,6 +139,23 @@
 	}
 }
 
+// readBody reads the body of a request. The connection's hold accounts for it and for its parsed form.
+func readBody(w http.ResponseWriter, r *http.Request) error {
+	hold := memory.HoldOf(r.Context())
+	data, err := hold.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.ContentLength)
+	if err == nil {
+		err = hold.Grow(time.Now(), parsedShare*int64(len(data)))
+	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return &Error{Kind: KindUnavailable, Message: err.Error(), Remedy: "retry later, or send a smaller object set"}
+	}
+	if err != nil {
+		return badRequestError(err.Error(), "send a smaller object set")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return nil
+}
+
 func writeError(w http.ResponseWriter, err *Error) {
 	writeJSON(w, statusByKind[err.Kind], errorReply{Error: err})
 }
