listener: plain HTTP to a TLS port gets its 400 again

Callers that used http where https is due saw a closed connection since "heads count before they are parsed"; TestTLSAndToken of internal/daemon failed. net/http responds to them only if it terminates TLS itself. The counted connection does now.

--- a/internal/listener/http.go
+++ b/internal/listener/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -138,6 +139,7 @@
 func (c *httpConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
+		answerPlainHTTP(err)
 		return n, err
 	}
 	taken := int64(n + headerLineBytes*bytes.Count(p[:n], []byte("\n")))
@@ -155,6 +157,17 @@
 	return n, err
 }
 
+// plainToTLS is the response to a client that does not use TLS where it has to.
+const plainToTLS = "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n"
+
+// answerPlainHTTP responds to a client whose first bytes are no TLS record.
+func answerPlainHTTP(err error) {
+	var record tls.RecordHeaderError
+	if errors.As(err, &record) && record.Conn != nil {
+		_, _ = io.WriteString(record.Conn, plainToTLS) // the connection is closed either way
+	}
+}
+
 // endRequest is called after a response, when the next head may begin.
 func (c *httpConn) endRequest() {
 	c.hold.Reset(time.Now(), c.base+c.buffered.Load())
