entry: a stream makes room only while its caller does not read

Callers that read their streams had them cut when others pressed the router's memory.

Cause: a stream was at rest from its first event on, and its progress was noted only then; it seemed to have stood still longer than any member of a crowd, and went first. Now it is at rest while an event is written, which lasts only if its caller does not read.

Evidence: TestSlowStreamKeepsItsPlace, a stream of 8 events 0.6 s apart beside connections that fill the budget: unexpected EOF before, complete after.

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -75,13 +76,38 @@
 	return most
 }
 
-// holdResponse accounts for a response, or its buffer, that waits for the caller to read it. Callers
-// that don't read make room first; without room the response is sent nevertheless.
-func (cr *callerRequest) holdResponse(n int64) {
-	cr.hold.Add(time.Now(), n)
-	cr.hold.SetAtRest(time.Now(), true)
+// holdResponse accounts for a response, or its buffer, that waits for the caller to read it. Without
+// room the response is sent nevertheless.
+func (cr *callerRequest) holdResponse(n int64) { cr.hold.Add(time.Now(), n) }
+
+// callerWriter writes to a caller, who may keep the router waiting meanwhile.
+type callerWriter struct {
+	w    http.ResponseWriter
+	hold *memory.Hold
+}
+
+// Write implements io.Writer.
+func (w callerWriter) Write(p []byte) (int, error) {
+	w.hold.SetAtRest(time.Now(), true)
+	defer func() { w.hold.SetAtRest(time.Now(), false) }()
+	return w.w.Write(p)
+}
+
+// writeNow writes p and everything before it to the caller's connection.
+func (w callerWriter) writeNow(p []byte) error {
+	w.hold.SetAtRest(time.Now(), true)
+	defer func() { w.hold.SetAtRest(time.Now(), false) }()
+	if _, err := w.w.Write(p); err != nil {
+		return err
+	}
+	if flusher, ok := w.w.(http.Flusher); ok {
+		flusher.Flush()
+	}
+	return nil
 }
 
+func (cr *callerRequest) writer() callerWriter { return callerWriter{cr.w, cr.hold} }
+
 func (cr *callerRequest) refuseForMemory() {
 	cr.w.Header().Set("Connection", "close") // what is left of the body is not read
 	cr.refuse(memoryRetryDelay, memory.ErrExhausted.Error())
--- a/internal/entry/memory_test.go
+++ b/internal/entry/memory_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -71,3 +72,36 @@
 		d.Memory = memory.NewBudget(memory.Limits{Bytes: limit})
 	})
 }
+
+// Guards against streams that are cut for others although their callers read them: an engine that takes
+// its time is no caller that stands still.
+func TestSlowStreamKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	const count, gap = 8, 2 * memory.MinIdle
+	up := newUpstream(t, "engine-1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "yes")
+		for i := range count {
+			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i+1, i+1)
+			w.(http.Flusher).Flush()
+			time.Sleep(gap)
+		}
+	})
+	router := startWithMemory(t, 200<<10, up)
+	done := make(chan reply, 1)
+	go func() { done <- router.send(t, "/stream/a", "m", callerTimeout) }()
+	for {
+		select {
+		case got := <-done:
+			is.NoErr(got.err)
+			is.Equal(strings.Count(got.body, "data:"), count)
+			is.True(router.process.memory.Use().Evicted > 0)
+			return
+		case <-time.After(gap / 10):
+			c, err := net.Dial("tcp", strings.TrimPrefix(router.url, "http://"))
+			is.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\n")
+			is.NoErr(err)
+		}
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -94,14 +94,14 @@
 	cr.holdResponse(int64(len(body)))
 	if complete {
 		cr.writeHead(resp, int64(len(body)))
-		_, _ = cr.w.Write(body) // fails only if the caller disconnected
+		_, _ = cr.writer().Write(body) // fails only if the caller disconnected
 		return nil
 	}
 	cr.writeHead(resp, resp.Length)
-	if _, err := cr.w.Write(body); err != nil {
+	if _, err := cr.writer().Write(body); err != nil {
 		cr.fail("the caller does not read")
 	}
-	if _, err := io.CopyBuffer(cr.w, resp, make([]byte, relayBufferBytes)); err != nil {
+	if _, err := io.CopyBuffer(cr.writer(), resp, make([]byte, relayBufferBytes)); err != nil {
 		cr.fail("answer broke off: " + err.Error())
 	}
 	return nil
@@ -117,7 +117,6 @@
 	if err != nil {
 		return err
 	}
-	flusher, _ := cr.w.(http.Flusher)
 	cr.holdResponse(relayBufferBytes)
 	buffer := make([]byte, relayBufferBytes)
 	var pending []byte
@@ -135,7 +134,7 @@
 				onFirst()
 				first = false
 			}
-			if writeErr := cr.writeEvents(resp, pending[:end], flusher); writeErr != nil {
+			if writeErr := cr.writeEvents(resp, pending[:end]); writeErr != nil {
 				return writeErr
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -150,7 +149,7 @@
 			if err := continuation.end(); err != nil {
 				return err
 			}
-			return cr.endStream(resp, pending, flusher)
+			return cr.endStream(resp, pending)
 		}
 		if err != nil {
 			return err
@@ -162,12 +161,12 @@
 }
 
 // endStream ends a response after its last event; rest is what follows that event.
-func (cr *callerRequest) endStream(resp *exchange.Response, rest []byte, flusher http.Flusher) error {
+func (cr *callerRequest) endStream(resp *exchange.Response, rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 || len(rest) > 0 && !bytes.HasSuffix(rest, eventEnd) {
 		return errTruncated
 	}
 	if len(rest) > 0 {
-		return cr.writeEvents(resp, rest, flusher) // empty lines
+		return cr.writeEvents(resp, rest) // empty lines
 	}
 	if !cr.responseStarted {
 		cr.writeHead(resp, resp.Length)
@@ -175,16 +174,13 @@
 	return nil
 }
 
-func (cr *callerRequest) writeEvents(resp *exchange.Response, events []byte, flusher http.Flusher) error {
+func (cr *callerRequest) writeEvents(resp *exchange.Response, events []byte) error {
 	if !cr.responseStarted {
 		cr.writeHead(resp, -1)
 	}
-	if _, err := cr.w.Write(events); err != nil {
+	if err := cr.writer().writeNow(events); err != nil {
 		return err
 	}
-	if flusher != nil {
-		flusher.Flush()
-	}
 	if id := lastEventID(events); id != "" {
 		cr.lastEventID = id
 	}
