exchange: idle connections are bounded for each upstream, and by what is left

The scheduler of a large fleet keeps a connection to each engine: 2,704 at 299 routers and 3,000 servers (docs/CAPACITY.md). A tenth of its 4,100 descriptors would have closed most of them between two reads of inventories.

What a caller who repeats an id opens goes to few upstreams, so 64 idle connections to one are enough; together they may take what accepted connections leave: nine tenths of the descriptors, less two for each accepted one (itself and one to an upstream).

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -18,12 +18,11 @@
 	// the router itself, stacks and the kernel's buffers.
 	callerMemoryShare = 0.2
 	heapShare         = 0.5
-	// acceptedShare is the part of the descriptors that accepted connections may take. As many
-	// may go to upstreams under their requests, the rest is for idle connections, the store,
-	// other routers and files.
-	acceptedShare = 0.4
-	// idleShare is the part that idle connections to upstreams may take.
-	idleShare = 0.1
+	// acceptedShare is the part of the descriptors that accepted connections may take, and
+	// connectionShare that of them, of as many to upstreams under their requests, and of idle
+	// ones to upstreams. The rest is for the store, other routers and files.
+	acceptedShare   = 0.4
+	connectionShare = 0.9
 	// promptPartBytes is what a part of a prompt takes in a request and in what is asked of the
 	// scheduler for it.
 	promptPartBytes = 256
@@ -54,14 +53,23 @@
 	}
 }
 
-// newMemoryBudget returns the budget of a process with the given settings on a host with hostBytes.
-func newMemoryBudget(settings Settings, hostBytes int64) *memory.Budget {
+// newMemoryBudget returns the budget of a process on a host with hostBytes; 0 stands for what is not
+// known.
+func newMemoryBudget(hostBytes int64, descriptors int) *memory.Budget {
 	return memory.NewBudget(memory.Limits{
 		Bytes:   int64(callerMemoryShare * float64(hostBytes)),
-		Holders: int(acceptedShare * float64(maxDescriptors(settings))),
+		Holders: int(acceptedShare * float64(descriptors)),
 	})
 }
 
+// maxIdle returns how many idle connections to upstreams the process may keep at the moment.
+func (p *Process) maxIdle() int {
+	if p.descriptors == 0 {
+		return math.MaxInt
+	}
+	return int(connectionShare*float64(p.descriptors)) - 2*p.memory.Use().Holders
+}
+
 // maxDescriptors returns how many descriptors the process may have open by its settings and by the
 // limit of the process, 0 if neither is known.
 func maxDescriptors(settings Settings) int {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -62,6 +62,8 @@
 	deps      Deps
 	metrics   *Metrics
 	memory    *memory.Budget
+	// descriptors is how many the process may have open, 0 if that is not known.
+	descriptors int
 	log       *Log
 	directory *fleet.Directory
 	handler   *Handler
@@ -80,14 +82,14 @@
 
 // New returns a process; call Run to serve.
 func New(settings Settings, deps Deps) *Process {
-	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}}
+	p := &Process{settings: settings, deps: deps, metrics: NewMetrics(), directory: fleet.NewDirectory(), logged: make(map[string]string), blocklist: &blocklist.List{}, descriptors: maxDescriptors(settings)}
 	p.log = NewLog(deps.Log, p.metrics)
 	hostBytes := hostMemory(settings)
 	setMemoryLimit(hostBytes)
 	if p.memory = deps.Memory; p.memory == nil {
-		p.memory = newMemoryBudget(settings, hostBytes)
+		p.memory = newMemoryBudget(hostBytes, p.descriptors)
 	}
-	deps.Pool.SetMaxIdle(int(idleShare * float64(maxDescriptors(settings))))
+	deps.Pool.SetMaxIdle(p.maxIdle)
 	bootID := rand.Text()
 	quotas := pace.NewAllowances(settings.Host, settings.QuotaTolerance)
 	notices := &notices{pauses: &pauses{}, limits: pace.NewRouter(settings.Host), startedMs: p.startedMs, onLeaving: p.onLeaving, onLimit: func(limit pace.Limit) { p.client.ReportLimit(limit) }, log: p.log}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -158,7 +158,8 @@
 	is := is.New(t)
 	first, second := serve(t, okResponse, okResponse), serve(t, okResponse, okResponse)
 	p := NewPool(Options{IDHeader: "Id"})
-	p.SetMaxIdle(3)
+	limit := 3
+	p.SetMaxIdle(func() int { return limit })
 	for range 5 {
 		for _, addr := range []string{first.addr, second.addr} {
 			_, err := sendAndRead(p, addr, "same")
@@ -169,10 +170,19 @@
 	_, err := sendAndRead(p, second.addr, "other")
 	is.NoErr(err)
 	is.Equal(p.Stats().Reuses, uint64(1))
-	p.SetMaxIdle(0)
 	p.idle[first.addr][0].idleTimeout = 0
 	p.Sweep()
 	is.Equal(p.idleCount, 2)
+	limit = 1
+	p.Sweep()
+	is.Equal(p.idleCount, 1)
+	many := serve(t, okResponse)
+	limit = 10 * maxIdlePerAddr
+	for range maxIdlePerAddr + 2 {
+		_, err := sendAndRead(p, many.addr, "same")
+		is.NoErr(err)
+	}
+	is.Equal(len(p.idle[many.addr]), maxIdlePerAddr)
 }
 
 // Guards against an unsolicited second response being taken for the response to the
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// maxIdlePerAddr limits the idle connections to one upstream: requests with the same id never share a
+// connection, so that a caller who repeats one opens many.
+const maxIdlePerAddr = 64
+
 // Options configure a Pool.
 type Options struct {
 	// IDHeader names the header that carries the request ID and that upstreams echo
@@ -22,9 +26,11 @@
 
 	mu sync.Mutex
 	// idle has the idle connections by address, each list in the order in which they became
-	// idle. maxIdle limits their number idleCount; 0 for no limit.
-	idle               map[string][]*conn
-	maxIdle, idleCount int
+	// idle, and idleCount is their number.
+	idle      map[string][]*conn
+	idleCount int
+	// maxIdle limits idleCount; nil for no limit.
+	maxIdle func() int
 
 	stats counters
 }
@@ -39,18 +45,20 @@
 	return &Pool{opts: opts, idle: make(map[string][]*conn)}
 }
 
-// SetMaxIdle limits the idle connections to all upstreams together: beyond n, those that have been
-// idle longest are closed. 0 is no limit.
-func (p *Pool) SetMaxIdle(n int) {
+// SetMaxIdle limits the idle connections to all upstreams together to what limit returns at the time:
+// beyond that, those that have been idle longest are closed.
+func (p *Pool) SetMaxIdle(limit func() int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.maxIdle = n
-	p.closeExcess()
+	p.maxIdle = limit
 }
 
 // closeExcess closes the idle connections beyond the limit.
 func (p *Pool) closeExcess() {
-	for p.maxIdle > 0 && p.idleCount > p.maxIdle {
+	if p.maxIdle == nil {
+		return
+	}
+	for limit := max(0, p.maxIdle()); p.idleCount > limit; {
 		oldest := ""
 		for addr, list := range p.idle {
 			if oldest == "" || list[0].idleSince.Before(p.idle[oldest][0].idleSince) {
@@ -135,13 +143,18 @@
 	}
 	p.idle[addr] = append(p.idle[addr], c)
 	p.idleCount++
+	if len(p.idle[addr]) > maxIdlePerAddr {
+		_ = p.remove(addr, 0).Conn.Close() // the connection is discarded
+	}
 	p.closeExcess()
 }
 
-// Sweep closes connections that have been idle for longer than their idle timeout.
+// Sweep closes connections that have been idle for longer than their idle timeout, or that exceed the
+// limit of idle ones.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.closeExcess()
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
