--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -58,19 +58,19 @@
 
 // Process is a router process. Its exported methods are safe for concurrent use.
 type Process struct {
-	settings  Settings
-	deps      Deps
-	metrics   *Metrics
-	memory    *memory.Budget
+	settings Settings
+	deps     Deps
+	metrics  *Metrics
+	memory   *memory.Budget
 	// descriptors is how many the process may have open, 0 if that is not known.
 	descriptors int
-	log       *Log
-	directory *fleet.Directory
-	handler   *Handler
-	scheduler *cell.Scheduler
-	client    *cell.Client
-	election  *cell.Election
-	follower  *fleet.Follower
+	log         *Log
+	directory   *fleet.Directory
+	handler     *Handler
+	scheduler   *cell.Scheduler
+	client      *cell.Client
+	election    *cell.Election
+	follower    *fleet.Follower
 	// blocklist has the prompt parts that crash engines, blocklistStore keeps them in
 	// the platform's store.
 	blocklist      *blocklist.List
