--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -37,6 +37,8 @@
 		{"peers' address", next.PeerAddr != p.settings.PeerAddr},
 		{"metrics address", next.MetricsAddr != p.settings.MetricsAddr},
 		{"cores", next.Cores != p.settings.Cores},
+		{"memory", next.MemoryBytes != p.settings.MemoryBytes},
+		{"descriptors", next.MaxDescriptors != p.settings.MaxDescriptors},
 		{"lease time", next.LeaseTime != p.settings.LeaseTime},
 		{"engines check fences", next.EnginesCheckFence != p.settings.EnginesCheckFence},
 		{"load window", next.LoadWindow != p.settings.LoadWindow},
