exchange: long request ids are remembered by a digest

Callers saw a router that ran out of memory under ordinary requests whose ids are some 30 KiB long, 20 connections at a time.

Cause: a connection to an upstream remembers the ids of the 256 requests that it has carried, 7.7 MB of them, for as long as it is kept.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 )
 
 // maxConnUses limits the exchanges per connection and so the size of conn.sentIDs.
@@ -27,7 +29,7 @@
 	headLimit *headLimiter
 	// number identifies the connection within its pool.
 	number uint64
-	// sentIDs holds the IDs of the requests sent on the connection.
+	// sentIDs holds the keys of the IDs of the requests sent on the connection.
 	sentIDs map[string]struct{}
 	// unidentified is set once a response had no request ID. A duplicate of it could
 	// precede any later response, so only state reads may follow on the connection.
@@ -81,7 +83,7 @@
 // earlier response can be mistaken for the response to req. A request without an ID
 // needs a new connection.
 func (c *conn) mayCarry(req *Request) bool {
-	_, sentBefore := c.sentIDs[req.ID]
+	_, sentBefore := c.sentIDs[memory.Key(req.ID)]
 	return req.ID != "" && !sentBefore && (!c.unidentified || req.purpose == purposeStateRead)
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -15,6 +15,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 )
 
 const (
@@ -146,7 +148,7 @@
 		}
 	}
 	writtenBefore := c.bytesWritten.Load()
-	c.sentIDs[req.ID] = struct{}{}
+	c.sentIDs[memory.Key(req.ID)] = struct{}{}
 	trace := Trace{Conn: c.number, ConnUses: c.uses()}
 	stop := context.AfterFunc(ctx, func() { _ = c.Conn.Close() }) // unblocks reads and writes
 	fail := func(err error, malformed bool) (*Response, error) {
