entry: what the scheduler hears of a request has a bound

Callers saw the scheduler's router run out of memory under ordinary requests that name parts of their prompts in 30 KiB, 60 connections at three routers.

Cause: the names went into every message about the request, and the scheduler remembers up to 32,768 parts as sound. Parts and request ids of more than 64 bytes are now known by a digest between routers (heads go to upstreams as they came), and a request whose model and adapter have names of more than 512 bytes together is refused at once.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -163,6 +163,9 @@
 	}
 	cr := &callerRequest{handler: h, w: w, r: r, hold: memory.HoldOf(r.Context()), arrivedAt: time.Now()}
 	cr.call = h.dialect.ReadCall(r)
+	for i, part := range cr.call.Parts {
+		cr.call.Parts[i].ID = memory.Key(part.ID)
+	}
 	cr.record = RequestRecord{ID: cr.call.ID, Model: cr.call.Model, Adapter: cr.call.Adapter}
 	if cr.call.ID != "" {
 		w.Header().Set(h.dialect.IDHeader(), cr.call.ID)
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -12,18 +12,25 @@
 	"github.com/ragwortdoor/ragwortdoor/internal/cell"
 	"github.com/ragwortdoor/ragwortdoor/internal/exchange"
 	"github.com/ragwortdoor/ragwortdoor/internal/fleet"
+	"github.com/ragwortdoor/ragwortdoor/internal/memory"
 )
 
 const (
 	// maxAdapterAttempts limits the attempts of a request that upstreams refuse
 	// because its adapter is not loaded yet.
 	maxAdapterAttempts = 3
+	// maxModelNameBytes limits the names of a model and of its adapter together.
+	maxModelNameBytes = 512
 	// maxPlacements limits the placements of one request.
 	maxPlacements = 6
 )
 
 // serveModel serves a request for a model.
 func (cr *callerRequest) serveModel() {
+	if len(cr.call.Model)+len(cr.call.Adapter) > maxModelNameBytes {
+		cr.refuse(attemptRetryDelay, "no model or adapter has so long a name")
+		return
+	}
 	for range maxPlacements {
 		if cr.mayNotContinue() {
 			return
@@ -146,7 +153,7 @@
 
 func (cr *callerRequest) placementRequest() *apiv1.PlacementAsk {
 	req := &apiv1.PlacementAsk{
-		RequestId:     cr.call.ID,
+		RequestId:     memory.Key(cr.call.ID),
 		Service:       cr.service.Name,
 		Model:         cr.call.Model,
 		Adapter:       cr.call.Adapter,
