scheduler: nothing is kept of requests for models that are not configured

The scheduler's memory grew with each name of a model that callers invented, and with each request that it refused, for as long as a router stayed connected.

Cause: a request was counted as demand for its model before the scheduler asked whether there is such a model; and the service of a refused request stayed in its session. A request for a model that is not configured is now refused before anything of it is kept, and a refusal ends what the session knows of its request.

--- a/internal/cell/scheduler.go
+++ b/internal/cell/scheduler.go
@@ -317,6 +317,9 @@
 	}
 	for _, refusal := range actions.Refusals {
 		s.opts.Log.Refused(service, refusal)
+		if session := s.sessions[refusal.Key>>requestNumberBits]; session != nil {
+			delete(session.serviceByKey, refusal.Key)
+		}
 		s.replyTo(refusal.Key, &apiv1.SchedulerReply{Body: &apiv1.SchedulerReply_Refusal{Refusal: &apiv1.PlacementRefusal{
 			Number:       refusal.Key & (1<<requestNumberBits - 1),
 			RetryAfterUs: refusal.RetryAfter.Microseconds(),
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -85,6 +85,15 @@
 	c.modelOf(r.req.Model).demand.addWork(now, time.Duration(max(0, min(1, weight))*share))
 }
 
+// isConfigured reports whether the configuration has a model, or does not say which there are.
+func (c *Cell) isConfigured(name string) bool {
+	if c.spec == nil || len(c.spec.Models) == 0 {
+		return true
+	}
+	_, known := c.spec.Models[name]
+	return known
+}
+
 func (c *Cell) modelOf(name string) *model {
 	m := c.models[name]
 	if m == nil {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -99,10 +99,8 @@
 	if w.req.isRestricted() && !c.mayBeServed(w.req) {
 		return c.refuse(w, capacityRetryDelay, "every engine that may serve it has failed it or takes no requests from its router")
 	}
-	if c.spec != nil && len(c.spec.Models) > 0 {
-		if _, known := c.spec.Models[w.req.Model]; !known {
-			return c.refuse(w, capacityRetryDelay, "model is not configured")
-		}
+	if !c.isConfigured(w.req.Model) {
+		return c.refuse(w, capacityRetryDelay, "model is not configured")
 	}
 	ready, found := c.bestReady(now, w.req)
 	if found && now.Add(ready.firstEvent).Before(latest(w.req.Objective, now.Add(acceptableWait))) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -265,8 +265,12 @@
 // later event.
 func (c *Cell) Submit(now time.Time, req *Request) Actions {
 	c.trafficSeen = true
-	c.modelOf(req.Model).demand.addRequest(now)
 	w := &waiter{req: req, since: now}
+	if !c.isConfigured(req.Model) { // callers may name any: nothing of it may be kept
+		c.refuse(w, capacityRetryDelay, "model is not configured")
+		return c.takeActions()
+	}
+	c.modelOf(req.Model).demand.addRequest(now)
 	if c.refuseIfBlocked(now, w) {
 		return c.takeActions()
 	}
