scheduler: the parts that are remembered for an engine have a bound

The scheduler's memory grew with parts of prompts that callers say have no tokens: parts make room for others by their tokens, so these never did.

At most 2,048 parts are remembered for an engine, the most recently used ones.

Evidence: TestCachedPartsAreBounded, 4,096 parts without tokens, of which 4,096 were kept before and 2,048 are now.

--- a/internal/scheduler/bounds_test.go
+++ b/internal/scheduler/bounds_test.go
@@ -20,3 +20,16 @@
 	}
 	is.Equal(len(s.cell.models), known)
 }
+
+// Guards against state that grows with the parts of prompts: callers choose their tokens, too.
+func TestCachedPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := newPrefixCache(1000)
+	for i := range 2 * maxCachedParts {
+		p.use(&Request{Parts: []PromptPart{{ID: fmt.Sprint(i)}}})
+	}
+	is.Equal(p.order.Len(), maxCachedParts)
+	is.Equal(len(p.byKey), maxCachedParts)
+	p.use(&Request{Parts: []PromptPart{{ID: "large", Tokens: 1001}}})
+	is.Equal(p.order.Len(), 0)
+}
--- a/internal/scheduler/prefix.go
+++ b/internal/scheduler/prefix.go
@@ -2,9 +2,14 @@
 
 import "container/list"
 
+// maxCachedParts bounds the parts that are remembered for an engine.
+const maxCachedParts = 2048
+
 // prefixCache estimates which prompt parts an engine has in its KV cache, from
 // the requests that were sent to it. The least recently used parts are evicted
 // first.
+//
+// Callers choose the tokens of parts, so that their number has a bound of its own.
 type prefixCache struct {
 	capacity int64 // tokens
 	tokens   int64
@@ -52,7 +57,7 @@
 		p.byKey[key] = p.order.PushFront(&cachedPart{key: key, tokens: req.Parts[i].Tokens})
 		p.tokens += req.Parts[i].Tokens
 	}
-	for p.tokens > p.capacity && p.order.Len() > 0 {
+	for (p.tokens > p.capacity || p.order.Len() > maxCachedParts) && p.order.Len() > 0 {
 		p.drop(p.order.Back())
 	}
 }
