decisionlog: values and lines have a bound

A router could run out of memory while its log was read slowly: 4,096 lines wait at most, and callers choose the length of ids in them; 61 KB for a line in the test.

String and error values are cut at 512 bytes, and lines of more than 4 KiB are dropped and counted, so that 16 MB wait at most.

Evidence: TestLongValuesAreCut fails before (a line of 61,510 bytes), passes now.

--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"sync"
@@ -86,3 +87,20 @@
 		})
 	}
 }
+
+// Guards against lines that wait for a slow reader and take as much memory as callers choose.
+func TestLongValuesAreCut(t *testing.T) {
+	l := New(log.InfoLevel)
+	long := strings.Repeat("x", 30<<10)
+	for range 100 {
+		l.Info("request", "id", long, "err", errors.New(long), "path", "/x")
+	}
+	if len(l.queue) != 100 {
+		t.Fatalf("%d lines are queued, want 100", len(l.queue))
+	}
+	for len(l.queue) > 0 {
+		if line := <-l.queue; len(line) > maxLineBytes || !strings.HasSuffix(string(line), " path=/x\n") {
+			t.Fatalf("a line of %d bytes is queued", len(line))
+		}
+	}
+}
--- a/internal/decisionlog/writer.go
+++ b/internal/decisionlog/writer.go
@@ -18,6 +18,10 @@
 const (
 	// queueLines limits the lines that wait for a slow reader.
 	queueLines = 4096
+	// maxValueBytes and maxLineBytes limit what a value and a line take: callers choose the
+	// lengths of ids.
+	maxValueBytes = 512
+	maxLineBytes  = 4 << 10
 	// linesPerSecond and burstLines limit the rate of each kind of line.
 	linesPerSecond = 400
 	burstLines     = 1200
@@ -48,8 +52,12 @@
 }
 
 // Write implements io.Writer for the formatter: it queues a copy of the line, or drops
-// the line when the queue is full. It never blocks.
+// the line when the queue is full or the line too long. It never blocks.
 func (l *Logger) Write(line []byte) (int, error) {
+	if len(line) > maxLineBytes {
+		l.dropped.Add(1)
+		return len(line), nil
+	}
 	copied := append([]byte(nil), line...)
 	select {
 	case l.queue <- copied:
@@ -131,17 +139,30 @@
 	return false
 }
 
+// shortened cuts long values.
+func shortened(keyvals []any) []any {
+	for i, value := range keyvals {
+		if err, ok := value.(error); ok && err != nil {
+			value = err.Error()
+		}
+		if s, ok := value.(string); ok && len(s) > maxValueBytes {
+			keyvals[i] = s[:maxValueBytes] + "..."
+		}
+	}
+	return keyvals
+}
+
 // Info logs a line; kind is its message and selects the rate limit, keyvals
 // alternate keys and values.
 func (l *Logger) Info(kind string, keyvals ...any) {
 	if l.allow(kind) {
-		l.out.Info(kind, keyvals...)
+		l.out.Info(kind, shortened(keyvals)...)
 	}
 }
 
 // Warn is like Info, for conditions that may need an operator's attention.
 func (l *Logger) Warn(kind string, keyvals ...any) {
 	if l.allow(kind) {
-		l.out.Warn(kind, keyvals...)
+		l.out.Warn(kind, shortened(keyvals)...)
 	}
 }
