--- a/internal/crowdtest/crowdtest.go
+++ b/internal/crowdtest/crowdtest.go
@@ -67,7 +67,7 @@
 	Dial   func() (net.Conn, error)
 	Size   int
 	Member Member
-	// Rounds is how often each member comes; the connections before the last one are reset.
+	// Rounds is how often each member comes and resets its connection, before the one that stays.
 	Rounds int
 }
 
