listener: connections are accepted with their own type

Two callers asked for the type of what they had accepted, with a branch for others that nothing takes, and a sync.Once guarded a Close that may be called twice by itself. No change of behaviour.

--- a/internal/listener/http.go
+++ b/internal/listener/http.go
@@ -112,14 +112,10 @@
 
 // Accept implements net.Listener.
 func (l httpListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	conn, err := l.AcceptConn()
 	if err != nil {
 		return nil, err
 	}
-	conn, ok := c.(*Conn)
-	if !ok {
-		return c, nil
-	}
 	return &httpConn{Conn: conn, refusal: l.refusal}, nil
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
 	"syscall"
 	"time"
 
@@ -63,9 +62,18 @@
 	return l.Listener.Close()
 }
 
-// Accept implements net.Listener. It fails only if the listener does: a process that may open no
-// further descriptor accepts again once it may.
+// Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.AcceptConn()
+	if err != nil {
+		return nil, err // not a nil *Conn
+	}
+	return c, nil
+}
+
+// AcceptConn accepts a connection. It fails only if the listener does: a process that may open no
+// further descriptor accepts again once it may.
+func (l *Listener) AcceptConn() (*Conn, error) {
 	pause := &backoff.ExponentialBackOff{InitialInterval: minAcceptPause, Multiplier: 2, MaxInterval: maxAcceptPause}
 	pause.Reset()
 	for {
@@ -122,8 +130,7 @@
 	net.Conn
 	hold *memory.Hold
 	// base is what the connection takes by itself, in bytes.
-	base  int64
-	close sync.Once
+	base int64
 }
 
 // Hold returns what accounts for the connection.
@@ -132,7 +139,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
-	c.close.Do(c.hold.Close)
+	c.hold.Close()
 	return err
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -66,7 +66,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() }) // unblocks Accept
 	defer stop()
 	for {
-		conn, err := s.listener.Accept()
+		conn, err := s.listener.AcceptConn()
 		if errors.Is(err, net.ErrClosed) {
 			s.wg.Wait()
 			return nil
@@ -82,12 +82,9 @@
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+func (s *Server) serveConn(ctx context.Context, conn *listener.Conn) {
 	defer func() { _ = conn.Close() }() // the peer reports the failure
-	accounted := &accountedConn{server: s}
-	if c, ok := conn.(*listener.Conn); ok {
-		accounted.hold = c.Hold()
-	}
+	accounted := &accountedConn{server: s, hold: conn.Hold()}
 	if accounted.hold.Grow(time.Now(), sessionBytes) != nil {
 		return
 	}
